--- /dev/null
+++ b/packages/counter/src/book.ts
@@ -0,0 +1,69 @@
+import { agreed as agreedState, replicas } from '@martenworks/envelope';
+import type { Agreed, Change, Clock, KvNews, ReplicaRecord } from '@martenworks/envelope';
+import { Pigeonhole } from '@martenworks/pigeonhole';
+import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import { Door } from './layoutView.js';
+import type { LayoutView } from './layoutView.js';
+
+const keptAgeLimitMs = 600_000;
+
+export class Book {
+  readonly index = new Pigeonhole(keptAgeLimitMs);
+  private readonly door = new Door();
+  private readonly held = new Map<string, ReplicaRecord>();
+  private state: Agreed | null = null;
+  private shown: LayoutView | null = null;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly changed: () => void,
+  ) {}
+
+  readonly agreed = (): Agreed | null => this.state;
+  readonly view = (): LayoutView | null => this.shown;
+  readonly generation = (): number => this.state?.generation ?? -1;
+  readonly records = (): ReplicaRecord[] => [...this.held.values()];
+  readonly record = (name: string): ReplicaRecord | undefined => this.held.get(name);
+
+  private readonly show = (state: Agreed): void => {
+    this.state = state;
+    this.shown = this.door.view(state);
+    this.reindex();
+    this.changed();
+  };
+
+  private readonly reindex = (): void => {
+    const pools = this.shown?.pools;
+    this.index.reconcile(this.held.values(), (record) => pools?.get(record.pool)?.weights ?? null);
+  };
+
+  readonly takeChange = (generation: number, change: Change): boolean => {
+    if (this.state === null || generation !== this.state.generation + 1) return false;
+    this.show(agreedState.apply(this.state, change));
+    return true;
+  };
+
+  readonly takeCheckpoint = (state: Agreed): boolean => {
+    if (this.state !== null && state.generation <= this.state.generation) return false;
+    this.show(state);
+    return true;
+  };
+
+  readonly takeReplicas = (told: readonly ReplicaRecord[]): void => {
+    for (const record of told) this.held.set(record.name, replicas.merge(this.held.get(record.name), record));
+    this.reindex();
+    this.changed();
+  };
+
+  readonly takeShelf = (shelf: ShelfCheckpoint): void => this.index.restore(shelf, this.clock.now());
+
+  readonly takeKv = (news: readonly KvNews[]): void => {
+    const now = this.clock.now();
+    for (const one of news) this.index.take(one, now);
+  };
+
+  readonly inPool = (poolName: string): ReplicaRecord[] => this.records().filter((record) => record.pool === poolName && record.kind === 'replica' && record.state === 'ready');
+
+  readonly holdersIn = (poolName: string, store: string | null): ReplicaRecord[] =>
+    this.records().filter((record) => record.state !== 'gone' && (record.pool === poolName || (record.kind === 'store' && record.name === store)));
+}
--- /dev/null
+++ b/packages/counter/src/counter.ts
@@ -0,0 +1,154 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Repeating, pause } from '@martenworks/envelope';
+import type { Agreed, Change, KvNews, Listener, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Env } from '@martenworks/franking';
+import { coaches, wireRelease } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import { Lines, Roster } from '@martenworks/roundsman';
+import type { RosterEntry } from '@martenworks/roundsman';
+import { Book } from './book.js';
+import { Freshness } from './freshness.js';
+import { Parcel } from './parcel.js';
+import type { Order, Receipt } from './parcel.js';
+import type { Pong } from './pong.js';
+import { Stages } from './stages.js';
+import { Tally } from './tally.js';
+import { Tracks } from './tracks.js';
+
+const pingMs = 250;
+const pingPatienceMs = 2_000;
+
+export class Counter {
+  readonly incarnation: string;
+  readonly roster: Roster;
+  readonly lines: Lines;
+  readonly book: Book;
+  readonly freshness: Freshness;
+  readonly tracks: Tracks;
+  readonly tally = new Tally();
+  readonly stages: Stages;
+  private readonly pinger: Repeating;
+  private readonly pinged = new Set<Coach>();
+  private listener: Listener | null = null;
+
+  constructor(
+    readonly env: Env,
+    readonly ports: Ports,
+  ) {
+    const { clock, random } = ports;
+    this.incarnation = random.token(8);
+    this.roster = new Roster(clock, this.hello);
+    this.book = new Book(clock, () => this.changed());
+    this.freshness = new Freshness(clock, () => this.book.agreed()?.members ?? [], this.book.generation);
+    this.tracks = new Tracks(clock);
+    this.stages = new Stages(env, ports, this.book, this.tracks, this.freshness, this.tally);
+    this.lines = new Lines(ports, this.hello, env.seeds, this.roster, () => (this.book.agreed()?.members ?? []).map((member) => member.address), this.handlers());
+    this.pinger = new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.pingAll);
+  }
+
+  readonly hello = (): Hello => ({
+    release: wireRelease,
+    name: this.env.name,
+    role: 'counter',
+    address: this.env.coach,
+    zone: this.env.zone,
+    incarnation: this.incarnation,
+  });
+
+  readonly open = async (): Promise<Result<void, NetFault>> => {
+    const { net, clock, log } = this.ports;
+    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
+    if (opened.isErr()) return err(opened.error);
+    this.listener = opened.value;
+    return ok(undefined);
+  };
+
+  private readonly changed = (): void => {
+    for (const coach of this.lines?.open() ?? []) coach.tell('ack', this.book.generation());
+    this.stages?.recheck();
+    this.lines?.align();
+  };
+
+  private readonly pingAll = (): void => {
+    for (const coach of this.lines.open()) void this.ping(coach);
+  };
+
+  private readonly ping = async (coach: Coach): Promise<void> => {
+    if (coach.neighbour?.role !== 'postmaster' || this.pinged.has(coach)) return;
+    this.pinged.add(coach);
+    const stamp = this.freshness.stamp();
+    const receipt = await coach.ask('ping', this.tracks.report(), pingPatienceMs);
+    this.pinged.delete(coach);
+    if (receipt.isErr()) return coach.close();
+    const pong = receipt.value as Pong;
+    this.freshness.heard(stamp, pong);
+    this.tracks.toldOthers(pong.running);
+    if (pong.generation > this.book.generation()) coach.tell('subscribe', this.book.generation());
+    this.stages.pumpAll();
+  };
+
+  private readonly handlers = (): Handlers => ({
+    joined: (coach) => {
+      if (coach.neighbour === null) return;
+      this.roster.heard(coach.neighbour);
+      if (coach.neighbour.role !== 'postmaster') return;
+      coach.tell('subscribe', this.book.generation());
+      void this.ping(coach);
+    },
+    left: () => {},
+    told: (_coach, topic, body) => {
+      switch (topic) {
+        case 'change': {
+          const { generation, change } = body as { generation: number; change: Change };
+          this.book.takeChange(generation, change);
+          return;
+        }
+        case 'checkpoint':
+          this.book.takeCheckpoint(body as Agreed);
+          return;
+        case 'replicas':
+          this.book.takeReplicas(body as ReplicaRecord[]);
+          return;
+        case 'shelf':
+          this.book.takeShelf(body as ShelfCheckpoint);
+          return;
+        case 'kv':
+          this.book.takeKv(body as KvNews[]);
+          return;
+      }
+    },
+    asked: async (_coach, topic, body) => {
+      if (topic === 'beat') return true;
+      if (topic !== 'roster') return null;
+      this.roster.merge(body as RosterEntry[]);
+      return this.roster.entries();
+    },
+  });
+
+  readonly serve = (order: Order): Promise<Receipt> => new Promise((settle) => this.stages.enter(new Parcel(order, this.ports.clock.now(), settle)));
+
+  readonly drain = async (): Promise<void> => {
+    this.stages.isDraining = true;
+    const { clock } = this.ports;
+    const endAt = clock.now() + this.env.drainMs;
+    while (this.stages.live.size > 0 && clock.now() < endAt) await pause.for(clock, 50);
+  };
+
+  readonly stop = async (): Promise<void> => {
+    this.pinger.stop();
+    this.lines.stop();
+    for (const parcel of [...this.stages.live]) this.stages.refuse(parcel, 'draining', 'this counter is closing');
+    await this.listener?.close();
+    await this.ports.carriage.close();
+  };
+}
+
+export const counters = {
+  start: async (env: Env, ports: Ports): Promise<Result<Counter, NetFault>> => {
+    const counter = new Counter(env, ports);
+    const opened = await counter.open();
+    return opened.isErr() ? err(opened.error) : ok(counter);
+  },
+};
--- /dev/null
+++ b/packages/counter/src/layoutView.ts
@@ -0,0 +1,50 @@
+import { DenseIndex } from '@martenworks/envelope';
+import type { Agreed, Lane, Pool, Tenant, Tier } from '@martenworks/envelope';
+
+export interface LaneView {
+  readonly index: number;
+  readonly name: string;
+  readonly poolName: string;
+  readonly pool: Pool;
+  readonly repeat: Lane['repeat'];
+}
+
+export interface TenantView {
+  readonly index: number;
+  readonly name: string;
+  readonly tenant: Tenant;
+  readonly tierName: string;
+  readonly tier: Tier;
+  readonly lanes: ReadonlySet<number>;
+}
+
+export interface LayoutView {
+  readonly generation: number;
+  readonly layoutGeneration: number;
+  readonly lanes: ReadonlyMap<string, LaneView>;
+  readonly tenants: ReadonlyMap<string, TenantView>;
+  readonly pools: ReadonlyMap<string, Pool>;
+  readonly keys: Agreed['keys'];
+}
+
+export class Door {
+  readonly laneNames = new DenseIndex();
+  readonly tenantNames = new DenseIndex();
+
+  readonly view = (agreed: Agreed): LayoutView => {
+    const { layout } = agreed;
+    const lanes = new Map<string, LaneView>();
+    for (const [name, lane] of Object.entries(layout.lanes)) {
+      const pool = layout.pools[lane.pool];
+      if (pool !== undefined) lanes.set(name, { index: this.laneNames.indexOf(name), name, poolName: lane.pool, pool, repeat: lane.repeat });
+    }
+    const tenants = new Map<string, TenantView>();
+    for (const [name, tenant] of Object.entries(layout.tenants)) {
+      const tier = layout.tiers[tenant.tier];
+      if (tier === undefined) continue;
+      const granted = new Set(tenant.lanes.map((lane) => this.laneNames.indexOf(lane)));
+      tenants.set(name, { index: this.tenantNames.indexOf(name), name, tenant, tierName: tenant.tier, tier, lanes: granted });
+    }
+    return { generation: agreed.generation, layoutGeneration: agreed.layoutGeneration, lanes, tenants, pools: new Map(Object.entries(layout.pools)), keys: agreed.keys };
+  };
+}
--- /dev/null
+++ b/packages/counter/src/stages.ts
@@ -0,0 +1,402 @@
+import { deny, keys, prompts } from '@martenworks/envelope';
+import type { Deny, DenyCode, Ports } from '@martenworks/envelope';
+import { backWire } from '@martenworks/courier';
+import type { Piece } from '@martenworks/courier';
+import type { Env } from '@martenworks/franking';
+import { place } from '@martenworks/pigeonhole';
+import type { Placement } from '@martenworks/pigeonhole';
+import type { Book } from './book.js';
+import { ExtraBudget, RateShare } from './budget.js';
+import type { Freshness } from './freshness.js';
+import type { Parcel } from './parcel.js';
+import { Pipe, Stage } from './pipe.js';
+import type { Tally } from './tally.js';
+import type { Tracks } from './tracks.js';
+
+const agingMs = 1_500;
+const fairStepMs = 20;
+const defaultHorizonMs = 30_000;
+const longestHorizonMs = 600_000;
+const largestRetryAfterSeconds = 30;
+
+interface Waiting {
+  readonly pipe: Pipe<Parcel>;
+  readonly byTenant: Map<number, number>;
+  readonly byTier: Map<string, number>;
+  finished: number;
+  ratePerMs: number;
+  ratedAt: number;
+}
+
+export class Stages {
+  readonly live = new Set<Parcel>();
+  private readonly queues = new Map<string, Waiting>();
+  private readonly budgets = new Map<string, ExtraBudget>();
+  private readonly rates = new Map<number, RateShare>();
+  private readonly admitStage: Stage<Parcel>;
+  private readonly matchStage: Stage<Parcel>;
+  isDraining = false;
+
+  constructor(
+    private readonly env: Env,
+    private readonly ports: Ports,
+    private readonly book: Book,
+    private readonly tracks: Tracks,
+    private readonly freshness: Freshness,
+    private readonly tally: Tally,
+  ) {
+    const arrival = (parcel: Parcel): number => parcel.arrivedAt;
+    const crowded = (parcel: Parcel): void => this.refuse(parcel, 'no_capacity', 'the stage is full');
+    this.admitStage = new Stage(env.queueLimit, arrival, this.admit, crowded);
+    this.matchStage = new Stage(env.queueLimit, arrival, this.match, crowded);
+  }
+
+  readonly enter = (parcel: Parcel): void => {
+    this.live.add(parcel);
+    parcel.whenEnded(() => this.live.delete(parcel));
+    const left = (): void => {
+      if (parcel.endReported) return;
+      this.tally.add('caller_left');
+      this.unqueue(parcel);
+      parcel.answer(deny.of('caller_left', parcel.mayHaveRun ? 'unknown' : 'no', 'the caller left'));
+      parcel.end();
+    };
+    if (parcel.order.signal.aborted) return left();
+    parcel.order.signal.addEventListener('abort', left, { once: true });
+    this.admitStage.enter(parcel);
+  };
+
+  private readonly retryAfter = (code: DenyCode, poolName: string | null): number | undefined => {
+    if (code !== 'no_capacity' && code !== 'horizon_passed') return undefined;
+    const queue = poolName === null ? undefined : this.queues.get(poolName);
+    const waitSeconds = queue === undefined || queue.ratePerMs <= 0 ? 1 : queue.pipe.size() / queue.ratePerMs / 1000;
+    return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(waitSeconds + this.ports.random.fraction())));
+  };
+
+  readonly refuse = (parcel: Parcel, code: DenyCode, detail: string): void => {
+    this.unqueue(parcel);
+    const ran = parcel.mayHaveRun ? 'unknown' : 'no';
+    const denied: Deny = deny.of(code, ran, detail, this.retryAfter(code, parcel.lane?.poolName ?? null));
+    if (!parcel.isAnswered) this.tally.add(`denied_${code}`);
+    if (parcel.isRelaying) parcel.cut(detail);
+    else {
+      parcel.answer(denied);
+      parcel.end();
+    }
+  };
+
+  private readonly admit = (parcel: Parcel): void => {
+    if (parcel.endReported) return;
+    if (this.isDraining) return this.refuse(parcel, 'draining', 'this counter is closing');
+    const view = this.book.view();
+    if (view === null || !this.freshness.isFresh()) return this.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
+    if (parcel.order.key === null) return this.refuse(parcel, 'unknown_key', 'no bearer key was given');
+    parcel.keyHash = keys.hash(parcel.order.key);
+    const grant = Object.hasOwn(view.keys, parcel.keyHash) ? view.keys[parcel.keyHash] : undefined;
+    const tenant = grant === undefined ? undefined : view.tenants.get(grant.tenant);
+    if (tenant === undefined) return this.refuse(parcel, 'unknown_key', 'the key is not granted');
+    parcel.tenant = tenant;
+    this.matchStage.enter(parcel);
+  };
+
+  private readonly match = (parcel: Parcel): void => {
+    if (parcel.endReported) return;
+    const view = this.book.view();
+    const { tenant } = parcel;
+    if (view === null || tenant === null) return this.refuse(parcel, 'not_fresh', 'no layout is held');
+    const laneName = parcel.order.body['model'];
+    if (typeof laneName !== 'string') return this.refuse(parcel, 'bad_request', 'model must name a lane');
+    const lane = view.lanes.get(laneName);
+    if (lane === undefined) return this.refuse(parcel, 'unknown_lane', 'no such lane');
+    if (!tenant.lanes.has(lane.index)) return this.refuse(parcel, 'lane_not_granted', 'the key\'s holder may not use this lane');
+    const prompt = backWire.promptOf(parcel.order.path, parcel.order.body);
+    if (prompt === null) return this.refuse(parcel, 'bad_request', 'the prompt must be text');
+    if (!this.isWithinRate(parcel)) return this.refuse(parcel, 'over_share', 'the tenant is over its rate');
+    parcel.lane = lane;
+    parcel.laneName = laneName;
+    parcel.prompt = prompt;
+    parcel.promptTokens = prompts.tokens(prompt);
+    parcel.blocks = prompts.blocks(prompt);
+    const horizonMs = Math.min(longestHorizonMs, parcel.order.horizonMs ?? tenant.tier.horizonMs ?? defaultHorizonMs);
+    parcel.horizonAt = parcel.arrivedAt + horizonMs;
+    const clockEvent = this.ports.clock.after(Math.max(0, parcel.horizonAt - this.ports.clock.now()), () => {
+      if (!parcel.isAnswered) this.refuse(parcel, 'horizon_passed', 'the horizon passed before a first piece came');
+    });
+    parcel.whenEnded(clockEvent.cancel);
+    this.queue(parcel);
+  };
+
+  private readonly isWithinRate = (parcel: Parcel): boolean => {
+    const { tenant } = parcel;
+    if (tenant === null || tenant.tenant.ratePerSecond === null) return true;
+    const perSecond = tenant.tenant.ratePerSecond / this.env.fronts;
+    const held = this.rates.get(tenant.index);
+    const rate = held !== undefined && held.perSecond === perSecond ? held : new RateShare(perSecond, this.ports.clock.now());
+    this.rates.set(tenant.index, rate);
+    return rate.take(this.ports.clock.now());
+  };
+
+  private readonly queueOf = (poolName: string): Waiting => {
+    const held = this.queues.get(poolName);
+    if (held !== undefined) return held;
+    const queue: Waiting = { pipe: new Pipe(this.env.queueLimit), byTenant: new Map(), byTier: new Map(), finished: 0, ratePerMs: 0, ratedAt: this.ports.clock.now() };
+    this.queues.set(poolName, queue);
+    return queue;
+  };
+
+  private readonly queue = (parcel: Parcel): void => {
+    const { lane, tenant } = parcel;
+    if (lane === null || tenant === null) return;
+    if (this.book.inPool(lane.poolName).length === 0) return this.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
+    const queue = this.queueOf(lane.poolName);
+    const ofTier = queue.byTier.get(tenant.tierName) ?? 0;
+    if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.env.queueLimit))) return this.refuse(parcel, 'over_share', 'the tier\'s share of the queue is taken');
+    const ofTenant = queue.byTenant.get(tenant.index) ?? 0;
+    const ahead = queue.pipe.size();
+    if (queue.ratePerMs > 0 && ahead > 8 && tenant.tier.rank > 0 && ahead / queue.ratePerMs > parcel.horizonAt - this.ports.clock.now()) {
+      return this.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
+    }
+    const urgency = parcel.arrivedAt + tenant.tier.rank * agingMs + ofTenant * fairStepMs;
+    queue.byTenant.set(tenant.index, ofTenant + 1);
+    queue.byTier.set(tenant.tierName, ofTier + 1);
+    const displaced = queue.pipe.put(parcel, urgency);
+    if (displaced !== null) {
+      this.forget(queue, displaced);
+      this.refuse(displaced, 'no_capacity', 'the queue is full');
+    }
+    this.pump(lane.poolName);
+  };
+
+  private readonly forget = (queue: Waiting, parcel: Parcel): void => {
+    if (parcel.tenant === null) return;
+    const less = <K>(table: Map<K, number>, key: K): void => {
+      const count = (table.get(key) ?? 0) - 1;
+      if (count > 0) table.set(key, count);
+      else table.delete(key);
+    };
+    less(queue.byTenant, parcel.tenant.index);
+    less(queue.byTier, parcel.tenant.tierName);
+  };
+
+  private readonly unqueue = (parcel: Parcel): void => {
+    if (parcel.lane === null) return;
+    const queue = this.queues.get(parcel.lane.poolName);
+    if (queue?.pipe.remove(parcel) === true) this.forget(queue, parcel);
+  };
+
+  readonly pumpAll = (): void => {
+    for (const poolName of this.queues.keys()) this.pump(poolName);
+  };
+
+  readonly recheck = (): void => {
+    const view = this.book.view();
+    if (view === null) return;
+    for (const parcel of [...this.live]) {
+      if (parcel.tenant === null) continue;
+      const grant = Object.hasOwn(view.keys, parcel.keyHash) ? view.keys[parcel.keyHash] : undefined;
+      if (grant?.tenant !== parcel.tenant.name || !view.tenants.has(parcel.tenant.name)) {
+        this.refuse(parcel, 'key_revoked', 'the key was revoked');
+        continue;
+      }
+      if (parcel.lane === null || parcel.isRelaying || parcel.shots > 0) continue;
+      const lane = view.lanes.get(parcel.laneName);
+      if (lane === undefined) this.refuse(parcel, 'unknown_lane', 'the lane was taken away');
+      else if (lane.poolName !== parcel.lane.poolName) {
+        this.unqueue(parcel);
+        parcel.lane = lane;
+        this.queue(parcel);
+      } else parcel.lane = lane;
+    }
+    this.pumpAll();
+  };
+
+  private readonly placement = (parcel: Parcel): Placement | null => {
+    const view = this.book.view();
+    const { lane, tenant } = parcel;
+    if (view === null || lane === null || tenant === null) return null;
+    const pool = view.pools.get(lane.poolName);
+    if (pool === undefined) return null;
+    const ready = this.book.inPool(lane.poolName).filter((record) => !parcel.avoided.has(record.name));
+    const sound = ready.filter((record) => !this.tracks.isSuspect(record.name));
+    const free = (sound.length > 0 ? sound : ready).filter((record) => this.tracks.running(record.name) < (record.slots ?? pool.slots));
+    return place(this.book.index, {
+      pool,
+      blocks: parcel.blocks,
+      promptTokens: parcel.promptTokens,
+      isolatedTenant: tenant.tenant.isolated ? tenant.name : null,
+      candidates: free.map((record) => ({ record, running: this.tracks.running(record.name), pendingTokens: this.tracks.pendingTokens(record.name) })),
+      holders: this.book.holdersIn(lane.poolName, pool.store),
+      now: this.ports.clock.now(),
+      zone: this.env.zone,
+      useIndex: this.env.index,
+      tieBreak: this.ports.random.fraction(),
+    });
+  };
+
+  private readonly pump = (poolName: string): void => {
+    const queue = this.queueOf(poolName);
+    for (let parcel = queue.pipe.peek(); parcel !== undefined; parcel = queue.pipe.peek()) {
+      if (!this.freshness.isFresh()) return;
+      const placed = this.placement(parcel);
+      if (placed === null) {
+        if (this.book.inPool(poolName).some((record) => !(parcel as Parcel).avoided.has(record.name))) return;
+        this.refuse(parcel, 'no_capacity', 'the pool has no ready replica left for this request');
+        continue;
+      }
+      queue.pipe.take();
+      this.forget(queue, parcel);
+      void this.send(parcel, placed);
+    }
+  };
+
+  private readonly budgetOf = (poolName: string): ExtraBudget => {
+    const allowance = (this.book.view()?.pools.get(poolName)?.extraAllowance ?? 0) / this.env.fronts;
+    const held = this.budgets.get(poolName);
+    if (held !== undefined) return held;
+    const budget = new ExtraBudget(allowance);
+    this.budgets.set(poolName, budget);
+    return budget;
+  };
+
+  private readonly isSendable = (parcel: Parcel, replica: string, weights: string): boolean => {
+    const view = this.book.view();
+    if (view === null || parcel.endReported || parcel.tenant === null || parcel.lane === null) return false;
+    return (
+      this.freshness.isFresh() &&
+      view.keys[parcel.keyHash]?.tenant === parcel.tenant.name &&
+      view.pools.get(parcel.lane.poolName)?.weights === weights &&
+      this.book.record(replica)?.state === 'ready' &&
+      this.ports.clock.now() < parcel.horizonAt
+    );
+  };
+
+  private readonly again = (parcel: Parcel, code: DenyCode, detail: string): void => {
+    if (parcel.endReported || parcel.lane === null) return;
+    const mayRepeat = !parcel.mayHaveRun || parcel.lane.repeat === 'freely';
+    if (!mayRepeat || this.isDraining) return this.refuse(parcel, code, detail);
+    if (!this.budgetOf(parcel.lane.poolName).take()) return this.refuse(parcel, code, `${detail}; no extra shot is left`);
+    this.tally.add('shots_extra');
+    this.queue(parcel);
+  };
+
+  private readonly send = async (parcel: Parcel, placed: Placement): Promise<void> => {
+    const { lane, tenant, order } = parcel;
+    const view = this.book.view();
+    if (lane === null || tenant === null || view === null) return;
+    const weights = view.pools.get(lane.poolName)?.weights ?? '';
+    const replica = placed.record.name;
+    parcel.shots += 1;
+    if (parcel.shots === 1) {
+      this.budgetOf(lane.poolName).firstShot();
+      this.tally.add('shots_first');
+    }
+    this.tally.add('prompt_tokens', parcel.promptTokens);
+    this.tally.add('prompt_tokens_local', placed.localTokens);
+    this.tally.add('prompt_tokens_pulled', placed.pulledTokens);
+    this.tally.add('prompt_tokens_prefilled', placed.prefilledTokens);
+    this.tracks.began(replica, placed.prefilledTokens);
+    const shotQuit = new AbortController();
+    const quit = (): void => shotQuit.abort();
+    parcel.quit.signal.addEventListener('abort', quit, { once: true });
+    let isFirstPieceIn = false;
+    const release = (): void => {
+      parcel.quit.signal.removeEventListener('abort', quit);
+      if (!isFirstPieceIn) this.tracks.firstPiece(replica, placed.prefilledTokens);
+      this.tracks.ended(replica);
+      this.finished(lane.poolName);
+    };
+    const failed = (code: DenyCode, detail: string): void => {
+      this.tracks.firstPiece(replica, placed.prefilledTokens);
+      isFirstPieceIn = true;
+      this.tracks.failed(replica);
+      release();
+      shotQuit.abort();
+      parcel.avoided.add(replica);
+      this.ports.log.warn('a shot failed', { requestId: order.requestId, replica, detail, shot: parcel.shots, mayHaveRun: parcel.mayHaveRun });
+      this.again(parcel, code, detail);
+    };
+    const wasSent = parcel.mayHaveRun;
+    parcel.mayHaveRun = true;
+    const receipt = await backWire.send(this.ports.carriage, {
+      requestId: order.requestId,
+      replica: placed.record.address,
+      path: order.path,
+      body: order.body,
+      weights,
+      tenant: tenant.name,
+      isIsolated: tenant.tenant.isolated,
+      priority: tenant.tier.rank,
+      cacheFrom: placed.holder?.address ?? null,
+      signal: shotQuit.signal,
+      gate: () => this.isSendable(parcel, replica, weights),
+    });
+    if (receipt.isErr()) {
+      if (receipt.error.isUnsent) parcel.mayHaveRun = wasSent;
+      if (receipt.error.cause === 'GATED') {
+        release();
+        if (parcel.endReported) return;
+        if (!this.freshness.isFresh()) return this.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
+        return this.queue(parcel);
+      }
+      return failed('replica_failed', receipt.error.cause);
+    }
+    const first = await receipt.value.next();
+    if (parcel.endReported) {
+      release();
+      return;
+    }
+    if (first.done === true) return failed('cut_stream', 'the stream was empty');
+    if (first.value.kind !== 'piece') {
+      const cause = first.value.kind === 'done' ? 'the stream held no piece' : first.value.cause;
+      return failed(first.value.kind === 'wrong' ? 'wrong_weights' : 'cut_stream', cause);
+    }
+    this.tracks.firstPiece(replica, placed.prefilledTokens);
+    isFirstPieceIn = true;
+    parcel.isRelaying = true;
+    this.tally.add(`first_pieces_tier_${tenant.tierName}`);
+    parcel.answer({ kind: 'stream', requestId: order.requestId, pieces: this.relay(parcel, replica, first.value, receipt.value, release) });
+  };
+
+  private readonly relay = async function* (this: Stages, parcel: Parcel, replica: string, first: Piece, rest: AsyncGenerator<Piece>, release: () => void): AsyncGenerator<Piece> {
+    try {
+      yield first;
+      for await (const piece of rest) {
+        if (parcel.cutCause !== null) {
+          yield { kind: 'cut', cause: parcel.cutCause };
+          return;
+        }
+        if (piece.kind === 'done') this.tally.add('finished');
+        if (piece.kind === 'cut' || piece.kind === 'wrong') {
+          this.tally.add('cut');
+          if (!parcel.endReported) this.tracks.failed(replica);
+          yield { kind: 'cut', cause: parcel.cutCause ?? piece.cause };
+          return;
+        }
+        yield piece;
+        if (piece.kind === 'done') return;
+      }
+    } finally {
+      release();
+      parcel.end();
+    }
+  };
+
+  private readonly finished = (poolName: string): void => {
+    const queue = this.queueOf(poolName);
+    queue.finished += 1;
+    const now = this.ports.clock.now();
+    const spanMs = now - queue.ratedAt;
+    if (spanMs >= 1_000) {
+      const rate = queue.finished / spanMs;
+      queue.ratePerMs = queue.ratePerMs === 0 ? rate : queue.ratePerMs * 0.5 + rate * 0.5;
+      queue.finished = 0;
+      queue.ratedAt = now;
+    }
+    queueMicrotask(() => this.pump(poolName));
+  };
+
+  readonly depths = (): Record<string, { waiting: number; byTier: Record<string, number> }> =>
+    Object.fromEntries([...this.queues].map(([poolName, queue]) => [poolName, { waiting: queue.pipe.size(), byTier: Object.fromEntries(queue.byTier) }]));
+
+  readonly budgetsLeft = (): Record<string, number> => Object.fromEntries([...this.budgets].map(([poolName, budget]) => [poolName, budget.left()]));
+}
--- /dev/null
+++ b/packages/courier/src/backWire.ts
@@ -0,0 +1,168 @@
+import { createParser } from 'eventsource-parser';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Carriage, CarriageReceipt } from '@martenworks/envelope';
+
+export type CompletionPath = '/v1/completions' | '/v1/chat/completions';
+
+export interface Shot {
+  readonly requestId: string;
+  readonly replica: string;
+  readonly path: CompletionPath;
+  readonly body: Record<string, unknown>;
+  readonly weights: string;
+  readonly tenant: string;
+  readonly isIsolated: boolean;
+  readonly priority: number;
+  readonly cacheFrom: string | null;
+  readonly signal: AbortSignal;
+  readonly gate: () => boolean;
+}
+
+export type Piece = { readonly kind: 'piece'; readonly data: string } | { readonly kind: 'done' } | { readonly kind: 'cut'; readonly cause: string } | { readonly kind: 'wrong'; readonly cause: string };
+
+export interface ShotFault {
+  readonly kind: 'shot';
+  readonly isUnsent: boolean;
+  readonly status: number | null;
+  readonly cause: string;
+}
+
+const doneMark = '[DONE]';
+
+const eventsIn = async function* (body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+  const ready: string[] = [];
+  const parser = createParser({ onEvent: (event) => void ready.push(event.data) });
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, { stream: true }));
+    while (ready.length > 0) yield ready.shift() as string;
+  }
+};
+
+interface ChunkShape {
+  readonly id?: unknown;
+  readonly model?: unknown;
+  readonly error?: unknown;
+  readonly choices?: readonly { readonly finish_reason?: unknown }[];
+}
+
+const parsedChunk = (data: string): ChunkShape | null => {
+  try {
+    const value: unknown = JSON.parse(data);
+    return value !== null && typeof value === 'object' ? (value as ChunkShape) : null;
+  } catch {
+    return null;
+  }
+};
+
+const pieces = async function* (body: AsyncIterable<Uint8Array>, weights: string): AsyncGenerator<Piece> {
+  let runId: unknown;
+  let isFinished = false;
+  try {
+    for await (const data of eventsIn(body)) {
+      if (data === doneMark) {
+        yield isFinished ? { kind: 'done' } : { kind: 'cut', cause: 'the end marker came before a finish reason' };
+        return;
+      }
+      const chunk = parsedChunk(data);
+      if (chunk === null) return yield { kind: 'cut', cause: 'a chunk is not a JSON object' };
+      if (chunk.error !== undefined) return yield { kind: 'cut', cause: 'the replica reported an error mid-stream' };
+      if (chunk.model !== weights) return yield { kind: 'wrong', cause: `the replica ran ${String(chunk.model)}` };
+      if (runId === undefined) runId = chunk.id;
+      if (typeof runId !== 'string' || chunk.id !== runId) return yield { kind: 'cut', cause: 'the run id changed within the stream' };
+      if (chunk.choices?.some((choice) => typeof choice.finish_reason === 'string') === true) isFinished = true;
+      yield { kind: 'piece', data };
+    }
+    yield { kind: 'cut', cause: 'the stream ended without its end marker' };
+  } catch (cause) {
+    yield { kind: 'cut', cause: (cause as { code?: string }).code ?? 'the stream broke' };
+  }
+};
+
+const drainQuietly = async (receipt: CarriageReceipt): Promise<void> => {
+  let size = 0;
+  try {
+    for await (const bytes of receipt.body) {
+      size += bytes.length;
+      if (size > 65_536) return;
+    }
+  } catch {
+    return;
+  }
+};
+
+interface ChoiceShape {
+  readonly index?: number;
+  readonly text?: string;
+  readonly delta?: { readonly content?: string };
+  readonly finish_reason?: string | null;
+}
+
+const assemble = (path: CompletionPath, datas: readonly string[]): Record<string, unknown> => {
+  const chunks = datas.map((data) => JSON.parse(data) as Record<string, unknown>);
+  const texts = new Map<number, { text: string; finish: string | null }>();
+  for (const chunk of chunks) {
+    for (const choice of (chunk['choices'] as ChoiceShape[] | undefined) ?? []) {
+      const index = choice.index ?? 0;
+      const held = texts.get(index) ?? { text: '', finish: null };
+      texts.set(index, { text: held.text + (choice.text ?? choice.delta?.content ?? ''), finish: choice.finish_reason ?? held.finish });
+    }
+  }
+  const first = chunks[0] ?? {};
+  const usage = chunks.map((chunk) => chunk['usage']).findLast((held) => held !== undefined && held !== null);
+  const isChat = path === '/v1/chat/completions';
+  return {
+    id: first['id'],
+    object: isChat ? 'chat.completion' : 'text_completion',
+    created: first['created'],
+    model: first['model'],
+    choices: [...texts].map(([index, { text, finish }]) => ({ index, ...(isChat ? { message: { role: 'assistant', content: text } } : { text }), finish_reason: finish })),
+    ...(usage === undefined ? {} : { usage }),
+  };
+};
+
+export const backWire = {
+  assemble,
+  send: async (carriage: Carriage, shot: Shot): Promise<Result<AsyncGenerator<Piece>, ShotFault>> => {
+    const receipt = await carriage.carry({
+      method: 'POST',
+      url: `http://${shot.replica}${shot.path}`,
+      headers: {
+        'content-type': 'application/json',
+        accept: 'text/event-stream',
+        'x-request-id': shot.requestId,
+        'x-tenant': shot.tenant,
+        'x-priority': String(shot.priority),
+        ...(shot.isIsolated ? { 'x-isolated': '1' } : {}),
+        ...(shot.cacheFrom === null ? {} : { 'cache-from': shot.cacheFrom }),
+      },
+      body: JSON.stringify({ ...shot.body, model: shot.weights, stream: true, priority: shot.priority }),
+      signal: shot.signal,
+      gate: shot.gate,
+    });
+    if (receipt.isErr()) return err({ kind: 'shot', isUnsent: receipt.error.isUnsent, status: null, cause: receipt.error.code });
+    if (receipt.value.status !== 200) {
+      await drainQuietly(receipt.value);
+      return err({ kind: 'shot', isUnsent: false, status: receipt.value.status, cause: `status ${receipt.value.status}` });
+    }
+    if (!(receipt.value.header('content-type') ?? '').startsWith('text/event-stream')) {
+      await drainQuietly(receipt.value);
+      return err({ kind: 'shot', isUnsent: false, status: 200, cause: 'the receipt is no event stream' });
+    }
+    return ok(pieces(receipt.value.body, shot.weights));
+  },
+  events: eventsIn,
+  promptOf: (path: CompletionPath, body: Record<string, unknown>): string | null => {
+    if (path === '/v1/completions') return typeof body['prompt'] === 'string' ? body['prompt'] : null;
+    const messages = body['messages'];
+    if (!Array.isArray(messages) || messages.length === 0) return null;
+    const lines: string[] = [];
+    for (const message of messages as unknown[]) {
+      const { role, content } = (message ?? {}) as { role?: unknown; content?: unknown };
+      if (typeof role !== 'string' || typeof content !== 'string') return null;
+      lines.push(`<${role}>\n${content}\n`);
+    }
+    return lines.join('');
+  },
+};
--- /dev/null
+++ b/packages/courier/src/index.ts
@@ -0,0 +1,3 @@
+export * from './backWire.js';
+export * from './kvFollow.js';
+export * from './carriage.js';
--- /dev/null
+++ b/packages/envelope/src/logSwitch.ts
@@ -0,0 +1,1 @@
+process.env['ROARR_LOG'] ??= 'true';
--- /dev/null
+++ b/packages/envelope/src/ports.ts
@@ -0,0 +1,103 @@
+import type { Result } from 'neverthrow';
+
+export interface ClockEvent {
+  readonly cancel: () => void;
+}
+
+export interface Clock {
+  readonly now: () => number;
+  readonly wall: () => number;
+  readonly after: (delayMs: number, ring: () => void) => ClockEvent;
+}
+
+export interface Random {
+  readonly fraction: () => number;
+  readonly token: (byteCount: number) => string;
+}
+
+export interface DiskFault {
+  readonly kind: 'disk';
+  readonly code: string;
+  readonly detail: string;
+}
+
+export interface DiskFile {
+  readonly append: (bytes: Uint8Array) => Promise<Result<void, DiskFault>>;
+  readonly sync: () => Promise<Result<void, DiskFault>>;
+  readonly close: () => Promise<void>;
+}
+
+export interface Disk {
+  readonly list: () => Promise<Result<string[], DiskFault>>;
+  readonly read: (name: string) => Promise<Result<Uint8Array | null, DiskFault>>;
+  readonly open: (name: string) => Promise<Result<DiskFile, DiskFault>>;
+  readonly replace: (name: string, bytes: Uint8Array) => Promise<Result<void, DiskFault>>;
+  readonly truncate: (name: string, size: number) => Promise<Result<void, DiskFault>>;
+  readonly remove: (name: string) => Promise<Result<void, DiskFault>>;
+}
+
+export interface NetFault {
+  readonly kind: 'net';
+  readonly code: string;
+  readonly isUnsent: boolean;
+}
+
+export interface Wire {
+  readonly remote: string;
+  readonly write: (bytes: Uint8Array) => void;
+  readonly backlog: () => number;
+  readonly listen: (onBytes: (bytes: Uint8Array) => void, onClose: () => void) => void;
+  readonly close: () => void;
+}
+
+export interface Listener {
+  readonly close: () => Promise<void>;
+}
+
+export interface Net {
+  readonly dial: (address: string, patienceMs: number) => Promise<Result<Wire, NetFault>>;
+  readonly listen: (address: string, onWire: (wire: Wire) => void) => Promise<Result<Listener, NetFault>>;
+}
+
+export type WebHandler = (request: Request) => Response | Promise<Response>;
+
+export interface Door {
+  readonly open: (address: string, handler: WebHandler) => Promise<Result<Listener, NetFault>>;
+}
+
+export interface CarriageRequest {
+  readonly method: 'GET' | 'POST';
+  readonly url: string;
+  readonly headers: Record<string, string>;
+  readonly body: string | null;
+  readonly signal: AbortSignal;
+  readonly gate: () => boolean;
+}
+
+export interface CarriageReceipt {
+  readonly status: number;
+  readonly header: (name: string) => string | null;
+  readonly body: AsyncIterable<Uint8Array>;
+}
+
+export interface Carriage {
+  readonly carry: (request: CarriageRequest) => Promise<Result<CarriageReceipt, NetFault>>;
+  readonly close: () => Promise<void>;
+}
+
+export interface Ports {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly net: Net;
+  readonly door: Door;
+  readonly carriage: Carriage;
+  readonly disk: Disk;
+  readonly log: Log;
+}
+
+export interface Log {
+  readonly info: (message: string, context?: Record<string, unknown>) => void;
+  readonly warn: (message: string, context?: Record<string, unknown>) => void;
+  readonly error: (message: string, context?: Record<string, unknown>) => void;
+  readonly child: (context: Record<string, unknown>) => Log;
+}
--- /dev/null
+++ b/packages/franking/src/index.ts
@@ -0,0 +1,2 @@
+export * from './layoutCheck.js';
+export * from './env.js';
--- /dev/null
+++ b/packages/franking/src/layoutCheck.ts
@@ -0,0 +1,122 @@
+import { type } from 'arktype';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Layout } from '@martenworks/envelope';
+
+export interface Complaint {
+  readonly path: string;
+  readonly message: string;
+}
+
+const name = type(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/);
+const count = (low: number, high: number) => type(`${low} <= number.integer <= ${high}`);
+
+const tier = type({
+  '+': 'reject',
+  rank: count(0, 100),
+  'share?': type('0 < number <= 1'),
+  'horizonMs?': count(100, 600_000),
+});
+
+const pool = type({
+  '+': 'reject',
+  weights: name,
+  'slots?': count(1, 4096),
+  'extraAllowance?': count(0, 1000),
+  'prefillTokensPerMs?': type('0 < number <= 100000'),
+  'pullTokensPerMs?': type('0 < number <= 1000000'),
+  'store?': type('string | null'),
+});
+
+const lane = type({ '+': 'reject', pool: name, repeat: "'once' | 'freely'" });
+
+const tenant = type({
+  '+': 'reject',
+  tier: name,
+  'isolated?': 'boolean',
+  'lanes?': name.array(),
+  'ratePerSecond?': type('0 < number <= 1000000 | null'),
+});
+
+const layoutShape = type({
+  '+': 'reject',
+  tiers: type({ '[string]': tier }),
+  pools: type({ '[string]': pool }),
+  lanes: type({ '[string]': lane }),
+  tenants: type({ '[string]': tenant }),
+});
+
+const tenantShape = tenant;
+
+const complaintsOf = (problems: type.errors): Complaint[] =>
+  problems.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message }));
+
+const filledTenant = (given: typeof tenant.infer): Layout['tenants'][string] => ({
+  tier: given.tier,
+  isolated: given.isolated ?? false,
+  lanes: given.lanes ?? [],
+  ratePerSecond: given.ratePerSecond ?? null,
+});
+
+const filled = (given: typeof layoutShape.infer): Layout => ({
+  tiers: Object.fromEntries(Object.entries(given.tiers).map(([key, one]) => [key, { rank: one.rank, share: one.share ?? 1, horizonMs: one.horizonMs ?? 30_000 }])),
+  pools: Object.fromEntries(
+    Object.entries(given.pools).map(([key, one]) => [
+      key,
+      {
+        weights: one.weights,
+        slots: one.slots ?? 8,
+        extraAllowance: one.extraAllowance ?? 18,
+        prefillTokensPerMs: one.prefillTokensPerMs ?? 8,
+        pullTokensPerMs: one.pullTokensPerMs ?? 80,
+        store: one.store ?? null,
+      },
+    ]),
+  ),
+  lanes: given.lanes,
+  tenants: Object.fromEntries(Object.entries(given.tenants).map(([key, one]) => [key, filledTenant(one)])),
+});
+
+const named = (table: Record<string, unknown>, at: string): Complaint[] =>
+  Object.keys(table)
+    .filter((key) => !name.allows(key))
+    .map((key) => ({ path: `/${at}/${key}`, message: 'must be a name of letters, digits, dots, dashes, at most 64' }));
+
+const absent = (layout: Layout): Complaint[] => [
+  ...(['tiers', 'pools', 'lanes', 'tenants'] as const).flatMap((at) => named(layout[at], at)),
+  ...Object.entries(layout.lanes)
+    .filter(([, one]) => !Object.hasOwn(layout.pools, one.pool))
+    .map(([key, one]) => ({ path: `/lanes/${key}/pool`, message: `names the absent pool ${one.pool}` })),
+  ...Object.entries(layout.tenants)
+    .filter(([, one]) => !Object.hasOwn(layout.tiers, one.tier))
+    .map(([key, one]) => ({ path: `/tenants/${key}/tier`, message: `names the absent tier ${one.tier}` })),
+  ...Object.entries(layout.tenants).flatMap(([key, one]) =>
+    one.lanes.flatMap((laneName, at) => (Object.hasOwn(layout.lanes, laneName) ? [] : [{ path: `/tenants/${key}/lanes/${at}`, message: `names the absent lane ${laneName}` }])),
+  ),
+];
+
+const merged = (held: unknown, part: unknown): unknown => {
+  if (part === null || typeof part !== 'object' || Array.isArray(part)) return part;
+  const base = held !== null && typeof held === 'object' && !Array.isArray(held) ? (held as Record<string, unknown>) : {};
+  const next: Record<string, unknown> = { ...base };
+  for (const [key, value] of Object.entries(part)) {
+    if (value === null) delete next[key];
+    else next[key] = merged(Object.hasOwn(base, key) ? base[key] : undefined, value);
+  }
+  return next;
+};
+
+export const layouts = {
+  check: (given: unknown): Result<Layout, Complaint[]> => {
+    const shaped = layoutShape(given);
+    if (shaped instanceof type.errors) return err(complaintsOf(shaped));
+    const layout = filled(shaped);
+    const faults = absent(layout);
+    return faults.length === 0 ? ok(layout) : err(faults);
+  },
+  tenant: (given: unknown): Result<Layout['tenants'][string], Complaint[]> => {
+    const shaped = tenantShape(given);
+    return shaped instanceof type.errors ? err(complaintsOf(shaped)) : ok(filledTenant(shaped));
+  },
+  merge: (held: Layout, part: unknown): unknown => merged(held, part),
+};
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,1 @@
+export * from './ledger.js';
--- /dev/null
+++ b/packages/mailcoach/src/coach.ts
@@ -0,0 +1,170 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Clock, ClockEvent, Listener, Log, Net, NetFault, Wire } from '@martenworks/envelope';
+import { Unpacker, frames } from './frames.js';
+
+export const wireRelease = 1;
+const backlogLimit = 8 * 1024 * 1024;
+const callLimit = 1024;
+
+export interface Hello {
+  readonly release: number;
+  readonly name: string;
+  readonly role: 'counter' | 'postmaster' | 'inspector';
+  readonly address: string;
+  readonly zone: string;
+  readonly incarnation: string;
+}
+
+export interface Parcel {
+  readonly topic: string;
+  readonly body: unknown;
+}
+
+type Frame =
+  | { readonly f: 'hello'; readonly hello: Hello }
+  | { readonly f: 'tell'; readonly topic: string; readonly body: unknown }
+  | { readonly f: 'ask'; readonly id: number; readonly topic: string; readonly body: unknown }
+  | { readonly f: 'reply'; readonly id: number; readonly body: unknown };
+
+export interface CoachFault {
+  readonly kind: 'coach';
+  readonly code: 'closed' | 'late' | 'full' | 'unreachable' | 'release';
+}
+
+export interface Handlers {
+  readonly told: (from: Coach, topic: string, body: unknown) => void;
+  readonly asked: (from: Coach, topic: string, body: unknown) => Promise<unknown>;
+  readonly joined: (coach: Coach) => void;
+  readonly left: (coach: Coach) => void;
+}
+
+interface Call {
+  readonly settle: (receipt: Result<unknown, CoachFault>) => void;
+  readonly clockEvent: ClockEvent;
+}
+
+export class Coach {
+  private readonly calls = new Map<number, Call>();
+  private nextCall = 1;
+  private isOpen = true;
+  neighbour: Hello | null = null;
+
+  constructor(
+    private readonly wire: Wire,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    own: Hello,
+    private readonly handlers: Handlers,
+  ) {
+    const unpacker = new Unpacker(
+      (message) => this.receive(message as Frame),
+      (cause) => {
+        this.log.warn('connection dropped', { cause, remote: this.wire.remote });
+        this.close();
+      },
+    );
+    wire.listen(
+      (bytes) => {
+        if (this.isOpen) unpacker.take(bytes);
+      },
+      () => this.close(),
+    );
+    this.send({ f: 'hello', hello: own });
+  }
+
+  private readonly send = (frame: Frame): boolean => {
+    if (!this.isOpen) return false;
+    if (this.wire.backlog() > backlogLimit) {
+      this.log.warn('connection dropped', { cause: 'neighbour reads too slowly', remote: this.wire.remote });
+      this.close();
+      return false;
+    }
+    this.wire.write(frames.pack(frame));
+    return true;
+  };
+
+  private readonly receive = (frame: Frame): void => {
+    if (!this.isOpen) return;
+    if (frame.f === 'hello') {
+      if (frame.hello.release !== wireRelease) {
+        this.log.warn('connection dropped', { cause: 'another wire release', theirs: frame.hello.release, ours: wireRelease });
+        return this.close();
+      }
+      if (this.neighbour !== null) return this.close();
+      this.neighbour = frame.hello;
+      return this.handlers.joined(this);
+    }
+    if (this.neighbour === null) return this.close();
+    if (frame.f === 'tell') return this.handlers.told(this, frame.topic, frame.body);
+    if (frame.f === 'ask') {
+      void this.handlers.asked(this, frame.topic, frame.body).then((body) => this.send({ f: 'reply', id: frame.id, body }));
+      return;
+    }
+    const call = this.calls.get(frame.id);
+    if (call === undefined) return;
+    this.calls.delete(frame.id);
+    call.clockEvent.cancel();
+    call.settle(ok(frame.body));
+  };
+
+  readonly tell = (topic: string, body: unknown): boolean => this.send({ f: 'tell', topic, body });
+
+  readonly ask = (topic: string, body: unknown, patienceMs: number): Promise<Result<unknown, CoachFault>> => {
+    if (!this.isOpen) return Promise.resolve(err({ kind: 'coach', code: 'closed' }));
+    if (this.calls.size >= callLimit) return Promise.resolve(err({ kind: 'coach', code: 'full' }));
+    const id = this.nextCall++;
+    return new Promise((settle) => {
+      const clockEvent = this.clock.after(patienceMs, () => {
+        this.calls.delete(id);
+        settle(err({ kind: 'coach', code: 'late' }));
+      });
+      this.calls.set(id, { settle, clockEvent });
+      this.send({ f: 'ask', id, topic, body });
+    });
+  };
+
+  readonly isLive = (): boolean => this.isOpen;
+
+  readonly close = (): void => {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.wire.close();
+    for (const call of this.calls.values()) {
+      call.clockEvent.cancel();
+      call.settle(err({ kind: 'coach', code: 'closed' }));
+    }
+    this.calls.clear();
+    if (this.neighbour !== null) this.handlers.left(this);
+  };
+}
+
+const helloPatienceMs = 2000;
+
+export const coaches = {
+  listen: (net: Net, clock: Clock, log: Log, own: () => Hello, address: string, handlers: Handlers): Promise<Result<Listener, NetFault>> =>
+    net.listen(address, (wire) => {
+      const coach = new Coach(wire, clock, log, own(), handlers);
+      clock.after(helloPatienceMs, () => {
+        if (coach.neighbour === null) coach.close();
+      });
+    }),
+  dial: async (net: Net, clock: Clock, log: Log, own: Hello, address: string, handlers: Handlers): Promise<Result<Coach, CoachFault>> => {
+    const wire = await net.dial(address, helloPatienceMs);
+    if (wire.isErr()) return err({ kind: 'coach', code: 'unreachable' });
+    return new Promise((settle) => {
+      const coach: Coach = new Coach(wire.value, clock, log, own, {
+        ...handlers,
+        joined: (joined) => {
+          clockEvent.cancel();
+          handlers.joined(joined);
+          settle(ok(joined));
+        },
+      });
+      const clockEvent = clock.after(helloPatienceMs, () => {
+        if (coach.neighbour === null) coach.close();
+        settle(err({ kind: 'coach', code: 'unreachable' }));
+      });
+    });
+  },
+};
--- /dev/null
+++ b/packages/mailcoach/src/frames.ts
@@ -0,0 +1,64 @@
+import { Encoder } from 'cbor-x';
+
+export const frameLimit = 16 * 1024 * 1024;
+const headBytes = 4;
+const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+const pack = (message: unknown): Uint8Array => {
+  const body = coder.encode(message);
+  const frame = new Uint8Array(headBytes + body.length);
+  new DataView(frame.buffer).setUint32(0, body.length);
+  frame.set(body, headBytes);
+  return frame;
+};
+
+const joined = (parts: readonly Uint8Array[]): Uint8Array => {
+  const whole = new Uint8Array(parts.reduce((size, part) => size + part.length, 0));
+  let begin = 0;
+  for (const part of parts) {
+    whole.set(part, begin);
+    begin += part.length;
+  }
+  return whole;
+};
+
+export class Unpacker {
+  private parts: Uint8Array[] = [];
+  private size = 0;
+  private wanted = headBytes;
+
+  constructor(
+    private readonly deliver: (message: unknown) => void,
+    private readonly complain: (cause: string) => void,
+  ) {}
+
+  readonly take = (bytes: Uint8Array): void => {
+    this.parts.push(bytes);
+    this.size += bytes.length;
+    if (this.size < this.wanted) return;
+    let rest = this.parts.length === 1 ? bytes : joined(this.parts);
+    for (;;) {
+      if (rest.length < headBytes) {
+        this.wanted = headBytes;
+        break;
+      }
+      const length = new DataView(rest.buffer, rest.byteOffset).getUint32(0);
+      if (length > frameLimit) return this.complain('frame over the limit');
+      this.wanted = headBytes + length;
+      if (rest.length < this.wanted) break;
+      const body = rest.subarray(headBytes, this.wanted);
+      rest = rest.subarray(this.wanted);
+      let message: unknown;
+      try {
+        message = coder.decode(body);
+      } catch {
+        return this.complain('frame is not CBOR');
+      }
+      this.deliver(message);
+    }
+    this.parts = rest.length === 0 ? [] : [rest];
+    this.size = rest.length;
+  };
+}
+
+export const frames = { pack };
--- /dev/null
+++ b/packages/mailcoach/src/index.ts
@@ -0,0 +1,2 @@
+export * from './frames.js';
+export * from './coach.js';
--- /dev/null
+++ b/packages/pigeonhole/src/index.ts
@@ -0,0 +1,2 @@
+export * from './pigeonhole.js';
+export * from './place.js';
--- /dev/null
+++ b/packages/pigeonhole/src/place.ts
@@ -0,0 +1,74 @@
+import type { Pool, ReplicaRecord } from '@martenworks/envelope';
+import { prompts } from '@martenworks/envelope';
+import type { Pigeonhole } from './pigeonhole.js';
+
+export interface Candidate {
+  readonly record: ReplicaRecord;
+  readonly running: number;
+  readonly pendingTokens: number;
+}
+
+export interface PlaceQuestion {
+  readonly pool: Pool;
+  readonly blocks: readonly string[];
+  readonly promptTokens: number;
+  readonly isolatedTenant: string | null;
+  readonly candidates: readonly Candidate[];
+  readonly holders: readonly ReplicaRecord[];
+  readonly now: number;
+  readonly zone: string;
+  readonly useIndex: boolean;
+  readonly tieBreak: number;
+}
+
+export interface Placement {
+  readonly record: ReplicaRecord;
+  readonly holder: ReplicaRecord | null;
+  readonly localTokens: number;
+  readonly pulledTokens: number;
+  readonly prefilledTokens: number;
+  readonly costMs: number;
+}
+
+const runCostMs = 15;
+const leastPulledBlocks = 2;
+
+interface HolderKept {
+  readonly record: ReplicaRecord;
+  readonly blockCount: number;
+}
+
+export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null => {
+  const { pool, blocks, now, isolatedTenant } = question;
+  const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, pool.weights, now);
+  const holders: HolderKept[] = [];
+  if (question.useIndex && blocks.length > 0) {
+    for (const record of question.holders) {
+      const kept = keptBy(record);
+      if (kept.isNameable) holders.push({ record, blockCount: kept.blockCount });
+    }
+    holders.sort((a, b) => b.blockCount - a.blockCount);
+  }
+  let best: Placement | null = null;
+  const offset = question.candidates.length === 0 ? 0 : Math.floor(question.tieBreak * question.candidates.length);
+  for (let step = 0; step < question.candidates.length; step += 1) {
+    const candidate = question.candidates[(step + offset) % question.candidates.length] as Candidate;
+    const local = question.useIndex ? keptBy(candidate.record).blockCount : 0;
+    const holder = holders.find((one) => one.record.name !== candidate.record.name);
+    const pulledBlocks = holder === undefined ? 0 : holder.blockCount - local;
+    const pulledTokens = pulledBlocks >= leastPulledBlocks ? pulledBlocks * prompts.blockTokens : 0;
+    const pullGainMs = pulledTokens / pool.prefillTokensPerMs - pulledTokens / pool.pullTokensPerMs;
+    const isPulled = pulledTokens > 0 && pullGainMs > 0;
+    const localTokens = local * prompts.blockTokens;
+    const prefilledTokens = Math.max(0, question.promptTokens - localTokens - (isPulled ? pulledTokens : 0));
+    const costMs =
+      candidate.pendingTokens / pool.prefillTokensPerMs +
+      candidate.running * runCostMs +
+      prefilledTokens / pool.prefillTokensPerMs +
+      (isPulled ? pulledTokens / pool.pullTokensPerMs : 0);
+    if (best === null || costMs < best.costMs) {
+      best = { record: candidate.record, holder: isPulled ? (holder?.record ?? null) : null, localTokens, pulledTokens: isPulled ? pulledTokens : 0, prefilledTokens, costMs };
+    }
+  }
+  return best;
+};
--- /dev/null
+++ b/packages/postmaster/src/founding.ts
@@ -0,0 +1,79 @@
+import { agreed as agreedState } from '@martenworks/envelope';
+import type { Log, Member } from '@martenworks/envelope';
+import type { Coach, Hello } from '@martenworks/mailcoach';
+import type { Lines } from '@martenworks/roundsman';
+import type { Decrees, Since } from './decrees.js';
+
+export interface Standing {
+  readonly incarnation: string;
+  readonly generation: number;
+  readonly isVoter: boolean;
+  readonly vow: readonly Member[] | null;
+  readonly syncedFrom: readonly string[];
+}
+
+export interface VowReply {
+  readonly isVowed: boolean;
+  readonly members: readonly Member[] | null;
+}
+
+export const coreSize = 3;
+const patienceMs = 1_000;
+
+const memberOf = (hello: Hello): Member => ({ name: hello.name, address: hello.address, incarnation: hello.incarnation });
+
+export class Founding {
+  constructor(
+    private readonly decrees: Decrees,
+    private readonly own: () => Hello,
+    private readonly lines: () => Lines,
+    private readonly known: () => readonly Hello[],
+    private readonly learn: (since: Since) => Promise<void>,
+    private readonly log: Log,
+  ) {}
+
+  private readonly postmasters = (): Map<string, Coach> =>
+    new Map(this.lines().open().flatMap((coach) => (coach.neighbour?.role === 'postmaster' ? [[coach.neighbour.incarnation, coach] as const] : [])));
+
+  readonly step = async (): Promise<void> => {
+    if (this.decrees.agreed() !== null) return;
+    const reached = this.postmasters();
+    const standings = new Map<string, Standing>();
+    for (const [incarnation, coach] of reached) {
+      const told = await coach.ask('standing', null, patienceMs);
+      if (told.isErr()) return;
+      const standing = told.value as Standing;
+      if (standing.generation >= 0) return this.joinLate(coach);
+      standings.set(incarnation, standing);
+    }
+    if (reached.size !== coreSize - 1 || this.known().length !== coreSize - 1) return;
+    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])].map(memberOf).sort((a, b) => (a.name < b.name ? -1 : 1));
+    if (new Set(members.map((member) => member.name)).size !== coreSize) return;
+    const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter((vow) => vow !== null);
+    const texts = vows.map((vow) => JSON.stringify(vow));
+    const shared = vows.find((vow, at) => texts.filter((text) => text === texts[at]).length > coreSize / 2);
+    if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
+    if (texts.some((text) => text !== JSON.stringify(members))) return;
+    await this.collect(members, reached);
+  };
+
+  private readonly collect = async (members: readonly Member[], reached: Map<string, Coach>): Promise<void> => {
+    const own = await this.decrees.vow(members);
+    if (!own.isVowed) return;
+    for (const coach of reached.values()) {
+      const told = await coach.ask('vow', members, patienceMs);
+      if (told.isErr() || !(told.value as VowReply).isVowed) return;
+    }
+    await this.found(members);
+  };
+
+  private readonly found = async (members: readonly Member[]): Promise<void> => {
+    const isFounded = await this.decrees.adopt(agreedState.founded(members));
+    if (isFounded) this.log.info('the fleet is founded', { members: members.map((member) => member.name) });
+  };
+
+  private readonly joinLate = async (coach: Coach): Promise<void> => {
+    const told = await coach.ask('since', -1, patienceMs);
+    if (told.isOk()) await this.learn(told.value as Since);
+  };
+}
--- /dev/null
+++ b/packages/postmaster/src/membership.ts
@@ -0,0 +1,66 @@
+import { ok } from 'neverthrow';
+import type { Clock, Log, Member } from '@martenworks/envelope';
+import { digests } from '@martenworks/envelope';
+import type { Hello } from '@martenworks/mailcoach';
+import type { Lines } from '@martenworks/roundsman';
+import type { Decrees } from './decrees.js';
+import type { Standing } from './founding.js';
+import type { Proposer } from './proposer.js';
+
+const strangerWaitMs = 12_000;
+const patienceMs = 1_000;
+const swapPatienceMs = 2_000;
+
+export class Membership {
+  private readonly lostAt = new Map<string, number>();
+
+  constructor(
+    private readonly decrees: Decrees,
+    private readonly proposer: Proposer,
+    private readonly clock: Clock,
+    private readonly lines: () => Lines,
+    private readonly log: Log,
+  ) {}
+
+  private readonly noteLost = (members: readonly Member[]): void => {
+    const now = this.clock.now();
+    for (const member of members) {
+      if (member.incarnation === this.decrees.incarnation || this.lines().to(member.incarnation) !== undefined) this.lostAt.delete(member.incarnation);
+      else if (!this.lostAt.has(member.incarnation)) this.lostAt.set(member.incarnation, now);
+    }
+    for (const incarnation of this.lostAt.keys()) if (!members.some((member) => member.incarnation === incarnation)) this.lostAt.delete(incarnation);
+  };
+
+  private readonly outgoingFor = (newcomer: Hello, members: readonly Member[]): Member | undefined => {
+    const lost = members.filter((member) => this.lostAt.has(member.incarnation));
+    const sameName = members.find((member) => member.name === newcomer.name);
+    if (sameName !== undefined) return lost.find((member) => member.name === newcomer.name);
+    return lost.find((member) => this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > strangerWaitMs);
+  };
+
+  readonly step = async (): Promise<void> => {
+    const state = this.decrees.agreed();
+    if (state === null || !this.decrees.isVoter()) return;
+    this.noteLost(state.members);
+    const seated = new Set(state.members.map((member) => member.incarnation));
+    for (const coach of this.lines().open()) {
+      const newcomer = coach.neighbour;
+      if (newcomer === null || newcomer.role !== 'postmaster' || seated.has(newcomer.incarnation)) continue;
+      const outgoing = this.outgoingFor(newcomer, state.members);
+      if (outgoing === undefined) continue;
+      const told = await coach.ask('standing', null, patienceMs);
+      if (told.isErr()) continue;
+      const standing = told.value as Standing;
+      const isReady = standing.generation === state.generation && state.members.every((member) => member.incarnation === outgoing.incarnation || standing.syncedFrom.includes(member.incarnation));
+      if (isReady) return this.swap(outgoing, { name: newcomer.name, address: newcomer.address, incarnation: newcomer.incarnation });
+    }
+  };
+
+  private readonly swap = async (outgoing: Member, incoming: Member): Promise<void> => {
+    const id = `swap-${outgoing.incarnation}-${incoming.incarnation}`;
+    const body = { kind: 'swap' as const, outgoing: outgoing.incarnation, incoming };
+    const digest = digests.of(body);
+    const outcome = await this.proposer.propose(() => ok({ id, digest, body }), id, digest, swapPatienceMs);
+    this.log.info('a membership swap was proposed', { outgoing: outgoing.name, incoming: incoming.name, outcome: outcome.isOk() ? outcome.value : outcome.error });
+  };
+}
--- /dev/null
+++ b/packages/postmaster/src/operatorWire.ts
@@ -0,0 +1,95 @@
+import { Hono } from 'hono';
+import type { Context } from 'hono';
+import type { Postmaster } from './postmaster.js';
+import type { Applied, ProposeFault } from './proposer.js';
+import type { Result } from 'neverthrow';
+
+export const replyTo = (c: Context, changeId: string, outcome: Result<Applied, ProposeFault>): Response => {
+  if (outcome.isOk()) return c.json({ outcome: 'accepted', changeId, generation: outcome.value.generation, repeated: outcome.value.isRepeat }, 200, { etag: `"${outcome.value.generation}"` });
+  const fault = outcome.error;
+  switch (fault.kind) {
+    case 'conflict':
+      return c.json({ outcome: 'conflict', changeId, layoutGeneration: fault.layoutGeneration, detail: fault.detail }, 409);
+    case 'rejected':
+      return c.json({ outcome: 'rejected', changeId, complaints: fault.complaints }, 422);
+    case 'unknown':
+      return c.json({ outcome: 'unknown', changeId, detail: 'ask again by this change id, or send the change again under it' }, 504, { 'retry-after': '1' });
+    case 'unavailable':
+      return c.json({ outcome: 'not accepted', changeId, detail: fault.detail }, 503, { 'retry-after': '1' });
+  }
+};
+
+export const bodyOf = async (c: Context): Promise<{ isJson: boolean; value: unknown }> => {
+  try {
+    return { isJson: true, value: (await c.req.json()) as unknown };
+  } catch {
+    return { isJson: false, value: null };
+  }
+};
+
+export const changeIdOf = (c: Context, postmaster: Postmaster): string => c.req.header('change-id') ?? postmaster.ports.random.token(12);
+
+const baseOf = (c: Context): number | null => {
+  const found = /^"?(\d+)"?$/.exec(c.req.header('if-match') ?? '');
+  return found === null ? null : Number(found[1]);
+};
+
+const changed = async (c: Context, postmaster: Postmaster, kind: 'whole' | 'part'): Promise<Response> => {
+  const changeId = changeIdOf(c, postmaster);
+  const base = baseOf(c);
+  if (base === null) return c.json({ outcome: 'rejected', changeId, detail: 'If-Match must state the generation this change is based on' }, 428);
+  const body = await bodyOf(c);
+  if (!body.isJson) return c.json({ outcome: 'rejected', changeId, detail: 'the body is not JSON' }, 400);
+  return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, { kind, given: body.value }));
+};
+
+export const operatorWire = (postmaster: Postmaster): Hono => {
+  const app = new Hono();
+  app.get('/operator/layout', async (c) => {
+    const held = await postmaster.confirmed();
+    if (held === null) return c.json({ detail: 'no fleet is founded yet' }, 503, { 'retry-after': '1' });
+    const { state, isConfirmed } = held;
+    return c.json({ generation: state.layoutGeneration, confirmed: isConfirmed, layout: state.layout }, isConfirmed ? 200 : 203, { etag: `"${state.layoutGeneration}"` });
+  });
+  app.put('/operator/layout', (c) => changed(c, postmaster, 'whole'));
+  app.patch('/operator/layout', (c) => changed(c, postmaster, 'part'));
+  app.get('/operator/changes/:id', async (c) => {
+    const id = c.req.param('id');
+    const held = await postmaster.confirmed();
+    const known = held?.state.changeIds[id];
+    if (known !== undefined) return c.json({ outcome: 'accepted', changeId: id, generation: known.generation });
+    if (held === null || !held.isConfirmed) return c.json({ outcome: 'unknown', changeId: id, detail: 'no majority of postmasters can be reached' }, 504, { 'retry-after': '1' });
+    return c.json({ outcome: 'not accepted', changeId: id, detail: 'not accepted so far; a change still under way may yet be' }, 404);
+  });
+  app.get('/operator/status', (c) => {
+    const state = postmaster.decrees.agreed();
+    return c.json({
+      name: postmaster.env.name,
+      zone: postmaster.env.zone,
+      incarnation: postmaster.decrees.incarnation,
+      generation: state?.generation ?? null,
+      layoutGeneration: state?.layoutGeneration ?? null,
+      members: state?.members ?? [],
+      voter: postmaster.decrees.isVoter(),
+      reachable: postmaster.reachable(),
+      counters: postmaster.push.acks(),
+      replicas: postmaster.table.records(),
+      index: postmaster.kv.sizes(),
+      ledgerSegments: postmaster.decrees.ledgerSegments(),
+    });
+  });
+  app.get('/healthz', (c) => c.json({ status: 'ok' }));
+  app.get('/readyz', (c) => (postmaster.isReady() ? c.json({ status: 'ready' }) : c.json({ status: 'not ready', detail: 'no majority of postmasters' }, 503, { 'retry-after': '1' })));
+  app.get('/metrics', (c) => {
+    const state = postmaster.decrees.agreed();
+    const lines = [
+      `martenworks_generation ${state?.generation ?? -1}`,
+      `martenworks_members_reachable ${postmaster.reachable()}`,
+      `martenworks_subscribed_counters ${postmaster.push.acks().length}`,
+      `martenworks_ledger_segments ${postmaster.decrees.ledgerSegments()}`,
+      ...postmaster.push.acks().map((ack) => `martenworks_acked_generation{counter="${ack.counter}"} ${ack.generation}`),
+    ];
+    return c.text(`${lines.join('\n')}\n`);
+  });
+  return app;
+};
--- /dev/null
+++ b/packages/postmaster/src/platformWire.ts
@@ -0,0 +1,107 @@
+import { type } from 'arktype';
+import { Hono } from 'hono';
+import type { Context } from 'hono';
+import { keys } from '@martenworks/envelope';
+import type { ReplicaRecord, Tenant } from '@martenworks/envelope';
+import { layouts } from '@martenworks/franking';
+import { bodyOf, changeIdOf, replyTo } from './operatorWire.js';
+import type { Postmaster } from './postmaster.js';
+
+const label = type(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/);
+const address = type(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/);
+
+const announcement = type({
+  name: label,
+  address,
+  'pool?': label,
+  'kind?': "'replica' | 'store'",
+  'incarnation?': 'number.integer >= 1',
+  'state?': "'ready' | 'leaving' | 'gone'",
+  'zone?': label,
+  'weights?': type('string | null'),
+  'slots?': type('1 <= number.integer <= 4096 | null'),
+});
+
+const client = type({
+  tenant: label,
+  'key?': 'string >= 8',
+  'keyHash?': type(/^[0-9a-f]{64}$/),
+  'grant?': 'object',
+});
+
+const keyRef = type({ 'key?': 'string >= 8', 'keyHash?': type(/^[0-9a-f]{64}$/) });
+
+const recordOf = (given: typeof announcement.infer, held: ReplicaRecord | undefined): ReplicaRecord => {
+  const isSame = held !== undefined && held.address === given.address && held.state !== 'gone';
+  return {
+    name: given.name,
+    kind: given.kind ?? 'replica',
+    incarnation: given.incarnation ?? (held === undefined ? 1 : isSame ? held.incarnation : held.incarnation + 1),
+    state: given.state ?? 'ready',
+    pool: given.pool ?? held?.pool ?? 'default',
+    address: given.address,
+    zone: given.zone ?? '',
+    weights: given.weights ?? null,
+    slots: given.slots ?? null,
+  };
+};
+
+const announced = async (c: Context, postmaster: Postmaster, records: readonly ReplicaRecord[]): Promise<Response> => {
+  const outcome = await postmaster.replicas.announce(records);
+  if (outcome.isOk()) return c.json({ outcome: 'accepted', replicas: records.map((record) => postmaster.table.find(record.name)) });
+  return outcome.error.kind === 'disk'
+    ? c.json({ outcome: 'not accepted', detail: 'the disk did not take it' }, 503, { 'retry-after': '1' })
+    : c.json({ outcome: 'unknown', detail: 'no majority of postmasters has confirmed it yet; send it again' }, 504, { 'retry-after': '1' });
+};
+
+export const platformWire = (postmaster: Postmaster): Hono => {
+  const app = new Hono();
+  const badRequest = (c: Context, detail: string): Response => c.json({ outcome: 'rejected', detail }, 400);
+
+  app.get('/platform/replicas', (c) => c.json({ replicas: postmaster.table.records() }));
+
+  app.post('/platform/replicas', async (c) => {
+    const body = await bodyOf(c);
+    if (!body.isJson) return badRequest(c, 'the body is not JSON');
+    const checked = announcement.array()(Array.isArray(body.value) ? body.value : [body.value]);
+    if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
+    return announced(c, postmaster, checked.map((one) => recordOf(one, postmaster.table.find(one.name))));
+  });
+
+  const moved = async (c: Context, state: 'leaving' | 'gone'): Promise<Response> => {
+    const held = postmaster.table.find(c.req.param('name') ?? '');
+    if (held === undefined) return c.json({ outcome: 'rejected', detail: 'no such replica' }, 404);
+    return announced(c, postmaster, [{ ...held, state }]);
+  };
+  app.post('/platform/replicas/:name/leaving', (c) => moved(c, 'leaving'));
+  app.delete('/platform/replicas/:name', (c) => moved(c, 'gone'));
+
+  app.post('/platform/clients', async (c) => {
+    const body = await bodyOf(c);
+    if (!body.isJson) return badRequest(c, 'the body is not JSON');
+    const checked = client(body.value);
+    if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
+    const keyHash = checked.keyHash ?? (checked.key === undefined ? undefined : keys.hash(checked.key));
+    if (keyHash === undefined) return c.json({ outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] }, 422);
+    let tenant: Tenant | null = null;
+    if (checked.grant !== undefined) {
+      const shaped = layouts.tenant(checked.grant);
+      if (shaped.isErr()) return c.json({ outcome: 'rejected', complaints: shaped.error }, 422);
+      tenant = shaped.value;
+    }
+    const changeId = changeIdOf(c, postmaster);
+    return replyTo(c, changeId, await postmaster.changes.grant(changeId, keyHash, { tenant: checked.tenant }, tenant));
+  });
+
+  app.post('/platform/keys/revoke', async (c) => {
+    const body = await bodyOf(c);
+    if (!body.isJson) return badRequest(c, 'the body is not JSON');
+    const checked = keyRef(body.value);
+    if (checked instanceof type.errors) return c.json({ outcome: 'rejected', detail: checked.summary }, 422);
+    const keyHash = checked.keyHash ?? (checked.key === undefined ? undefined : keys.hash(checked.key));
+    if (keyHash === undefined) return c.json({ outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] }, 422);
+    const changeId = changeIdOf(c, postmaster);
+    return replyTo(c, changeId, await postmaster.changes.revoke(changeId, keyHash));
+  });
+  return app;
+};
--- /dev/null
+++ b/packages/postmaster/src/postmaster.ts
@@ -0,0 +1,252 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Repeating } from '@martenworks/envelope';
+import type { Agreed, Change, Listener, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Env } from '@martenworks/franking';
+import type { LedgerFault } from '@martenworks/ledger';
+import { coaches, wireRelease } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { Lines, Roster } from '@martenworks/roundsman';
+import type { RosterEntry } from '@martenworks/roundsman';
+import { decreeBooks } from './decrees.js';
+import type { Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
+import { ChangeDesk } from './desk.js';
+import { Founding } from './founding.js';
+import type { Standing } from './founding.js';
+import { KvDesk } from './kvDesk.js';
+import { Membership } from './membership.js';
+import { Proposer } from './proposer.js';
+import type { Voters } from './proposer.js';
+import { PushDesk } from './pushDesk.js';
+import { ReplicaDesk } from './replicaDesk.js';
+import { replicaTables } from './replicaTable.js';
+import type { ReplicaTable } from './replicaTable.js';
+
+const votePatienceMs = 1_000;
+const foundingMs = 200;
+const upkeepMs = 500;
+const settleAfterMs = 150;
+const settleCheckMs = 100;
+const beatMs = 500;
+const beatPatienceMs = 1_200;
+
+export type StartFault = NetFault | LedgerFault;
+
+export class Postmaster {
+  readonly roster: Roster;
+  readonly lines: Lines;
+  readonly proposer: Proposer;
+  readonly changes: ChangeDesk;
+  readonly push: PushDesk;
+  readonly replicas: ReplicaDesk;
+  readonly kv: KvDesk;
+  private readonly founding: Founding;
+  private readonly membership: Membership;
+  private readonly repeats: Repeating[] = [];
+  private listener: Listener | null = null;
+  private isStepping = false;
+  private isMinding = false;
+
+  constructor(
+    readonly env: Env,
+    readonly ports: Ports,
+    readonly decrees: Decrees,
+    readonly table: ReplicaTable,
+  ) {
+    const { clock, random, log } = ports;
+    this.roster = new Roster(clock, this.hello);
+    this.lines = new Lines(ports, this.hello, env.seeds, this.roster, () => (decrees.agreed()?.members ?? []).map((member) => member.address), this.handlers());
+    this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
+    this.changes = new ChangeDesk(this.proposer);
+    this.kv = new KvDesk(ports, (news) => this.push.tellKv(news));
+    this.push = new PushDesk(decrees, clock, table.records, this.kv.shelves);
+    this.replicas = new ReplicaDesk(table, decrees, () => this.lines);
+    this.founding = new Founding(decrees, this.hello, () => this.lines, () => this.roster.neighbours('postmaster'), this.proposer.learn, log);
+    this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, log);
+    table.watch((records) => {
+      this.push.tellReplicas(records);
+      this.kv.align(table.records());
+    });
+    this.kv.align(table.records());
+    decrees.watch(() => this.lines.align());
+    this.repeats.push(
+      new Repeating(clock, () => foundingMs * (0.5 + random.fraction()), this.stepFounding),
+      new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
+      new Repeating(clock, () => settleCheckMs * (0.5 + random.fraction()), this.settleRival),
+      new Repeating(clock, () => beatMs, this.beat),
+    );
+  }
+
+  readonly hello = (): Hello => ({
+    release: wireRelease,
+    name: this.env.name,
+    role: 'postmaster',
+    address: this.env.coach,
+    zone: this.env.zone,
+    incarnation: this.decrees.incarnation,
+  });
+
+  readonly open = async (): Promise<Result<void, NetFault>> => {
+    const { net, clock, log } = this.ports;
+    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
+    if (opened.isErr()) return err(opened.error);
+    this.listener = opened.value;
+    return ok(undefined);
+  };
+
+  private readonly stepFounding = (): void => {
+    if (this.isStepping || this.decrees.agreed() !== null) return;
+    this.isStepping = true;
+    void this.founding.step().finally(() => (this.isStepping = false));
+  };
+
+  private readonly upkeep = (): void => {
+    if (this.isMinding) return;
+    this.isMinding = true;
+    void this.mind().finally(() => (this.isMinding = false));
+  };
+
+  private readonly mind = async (): Promise<void> => {
+    await this.catchUp();
+    await this.membership.step();
+  };
+
+  private readonly catchUp = async (): Promise<void> => {
+    const state = this.decrees.agreed();
+    if (state === null) return;
+    for (const coach of this.lines.open()) {
+      if (coach.neighbour?.role !== 'postmaster') continue;
+      const { incarnation } = coach.neighbour;
+      if (!this.replicas.syncedFrom.has(incarnation)) await this.replicas.reconcile(incarnation, this.lines);
+      const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
+      if (told.isOk()) await this.proposer.learn(told.value as Since);
+    }
+  };
+
+  private readonly settleRival = (): void => {
+    const age = this.decrees.unsettledFor();
+    if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
+  };
+
+  private readonly beat = (): void => {
+    for (const coach of this.lines.open()) {
+      void coach.ask('beat', null, beatPatienceMs).then((receipt) => {
+        if (receipt.isErr() && receipt.error.code === 'late') coach.close();
+      });
+    }
+  };
+
+  private readonly voters = (): Voters => {
+    const isSelf = (member: Member): boolean => member.incarnation === this.decrees.incarnation;
+    const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
+      const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, votePatienceMs);
+      return receipt?.isOk() === true ? receipt.value : null;
+    };
+    return {
+      prepare: (member, slot, ballot) => (isSelf(member) ? this.decrees.prepare(slot, ballot) : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>)),
+      accept: (member, slot, ballot, change) => (isSelf(member) ? this.decrees.accept(slot, ballot, change) : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>)),
+      settle: (settled) => {
+        for (const coach of this.lines.open()) if (coach.neighbour?.role === 'postmaster') coach.tell('settled', settled);
+      },
+      since: (member, generation) => (isSelf(member) ? Promise.resolve(this.decrees.since(generation)) : (asked(member, 'since', generation) as Promise<Since | null>)),
+      supply: async (member, since) => void (await asked(member, 'supply', since)),
+    };
+  };
+
+  private readonly handlers = (): Handlers => ({
+    joined: (coach) => {
+      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    },
+    left: (coach) => {
+      this.push.drop(coach);
+      if (coach.neighbour !== null) this.replicas.syncedFrom.delete(coach.neighbour.incarnation);
+    },
+    told: (coach, topic, body) => {
+      if (topic === 'settled') void this.decrees.settle(body as Settled);
+      else if (topic === 'subscribe') this.push.subscribe(coach, body as number);
+      else if (topic === 'ack') this.push.acked(coach, body as number);
+    },
+    asked: async (coach, topic, body) => {
+      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+      switch (topic) {
+        case 'ping':
+          return this.push.pong(coach, body as Record<string, number>);
+        case 'beat':
+          return true;
+        case 'roster':
+          this.roster.merge(body as RosterEntry[]);
+          return this.roster.entries();
+        case 'standing':
+          return this.standing();
+        case 'vow':
+          return this.decrees.vow(body as Member[]);
+        case 'prepare': {
+          const { slot, ballot } = body as { slot: number; ballot: Ballot };
+          return this.decrees.prepare(slot, ballot);
+        }
+        case 'accept': {
+          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
+          return this.decrees.accept(slot, ballot, change);
+        }
+        case 'since':
+          return this.decrees.since(body as number);
+        case 'supply':
+          await this.proposer.learn(body as Since);
+          return true;
+        case 'replicaNews':
+          return this.replicas.takeNews(body as ReplicaRecord[]);
+        case 'replicaTable':
+          await this.replicas.takeNews(body as ReplicaRecord[]);
+          return this.table.records();
+        default:
+          return null;
+      }
+    },
+  });
+
+  private readonly standing = (): Standing => ({
+    incarnation: this.decrees.incarnation,
+    generation: this.decrees.agreed()?.generation ?? -1,
+    isVoter: this.decrees.isVoter(),
+    vow: this.decrees.vowHeld(),
+    syncedFrom: [...this.replicas.syncedFrom],
+  });
+
+  readonly confirmed = async (): Promise<{ state: Agreed; isConfirmed: boolean } | null> => {
+    const state = this.decrees.agreed();
+    if (state === null) return null;
+    const others = state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
+    for (const since of told) if (since !== null) await this.proposer.learn(since);
+    const heard = told.filter((since) => since !== null).length + (this.decrees.isVoter() ? 1 : 0);
+    return { state: this.decrees.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
+  };
+
+  readonly reachable = (): number => (this.decrees.agreed()?.members ?? []).filter((member) => member.incarnation === this.decrees.incarnation || this.lines.to(member.incarnation) !== undefined).length;
+
+  readonly isReady = (): boolean => {
+    const state = this.decrees.agreed();
+    return state !== null && this.reachable() > state.members.length / 2;
+  };
+
+  readonly stop = async (): Promise<void> => {
+    for (const repeat of this.repeats) repeat.stop();
+    this.kv.stop();
+    this.lines.stop();
+    await this.listener?.close();
+    await this.decrees.close();
+    await this.table.close();
+  };
+}
+
+export const postmasters = {
+  start: async (env: Env, ports: Ports): Promise<Result<Postmaster, StartFault>> => {
+    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log);
+    if (decrees.isErr()) return err(decrees.error);
+    const table = await replicaTables.open(ports.disk, ports.log);
+    if (table.isErr()) return err(table.error);
+    const postmaster = new Postmaster(env, ports, decrees.value, table.value);
+    const opened = await postmaster.open();
+    return opened.isErr() ? err(opened.error) : ok(postmaster);
+  },
+};
--- /dev/null
+++ b/packages/postmaster/src/pushDesk.ts
@@ -0,0 +1,111 @@
+import type { Clock, KvNews, ReplicaRecord } from '@martenworks/envelope';
+import type { Coach } from '@martenworks/mailcoach';
+import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import type { Decrees, Settled } from './decrees.js';
+
+interface Subscriber {
+  sent: number;
+  acked: number;
+  ackedAt: number;
+  running: Record<string, number>;
+}
+
+export interface Pong {
+  readonly generation: number;
+  readonly acceptedSlot: number | null;
+  readonly incarnation: string;
+  readonly running: Record<string, number>;
+  readonly counters: number;
+}
+
+export interface AckLine {
+  readonly counter: string;
+  readonly zone: string;
+  readonly generation: number;
+  readonly ackAgeMs: number;
+}
+
+export class PushDesk {
+  private readonly subscribers = new Map<Coach, Subscriber>();
+
+  constructor(
+    private readonly decrees: Decrees,
+    private readonly clock: Clock,
+    private readonly records: () => readonly ReplicaRecord[],
+    private readonly shelves: () => readonly ShelfCheckpoint[],
+  ) {
+    decrees.watch(this.bring);
+  }
+
+  readonly subscribe = (coach: Coach, generation: number): void => {
+    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), running: {} });
+    coach.tell('replicas', this.records());
+    for (const shelf of this.shelves()) coach.tell('shelf', shelf);
+    this.bringTo(coach);
+  };
+
+  readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
+
+  private readonly bring = (settled: Settled | null): void => {
+    if (settled === null) for (const subscriber of this.subscribers.values()) subscriber.sent = Math.min(subscriber.sent, -1);
+    for (const coach of this.subscribers.keys()) this.bringTo(coach);
+  };
+
+  private readonly bringTo = (coach: Coach): void => {
+    const subscriber = this.subscribers.get(coach);
+    if (subscriber === undefined) return;
+    const since = this.decrees.since(subscriber.sent);
+    if (since.k === 'nothing') return;
+    if (since.k === 'checkpoint') {
+      coach.tell('checkpoint', since.agreed);
+      subscriber.sent = since.agreed.generation;
+      return;
+    }
+    for (const settled of since.settled) {
+      coach.tell('change', settled);
+      subscriber.sent = settled.generation;
+    }
+  };
+
+  readonly acked = (coach: Coach, generation: number): void => {
+    const subscriber = this.subscribers.get(coach);
+    if (subscriber === undefined) return;
+    subscriber.acked = generation;
+    subscriber.ackedAt = this.clock.now();
+  };
+
+  readonly pong = (coach: Coach, running: Record<string, number>): Pong => {
+    const subscriber = this.subscribers.get(coach);
+    if (subscriber !== undefined) subscriber.running = running;
+    const total: Record<string, number> = {};
+    for (const [other, { running: theirs }] of this.subscribers) {
+      if (other === coach) continue;
+      for (const [replica, count] of Object.entries(theirs)) total[replica] = (total[replica] ?? 0) + count;
+    }
+    return {
+      generation: this.decrees.agreed()?.generation ?? -1,
+      acceptedSlot: this.decrees.acceptedSlot(),
+      incarnation: this.decrees.incarnation,
+      running: total,
+      counters: this.subscribers.size,
+    };
+  };
+
+  readonly tellReplicas = (records: readonly ReplicaRecord[]): void => {
+    for (const coach of this.subscribers.keys()) coach.tell('replicas', records);
+  };
+
+  readonly tellKv = (news: readonly KvNews[]): void => {
+    for (const coach of this.subscribers.keys()) coach.tell('kv', news);
+  };
+
+  readonly acks = (): AckLine[] => {
+    const now = this.clock.now();
+    return [...this.subscribers].map(([coach, one]) => ({
+      counter: coach.neighbour?.name ?? '',
+      zone: coach.neighbour?.zone ?? '',
+      generation: one.acked,
+      ackAgeMs: Math.round(now - one.ackedAt),
+    }));
+  };
+}
--- /dev/null
+++ b/packages/postmaster/src/replicaDesk.ts
@@ -0,0 +1,56 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { ReplicaRecord } from '@martenworks/envelope';
+import type { Lines } from '@martenworks/roundsman';
+import type { Decrees } from './decrees.js';
+import type { ReplicaTable } from './replicaTable.js';
+
+export type ReplicaFault = { readonly kind: 'disk' } | { readonly kind: 'unknown' };
+
+const patienceMs = 1_500;
+
+export class ReplicaDesk {
+  readonly syncedFrom = new Set<string>();
+
+  constructor(
+    private readonly table: ReplicaTable,
+    private readonly decrees: Decrees,
+    private readonly lines: () => Lines,
+  ) {}
+
+  readonly announce = async (records: readonly ReplicaRecord[]): Promise<Result<void, ReplicaFault>> => {
+    const kept = await this.table.take(records);
+    if (kept.isErr()) return err({ kind: 'disk' });
+    const merged = records.flatMap((record) => this.table.find(record.name) ?? []);
+    const members = this.decrees.agreed()?.members ?? [];
+    const needed = Math.floor(members.length / 2) + 1 - (this.decrees.isVoter() ? 1 : 0);
+    const others = members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    if (members.length === 0) return err({ kind: 'unknown' });
+    return new Promise((settle) => {
+      let acks = 0;
+      let open = others.length;
+      const tally = (isAck: boolean): void => {
+        open -= 1;
+        if (isAck) acks += 1;
+        if (acks >= needed) settle(ok(undefined));
+        else if (open <= 0) settle(err({ kind: 'unknown' }));
+      };
+      for (const member of others) {
+        const coach = this.lines().to(member.incarnation);
+        if (coach === undefined) tally(false);
+        else void coach.ask('replicaNews', merged, patienceMs).then((receipt) => tally(receipt.isOk() && receipt.value === true));
+      }
+    });
+  };
+
+  readonly takeNews = async (records: readonly ReplicaRecord[]): Promise<boolean> => (await this.table.take(records)).isOk();
+
+  readonly reconcile = async (incarnation: string, lines: Lines): Promise<void> => {
+    const coach = lines.to(incarnation);
+    if (coach === undefined) return;
+    const told = await coach.ask('replicaTable', this.table.records(), patienceMs);
+    if (told.isErr()) return;
+    const kept = await this.table.take(told.value as ReplicaRecord[]);
+    if (kept.isOk()) this.syncedFrom.add(incarnation);
+  };
+}
--- /dev/null
+++ b/packages/postmaster/src/replicaTable.ts
@@ -0,0 +1,60 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Owner, replicas } from '@martenworks/envelope';
+import type { Disk, Log, ReplicaRecord } from '@martenworks/envelope';
+import { ledgers } from '@martenworks/ledger';
+import type { Ledger, LedgerFault } from '@martenworks/ledger';
+
+const segmentsBeforeCheckpoint = 4;
+
+export class ReplicaTable {
+  private readonly owner = new Owner();
+  private readonly held = new Map<string, ReplicaRecord>();
+  private readonly watchers: ((records: readonly ReplicaRecord[]) => void)[] = [];
+
+  constructor(
+    private readonly ledger: Ledger,
+    private readonly log: Log,
+  ) {}
+
+  readonly replay = (records: readonly ReplicaRecord[]): void => {
+    for (const record of records) this.held.set(record.name, replicas.merge(this.held.get(record.name), record));
+  };
+
+  readonly watch = (verb: (records: readonly ReplicaRecord[]) => void): void => void this.watchers.push(verb);
+
+  readonly take = (told: readonly ReplicaRecord[]): Promise<Result<readonly ReplicaRecord[], LedgerFault>> =>
+    this.owner.run(async () => {
+      const news = told.filter((record) => replicas.isNews(this.held.get(record.name), record)).map((record) => replicas.merge(this.held.get(record.name), record));
+      if (news.length === 0) return ok(news);
+      for (const record of news) {
+        const written = await this.ledger.append(record);
+        if (written.isErr()) {
+          this.log.error('ledger did not take a replica record', { fault: written.error });
+          return err(written.error);
+        }
+        this.held.set(record.name, record);
+      }
+      for (const verb of this.watchers) verb(news);
+      if (this.ledger.segmentCount() > segmentsBeforeCheckpoint) await this.ledger.checkpoint(this.records);
+      return ok(news);
+    });
+
+  readonly records = (): ReplicaRecord[] => [...this.held.values()];
+
+  readonly find = (name: string): ReplicaRecord | undefined => this.held.get(name);
+
+  readonly close = (): Promise<void> => this.ledger.close();
+}
+
+export const replicaTables = {
+  open: async (disk: Disk, log: Log): Promise<Result<ReplicaTable, LedgerFault>> => {
+    const opened = await ledgers.open(disk, 'replicas');
+    if (opened.isErr()) return err(opened.error);
+    const { ledger, checkpoint, records, cutBytes } = opened.value;
+    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'replicas', cutBytes });
+    const table = new ReplicaTable(ledger, log);
+    table.replay([...((checkpoint as ReplicaRecord[] | null) ?? []), ...(records as ReplicaRecord[])]);
+    return ok(table);
+  },
+};
--- /dev/null
+++ b/packages/postrider/src/door.ts
@@ -0,0 +1,29 @@
+import { createAdaptorServer } from '@hono/node-server';
+import type { Server } from 'node:http';
+import { err, ok } from 'neverthrow';
+import { addresses } from '@martenworks/envelope';
+import type { Door } from '@martenworks/envelope';
+
+const keepAliveMs = 65_000;
+
+export const realDoor: Door = {
+  open: (address, handler) =>
+    new Promise((settle) => {
+      const { host, port } = addresses.split(address);
+      const server = createAdaptorServer({ fetch: handler }) as Server;
+      server.keepAliveTimeout = keepAliveMs;
+      server.once('error', (cause) => settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })));
+      server.listen(port, host, 1024, () =>
+        settle(
+          ok({
+            close: () =>
+              new Promise((closed) => {
+                server.close(() => closed());
+                server.closeIdleConnections();
+                setTimeout(() => server.closeAllConnections(), 1_000).unref();
+              }),
+          }),
+        ),
+      );
+    }),
+};
--- /dev/null
+++ b/packages/postrider/src/index.ts
@@ -0,0 +1,2 @@
+export * from './door.js';
+export * from './main.js';
--- /dev/null
+++ b/packages/postrider/src/main.ts
@@ -0,0 +1,150 @@
+import { parseArgs } from 'node:util';
+import { carriages } from '@martenworks/courier';
+import { callerWire, counters } from '@martenworks/counter';
+import { addresses, logs, machine } from '@martenworks/envelope';
+import type { Log, Ports } from '@martenworks/envelope';
+import { envs, layouts } from '@martenworks/franking';
+import type { Complaint, Env, Role } from '@martenworks/franking';
+import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
+import { realDoor } from './door.js';
+import { flags, readJson } from './flags.js';
+
+const exitCodes = { fine: 0, failed: 1, badEnv: 2, broken: 70 } as const;
+
+const usage = `postrider: the programs of a martenworks fleet
+
+usage: postrider ROLE [flags]
+
+  counter       a front: takes callers' requests, places and relays them
+  postmaster    a core node: agrees on the layout, knows the replicas
+  check FILE    checks an env or layout file offline
+  help          this page
+
+postrider ROLE --help tells the flags of a role.
+`;
+
+const complain = (faults: readonly Complaint[]): void => {
+  for (const fault of faults) process.stderr.write(`${fault.path}: ${fault.message}\n`);
+};
+
+const portsFor = (env: Env, log: Log): Ports => {
+  const { host } = addresses.split(env.coach);
+  return {
+    clock: machine.clock,
+    random: machine.random,
+    net: machine.net(host),
+    door: realDoor,
+    carriage: carriages.real(addresses.split(env.http).host),
+    disk: env.data === null ? machine.noDisk() : machine.disk(env.data),
+    log,
+  };
+};
+
+const untilAsked = (): Promise<string> =>
+  new Promise((settle) => {
+    process.once('SIGTERM', () => settle('SIGTERM'));
+    process.once('SIGINT', () => settle('SIGINT'));
+  });
+
+const runPostmaster = async (env: Env, log: Log): Promise<number> => {
+  const started = await postmasters.start(env, portsFor(env, log));
+  if (started.isErr()) {
+    log.error('the postmaster did not start', { fault: started.error });
+    return exitCodes.failed;
+  }
+  const postmaster = started.value;
+  const app = operatorWire(postmaster).route('/', platformWire(postmaster));
+  const door = await realDoor.open(env.http, app.fetch);
+  if (door.isErr()) {
+    log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
+    return exitCodes.failed;
+  }
+  log.info('the postmaster is up', { coach: env.coach, http: env.http, zone: env.zone, incarnation: postmaster.decrees.incarnation });
+  log.info('closing', { signal: await untilAsked() });
+  await door.value.close();
+  await postmaster.stop();
+  return exitCodes.fine;
+};
+
+const runCounter = async (env: Env, log: Log): Promise<number> => {
+  const started = await counters.start(env, portsFor(env, log));
+  if (started.isErr()) {
+    log.error('the counter did not start', { fault: started.error });
+    return exitCodes.failed;
+  }
+  const counter = started.value;
+  const door = await realDoor.open(env.http, callerWire(counter).fetch);
+  if (door.isErr()) {
+    log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
+    return exitCodes.failed;
+  }
+  log.info('the counter is up', { coach: env.coach, http: env.http, zone: env.zone, incarnation: counter.incarnation });
+  log.info('draining', { signal: await untilAsked(), live: counter.stages.live.size });
+  await counter.drain();
+  await counter.stop();
+  await door.value.close();
+  log.info('closed');
+  return exitCodes.fine;
+};
+
+const runRole = async (role: Role, args: string[]): Promise<number> => {
+  const asked = flags.read(role, args);
+  if (asked.isHelp) {
+    process.stdout.write(flags.help(role));
+    return exitCodes.fine;
+  }
+  if (asked.env.isErr()) {
+    complain(asked.env.error);
+    return exitCodes.badEnv;
+  }
+  const env = asked.env.value;
+  const log = env.logs ? logs.named('postrider', { role, node: env.name }) : logs.silent();
+  process.on('uncaughtException', (cause) => {
+    log.error('an invariant broke', { cause: String(cause.stack ?? cause) });
+    process.exit(exitCodes.broken);
+  });
+  return role === 'postmaster' ? runPostmaster(env, log) : runCounter(env, log);
+};
+
+const check = (args: string[]): number => {
+  const { positionals, values } = parseArgs({ args, allowPositionals: true, options: { as: { type: 'string' } } });
+  const path = positionals[0];
+  if (path === undefined) {
+    process.stderr.write('usage: postrider check FILE [--as layout|counter|postmaster]\n');
+    return exitCodes.badEnv;
+  }
+  const read = readJson(path);
+  if (read.isErr()) {
+    complain(read.error);
+    return exitCodes.badEnv;
+  }
+  const table = (read.value ?? {}) as Record<string, unknown>;
+  const kind = values.as ?? ('tiers' in table || 'lanes' in table ? 'layout' : 'data' in table ? 'postmaster' : 'counter');
+  const faults = kind === 'layout' ? layouts.check(table).match(() => [], (found) => found) : envs.check(kind as Role, table, {}).match(() => [], (found) => found);
+  if (faults.length > 0) {
+    complain(faults);
+    return exitCodes.badEnv;
+  }
+  process.stdout.write(`${path}: a sound ${kind}${kind === 'layout' ? '' : ' env'}\n`);
+  return exitCodes.fine;
+};
+
+export const run = async (args: string[]): Promise<number> => {
+  const [role, ...rest] = args;
+  switch (role) {
+    case 'counter':
+    case 'postmaster':
+      return runRole(role, rest);
+    case 'check':
+      return check(rest);
+    case undefined:
+    case 'help':
+    case '--help':
+    case '-h':
+      process.stdout.write(usage);
+      return exitCodes.fine;
+    default:
+      process.stderr.write(`postrider: no such role: ${role}\n\n${usage}`);
+      return exitCodes.badEnv;
+  }
+};
--- /dev/null
+++ b/packages/postrider/src/postrider.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+import { run } from './main.js';
+
+process.exitCode = await run(process.argv.slice(2));
+if (process.exitCode !== undefined) process.exit();
--- /dev/null
+++ b/packages/proving/src/firms.ts
@@ -0,0 +1,77 @@
+import { createHash } from 'node:crypto';
+
+export interface Firm {
+  readonly name: string;
+  readonly replicaCount: number;
+  readonly ratePerSecond: number;
+}
+
+export const firms: Record<string, Firm> = {
+  stations: { name: 'stations', replicaCount: 13, ratePerSecond: 190 },
+  sawmill: { name: 'sawmill', replicaCount: 8, ratePerSecond: 180 },
+};
+
+export const seeded = (seed: number): (() => number) => {
+  let state = seed >>> 0 || 1;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  };
+};
+
+const text = (label: string, bytes: number): string => {
+  const parts: string[] = [];
+  for (let at = 0, size = 0; size < bytes; at += 1) {
+    const word = createHash('sha256').update(`${label}:${at}`).digest('hex');
+    parts.push(word);
+    size += word.length + 1;
+  }
+  return parts.join(' ').slice(0, bytes);
+};
+
+const tenantNames = ['north', 'south', 'east', 'west', 'harbor', 'depot', 'yard', 'mill'];
+const isolatedTenants = new Set(['depot', 'mill']);
+const longPrefixes = [0, 1, 2, 3, 4, 5].map((at) => text(`manual-${at}`, 24_000));
+const shortPrefix = text('assistant', 640);
+
+export const kinds = ['confirm', 'query', 'diagnose', 'book'] as const;
+export type Kind = (typeof kinds)[number];
+
+export interface Ask {
+  readonly kind: Kind;
+  readonly tenant: string;
+  readonly key: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly tier: string;
+}
+
+export const keyOf = (tenant: string): string => `key-of-${tenant}-0001`;
+
+const tierOf = (tenant: string): string => (tenantNames.indexOf(tenant) < 4 ? 'prompt' : 'steady');
+
+export const plans = {
+  tenantNames,
+  layout: (weights: string): Record<string, unknown> => ({
+    tiers: { prompt: { rank: 0, horizonMs: 10_000 }, steady: { rank: 1, horizonMs: 20_000 }, patient: { rank: 3, horizonMs: 60_000, share: 0.5 } },
+    pools: { main: { weights, slots: 8 }, app: { weights: 'app-1', slots: 32 } },
+    lanes: {
+      confirm: { pool: 'main', repeat: 'once' },
+      query: { pool: 'main', repeat: 'freely' },
+      diagnose: { pool: 'main', repeat: 'freely' },
+      book: { pool: 'app', repeat: 'once' },
+    },
+    tenants: Object.fromEntries(tenantNames.map((name) => [name, { tier: tierOf(name), isolated: isolatedTenants.has(name), lanes: [...kinds] }])),
+  }),
+  ask: (random: () => number, at: number): Ask => {
+    const draw = random();
+    const kind: Kind = draw < 0.6 ? 'confirm' : draw < 0.9 ? 'query' : draw < 0.96 ? 'diagnose' : 'book';
+    const big = random() < 0.5;
+    const tenant = (big ? tenantNames[Math.floor(random() * 2)] : tenantNames[Math.floor(random() * tenantNames.length)]) as string;
+    const tail = ` ticket ${at} ${text(`tail-${at}`, 64)}`;
+    const prompt = kind === 'diagnose' ? `${longPrefixes[Math.floor(random() * longPrefixes.length)]}${tail}` : `${shortPrefix}${tail}`;
+    return { kind, tenant, key: keyOf(tenant), prompt, maxTokens: kind === 'diagnose' ? 24 : 8, tier: tierOf(tenant) };
+  },
+};
--- /dev/null
+++ b/packages/proving/src/fleetCommand.ts
@@ -0,0 +1,59 @@
+import { parseArgs } from 'node:util';
+import { firms } from './firms.js';
+import { load, summaries } from './load.js';
+import { LocalFleet } from './localFleet.js';
+
+const { values } = parseArgs({
+  options: {
+    firm: { type: 'string', default: 'stations' },
+    net: { type: 'string', default: '10' },
+    folder: { type: 'string', default: '.fleet' },
+    seconds: { type: 'string', default: '0' },
+    rate: { type: 'string' },
+    seed: { type: 'string', default: '1' },
+    index: { type: 'string', default: 'on' },
+    help: { type: 'boolean', short: 'h' },
+  },
+});
+
+if (values.help === true) {
+  process.stdout.write(`a whole fleet on this machine, one loopback IP a machine, against stand-in replicas
+
+  --firm stations|sawmill   which firm's sizes (stations)
+  --net N                   the fleet's addresses are 127.N.x.x (10)
+  --folder DIR              logs and data; emptied at the start (.fleet)
+  --seconds N               drive load for N seconds, report, stop; 0 keeps it up until Ctrl-C (0)
+  --rate N                  requests a second (the firm's)
+  --seed N                  seed of the load (1)
+  --index on|off            whether counters use the index of kept prompts (on)
+`);
+  process.exit(0);
+}
+
+const firm = firms[values.firm];
+if (firm === undefined) {
+  process.stderr.write(`no such firm: ${values.firm}\n`);
+  process.exit(2);
+}
+const fleet = new LocalFleet(firm, values.folder, Number(values.net), 9, ['--index', values.index]);
+const quit = async (code: number): Promise<never> => {
+  await fleet.down();
+  process.exit(code);
+};
+process.once('SIGINT', () => void quit(0));
+process.once('SIGTERM', () => void quit(0));
+try {
+  const begin = performance.now();
+  await fleet.up();
+  process.stdout.write(`up in ${Math.round(performance.now() - begin)} ms\n`);
+  process.stdout.write(`operator and platform: http://${fleet.postmasterHosts[0]}:7101  callers: http://${fleet.counterHosts[0]}:7101 (and ${fleet.counterHosts.length - 1} more)\n`);
+} catch (cause) {
+  process.stderr.write(`${String(cause)}\n`);
+  await quit(1);
+}
+const seconds = Number(values.seconds);
+if (seconds > 0) {
+  const outcomes = await load({ hosts: fleet.counterHosts, ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate), seconds, seed: Number(values.seed), weights: () => ['weights-1'] });
+  process.stdout.write(`${JSON.stringify(summaries.verdicts(outcomes))}\n${summaries.lines(outcomes).join('\n')}\nstand-ins: ${JSON.stringify(await fleet.totals())}\n`);
+  await quit(0);
+}
--- /dev/null
+++ b/packages/proving/src/standIn.ts
@@ -0,0 +1,350 @@
+import { createHash } from 'node:crypto';
+import { Hono } from 'hono';
+import { pause, prompts } from '@martenworks/envelope';
+import type { Carriage, Clock } from '@martenworks/envelope';
+
+export interface StandInEnv {
+  readonly name: string;
+  readonly address: string;
+  readonly incarnation: number;
+  readonly slots: number;
+  readonly keptBlocks: number;
+  readonly prefillTokensPerMs: number;
+  readonly pullTokensPerMs: number;
+  readonly decodeMs: number;
+  readonly isStore: boolean;
+}
+
+export interface Faults {
+  failStatus: number | null;
+  cutAfterPieces: number | null;
+  stallMs: number;
+  omitsEnd: boolean;
+  claimedWeights: string | null;
+  dropNews: boolean;
+  delayNewsMs: number;
+  slowPullMs: number;
+}
+
+export interface Run {
+  readonly requestId: string;
+  readonly runId: string;
+  readonly tenant: string;
+  readonly isIsolated: boolean;
+  readonly weights: string;
+  readonly priority: number;
+  readonly startedAt: number;
+  readonly cacheFrom: string | null;
+  readonly path: string;
+  prefilledTokens: number;
+  pulledTokens: number;
+  localTokens: number;
+  isFinished: boolean;
+  idempotencyKey: string | null;
+}
+
+export interface Breach {
+  readonly rule: 'weights' | 'tenant';
+  readonly requestId: string;
+  readonly holder: string;
+  readonly block: string;
+}
+
+interface Copy {
+  readonly weights: string;
+  readonly scope: string | null;
+}
+
+interface NewsLine {
+  readonly incarnation: number;
+  readonly seq: number;
+  readonly kind: 'stored' | 'removed' | 'cleared';
+  readonly tenant: string | null;
+  readonly blocks: readonly string[];
+}
+
+interface Waiting {
+  readonly priority: number;
+  readonly order: number;
+  readonly wake: () => void;
+}
+
+const encoder = new TextEncoder();
+const runLimit = 200_000;
+const newsLimit = 50_000;
+
+export const speech = {
+  piece: (prompt: string, weights: string, at: number): string => `${createHash('sha256').update(`${weights}|${at}|`).update(prompt).digest('hex').slice(0, 6)} `,
+  whole: (prompt: string, weights: string, count: number): string => Array.from({ length: count }, (_, at) => speech.piece(prompt, weights, at)).join(''),
+};
+
+const promptOf = (body: Record<string, unknown>): string => {
+  if (typeof body['prompt'] === 'string') return body['prompt'];
+  const messages = (body['messages'] ?? []) as { role: string; content: string }[];
+  return messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('');
+};
+
+export class StandIn {
+  readonly app = new Hono();
+  readonly runs: Run[] = [];
+  readonly breaches: Breach[] = [];
+  readonly faults: Faults = { failStatus: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, delayNewsMs: 0, slowPullMs: 0 };
+  private readonly copies = new Map<string, Copy[]>();
+  private readonly newsLines: NewsLine[] = [];
+  private readonly listeners = new Set<(line: NewsLine) => void>();
+  private readonly waiting: Waiting[] = [];
+  private running = 0;
+  private seq = 0;
+  private order = 0;
+  private prefillFreeAt = 0;
+
+  constructor(
+    readonly env: StandInEnv,
+    private readonly clock: Clock,
+    private readonly carriage: Carriage,
+  ) {
+    this.app.post('/v1/completions', (c) => this.complete(c.req.raw, '/v1/completions'));
+    this.app.post('/v1/chat/completions', (c) => this.complete(c.req.raw, '/v1/chat/completions'));
+    this.app.get('/kv-events', (c) => this.newsStream(Number(c.req.query('after') ?? '0'), c.req.raw.signal));
+    this.app.post('/kv-parts', async (c) => c.json(this.keptParts(((await c.req.json()) as { blocks: string[] }).blocks)));
+    this.app.get('/standin/report', (c) => c.json({ runs: this.runs, breaches: this.breaches }));
+    this.app.get('/standin/totals', (c) => c.json(this.totals()));
+    this.app.post('/standin/faults', async (c) => {
+      Object.assign(this.faults, await c.req.json());
+      return c.json(this.faults);
+    });
+    this.app.post('/standin/clear', (c) => {
+      this.clear();
+      return c.json({ cleared: true });
+    });
+    this.app.get('/healthz', (c) => c.json({ status: 'ok' }));
+  }
+
+  readonly totals = (): Record<string, number> => ({
+    runs: this.runs.length,
+    finished: this.runs.filter((run) => run.isFinished).length,
+    requests: new Set(this.runs.map((run) => run.requestId)).size,
+    prefilledTokens: this.runs.reduce((sum, run) => sum + run.prefilledTokens, 0),
+    pulledTokens: this.runs.reduce((sum, run) => sum + run.pulledTokens, 0),
+    localTokens: this.runs.reduce((sum, run) => sum + run.localTokens, 0),
+    withHolder: this.runs.filter((run) => run.cacheFrom !== null).length,
+    breaches: this.breaches.length,
+  });
+
+  readonly clear = (): void => {
+    this.copies.clear();
+    this.tell('cleared', null, []);
+  };
+
+  private readonly tell = (kind: NewsLine['kind'], tenant: string | null, blocks: readonly string[]): void => {
+    const line: NewsLine = { incarnation: this.env.incarnation, seq: (this.seq += 1), kind, tenant, blocks };
+    this.newsLines.push(line);
+    if (this.newsLines.length > newsLimit) this.newsLines.shift();
+    if (this.faults.dropNews) return;
+    for (const listener of this.listeners) {
+      if (this.faults.delayNewsMs === 0) listener(line);
+      else this.clock.after(this.faults.delayNewsMs, () => listener(line));
+    }
+  };
+
+  private readonly newsStream = (after: number, signal: AbortSignal): Response => {
+    let listener: ((line: NewsLine) => void) | null = null;
+    const leave = (): void => {
+      if (listener !== null) this.listeners.delete(listener);
+    };
+    const body = new ReadableStream<Uint8Array>({
+      start: (controller) => {
+        listener = (line) => {
+          try {
+            controller.enqueue(encoder.encode(`data: ${JSON.stringify(line)}\n\n`));
+          } catch {
+            leave();
+          }
+        };
+        controller.enqueue(encoder.encode(': kv-events\n\n'));
+        for (const line of this.newsLines) if (line.seq > after) listener(line);
+        this.listeners.add(listener);
+        signal.addEventListener('abort', leave, { once: true });
+      },
+      cancel: leave,
+    });
+    return new Response(body, { headers: { 'content-type': 'text/event-stream' } });
+  };
+
+  private readonly keptParts = (blocks: readonly string[]): { parts: Copy[]; slowMs: number } => {
+    const parts: Copy[] = [];
+    for (const block of blocks) {
+      const copy = this.copies.get(block)?.[0];
+      if (copy === undefined) break;
+      parts.push(copy);
+    }
+    return { parts, slowMs: this.faults.slowPullMs };
+  };
+
+  private readonly localBlocks = (blocks: readonly string[], wanted: Copy): number => {
+    let count = 0;
+    for (const block of blocks) {
+      const held = this.copies.get(block);
+      if (held === undefined || !held.some((copy) => copy.weights === wanted.weights && copy.scope === wanted.scope)) break;
+      this.copies.delete(block);
+      this.copies.set(block, held);
+      count += 1;
+    }
+    return count;
+  };
+
+  private readonly store = (blocks: readonly string[], copy: Copy): void => {
+    const fresh: string[] = [];
+    for (const block of blocks) {
+      const held = this.copies.get(block) ?? [];
+      if (held.some((one) => one.weights === copy.weights && one.scope === copy.scope)) continue;
+      this.copies.set(block, [...held, copy]);
+      fresh.push(block);
+    }
+    if (fresh.length > 0) this.tell('stored', copy.scope, fresh);
+    const evicted: string[] = [];
+    for (const block of this.copies.keys()) {
+      if (this.copies.size <= this.env.keptBlocks) break;
+      this.copies.delete(block);
+      evicted.push(block);
+    }
+    if (evicted.length > 0) this.tell('removed', null, evicted);
+  };
+
+  private readonly pull = async (run: Run, holder: string, blocks: readonly string[], have: number): Promise<number> => {
+    const receipt = await this.carriage.carry({
+      method: 'POST',
+      url: `http://${holder}/kv-parts`,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ blocks }),
+      signal: AbortSignal.timeout(2_000),
+      gate: () => true,
+    });
+    if (receipt.isErr() || receipt.value.status !== 200) return 0;
+    const bytes: Uint8Array[] = [];
+    try {
+      for await (const part of receipt.value.body) bytes.push(part);
+    } catch {
+      return 0;
+    }
+    const { parts, slowMs } = JSON.parse(Buffer.concat(bytes).toString('utf8')) as { parts: Copy[]; slowMs: number };
+    const taken = parts.slice(have);
+    taken.forEach((part, at) => {
+      const block = blocks[have + at] ?? '';
+      if (part.weights !== run.weights) this.breaches.push({ rule: 'weights', requestId: run.requestId, holder, block });
+      const isForeign = part.scope !== null ? part.scope !== run.tenant : run.isIsolated;
+      if (isForeign) this.breaches.push({ rule: 'tenant', requestId: run.requestId, holder, block });
+    });
+    await pause.for(this.clock, slowMs + (taken.length * prompts.blockTokens) / this.env.pullTokensPerMs);
+    return taken.length;
+  };
+
+  private readonly turn = (priority: number): Promise<void> => {
+    if (this.running < this.env.slots) {
+      this.running += 1;
+      return Promise.resolve();
+    }
+    return new Promise((wake) => {
+      this.waiting.push({ priority, order: (this.order += 1), wake });
+      this.waiting.sort((a, b) => a.priority - b.priority || a.order - b.order);
+    });
+  };
+
+  private readonly done = (): void => {
+    const next = this.waiting.shift();
+    if (next === undefined) this.running -= 1;
+    else next.wake();
+  };
+
+  private readonly complete = async (request: Request, path: string): Promise<Response> => {
+    if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus });
+    let body: Record<string, unknown>;
+    try {
+      body = (await request.json()) as Record<string, unknown>;
+    } catch {
+      return new Response('{"error":"bad body"}', { status: 400 });
+    }
+    const prompt = promptOf(body);
+    const weights = String(body['model']);
+    const isIsolated = request.headers.get('x-isolated') === '1';
+    const tenant = request.headers.get('x-tenant') ?? '';
+    const run: Run = {
+      requestId: request.headers.get('x-request-id') ?? '',
+      runId: `run-${this.env.name}-${this.env.incarnation}-${this.runs.length}`,
+      tenant,
+      isIsolated,
+      weights,
+      priority: Number(body['priority'] ?? 0),
+      startedAt: this.clock.now(),
+      cacheFrom: request.headers.get('cache-from'),
+      path,
+      prefilledTokens: 0,
+      pulledTokens: 0,
+      localTokens: 0,
+      isFinished: false,
+      idempotencyKey: request.headers.get('idempotency-key'),
+    };
+    this.runs.push(run);
+    if (this.runs.length > runLimit) this.runs.shift();
+    const count = Math.max(1, Math.min(4096, Number(body['max_tokens'] ?? 16)));
+    const pieces = this.pieces(run, prompt, count, request.signal);
+    const stream = new ReadableStream<Uint8Array>(
+      {
+        pull: async (controller) => {
+          try {
+            const next = await pieces.next();
+            if (next.done === true) controller.close();
+            else controller.enqueue(encoder.encode(next.value));
+          } catch (cause) {
+            controller.error(cause);
+          }
+        },
+        cancel: async () => void (await pieces.return(undefined)),
+      },
+      { highWaterMark: 0 },
+    );
+    return new Response(stream, { headers: { 'content-type': 'text/event-stream' } });
+  };
+
+  private readonly pieces = async function* (this: StandIn, run: Run, prompt: string, count: number, signal: AbortSignal): AsyncGenerator<string> {
+    await this.turn(run.priority);
+    try {
+      const blocks = prompts.blocks(prompt);
+      const copy: Copy = { weights: run.weights, scope: run.isIsolated ? run.tenant : null };
+      const local = this.localBlocks(blocks, copy);
+      const pulled = run.cacheFrom === null || run.cacheFrom === this.env.address ? 0 : await this.pull(run, run.cacheFrom, blocks, local);
+      run.localTokens = local * prompts.blockTokens;
+      run.pulledTokens = pulled * prompts.blockTokens;
+      run.prefilledTokens = Math.max(0, prompts.tokens(prompt) - run.localTokens - run.pulledTokens);
+      const startAt = Math.max(this.clock.now(), this.prefillFreeAt);
+      this.prefillFreeAt = startAt + run.prefilledTokens / this.env.prefillTokensPerMs;
+      await pause.for(this.clock, this.prefillFreeAt - this.clock.now());
+      this.store(blocks, copy);
+      const isChat = run.path.startsWith('/v1/chat');
+      for (let at = 0; at < count; at += 1) {
+        if (signal.aborted) return;
+        if (this.faults.stallMs > 0) await pause.for(this.clock, this.faults.stallMs);
+        if (this.faults.cutAfterPieces !== null && at >= this.faults.cutAfterPieces) {
+          if (this.faults.omitsEnd) return;
+          throw new Error('cut by a fault');
+        }
+        await pause.for(this.clock, this.env.decodeMs);
+        const text = speech.piece(prompt, run.weights, at);
+        const chunk = {
+          id: run.runId,
+          object: isChat ? 'chat.completion.chunk' : 'text_completion',
+          created: 0,
+          model: this.faults.claimedWeights ?? run.weights,
+          choices: [{ index: 0, ...(isChat ? { delta: { content: text } } : { text }), finish_reason: at === count - 1 ? 'stop' : null }],
+          ...(at === count - 1 ? { usage: { prompt_tokens: prompts.tokens(prompt), completion_tokens: count } } : {}),
+        };
+        yield `data: ${JSON.stringify(chunk)}\n\n`;
+      }
+      run.isFinished = true;
+      if (this.faults.omitsEnd) return;
+      yield 'data: [DONE]\n\n';
+    } finally {
+      this.done();
+    }
+  };
+}
--- /dev/null
+++ b/packages/roundsman/src/index.ts
@@ -0,0 +1,2 @@
+export * from './roster.js';
+export * from './lines.js';
--- /dev/null
+++ b/packages/roundsman/src/lines.ts
@@ -0,0 +1,114 @@
+import { Repeating, pause } from '@martenworks/envelope';
+import type { Ports } from '@martenworks/envelope';
+import { coaches } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import type { Roster, RosterEntry } from './roster.js';
+
+const firstWaitMs = 50;
+const longestWaitMs = 1_000;
+const refreshMs = 1_000;
+const rosterPatienceMs = 800;
+const enoughPostmasters = 3;
+
+interface Line {
+  coach: Coach | null;
+  isStopped: boolean;
+}
+
+export class Lines {
+  private readonly lines = new Map<string, Line>();
+  private readonly refresher: Repeating;
+  private isStopped = false;
+
+  constructor(
+    private readonly ports: Ports,
+    private readonly own: () => Hello,
+    private readonly seeds: readonly string[],
+    private readonly roster: Roster,
+    private readonly agreedAddresses: () => readonly string[],
+    private readonly handlers: Handlers,
+  ) {
+    this.refresher = new Repeating(ports.clock, () => refreshMs * (0.75 + 0.5 * ports.random.fraction()), this.refresh);
+    this.align();
+  }
+
+  private readonly wanted = (): Set<string> => {
+    const postmasters = new Set([...this.agreedAddresses(), ...this.roster.neighbours('postmaster').map((hello) => hello.address)]);
+    const livePostmasters = this.open().filter((coach) => coach.neighbour?.role === 'postmaster').length;
+    const addresses = livePostmasters >= enoughPostmasters ? postmasters : new Set([...postmasters, ...this.seeds]);
+    addresses.delete(this.own().address);
+    return addresses;
+  };
+
+  readonly align = (): void => {
+    if (this.isStopped) return;
+    const wanted = this.wanted();
+    for (const address of wanted) if (!this.lines.has(address)) this.start(address);
+    for (const [address, line] of this.lines) {
+      if (wanted.has(address)) continue;
+      line.isStopped = true;
+      line.coach?.close();
+      this.lines.delete(address);
+    }
+  };
+
+  private readonly start = (address: string): void => {
+    const line: Line = { coach: null, isStopped: false };
+    this.lines.set(address, line);
+    void this.hold(address, line);
+  };
+
+  private readonly hold = async (address: string, line: Line): Promise<void> => {
+    const { clock, random, net, log } = this.ports;
+    let waitMs = firstWaitMs;
+    while (!line.isStopped && !this.isStopped) {
+      let hangUp = (): void => {};
+      const ended = new Promise<void>((end) => (hangUp = end));
+      const dialed = await coaches.dial(net, clock, log, this.own(), address, {
+        ...this.handlers,
+        left: (coach) => {
+          this.handlers.left(coach);
+          hangUp();
+        },
+      });
+      if (dialed.isOk()) {
+        const coach = dialed.value;
+        if (line.isStopped || this.isStopped) coach.close();
+        line.coach = coach;
+        if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+        void this.learnFrom(coach);
+        const openedAt = clock.now();
+        await ended;
+        line.coach = null;
+        if (clock.now() - openedAt > longestWaitMs) waitMs = firstWaitMs;
+      }
+      if (line.isStopped || this.isStopped) return;
+      await pause.for(clock, waitMs * (0.5 + random.fraction()));
+      waitMs = Math.min(waitMs * 2, longestWaitMs);
+    }
+  };
+
+  private readonly learnFrom = async (coach: Coach): Promise<void> => {
+    const told = await coach.ask('roster', this.roster.entries(), rosterPatienceMs);
+    if (told.isOk()) this.roster.merge(told.value as RosterEntry[]);
+    if (coach.neighbour !== null && told.isOk()) this.roster.heard(coach.neighbour);
+    this.align();
+  };
+
+  private readonly refresh = (): void => {
+    const live = this.open();
+    const coach = live[Math.floor(this.ports.random.fraction() * live.length)];
+    if (coach !== undefined) void this.learnFrom(coach);
+    else this.align();
+  };
+
+  readonly open = (): Coach[] => [...this.lines.values()].flatMap((line) => (line.coach !== null && line.coach.isLive() ? [line.coach] : []));
+
+  readonly to = (incarnation: string): Coach | undefined => this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
+
+  readonly stop = (): void => {
+    this.isStopped = true;
+    this.refresher.stop();
+    for (const line of this.lines.values()) line.coach?.close();
+  };
+}
