Give isolated tenants their own quarters so that holders can be named

Cause: an isolated tenant's parts anywhere on a replica barred it as holder for all others, since late notices can hide them; no holder was ever named. Replicas of a pool now have roles (one tenant's own, mixed, shared) drawn by rendezvous; only unmixed constant roles are named. A replica born before its pool's first layout counts as pure.

--- a/packages/counter/src/book.ts
+++ b/packages/counter/src/book.ts
@@ -1,6 +1,6 @@
 import { agreed as agreedState, replicas } from '@martenworks/envelope';
 import type { Agreed, Change, Clock, KvNews, ReplicaRecord } from '@martenworks/envelope';
-import { Pigeonhole } from '@martenworks/pigeonhole';
+import { Pigeonhole, Quarters } from '@martenworks/pigeonhole';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Door } from './layoutView.js';
 import type { LayoutView } from './layoutView.js';
@@ -9,6 +9,7 @@
 
 export class Book {
   readonly index = new Pigeonhole(keptAgeLimitMs);
+  readonly quarters = new Quarters();
   private readonly door = new Door();
   private readonly held = new Map<string, ReplicaRecord>();
   private state: Agreed | null = null;
@@ -33,8 +34,8 @@
   };
 
   private readonly reindex = (): void => {
-    const pools = this.shown?.pools;
-    this.index.reconcile(this.held.values(), (record) => pools?.get(record.pool)?.weights ?? null);
+    this.index.reconcile(this.held.values(), (record) => this.state?.weightsSince[record.pool] ?? 0);
+    this.quarters.align(this.held.values(), this.state, this.index.isUsed, this.clock.now());
   };
 
   readonly takeChange = (generation: number, change: Change): boolean => {
@@ -62,8 +63,11 @@
     for (const one of news) this.index.take(one, now);
   };
 
-  readonly inPool = (poolName: string): ReplicaRecord[] => this.records().filter((record) => record.pool === poolName && record.kind === 'replica' && record.state === 'ready');
+  readonly inPool = (poolName: string): ReplicaRecord[] =>
+    this.records().filter((record) => record.pool === poolName && record.kind === 'replica' && record.state === 'ready' && record.born <= this.generation());
 
   readonly holdersIn = (poolName: string, store: string | null): ReplicaRecord[] =>
-    this.records().filter((record) => record.state !== 'gone' && (record.pool === poolName || (record.kind === 'store' && record.name === store)));
+    this.records().filter(
+      (record) => record.state === 'ready' && (record.kind === 'replica' ? record.pool === poolName : record.name === store) && record.born >= (this.state?.weightsSince[poolName] ?? 0),
+    );
 }
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating, pause } from '@martenworks/envelope';
-import type { Agreed, Change, KvNews, Listener, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, KvNews, Listener, NetFault, Pong, Ports, ReplicaRecord } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import { coaches, wireRelease } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -12,7 +12,6 @@
 import { Freshness } from './freshness.js';
 import { Parcel } from './parcel.js';
 import type { Order, Receipt } from './parcel.js';
-import type { Pong } from './pong.js';
 import { Stages } from './stages.js';
 import { Tally } from './tally.js';
 import { Tracks } from './tracks.js';
@@ -84,7 +83,7 @@
     if (receipt.isErr()) return coach.close();
     const pong = receipt.value as Pong;
     this.freshness.heard(stamp, pong);
-    this.tracks.toldOthers(pong.running);
+    this.tracks.toldOthers(pong.loads);
     if (pong.generation > this.book.generation()) coach.tell('subscribe', this.book.generation());
     this.stages.pumpAll();
   };
--- a/packages/counter/src/freshness.ts
+++ b/packages/counter/src/freshness.ts
@@ -1,5 +1,4 @@
-import type { Clock, Member } from '@martenworks/envelope';
-import type { Pong } from './pong.js';
+import type { Clock, Member, Pong } from '@martenworks/envelope';
 
 const freshMs = 1_500;
 const pendingMs = 500;
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -9,7 +9,7 @@
 import { ExtraBudget, RateShare } from './budget.js';
 import type { Freshness } from './freshness.js';
 import type { Parcel } from './parcel.js';
-import { Pipe, Stage } from './pipe.js';
+import { Stage, Tray } from './pipe.js';
 import type { Tally } from './tally.js';
 import type { Tracks } from './tracks.js';
 
@@ -20,7 +20,7 @@
 const largestRetryAfterSeconds = 30;
 
 interface Waiting {
-  readonly pipe: Pipe<Parcel>;
+  readonly tray: Tray<Parcel>;
   readonly byTenant: Map<number, number>;
   readonly byTier: Map<string, number>;
   finished: number;
@@ -28,6 +28,8 @@
   ratedAt: number;
 }
 
+const scopeOf = (parcel: Parcel): string | null => (parcel.tenant?.tenant.isolated === true ? parcel.tenant.name : null);
+
 export class Stages {
   readonly live = new Set<Parcel>();
   private readonly queues = new Map<string, Waiting>();
@@ -69,7 +71,7 @@
   private readonly retryAfter = (code: DenyCode, poolName: string | null): number | undefined => {
     if (code !== 'no_capacity' && code !== 'horizon_passed') return undefined;
     const queue = poolName === null ? undefined : this.queues.get(poolName);
-    const waitSeconds = queue === undefined || queue.ratePerMs <= 0 ? 1 : queue.pipe.size() / queue.ratePerMs / 1000;
+    const waitSeconds = queue === undefined || queue.ratePerMs <= 0 ? 1 : queue.tray.size() / queue.ratePerMs / 1000;
     return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(waitSeconds + this.ports.random.fraction())));
   };
 
@@ -139,7 +141,7 @@
   private readonly queueOf = (poolName: string): Waiting => {
     const held = this.queues.get(poolName);
     if (held !== undefined) return held;
-    const queue: Waiting = { pipe: new Pipe(this.env.queueLimit), byTenant: new Map(), byTier: new Map(), finished: 0, ratePerMs: 0, ratedAt: this.ports.clock.now() };
+    const queue: Waiting = { tray: new Tray(this.env.queueLimit), byTenant: new Map(), byTier: new Map(), finished: 0, ratePerMs: 0, ratedAt: this.ports.clock.now() };
     this.queues.set(poolName, queue);
     return queue;
   };
@@ -152,14 +154,14 @@
     const ofTier = queue.byTier.get(tenant.tierName) ?? 0;
     if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.env.queueLimit))) return this.refuse(parcel, 'over_share', 'the tier\'s share of the queue is taken');
     const ofTenant = queue.byTenant.get(tenant.index) ?? 0;
-    const ahead = queue.pipe.size();
+    const ahead = queue.tray.size();
     if (queue.ratePerMs > 0 && ahead > 8 && tenant.tier.rank > 0 && ahead / queue.ratePerMs > parcel.horizonAt - this.ports.clock.now()) {
       return this.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
     }
     const urgency = parcel.arrivedAt + tenant.tier.rank * agingMs + ofTenant * fairStepMs;
     queue.byTenant.set(tenant.index, ofTenant + 1);
     queue.byTier.set(tenant.tierName, ofTier + 1);
-    const displaced = queue.pipe.put(parcel, urgency);
+    const displaced = queue.tray.put(scopeOf(parcel) ?? '', parcel, urgency);
     if (displaced !== null) {
       this.forget(queue, displaced);
       this.refuse(displaced, 'no_capacity', 'the queue is full');
@@ -181,7 +183,7 @@
   private readonly unqueue = (parcel: Parcel): void => {
     if (parcel.lane === null) return;
     const queue = this.queues.get(parcel.lane.poolName);
-    if (queue?.pipe.remove(parcel) === true) this.forget(queue, parcel);
+    if (queue?.tray.remove(parcel) === true) this.forget(queue, parcel);
   };
 
   readonly pumpAll = (): void => {
@@ -216,17 +218,19 @@
     if (view === null || lane === null || tenant === null) return null;
     const pool = view.pools.get(lane.poolName);
     if (pool === undefined) return null;
-    const ready = this.book.inPool(lane.poolName).filter((record) => !parcel.avoided.has(record.name));
+    const scope = scopeOf(parcel);
+    const now = this.ports.clock.now();
+    const ready = this.book.inPool(lane.poolName).filter((record) => !parcel.avoided.has(record.name) && this.book.quarters.mayRun(record, scope, now));
     const sound = ready.filter((record) => !this.tracks.isSuspect(record.name));
     const free = (sound.length > 0 ? sound : ready).filter((record) => this.tracks.running(record.name) < (record.slots ?? pool.slots));
     return place(this.book.index, {
       pool,
       blocks: parcel.blocks,
       promptTokens: parcel.promptTokens,
-      isolatedTenant: tenant.tenant.isolated ? tenant.name : null,
+      isolatedTenant: scope,
       candidates: free.map((record) => ({ record, running: this.tracks.running(record.name), pendingTokens: this.tracks.pendingTokens(record.name) })),
-      holders: this.book.holdersIn(lane.poolName, pool.store),
-      now: this.ports.clock.now(),
+      holders: this.book.holdersIn(lane.poolName, pool.store).filter((record) => this.book.quarters.mayName(record, scope)),
+      now,
       zone: this.env.zone,
       useIndex: this.env.index,
       tieBreak: this.ports.random.fraction(),
@@ -235,18 +239,20 @@
 
   private readonly pump = (poolName: string): void => {
     const queue = this.queueOf(poolName);
-    for (let parcel = queue.pipe.peek(); parcel !== undefined; parcel = queue.pipe.peek()) {
-      if (!this.freshness.isFresh()) return;
-      const placed = this.placement(parcel);
-      if (placed === null) {
-        if (this.book.inPool(poolName).some((record) => !(parcel as Parcel).avoided.has(record.name))) return;
-        this.refuse(parcel, 'no_capacity', 'the pool has no ready replica left for this request');
-        continue;
-      }
-      queue.pipe.take();
-      this.forget(queue, parcel);
-      void this.send(parcel, placed);
+    while (this.freshness.isFresh() && queue.tray.heads().some((parcel) => this.moveOn(queue, parcel, poolName)));
+  };
+
+  private readonly moveOn = (queue: Waiting, parcel: Parcel, poolName: string): boolean => {
+    const placed = this.placement(parcel);
+    if (placed === null) {
+      if (this.book.inPool(poolName).some((record) => !parcel.avoided.has(record.name))) return false;
+      this.refuse(parcel, 'no_capacity', 'the pool has no ready replica left for this request');
+      return true;
     }
+    queue.tray.remove(parcel);
+    this.forget(queue, parcel);
+    void this.send(parcel, placed);
+    return true;
   };
 
   private readonly budgetOf = (poolName: string): ExtraBudget => {
@@ -396,7 +402,7 @@
   };
 
   readonly depths = (): Record<string, { waiting: number; byTier: Record<string, number> }> =>
-    Object.fromEntries([...this.queues].map(([poolName, queue]) => [poolName, { waiting: queue.pipe.size(), byTier: Object.fromEntries(queue.byTier) }]));
+    Object.fromEntries([...this.queues].map(([poolName, queue]) => [poolName, { waiting: queue.tray.size(), byTier: Object.fromEntries(queue.byTier) }]));
 
   readonly budgetsLeft = (): Record<string, number> => Object.fromEntries([...this.budgets].map(([poolName, budget]) => [poolName, budget.left()]));
 }
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@martenworks/envelope';
+import type { Clock, Loads } from '@martenworks/envelope';
 
 const firstSuspicionMs = 500;
 const longestSuspicionMs = 5_000;
@@ -7,6 +7,7 @@
   running: number;
   pendingTokens: number;
   others: number;
+  othersTokens: number;
   suspectUntil: number;
   suspicionMs: number;
 }
@@ -19,7 +20,7 @@
   private readonly of = (replica: string): Track => {
     const held = this.held.get(replica);
     if (held !== undefined) return held;
-    const track: Track = { running: 0, pendingTokens: 0, others: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs };
+    const track: Track = { running: 0, pendingTokens: 0, others: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs };
     this.held.set(replica, track);
     return track;
   };
@@ -47,17 +48,22 @@
     track.suspicionMs = Math.min(track.suspicionMs * 2, longestSuspicionMs);
   };
 
-  readonly toldOthers = (running: Record<string, number>): void => {
-    for (const [replica, track] of this.held) track.others = running[replica] ?? 0;
-    for (const [replica, count] of Object.entries(running)) this.of(replica).others = count;
+  readonly toldOthers = (loads: Loads): void => {
+    for (const [replica, track] of this.held) if (loads[replica] === undefined) track.others = track.othersTokens = 0;
+    for (const [replica, [running, tokens]] of Object.entries(loads)) {
+      const track = this.of(replica);
+      track.others = running;
+      track.othersTokens = tokens;
+    }
   };
 
   readonly running = (replica: string): number => this.of(replica).running + this.of(replica).others;
   readonly own = (replica: string): number => this.of(replica).running;
-  readonly pendingTokens = (replica: string): number => this.of(replica).pendingTokens;
+  readonly pendingTokens = (replica: string): number => this.of(replica).pendingTokens + this.of(replica).othersTokens;
   readonly isSuspect = (replica: string): boolean => this.of(replica).suspectUntil > this.clock.now();
 
-  readonly report = (): Record<string, number> => Object.fromEntries([...this.held].filter(([, track]) => track.running > 0).map(([replica, track]) => [replica, track.running]));
+  readonly report = (): Loads =>
+    Object.fromEntries([...this.held].filter(([, track]) => track.running > 0).map(([replica, track]) => [replica, [track.running, Math.round(track.pendingTokens)] as const]));
 
   readonly all = (): { replica: string; running: number; others: number; isSuspect: boolean }[] =>
     [...this.held].map(([replica, track]) => ({ replica, running: track.running, others: track.others, isSuspect: this.isSuspect(replica) }));
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -46,6 +46,7 @@
   readonly generation: number;
   readonly layoutGeneration: number;
   readonly layout: Layout;
+  readonly weightsSince: Record<string, number>;
   readonly keys: Record<string, KeyGrant>;
   readonly members: readonly Member[];
   readonly changeIds: Record<string, { generation: number; digest: string }>;
@@ -73,8 +74,8 @@
   readonly pool: string;
   readonly address: string;
   readonly zone: string;
-  readonly weights: string | null;
   readonly slots: number | null;
+  readonly born: number;
 }
 
 export interface KvNews {
@@ -96,11 +97,23 @@
   return { ...Object.fromEntries(kept), [change.id]: { generation, digest: change.digest } };
 };
 
+const weightsSince = (state: Agreed, layout: Layout, generation: number): Agreed['weightsSince'] => ({
+  ...state.weightsSince,
+  ...Object.fromEntries(
+    Object.entries(layout.pools).map(([name, pool]) => {
+      const since = state.weightsSince[name];
+      if (since === undefined) return [name, 0];
+      return [name, state.layout.pools[name]?.weights === pool.weights ? since : generation];
+    }),
+  ),
+});
+
 export const agreed = {
   founded: (members: readonly Member[]): Agreed => ({
     generation: 0,
     layoutGeneration: 0,
     layout: emptyLayout,
+    weightsSince: {},
     keys: {},
     members,
     changeIds: {},
@@ -111,7 +124,9 @@
     const { body } = change;
     switch (body.kind) {
       case 'layout':
-        return body.base === state.layoutGeneration ? { ...next, layout: body.layout, layoutGeneration: generation } : next;
+        return body.base === state.layoutGeneration
+          ? { ...next, layout: body.layout, layoutGeneration: generation, weightsSince: weightsSince(state, body.layout, generation) }
+          : next;
       case 'grant': {
         const isTenantNew = body.tenant !== null && state.layout.tenants[body.grant.tenant] === undefined;
         const layout = isTenantNew ? { ...state.layout, tenants: { ...state.layout.tenants, [body.grant.tenant]: body.tenant } } : state.layout;
@@ -131,11 +146,32 @@
   isVoid: (state: Agreed, change: Change): boolean => change.body.kind === 'layout' && change.body.base !== state.layoutGeneration,
 };
 
+const isAhead = (a: ReplicaRecord, b: ReplicaRecord): boolean => {
+  if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation;
+  if (a.state !== b.state) return stateRanks[a.state] > stateRanks[b.state];
+  return JSON.stringify({ ...a, born: 0 }) < JSON.stringify({ ...b, born: 0 });
+};
+
 export const replicas = {
   merge: (held: ReplicaRecord | undefined, told: ReplicaRecord): ReplicaRecord => {
-    if (held === undefined || told.incarnation > held.incarnation) return told;
-    if (told.incarnation < held.incarnation) return held;
-    return stateRanks[told.state] > stateRanks[held.state] ? { ...held, state: told.state } : held;
+    if (held === undefined) return told;
+    const ahead = isAhead(told, held) ? told : held;
+    if (held.incarnation !== told.incarnation) return ahead;
+    const born = Math.min(held.born, told.born);
+    return born === ahead.born ? ahead : { ...ahead, born };
+  },
+  isNews: (held: ReplicaRecord | undefined, told: ReplicaRecord): boolean => {
+    const merged = replicas.merge(held, told);
+    return held === undefined || JSON.stringify(merged) !== JSON.stringify(held);
   },
-  isNews: (held: ReplicaRecord | undefined, told: ReplicaRecord): boolean => replicas.merge(held, told) !== held,
 };
+
+export type Loads = Record<string, readonly [running: number, pendingTokens: number]>;
+
+export interface Pong {
+  readonly generation: number;
+  readonly acceptedSlot: number | null;
+  readonly incarnation: string;
+  readonly loads: Loads;
+  readonly counters: number;
+}
--- a/packages/pigeonhole/src/index.ts
+++ b/packages/pigeonhole/src/index.ts
@@ -1,2 +1,3 @@
 export * from './pigeonhole.js';
 export * from './place.js';
+export * from './quarters.js';
--- a/packages/pigeonhole/src/pigeonhole.ts
+++ b/packages/pigeonhole/src/pigeonhole.ts
@@ -12,10 +12,9 @@
 interface Shelf {
   incarnation: number;
   seq: number;
-  weights: string | null;
-  isMixed: boolean;
+  era: number;
   isWhole: boolean;
-  isolated: Set<number>;
+  scopes: Set<number>;
   blocks: Map<string, Entry>;
 }
 
@@ -29,7 +28,7 @@
   readonly incarnation: number;
   readonly seq: number;
   readonly isWhole: boolean;
-  readonly isolated: readonly string[];
+  readonly scopes: readonly string[];
   readonly blocks: readonly (readonly [string, string, number])[];
 }
 
@@ -46,23 +45,20 @@
     return tenant === null ? sharedTenant : this.tenants.indexOf(tenant);
   };
 
-  readonly reconcile = (records: Iterable<ReplicaRecord>, weightsOf: (record: ReplicaRecord) => string | null): void => {
+  readonly reconcile = (records: Iterable<ReplicaRecord>, eraOf: (record: ReplicaRecord) => number): void => {
     const seen = new Set<string>();
     for (const record of records) {
       if (record.state === 'gone') continue;
       seen.add(record.name);
-      const weights = weightsOf(record);
+      const era = eraOf(record);
       const shelf = this.shelves.get(record.name);
       if (shelf === undefined || shelf.incarnation < record.incarnation) {
-        const isPure = record.weights === null || record.weights === weights;
-        this.shelves.set(record.name, { incarnation: record.incarnation, seq: 0, weights, isMixed: !isPure, isWhole: true, isolated: new Set(), blocks: new Map() });
+        this.shelves.set(record.name, { incarnation: record.incarnation, seq: 0, era, isWhole: true, scopes: new Set(), blocks: new Map() });
         continue;
       }
-      if (shelf.weights !== weights) {
-        shelf.weights = weights;
-        shelf.isMixed = true;
-        shelf.blocks.clear();
-      }
+      if (shelf.era === era) continue;
+      shelf.era = era;
+      shelf.blocks.clear();
     }
     for (const name of [...this.shelves.keys()]) if (!seen.has(name)) this.shelves.delete(name);
   };
@@ -77,8 +73,6 @@
     shelf.seq = news.seq;
     if (news.kind === 'cleared') {
       shelf.blocks.clear();
-      shelf.isolated.clear();
-      shelf.isWhole = true;
       return;
     }
     if (news.kind === 'removed') {
@@ -86,7 +80,7 @@
       return;
     }
     const tenant = this.tenantIndex(news.tenant);
-    if (tenant !== sharedTenant) shelf.isolated.add(tenant);
+    shelf.scopes.add(tenant);
     for (const block of news.blocks) {
       const held = shelf.blocks.get(block);
       if (held !== undefined && held.tenant !== tenant) held.tenant = wildTenant;
@@ -98,9 +92,9 @@
     }
   };
 
-  readonly kept = (replica: string, blocks: readonly string[], isolatedTenant: string | null, weights: string, now: number): Kept => {
+  readonly kept = (replica: string, blocks: readonly string[], isolatedTenant: string | null, now: number): Kept => {
     const shelf = this.shelves.get(replica);
-    if (shelf === undefined || shelf.weights !== weights) return { blockCount: 0, isNameable: false };
+    if (shelf === undefined) return { blockCount: 0, isNameable: false };
     const tenant = this.tenantIndex(isolatedTenant);
     let blockCount = 0;
     for (const block of blocks) {
@@ -112,9 +106,8 @@
       }
       blockCount += 1;
     }
-    const isForeign = [...shelf.isolated].some((one) => one !== tenant);
-    const isSharedHere = tenant !== sharedTenant && blocks.some((block) => shelf.blocks.get(block)?.tenant === sharedTenant);
-    return { blockCount, isNameable: blockCount > 0 && !shelf.isMixed && shelf.isWhole && !isForeign && !isSharedHere };
+    const isUnmixed = shelf.isWhole && [...shelf.scopes].every((scope) => scope === tenant);
+    return { blockCount, isNameable: blockCount > 0 && isUnmixed };
   };
 
   readonly checkpoint = (now: number): ShelfCheckpoint[] =>
@@ -123,7 +116,7 @@
       incarnation: shelf.incarnation,
       seq: shelf.seq,
       isWhole: shelf.isWhole,
-      isolated: [...shelf.isolated].map(this.tenantName),
+      scopes: [...shelf.scopes].map(this.tenantName),
       blocks: [...shelf.blocks].map(([block, entry]) => [block, this.tenantName(entry.tenant), now - entry.bornAt]),
     }));
 
@@ -132,7 +125,7 @@
     if (shelf === undefined || shelf.incarnation !== checkpoint.incarnation || shelf.seq >= checkpoint.seq) return;
     shelf.seq = checkpoint.seq;
     shelf.isWhole = checkpoint.isWhole;
-    shelf.isolated = new Set(checkpoint.isolated.map(this.tenantNumber));
+    shelf.scopes = new Set(checkpoint.scopes.map(this.tenantNumber));
     shelf.blocks = new Map(checkpoint.blocks.map(([block, tenant, age]) => [block, { tenant: this.tenantNumber(tenant), bornAt: now - age }]));
   };
 
@@ -140,16 +133,21 @@
 
   private readonly tenantNumber = (name: string): number => (name === '?' ? wildTenant : name === '' ? sharedTenant : this.tenants.indexOf(name));
 
-  readonly sizes = (): { replica: string; incarnation: number; seq: number; blocks: number; weights: string | null; isMixed: boolean }[] =>
+  readonly sizes = (): { replica: string; incarnation: number; seq: number; blocks: number; isWhole: boolean; scopes: string[] }[] =>
     [...this.shelves].map(([replica, shelf]) => ({
       replica,
       incarnation: shelf.incarnation,
       seq: shelf.seq,
       blocks: shelf.blocks.size,
-      weights: shelf.weights,
-      isMixed: shelf.isMixed,
+      isWhole: shelf.isWhole,
+      scopes: [...shelf.scopes].map(this.tenantName),
     }));
 
+  readonly isUsed = (replica: string): boolean => {
+    const shelf = this.shelves.get(replica);
+    return shelf === undefined || !shelf.isWhole || shelf.seq > 0;
+  };
+
   readonly seqOf = (replica: string, incarnation: number): number => {
     const shelf = this.shelves.get(replica);
     return shelf !== undefined && shelf.incarnation === incarnation ? shelf.seq : 0;
--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -40,7 +40,7 @@
 
 export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null => {
   const { pool, blocks, now, isolatedTenant } = question;
-  const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, pool.weights, now);
+  const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, now);
   const holders: HolderKept[] = [];
   if (question.useIndex && blocks.length > 0) {
     for (const record of question.holders) {
--- /dev/null
+++ b/packages/pigeonhole/src/quarters.ts
@@ -0,0 +1,101 @@
+import { createHash } from 'node:crypto';
+import type { Agreed, ReplicaRecord } from '@martenworks/envelope';
+
+const usedGraceMs = 15_000;
+const unusedGraceMs = 3_000;
+const mixed = '*mixed*';
+const shared = '*shared*';
+
+interface Seat {
+  readonly incarnation: number;
+  role: string;
+  before: string;
+  openAt: number;
+  isConstant: boolean;
+}
+
+const score = (label: string, replica: string): string => createHash('sha256').update(`${label}\n${replica}`).digest('hex');
+
+const draw = (label: string, free: Set<string>): string | undefined => {
+  let best: string | undefined;
+  let bestScore = '';
+  for (const name of free) {
+    const scored = score(label, name);
+    if (best === undefined || scored > bestScore) {
+      best = name;
+      bestScore = scored;
+    }
+  }
+  return best;
+};
+
+export const quarterPlan = {
+  roles: (replicaNames: readonly string[], isolatedTenants: readonly string[]): Map<string, string> => {
+    const roles = new Map(replicaNames.map((name) => [name, shared]));
+    if (isolatedTenants.length === 0) return roles;
+    const count = replicaNames.length;
+    const free = new Set(replicaNames);
+    const seat = (label: string, role: string): void => {
+      const name = draw(label, free);
+      if (name === undefined) return;
+      free.delete(name);
+      roles.set(name, role);
+    };
+    const hasOwnQuarters = isolatedTenants.length <= Math.floor(count / 4);
+    if (hasOwnQuarters) for (const tenant of [...isolatedTenants].sort()) seat(`own:${tenant}`, tenant);
+    const mixedCount = hasOwnQuarters ? Math.ceil(free.size / 4) : Math.ceil(count / 2);
+    for (let at = 0; at < mixedCount; at += 1) seat('mixed', mixed);
+    return roles;
+  },
+};
+
+export class Quarters {
+  private readonly seats = new Map<string, Seat>();
+
+  readonly align = (records: Iterable<ReplicaRecord>, state: Agreed | null, isUsed: (replica: string) => boolean, now: number): void => {
+    if (state === null) return;
+    const isolated = Object.entries(state.layout.tenants).filter(([, tenant]) => tenant.isolated);
+    const served = new Set(Object.values(state.layout.lanes).map((lane) => lane.pool));
+    const byPool = new Map<string, ReplicaRecord[]>();
+    const present = new Set<string>();
+    for (const record of records) {
+      if (record.state !== 'ready' || record.kind !== 'replica' || !served.has(record.pool)) continue;
+      present.add(record.name);
+      byPool.set(record.pool, [...(byPool.get(record.pool) ?? []), record]);
+    }
+    for (const [pool, some] of byPool) {
+      const tenants = isolated.filter(([, tenant]) => tenant.lanes.some((lane) => state.layout.lanes[lane]?.pool === pool)).map(([name]) => name);
+      const roles = quarterPlan.roles(some.map((record) => record.name).sort(), tenants);
+      for (const record of some) this.seat(record, roles.get(record.name) ?? mixed, now + (isUsed(record.name) ? usedGraceMs : unusedGraceMs));
+    }
+    for (const name of [...this.seats.keys()]) if (!present.has(name)) this.seats.delete(name);
+  };
+
+  private readonly seat = (record: ReplicaRecord, role: string, openAt: number): void => {
+    const held = this.seats.get(record.name);
+    if (held === undefined || held.incarnation !== record.incarnation) {
+      this.seats.set(record.name, { incarnation: record.incarnation, role, before: role, openAt: 0, isConstant: true });
+      return;
+    }
+    if (held.role === role) return;
+    held.before = held.role;
+    held.role = role;
+    held.openAt = openAt;
+    held.isConstant = false;
+  };
+
+  readonly mayRun = (record: ReplicaRecord, isolatedTenant: string | null, now: number): boolean => {
+    const seat = this.seats.get(record.name);
+    if (seat === undefined) return false;
+    const admits = (role: string): boolean => role === mixed || role === (isolatedTenant ?? shared);
+    return admits(seat.role) && (seat.isConstant || now >= seat.openAt || admits(seat.before));
+  };
+
+  readonly mayName = (record: ReplicaRecord, isolatedTenant: string | null): boolean => {
+    if (record.kind === 'store') return true;
+    const seat = this.seats.get(record.name);
+    return seat !== undefined && seat.isConstant && seat.role === (isolatedTenant ?? shared);
+  };
+
+  readonly roles = (): { replica: string; role: string; isConstant: boolean }[] => [...this.seats].map(([replica, seat]) => ({ replica, role: seat.role, isConstant: seat.isConstant }));
+}
--- a/packages/postmaster/src/kvDesk.ts
+++ b/packages/postmaster/src/kvDesk.ts
@@ -34,7 +34,7 @@
   };
 
   readonly align = (records: readonly ReplicaRecord[]): void => {
-    this.index.reconcile(records, () => null);
+    this.index.reconcile(records, () => 0);
     const wanted = new Map(records.filter((record) => record.state !== 'gone').map((record) => [record.name, record]));
     for (const [name, followed] of this.followed) {
       if (wanted.get(name)?.incarnation === followed.incarnation) continue;
--- a/packages/postmaster/src/platformWire.ts
+++ b/packages/postmaster/src/platformWire.ts
@@ -18,7 +18,6 @@
   'incarnation?': 'number.integer >= 1',
   'state?': "'ready' | 'leaving' | 'gone'",
   'zone?': label,
-  'weights?': type('string | null'),
   'slots?': type('1 <= number.integer <= 4096 | null'),
 });
 
@@ -31,7 +30,7 @@
 
 const keyRef = type({ 'key?': 'string >= 8', 'keyHash?': type(/^[0-9a-f]{64}$/) });
 
-const recordOf = (given: typeof announcement.infer, held: ReplicaRecord | undefined): ReplicaRecord => {
+const recordOf = (given: typeof announcement.infer, held: ReplicaRecord | undefined, generation: number): ReplicaRecord => {
   const isSame = held !== undefined && held.address === given.address && held.state !== 'gone';
   return {
     name: given.name,
@@ -41,8 +40,8 @@
     pool: given.pool ?? held?.pool ?? 'default',
     address: given.address,
     zone: given.zone ?? '',
-    weights: given.weights ?? null,
     slots: given.slots ?? null,
+    born: generation,
   };
 };
 
@@ -65,7 +64,7 @@
     if (!body.isJson) return badRequest(c, 'the body is not JSON');
     const checked = announcement.array()(Array.isArray(body.value) ? body.value : [body.value]);
     if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
-    return announced(c, postmaster, checked.map((one) => recordOf(one, postmaster.table.find(one.name))));
+    return announced(c, postmaster, checked.map((one) => recordOf(one, postmaster.table.find(one.name), postmaster.decrees.agreed()?.generation ?? 0)));
   });
 
   const moved = async (c: Context, state: 'leaving' | 'gone'): Promise<Response> => {
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, Change, Listener, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, Listener, Loads, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, wireRelease } from '@martenworks/mailcoach';
@@ -170,7 +170,7 @@
       if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
       switch (topic) {
         case 'ping':
-          return this.push.pong(coach, body as Record<string, number>);
+          return this.push.pong(coach, body as Loads);
         case 'beat':
           return true;
         case 'roster':
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -1,4 +1,4 @@
-import type { Clock, KvNews, ReplicaRecord } from '@martenworks/envelope';
+import type { Clock, KvNews, Loads, Pong, ReplicaRecord } from '@martenworks/envelope';
 import type { Coach } from '@martenworks/mailcoach';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import type { Decrees, Settled } from './decrees.js';
@@ -7,15 +7,7 @@
   sent: number;
   acked: number;
   ackedAt: number;
-  running: Record<string, number>;
-}
-
-export interface Pong {
-  readonly generation: number;
-  readonly acceptedSlot: number | null;
-  readonly incarnation: string;
-  readonly running: Record<string, number>;
-  readonly counters: number;
+  loads: Loads;
 }
 
 export interface AckLine {
@@ -38,7 +30,7 @@
   }
 
   readonly subscribe = (coach: Coach, generation: number): void => {
-    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), running: {} });
+    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), loads: {} });
     coach.tell('replicas', this.records());
     for (const shelf of this.shelves()) coach.tell('shelf', shelf);
     this.bringTo(coach);
@@ -74,19 +66,23 @@
     subscriber.ackedAt = this.clock.now();
   };
 
-  readonly pong = (coach: Coach, running: Record<string, number>): Pong => {
+  readonly pong = (coach: Coach, loads: Loads): Pong => {
     const subscriber = this.subscribers.get(coach);
-    if (subscriber !== undefined) subscriber.running = running;
-    const total: Record<string, number> = {};
-    for (const [other, { running: theirs }] of this.subscribers) {
+    if (subscriber !== undefined) subscriber.loads = loads;
+    const total: Record<string, [number, number]> = {};
+    for (const [other, { loads: theirs }] of this.subscribers) {
       if (other === coach) continue;
-      for (const [replica, count] of Object.entries(theirs)) total[replica] = (total[replica] ?? 0) + count;
+      for (const [replica, [running, tokens]] of Object.entries(theirs)) {
+        const held = (total[replica] ??= [0, 0]);
+        held[0] += running;
+        held[1] += tokens;
+      }
     }
     return {
       generation: this.decrees.agreed()?.generation ?? -1,
       acceptedSlot: this.decrees.acceptedSlot(),
       incarnation: this.decrees.incarnation,
-      running: total,
+      loads: total,
       counters: this.subscribers.size,
     };
   };
--- a/packages/proving/src/firms.ts
+++ b/packages/proving/src/firms.ts
@@ -65,9 +65,9 @@
     },
     tenants: Object.fromEntries(tenantNames.map((name) => [name, { tier: tierOf(name), isolated: isolatedTenants.has(name), lanes: [...kinds] }])),
   }),
-  ask: (random: () => number, at: number): Ask => {
+  ask: (random: () => number, at: number, longShare = 0.06): Ask => {
     const draw = random();
-    const kind: Kind = draw < 0.6 ? 'confirm' : draw < 0.9 ? 'query' : draw < 0.96 ? 'diagnose' : 'book';
+    const kind: Kind = draw < longShare ? 'diagnose' : draw < longShare + 0.04 ? 'book' : draw < longShare + 0.64 * (1 - longShare) ? 'confirm' : 'query';
     const big = random() < 0.5;
     const tenant = (big ? tenantNames[Math.floor(random() * 2)] : tenantNames[Math.floor(random() * tenantNames.length)]) as string;
     const tail = ` ticket ${at} ${text(`tail-${at}`, 64)}`;
--- a/packages/proving/src/fleetCommand.ts
+++ b/packages/proving/src/fleetCommand.ts
@@ -11,6 +11,7 @@
     seconds: { type: 'string', default: '0' },
     rate: { type: 'string' },
     seed: { type: 'string', default: '1' },
+    long: { type: 'string', default: '0.06' },
     index: { type: 'string', default: 'on' },
     help: { type: 'boolean', short: 'h' },
   },
@@ -25,6 +26,7 @@
   --seconds N               drive load for N seconds, report, stop; 0 keeps it up until Ctrl-C (0)
   --rate N                  requests a second (the firm's)
   --seed N                  seed of the load (1)
+  --long SHARE              share of long prompts (0.06)
   --index on|off            whether counters use the index of kept prompts (on)
 `);
   process.exit(0);
@@ -53,7 +55,7 @@
 }
 const seconds = Number(values.seconds);
 if (seconds > 0) {
-  const outcomes = await load({ hosts: fleet.counterHosts, ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate), seconds, seed: Number(values.seed), weights: () => ['weights-1'] });
+  const outcomes = await load({ hosts: fleet.counterHosts, ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate), seconds, seed: Number(values.seed), weights: () => ['weights-1'], longShare: Number(values.long) });
   process.stdout.write(`${JSON.stringify(summaries.verdicts(outcomes))}\n${summaries.lines(outcomes).join('\n')}\nstand-ins: ${JSON.stringify(await fleet.totals())}\n`);
   await quit(0);
 }
--- a/packages/proving/src/load.ts
+++ b/packages/proving/src/load.ts
@@ -24,6 +24,7 @@
   readonly seconds: number;
   readonly seed: number;
   readonly weights: () => readonly string[];
+  readonly longShare?: number;
 }
 
 const one = async (agent: Agent, host: string, ask: Ask, requestId: string, weights: () => readonly string[]): Promise<Outcome> => {
@@ -88,7 +89,7 @@
   let dueMs = 0;
   for (let at = 0; at < count; at += 1) {
     dueMs += (-Math.log(1 - random()) * 1000) / plan.ratePerSecond;
-    const ask = plans.ask(random, plan.seed * 1_000_000 + at);
+    const ask = plans.ask(random, plan.seed * 1_000_000 + at, plan.longShare);
     const host = plan.hosts[Math.floor(random() * plan.hosts.length)] as string;
     const waitMs = dueMs - (performance.now() - begin);
     if (waitMs > 1) await sleep(waitMs);
