Run the product's real code in a seeded in-memory fleet, judged from outside

One virtual clock, network, disks and processes with seeded faults; a judge that sees only what callers, operators and replicas see. Found while writing it: a dialled connection whose hello came with the accept broke on an unset clock event; streams from a vanished replica hung for ever (now cut after stallMs).

--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -1,4 +1,4 @@
-import { deny, keys, prompts } from '@martenworks/envelope';
+import { deny, keys, pause, prompts } from '@martenworks/envelope';
 import type { Deny, DenyCode, Ports } from '@martenworks/envelope';
 import { backWire } from '@martenworks/courier';
 import type { Piece } from '@martenworks/courier';
@@ -363,27 +363,38 @@
     parcel.answer({ kind: 'stream', requestId: order.requestId, pieces: this.relay(parcel, replica, first.value, receipt.value, release) });
   };
 
+  private readonly nextPiece = (parcel: Parcel, rest: AsyncGenerator<Piece>, stopped: Promise<Piece>): Promise<Piece> => {
+    if (parcel.cutCause !== null) return Promise.resolve({ kind: 'cut', cause: parcel.cutCause });
+    const next = rest.next().then((step): Piece => (step.done === true ? { kind: 'cut', cause: 'the stream ended without its end marker' } : step.value));
+    return pause.within<Piece>(this.ports.clock, this.env.stallMs, Promise.race([next, stopped]), () => ({ kind: 'cut', cause: 'the replica fell silent' }));
+  };
+
   private readonly relay = async function* (this: Stages, parcel: Parcel, replica: string, first: Piece, rest: AsyncGenerator<Piece>, release: () => void): AsyncGenerator<Piece> {
+    const stopped = new Promise<Piece>((settle) => {
+      parcel.quit.signal.addEventListener('abort', () => settle({ kind: 'cut', cause: parcel.cutCause ?? 'the stream was given up' }), { once: true });
+    });
     try {
       yield first;
-      for await (const piece of rest) {
-        if (parcel.cutCause !== null) {
-          yield { kind: 'cut', cause: parcel.cutCause };
-          return;
+      for (;;) {
+        const piece = await this.nextPiece(parcel, rest, stopped);
+        if (piece.kind === 'piece') {
+          yield piece;
+          continue;
         }
-        if (piece.kind === 'done') this.tally.add('finished');
-        if (piece.kind === 'cut' || piece.kind === 'wrong') {
-          this.tally.add('cut');
-          if (!parcel.endReported) this.tracks.failed(replica);
-          yield { kind: 'cut', cause: parcel.cutCause ?? piece.cause };
+        if (piece.kind === 'done') {
+          this.tally.add('finished');
+          yield piece;
           return;
         }
-        yield piece;
-        if (piece.kind === 'done') return;
+        this.tally.add('cut');
+        if (parcel.cutCause === null && !parcel.endReported) this.tracks.failed(replica);
+        yield { kind: 'cut', cause: piece.cause };
+        return;
       }
     } finally {
       release();
       parcel.end();
+      void rest.return(undefined);
     }
   };
 
--- a/packages/franking/src/env.ts
+++ b/packages/franking/src/env.ts
@@ -17,6 +17,7 @@
   readonly bodyLimitBytes: number;
   readonly queueLimit: number;
   readonly drainMs: number;
+  readonly stallMs: number;
   readonly logs: boolean;
   readonly index: boolean;
 }
@@ -42,6 +43,7 @@
   'bodyLimitBytes?': '1024 <= number.integer <= 67108864',
   'queueLimit?': '1 <= number.integer <= 100000',
   'drainMs?': '0 <= number.integer <= 600000',
+  'stallMs?': '100 <= number.integer <= 600000',
   'logs?': 'boolean',
   'index?': 'boolean',
 });
@@ -64,6 +66,7 @@
   bodyLimitBytes: { form: forms.count, help: 'largest request body (4194304)' },
   queueLimit: { form: forms.count, help: 'most requests waiting in one stage (512)' },
   drainMs: { form: forms.count, help: 'longest wait for running requests on SIGTERM (25000)' },
+  stallMs: { form: forms.count, help: 'longest silence within a running stream before it is cut (20000)' },
   logs: { form: forms.switch, help: 'on or off: JSON lines on stdout (on)' },
   index: { form: forms.switch, help: 'on or off: use the index of kept prompts (on)' },
 } as const;
@@ -90,6 +93,7 @@
       bodyLimitBytes: shaped.bodyLimitBytes ?? 4 * 1024 * 1024,
       queueLimit: shaped.queueLimit ?? 512,
       drainMs: shaped.drainMs ?? 25_000,
+      stallMs: shaped.stallMs ?? 20_000,
       logs: shaped.logs ?? true,
       index: shaped.index ?? true,
     });
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -54,9 +54,11 @@
     private readonly wire: Wire,
     private readonly clock: Clock,
     private readonly log: Log,
-    own: Hello,
+    private readonly own: Hello,
     private readonly handlers: Handlers,
-  ) {
+  ) {}
+
+  readonly begin = (): void => {
     const unpacker = new Unpacker(
       (message) => this.receive(message as Frame),
       (cause) => {
@@ -64,14 +66,14 @@
         this.close();
       },
     );
-    wire.listen(
+    this.wire.listen(
       (bytes) => {
         if (this.isOpen) unpacker.take(bytes);
       },
       () => this.close(),
     );
-    this.send({ f: 'hello', hello: own });
-  }
+    this.send({ f: 'hello', hello: this.own });
+  };
 
   private readonly send = (frame: Frame): boolean => {
     if (!this.isOpen) return false;
@@ -148,6 +150,7 @@
       clock.after(helloPatienceMs, () => {
         if (coach.neighbour === null) coach.close();
       });
+      coach.begin();
     }),
   dial: async (net: Net, clock: Clock, log: Log, own: Hello, address: string, handlers: Handlers): Promise<Result<Coach, CoachFault>> => {
     const wire = await net.dial(address, helloPatienceMs);
@@ -165,6 +168,7 @@
         if (coach.neighbour === null) coach.close();
         settle(err({ kind: 'coach', code: 'unreachable' }));
       });
+      coach.begin();
     });
   },
 };
--- /dev/null
+++ b/packages/proving/src/sim/judge.ts
@@ -0,0 +1,224 @@
+import { createParser } from 'eventsource-parser';
+import { plans } from '../firms.js';
+import type { Ask, Kind } from '../firms.js';
+import { speech } from '../standIn.js';
+import type { Run } from '../standIn.js';
+import { outsideHost } from './simFleet.js';
+import type { SimFleet } from './simFleet.js';
+
+export interface Call {
+  readonly requestId: string;
+  readonly ask: Ask;
+  readonly host: string;
+  readonly sentAt: number;
+  readonly idempotencyKey: string | null;
+  verdict: 'open' | 'whole' | 'denied' | 'cut' | 'lost';
+  status: number;
+  code: string;
+  ran: string;
+  retryAfter: string | null;
+  text: string;
+  endedAt: number;
+  firstAt: number;
+}
+
+export interface Told {
+  readonly rule: string;
+  readonly detail: string;
+}
+
+const lanesOnce = new Set<Kind>(['confirm', 'book']);
+const inForceMs = 2_000;
+const leavingMs = 3_000;
+const oldWeightsMs = 12_000;
+
+export class Judge {
+  readonly calls: Call[] = [];
+  readonly weightsFrom: { at: number; pool: string; weights: string }[] = [];
+  readonly granted = new Map<string, { tenant: string; from: number; to: number }>();
+  readonly leftAt: { name: string; incarnation: number; at: number }[] = [];
+  readonly acceptedIds = new Map<string, number>();
+  readonly refusedIds = new Set<string>();
+  private next = 0;
+
+  constructor(
+    private readonly fleet: SimFleet,
+    private readonly salt = '',
+  ) {
+    this.weightsFrom.push({ at: 0, pool: 'main', weights: 'weights-1' }, { at: 0, pool: 'app', weights: 'app-1' });
+  }
+
+  readonly send = (ask: Ask, counterAt: number, more: { idempotencyKey?: string; horizonMs?: number; signal?: AbortSignal; whole?: boolean } = {}): Call => {
+    const { world } = this.fleet;
+    const call: Call = {
+      requestId: `call-${this.salt}${(this.next += 1)}`,
+      ask,
+      host: this.fleet.counterHosts[counterAt] as string,
+      sentAt: world.time,
+      idempotencyKey: more.idempotencyKey ?? null,
+      verdict: 'open',
+      status: 0,
+      code: '',
+      ran: '',
+      retryAfter: null,
+      text: '',
+      endedAt: 0,
+      firstAt: 0,
+    };
+    this.calls.push(call);
+    void this.follow(call, more).then(() => (call.endedAt = world.time));
+    return call;
+  };
+
+  private readonly follow = async (call: Call, more: { horizonMs?: number; signal?: AbortSignal; whole?: boolean }): Promise<void> => {
+    const { world } = this.fleet;
+    const isStreamed = more.whole !== true;
+    const receipt = await world.machine(outsideHost).carriage().carry({
+      method: 'POST',
+      url: `http://${call.host}:7101/v1/completions`,
+      headers: {
+        'content-type': 'application/json',
+        authorization: `Bearer ${call.ask.key}`,
+        'x-request-id': call.requestId,
+        ...(call.idempotencyKey === null ? {} : { 'idempotency-key': call.idempotencyKey }),
+        ...(more.horizonMs === undefined ? {} : { 'x-horizon-ms': String(more.horizonMs) }),
+      },
+      body: JSON.stringify({ model: call.ask.kind, prompt: call.ask.prompt, max_tokens: call.ask.maxTokens, stream: isStreamed }),
+      signal: more.signal ?? new AbortController().signal,
+      gate: () => true,
+    });
+    if (receipt.isErr()) {
+      call.verdict = 'lost';
+      call.code = receipt.error.code;
+      return;
+    }
+    call.status = receipt.value.status;
+    call.retryAfter = receipt.value.header('retry-after');
+    let isEnded = false;
+    let isError = false;
+    let rawText = '';
+    const parser = createParser({
+      onEvent: (event) => {
+        if (event.event === 'error') isError = true;
+        else if (event.data === '[DONE]') isEnded = true;
+        else {
+          if (call.firstAt === 0) call.firstAt = world.time;
+          call.text += (JSON.parse(event.data) as { choices: { text: string }[] }).choices[0]?.text ?? '';
+        }
+      },
+    });
+    const decoder = new TextDecoder();
+    let isBroken = false;
+    try {
+      for await (const bytes of receipt.value.body) {
+        const text = decoder.decode(bytes, { stream: true });
+        if (call.status === 200 && isStreamed) parser.feed(text);
+        else rawText += text;
+      }
+    } catch {
+      isBroken = true;
+    }
+    if (call.status === 200 && isStreamed) {
+      call.verdict = isEnded && !isError && !isBroken ? 'whole' : 'cut';
+      return;
+    }
+    if (isBroken) {
+      call.verdict = 'lost';
+      return;
+    }
+    const body = JSON.parse(rawText) as { error?: { type: string; ran: string }; choices?: { text: string }[] };
+    if (call.status === 200) {
+      call.text = body.choices?.[0]?.text ?? '';
+      call.verdict = 'whole';
+      return;
+    }
+    call.verdict = 'denied';
+    call.code = body.error?.type ?? '';
+    call.ran = body.error?.ran ?? '';
+  };
+
+  readonly traffic = (ratePerSecond: number, forMs: number, longShare?: number): void => {
+    const { world } = this.fleet;
+    const end = world.time + forMs;
+    const go = (): void => {
+      if (world.time >= end) return;
+      const ask = plans.ask(world.random, this.calls.length, longShare);
+      this.send(ask, Math.floor(world.random() * this.fleet.plan.fronts));
+      world.plan(null, (-Math.log(1 - world.random()) * 1000) / ratePerSecond, go);
+    };
+    go();
+  };
+
+  readonly runs = (): (Run & { replica: string; incarnation: number })[] =>
+    this.fleet.stays.flatMap(({ standIn }) => standIn.runs.map((run) => ({ ...run, replica: standIn.env.name, incarnation: standIn.env.incarnation })));
+
+  readonly arrivals = (): number => this.fleet.stays.reduce((sum, { standIn }) => sum + standIn.arrivals, 0);
+
+  readonly complaints = (): Told[] => {
+    const told: Told[] = [];
+    const runs = this.runs();
+    const byRequest = new Map<string, (typeof runs)[number][]>();
+    for (const run of runs) byRequest.set(run.requestId, [...(byRequest.get(run.requestId) ?? []), run]);
+    const byKey = new Map<string, number>();
+    for (const call of this.calls) {
+      const own = byRequest.get(call.requestId) ?? [];
+      const label = `${call.requestId} ${call.ask.kind} ${call.verdict}`;
+      if (lanesOnce.has(call.ask.kind) && own.length > 1) told.push({ rule: 'runs twice', detail: `${label}: ${own.length} runs` });
+      if (call.idempotencyKey !== null) {
+        const key = `${call.ask.tenant}/${call.idempotencyKey}`;
+        byKey.set(key, (byKey.get(key) ?? 0) + own.length);
+      }
+      if (call.verdict === 'denied' && call.ran === 'no' && own.length > 0) told.push({ rule: 'not run, yet ran', detail: label });
+      if (call.verdict === 'denied' && (call.status === 429 || call.status === 503) && call.retryAfter === null) told.push({ rule: 'no Retry-After', detail: label });
+      const spoken = this.weightsFrom.map(({ weights }) => speech.whole(call.ask.prompt, weights, call.ask.maxTokens));
+      if (call.verdict === 'whole') {
+        if (!spoken.includes(call.text)) told.push({ rule: 'wrong or cut answer looks whole', detail: label });
+        if (call.idempotencyKey === null && !own.some((run) => run.isFinished)) told.push({ rule: 'success the replica never gave', detail: label });
+      } else if (call.text !== '' && !spoken.some((text) => text.startsWith(call.text))) told.push({ rule: 'skipped, repeated or spliced piece', detail: label });
+      for (const run of own) {
+        const grant = this.granted.get(call.ask.key);
+        const holder = grant?.tenant ?? call.ask.tenant;
+        if (run.tenant !== holder) told.push({ rule: 'another tenant', detail: `${label} ran for ${run.tenant}` });
+        if (grant !== undefined && (run.startedAt > grant.to + inForceMs || run.startedAt < grant.from)) told.push({ rule: 'a key not granted', detail: `${label} at ${run.startedAt}` });
+      }
+    }
+    for (const [key, count] of byKey) if (count > 1) told.push({ rule: 'runs twice', detail: `idempotency key ${key}: ${count} runs` });
+    for (const { standIn } of this.fleet.stays) for (const breach of standIn.breaches) told.push({ rule: `foreign KV (${breach.rule})`, detail: `${breach.requestId} took ${breach.block} from ${breach.holder}` });
+    for (const run of runs) {
+      const left = this.leftAt.find((one) => one.name === run.replica && one.incarnation === run.incarnation);
+      if (left !== undefined && run.startedAt > left.at + leavingMs) told.push({ rule: 'a leaving replica got a request', detail: `${run.requestId} on ${run.replica} ${Math.round(run.startedAt - left.at)} ms after` });
+      const pool = run.replica === 'app-1' ? 'app' : 'main';
+      const named = this.weightsFrom.filter((one) => one.pool === pool);
+      const mayUse = named.some((one, index) => one.weights === run.weights && run.startedAt >= one.at - 3_000 && run.startedAt <= (named[index + 1]?.at ?? Number.POSITIVE_INFINITY) + oldWeightsMs);
+      if (!mayUse) told.push({ rule: 'old weights started', detail: `${run.requestId} on ${run.weights} at ${Math.round(run.startedAt)}` });
+    }
+    const requests = byRequest.size;
+    const arrivals = this.arrivals();
+    if (arrivals > requests * 1.2 + 18 + 5) told.push({ rule: 'extra shots', detail: `${arrivals} arrivals for ${requests} requests` });
+    return told;
+  };
+
+  readonly statePlaints = (): Told[] => {
+    const told: Told[] = [];
+    this.fleet.postmasters.forEach((postmaster, at) => {
+      const state = postmaster?.decrees.agreed();
+      if (postmaster === null || state === null || state === undefined) return;
+      for (const [id, generation] of this.acceptedIds) {
+        const known = state.changeIds[id];
+        if (known === undefined) told.push({ rule: 'an accepted change is lost', detail: `${id} at postmaster ${at + 1}` });
+        else if (known.generation !== generation) told.push({ rule: 'an accepted change moved', detail: `${id}: ${known.generation} for ${generation}` });
+      }
+      for (const id of this.refusedIds) if (state.changeIds[id] !== undefined) told.push({ rule: 'a losing change took effect', detail: `${id} at postmaster ${at + 1}` });
+    });
+    return told;
+  };
+
+  readonly tally = (): Record<string, number> => {
+    const counts: Record<string, number> = {};
+    for (const call of this.calls) {
+      const key = call.verdict === 'denied' ? `denied ${call.code} ran=${call.ran}` : call.verdict;
+      counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return counts;
+  };
+}
--- /dev/null
+++ b/packages/proving/src/sim/simFleet.ts
@@ -0,0 +1,212 @@
+import { callerWire, counters } from '@martenworks/counter';
+import type { Counter } from '@martenworks/counter';
+import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
+import type { Postmaster } from '@martenworks/postmaster';
+import type { Env, Role } from '@martenworks/franking';
+import { envs } from '@martenworks/franking';
+import { keyOf, plans } from '../firms.js';
+import { StandIn } from '../standIn.js';
+import type { StandInEnv } from '../standIn.js';
+import { SimWorld } from './simWorld.js';
+import type { SimMachine } from './simWorld.js';
+
+export interface SimPlan {
+  readonly seed: number;
+  readonly fronts: number;
+  readonly replicas: number;
+  readonly layout?: Record<string, unknown>;
+  readonly standIn?: Partial<StandInEnv>;
+  readonly counterEnv?: Record<string, unknown>;
+}
+
+export interface Told {
+  readonly status: number;
+  readonly body: Record<string, unknown>;
+  readonly retryAfter: string | null;
+}
+
+export interface Stay {
+  readonly standIn: StandIn;
+  readonly host: string;
+  readonly name: string;
+}
+
+const zones = ['a', 'b', 'c'];
+export const outsideHost = '10.9.0.1';
+
+export class SimFleet {
+  readonly world: SimWorld;
+  readonly postmasters: (Postmaster | null)[] = [null, null, null];
+  readonly postmasterHosts = ['10.0.0.1', '10.0.0.2', '10.0.0.3'];
+  readonly postmasterNames = ['postmaster-1', 'postmaster-2', 'postmaster-3'];
+  readonly counters: (Counter | null)[];
+  readonly counterHosts: string[];
+  readonly replicaHosts: string[];
+  readonly appHost = '10.3.0.1';
+  readonly stays: Stay[] = [];
+  readonly current = new Map<string, StandIn>();
+  private readonly incarnations = new Map<string, number>();
+
+  constructor(readonly plan: SimPlan) {
+    this.world = new SimWorld(plan.seed);
+    this.counters = Array.from({ length: plan.fronts }, () => null);
+    this.counterHosts = Array.from({ length: plan.fronts }, (_, at) => `10.1.0.${at + 1}`);
+    this.replicaHosts = Array.from({ length: plan.replicas }, (_, at) => `10.2.0.${at + 1}`);
+    this.world.machine(outsideHost);
+  }
+
+  private readonly env = (role: Role, name: string, host: string, at: number, more: Record<string, unknown>): Env => {
+    const checked = envs.check(role, { name, zone: zones[at % 3], coach: `${host}:7100`, http: `${host}:7101`, seeds: this.postmasterHosts.map((one) => `${one}:7100`), fronts: this.plan.fronts, ...more }, {});
+    return checked._unsafeUnwrap();
+  };
+
+  readonly startPostmaster = async (at: number): Promise<void> => {
+    const host = this.postmasterHosts[at] as string;
+    const machine = this.world.machine(host);
+    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim' }), machine.ports());
+    if (started.isErr()) throw new Error(`postmaster ${at}: ${JSON.stringify(started.error)}`);
+    this.postmasters[at] = started.value;
+    const app = operatorWire(started.value).route('/', platformWire(started.value));
+    machine.openDoor(`${host}:7101`, app.fetch);
+  };
+
+  readonly startCounter = async (at: number): Promise<void> => {
+    const host = this.counterHosts[at] as string;
+    const machine = this.world.machine(host);
+    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, this.plan.counterEnv ?? {}), machine.ports());
+    if (started.isErr()) throw new Error(`counter ${at}: ${JSON.stringify(started.error)}`);
+    this.counters[at] = started.value;
+    machine.openDoor(`${host}:7101`, callerWire(started.value).fetch);
+  };
+
+  readonly startStandIn = (name: string, host: string): void => {
+    const machine = this.world.machine(host);
+    const incarnation = (this.incarnations.get(name) ?? 0) + 1;
+    this.incarnations.set(name, incarnation);
+    const standIn = new StandIn(
+      {
+        name,
+        address: `${host}:8000`,
+        incarnation,
+        slots: 8,
+        keptBlocks: 2_000,
+        prefillTokensPerMs: 8,
+        pullTokensPerMs: 80,
+        decodeMs: 5,
+        isStore: false,
+        ...this.plan.standIn,
+      },
+      machine.clock(),
+      machine.carriage(),
+    );
+    machine.openDoor(`${host}:8000`, standIn.app.fetch);
+    this.current.set(name, standIn);
+    this.stays.push({ standIn, host, name });
+  };
+
+  readonly incarnationOf = (name: string): number => this.incarnations.get(name) ?? 0;
+
+  readonly replicaName = (at: number): string => `replica-${at + 1}`;
+
+  readonly hostOfReplica = (name: string): string => (name === 'app-1' ? this.appHost : (this.replicaHosts[Number(name.split('-')[1]) - 1] as string));
+
+  readonly call = async (url: string, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', body?: unknown, headers: Record<string, string> = {}, signal: AbortSignal = new AbortController().signal): Promise<Told> => {
+    const receipt = await this.world.machine(outsideHost).carriage().carry({
+      method: method as 'POST',
+      url,
+      headers: { 'content-type': 'application/json', ...headers },
+      body: body === undefined ? null : JSON.stringify(body),
+      signal,
+      gate: () => true,
+    });
+    if (receipt.isErr()) return { status: 0, body: { code: receipt.error.code, isUnsent: receipt.error.isUnsent }, retryAfter: null };
+    const parts: Uint8Array[] = [];
+    try {
+      for await (const part of receipt.value.body) parts.push(part);
+    } catch {
+      return { status: 0, body: { code: 'broken' }, retryAfter: null };
+    }
+    const text = Buffer.concat(parts).toString('utf8');
+    return { status: receipt.value.status, body: text.startsWith('{') ? (JSON.parse(text) as Record<string, unknown>) : { text }, retryAfter: receipt.value.header('retry-after') };
+  };
+
+  readonly onPostmaster = (at: number, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', path: string, body?: unknown, headers?: Record<string, string>): Promise<Told> =>
+    this.call(`http://${this.postmasterHosts[at]}:7101${path}`, method, body, headers);
+
+  readonly finish = async <T>(work: Promise<T>, patienceMs = 30_000): Promise<T> => {
+    let outcome: { value: T } | null = null;
+    let fault: unknown = null;
+    work.then(
+      (value) => (outcome = { value }),
+      (cause: unknown) => (fault = cause),
+    );
+    await this.world.until('a call to end', () => outcome !== null || fault !== null, patienceMs);
+    if (fault !== null) throw fault;
+    return (outcome as unknown as { value: T }).value;
+  };
+
+  readonly announceAll = (at = 0): Promise<Told> =>
+    this.onPostmaster(at, 'POST', '/platform/replicas', [
+      ...this.replicaHosts.map((host, index) => ({ name: this.replicaName(index), address: `${host}:8000`, pool: 'main', incarnation: this.incarnationOf(this.replicaName(index)) })),
+      { name: 'app-1', address: `${this.appHost}:8000`, pool: 'app', incarnation: this.incarnationOf('app-1') },
+    ]);
+
+  readonly announce = (name: string, at = 0): Promise<Told> =>
+    this.onPostmaster(at, 'POST', '/platform/replicas', [{ name, address: `${this.hostOfReplica(name)}:8000`, pool: name === 'app-1' ? 'app' : 'main', incarnation: this.incarnationOf(name) }]);
+
+  readonly startAll = async (): Promise<void> => {
+    this.replicaHosts.forEach((host, at) => this.startStandIn(this.replicaName(at), host));
+    this.startStandIn('app-1', this.appHost);
+    await Promise.all(this.postmasterHosts.map((_, at) => this.startPostmaster(at)));
+    await Promise.all(this.counterHosts.map((_, at) => this.startCounter(at)));
+  };
+
+  readonly up = async (): Promise<void> => {
+    await this.startAll();
+    await this.world.until('the founding', () => this.postmasters.every((one) => one?.isReady() === true));
+    const put = await this.finish(this.onPostmaster(0, 'PUT', '/operator/layout', this.plan.layout ?? plans.layout('weights-1'), { 'if-match': '"0"', 'change-id': 'first-layout' }));
+    if (put.status !== 200) throw new Error(`layout: ${JSON.stringify(put)}`);
+    const announced = await this.finish(this.announceAll());
+    if (announced.status !== 200) throw new Error(`announce: ${JSON.stringify(announced)}`);
+    for (const tenant of plans.tenantNames) {
+      const granted = await this.finish(this.onPostmaster(0, 'POST', '/platform/clients', { tenant, key: keyOf(tenant) }, { 'change-id': `grant-${tenant}` }));
+      if (granted.status !== 200) throw new Error(`grant: ${JSON.stringify(granted)}`);
+    }
+    await this.world.until('every counter ready', () => this.counters.every((one) => one?.freshness.isFresh() === true && one.book.generation() >= 9));
+  };
+
+  readonly machineOf = (kind: 'postmaster' | 'counter', at: number): SimMachine => this.world.machine((kind === 'postmaster' ? this.postmasterHosts[at] : this.counterHosts[at]) as string);
+
+  readonly killPostmaster = (at: number, losesDisk = false): void => {
+    const machine = this.machineOf('postmaster', at);
+    machine.kill(this.world.random());
+    if (losesDisk) machine.disk.lose();
+    this.postmasters[at] = null;
+  };
+
+  readonly bootPostmaster = async (at: number): Promise<void> => {
+    this.machineOf('postmaster', at).boot();
+    await this.startPostmaster(at);
+  };
+
+  readonly killCounter = (at: number): void => {
+    this.machineOf('counter', at).kill();
+    this.counters[at] = null;
+  };
+
+  readonly bootCounter = async (at: number): Promise<void> => {
+    this.machineOf('counter', at).boot();
+    await this.startCounter(at);
+  };
+
+  readonly killReplica = (name: string): void => {
+    this.world.machine(this.hostOfReplica(name)).kill();
+    this.current.delete(name);
+  };
+
+  readonly bootReplica = (name: string): void => {
+    const host = this.hostOfReplica(name);
+    this.world.machine(host).boot();
+    this.startStandIn(name, host);
+  };
+}
--- /dev/null
+++ b/packages/proving/src/sim/simWorld.ts
@@ -0,0 +1,467 @@
+import { err, ok } from 'neverthrow';
+import { Heap } from 'heap-js';
+import type { Carriage, CarriageReceipt, Clock, Door, Log, Net, NetFault, Ports, Random, WebHandler, Wire } from '@martenworks/envelope';
+import { logs } from '@martenworks/envelope';
+import { seeded } from '../firms.js';
+import { SimDisk } from './simDisk.js';
+
+interface Planned {
+  readonly at: number;
+  readonly order: number;
+  readonly machine: SimMachine | null;
+  readonly life: number;
+  readonly ring: () => void;
+  isCancelled: boolean;
+}
+
+const byTime = (a: Planned, b: Planned): number => a.at - b.at || a.order - b.order;
+const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'));
+const settled = (): Promise<void> => new Promise((done) => setImmediate(done));
+
+export interface LogLine {
+  readonly at: number;
+  readonly machine: string;
+  readonly message: string;
+  readonly context: Record<string, unknown>;
+}
+
+export class SimWorld {
+  readonly random: () => number;
+  readonly machines = new Map<string, SimMachine>();
+  readonly lines: LogLine[] = [];
+  private readonly planned = new Heap<Planned>(byTime);
+  private readonly cuts = new Set<string>();
+  private readonly slowLinks = new Map<string, number>();
+  private order = 0;
+  time = 0;
+  events = 0;
+  digest = 0;
+
+  constructor(readonly seed: number) {
+    this.random = seeded(seed);
+  }
+
+  readonly machine = (host: string): SimMachine => {
+    const held = this.machines.get(host);
+    if (held !== undefined) return held;
+    const machine = new SimMachine(this, host);
+    this.machines.set(host, machine);
+    return machine;
+  };
+
+  readonly plan = (machine: SimMachine | null, delayMs: number, ring: () => void): Planned => {
+    const planned: Planned = { at: this.time + Math.max(0, delayMs), order: (this.order += 1), machine, life: machine?.life ?? 0, ring, isCancelled: false };
+    this.planned.push(planned);
+    return planned;
+  };
+
+  readonly run = async (forMs: number): Promise<void> => {
+    const until = this.time + forMs;
+    await settled();
+    for (;;) {
+      const next = this.planned.peek();
+      if (next === undefined || next.at > until) break;
+      this.planned.pop();
+      if (next.isCancelled) continue;
+      this.time = Math.max(this.time, next.at);
+      if (next.machine !== null) {
+        if (next.machine.life !== next.life || !next.machine.isUp) continue;
+        if (next.machine.isFrozen) {
+          next.machine.postponed.push(next);
+          continue;
+        }
+      }
+      this.events += 1;
+      this.digest = (Math.imul(this.digest, 31) + Math.floor(next.at * 16) + next.order) | 0;
+      next.ring();
+      await settled();
+    }
+    this.time = until;
+  };
+
+  readonly until = async (what: string, test: () => boolean, patienceMs = 30_000): Promise<number> => {
+    const begin = this.time;
+    while (!test()) {
+      if (this.time - begin > patienceMs) throw new Error(`seed ${this.seed}: timed out after ${patienceMs} virtual ms: ${what}`);
+      await this.run(20);
+    }
+    return this.time - begin;
+  };
+
+  readonly cut = (from: string, to: string): void => void this.cuts.add(`${from}>${to}`);
+  readonly heal = (from: string, to: string): void => void this.cuts.delete(`${from}>${to}`);
+  readonly cutBoth = (a: string, b: string): void => {
+    this.cut(a, b);
+    this.cut(b, a);
+  };
+  readonly healAll = (): void => {
+    this.cuts.clear();
+    this.slowLinks.clear();
+  };
+  readonly slow = (from: string, to: string, delayMs: number): void => void this.slowLinks.set(`${from}>${to}`, delayMs);
+  readonly isolate = (host: string): void => {
+    for (const other of this.machines.keys()) if (other !== host) this.cutBoth(host, other);
+  };
+  readonly reconnect = (host: string): void => {
+    for (const other of this.machines.keys()) {
+      this.heal(host, other);
+      this.heal(other, host);
+    }
+  };
+  readonly isCut = (from: string, to: string): boolean => this.cuts.has(`${from}>${to}`);
+  readonly latency = (from: string, to: string): number => (from === to ? 0.05 : 0.2 + this.random() * 0.8) + (this.slowLinks.get(`${from}>${to}`) ?? 0);
+}
+
+interface Pipe {
+  readonly from: SimMachine;
+  readonly to: SimMachine;
+  lastAt: number;
+  isShut: boolean;
+  onBytes: ((bytes: Uint8Array) => void) | null;
+  onClose: (() => void) | null;
+  readonly early: Uint8Array[];
+}
+
+const resendMs = 200;
+
+const deliver = (world: SimWorld, pipe: Pipe, act: () => void): void => {
+  const at = Math.max(pipe.lastAt, world.time + world.latency(pipe.from.host, pipe.to.host));
+  pipe.lastAt = at;
+  world.plan(pipe.to, at - world.time, () => ordered(world, pipe, act));
+};
+
+const ordered = (world: SimWorld, pipe: Pipe, act: () => void): void => {
+  if (pipe.isShut) return;
+  if (world.isCut(pipe.from.host, pipe.to.host)) {
+    stuck.set(pipe, [...(stuck.get(pipe) ?? []), act]);
+    if (stuck.get(pipe)?.length === 1) retryStuck(world, pipe);
+    return;
+  }
+  const waiting = stuck.get(pipe);
+  if (waiting !== undefined && waiting.length > 0) {
+    waiting.push(act);
+    return;
+  }
+  act();
+};
+
+const stuck = new WeakMap<Pipe, (() => void)[]>();
+
+const retryStuck = (world: SimWorld, pipe: Pipe): void => {
+  world.plan(pipe.to, resendMs, () => {
+    if (pipe.isShut) return;
+    if (world.isCut(pipe.from.host, pipe.to.host)) return retryStuck(world, pipe);
+    const acts = stuck.get(pipe) ?? [];
+    stuck.delete(pipe);
+    for (const act of acts) act();
+  });
+};
+
+export class SimMachine {
+  isUp = true;
+  isFrozen = false;
+  life = 0;
+  wallJump = 0;
+  readonly postponed: Planned[] = [];
+  disk: SimDisk;
+  private readonly listeners = new Map<string, (wire: Wire) => void>();
+  private readonly doors = new Map<string, WebHandler>();
+  private readonly shutters = new Set<(isReset: boolean) => void>();
+
+  constructor(
+    readonly world: SimWorld,
+    readonly host: string,
+  ) {
+    this.disk = new SimDisk((delayMs) => new Promise((wake) => void world.plan(this, delayMs, wake)));
+  }
+
+  readonly clock = (): Clock => {
+    const { life } = this;
+    return {
+      now: () => this.world.time,
+      wall: () => 1_700_000_000_000 + this.world.time + this.wallJump,
+      after: (delayMs, ring) => {
+        if (this.life !== life) return { cancel: () => {} };
+        const planned = this.world.plan(this, delayMs, ring);
+        return { cancel: () => void (planned.isCancelled = true) };
+      },
+    };
+  };
+
+  private readonly randomPort = (): Random => ({
+    fraction: this.world.random,
+    token: (byteCount) => Array.from({ length: byteCount }, () => Math.floor(this.world.random() * 256).toString(16).padStart(2, '0')).join(''),
+  });
+
+  private readonly log = (context: Record<string, unknown>): Log => {
+    const write = (message: string, more?: Record<string, unknown>): void => void this.world.lines.push({ at: this.world.time, machine: this.host, message, context: { ...context, ...more } });
+    return { info: write, warn: write, error: write, child: (more) => this.log({ ...context, ...more }) };
+  };
+
+  readonly ports = (isLogging = true): Ports => {
+    const { life } = this;
+    return {
+      clock: this.clock(),
+      random: this.randomPort(),
+      net: this.net(life),
+      door: this.door(life),
+      carriage: this.carriage(life),
+      disk: this.disk.view(() => this.life === life && this.isUp),
+      log: isLogging ? this.log({}) : logs.silent(),
+    };
+  };
+
+  private readonly net = (life: number): Net => ({
+    dial: (address, patienceMs) =>
+      new Promise((settle) => {
+        const fail = (code: string): void => settle(err({ kind: 'net', code, isUnsent: true }));
+        const target = this.world.machine(hostOf(address));
+        let isDone = false;
+        this.world.plan(this, patienceMs, () => {
+          if (!isDone) fail('ETIMEDOUT');
+          isDone = true;
+        });
+        if (this.world.isCut(this.host, target.host)) return;
+        this.world.plan(target, this.world.latency(this.host, target.host), () => {
+          if (isDone || this.world.isCut(target.host, this.host)) return;
+          const onWire = target.listeners.get(address);
+          if (onWire === undefined) {
+            this.world.plan(this, this.world.latency(target.host, this.host), () => {
+              if (!isDone) fail('ECONNREFUSED');
+              isDone = true;
+            });
+            return;
+          }
+          const [near, far] = this.pair(target, life);
+          onWire(far);
+          this.world.plan(this, this.world.latency(target.host, this.host), () => {
+            if (isDone) return near.close();
+            isDone = true;
+            settle(ok(near));
+          });
+        });
+        if (!target.isUp) {
+          this.world.plan(this, 1, () => {
+            if (!isDone && !target.isVanished) {
+              isDone = true;
+              fail('ECONNREFUSED');
+            }
+          });
+        }
+      }),
+    listen: async (address, onWire) => {
+      this.listeners.set(address, onWire);
+      return ok({ close: async () => void this.listeners.delete(address) });
+    },
+  });
+
+  isVanished = false;
+
+  private readonly pair = (target: SimMachine, life: number): [Wire, Wire] => {
+    const out: Pipe = { from: this, to: target, lastAt: 0, isShut: false, onBytes: null, onClose: null, early: [] };
+    const back: Pipe = { from: target, to: this, lastAt: 0, isShut: false, onBytes: null, onClose: null, early: [] };
+    const shutEnd = (inbound: Pipe): void => {
+      if (inbound.isShut) return;
+      inbound.isShut = true;
+      const { onClose } = inbound;
+      inbound.onClose = null;
+      onClose?.();
+    };
+    const wireFor = (send: Pipe, receive: Pipe, owner: SimMachine, ownerLife: number): Wire => {
+      const close = (): void => {
+        if (receive.isShut) return;
+        deliver(this.world, send, () => shutEnd(send));
+        shutEnd(receive);
+        owner.shutters.delete(crash);
+      };
+      const crash = (isReset: boolean): void => {
+        if (isReset && !receive.isShut) this.world.plan(send.to, this.world.latency(owner.host, send.to.host), () => shutEnd(send));
+        receive.isShut = true;
+        receive.onClose = null;
+      };
+      owner.shutters.add(crash);
+      return {
+        remote: send.to.host,
+        write: (bytes) => {
+          if (receive.isShut || owner.life !== ownerLife) return;
+          const copy = bytes.slice();
+          deliver(this.world, send, () => {
+            if (send.onBytes === null) send.early.push(copy);
+            else send.onBytes(copy);
+          });
+        },
+        backlog: () => 0,
+        listen: (onBytes, onClose) => {
+          receive.onBytes = onBytes;
+          receive.onClose = onClose;
+          for (const bytes of receive.early.splice(0)) onBytes(bytes);
+        },
+        close,
+      };
+    };
+    return [wireFor(out, back, this, life), wireFor(back, out, target, target.life)];
+  };
+
+  private readonly door = (life: number): Door => ({
+    open: async (address, handler) => {
+      if (this.life === life) this.doors.set(address, handler);
+      return ok({ close: async () => void this.doors.delete(address) });
+    },
+  });
+
+  readonly openDoor = (address: string, handler: WebHandler): void => void this.doors.set(address, handler);
+
+  readonly carriage = (life = this.life): Carriage => ({
+    close: async () => {},
+    carry: (request) =>
+      new Promise((settle) => {
+        const { world } = this;
+        const { host, pathname, search } = new URL(request.url);
+        const target = world.machine(hostOf(host));
+        const targetLife = target.life;
+        let isDone = false;
+        const finish = (outcome: Parameters<typeof settle>[0]): void => {
+          if (isDone) return;
+          isDone = true;
+          settle(outcome);
+        };
+        const fail = (code: string, isUnsent: boolean): void => finish(err({ kind: 'net', code, isUnsent } satisfies NetFault));
+        const quit = new AbortController();
+        const givenUp = (): void => {
+          quit.abort();
+          fail('ABORTED', false);
+        };
+        if (request.signal.aborted) return fail('ABORTED', true);
+        request.signal.addEventListener('abort', givenUp, { once: true });
+        world.plan(this, 1_000, () => {
+          if (!isConnected) fail('ETIMEDOUT', true);
+        });
+        let isConnected = false;
+        if (!target.isUp && !target.isVanished) {
+          world.plan(this, world.latency(this.host, target.host), () => fail('ECONNREFUSED', true));
+          return;
+        }
+        if (world.isCut(this.host, target.host) || world.isCut(target.host, this.host) || !target.isUp) return;
+        const connectMs = world.latency(this.host, target.host) + world.latency(target.host, this.host);
+        world.plan(this, connectMs, () => {
+          if (isDone) return;
+          if (target.life !== targetLife || !target.isUp) return fail('ECONNREFUSED', true);
+          isConnected = true;
+          if (!request.gate()) return fail('GATED', true);
+          const lost = (): void => {
+            quit.abort();
+            fail('ECONNRESET', false);
+          };
+          const targetGone = (isReset: boolean): void => {
+            quit.abort();
+            if (isReset) world.plan(this, world.latency(target.host, this.host), lost);
+          };
+          target.shutters.add(targetGone);
+          const ownGone = (): void => quit.abort();
+          this.shutters.add(ownGone);
+          const ended = (): void => {
+            target.shutters.delete(targetGone);
+            this.shutters.delete(ownGone);
+          };
+          world.plan(target, world.latency(this.host, target.host), () => {
+            const handler = target.doors.get(host);
+            if (handler === undefined) {
+              world.plan(this, world.latency(target.host, this.host), () => fail('ECONNREFUSED', true));
+              return;
+            }
+            const asked = new Request(`http://${host}${pathname}${search}`, {
+              method: request.method,
+              headers: request.headers,
+              signal: quit.signal,
+              ...(request.body === null ? {} : { body: request.body }),
+            });
+            void Promise.resolve(handler(asked)).then((response) => {
+              const arrive = (): void => {
+                const receipt: CarriageReceipt = {
+                  status: response.status,
+                  header: (name) => response.headers.get(name),
+                  body: this.bodyOf(response, target, targetLife, quit, ended),
+                };
+                finish(ok(receipt));
+              };
+              const back = (): void => {
+                if (world.isCut(target.host, this.host)) world.plan(target, resendMs, back);
+                else world.plan(this, world.latency(target.host, this.host), arrive);
+              };
+              if (target.life === targetLife && target.isUp) back();
+            });
+          });
+        });
+      }),
+  });
+
+  private readonly bodyOf = async function* (this: SimMachine, response: Response, target: SimMachine, targetLife: number, quit: AbortController, ended: () => void): AsyncGenerator<Uint8Array> {
+    const { world } = this;
+    const reader = response.body?.getReader();
+    if (reader === undefined) return ended();
+    const crossing = (): Promise<boolean> =>
+      new Promise((settle) => {
+        const leave = (): void => {
+          if (quit.signal.aborted) settle(false);
+          else if (world.isCut(target.host, this.host)) world.plan(null, resendMs, leave);
+          else world.plan(this, world.latency(target.host, this.host), () => settle(!quit.signal.aborted || target.life === targetLife));
+        };
+        leave();
+      });
+    const broken = new Promise<'broken'>((settle) => quit.signal.addEventListener('abort', () => settle('broken'), { once: true }));
+    let isDone = false;
+    try {
+      for (;;) {
+        const read = reader.read();
+        read.catch(() => {});
+        const next = quit.signal.aborted ? 'broken' : await Promise.race([read, broken]);
+        if (next === 'broken' || target.life !== targetLife) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
+        if (!(await crossing())) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
+        if (next.done) {
+          isDone = true;
+          return;
+        }
+        yield next.value as Uint8Array;
+      }
+    } finally {
+      if (!isDone) void reader.cancel().catch(() => {});
+      ended();
+    }
+  };
+
+  readonly kill = (looseShare = 0): void => {
+    if (!this.isUp) return;
+    this.isUp = false;
+    this.life += 1;
+    this.isFrozen = false;
+    this.postponed.length = 0;
+    this.listeners.clear();
+    this.doors.clear();
+    for (const shut of [...this.shutters]) shut(!this.isVanished);
+    this.shutters.clear();
+    this.disk.crash(looseShare);
+    this.disk.unstall();
+  };
+
+  readonly vanish = (): void => {
+    this.isVanished = true;
+    this.kill();
+  };
+
+  readonly boot = (): void => {
+    this.isUp = true;
+    this.isVanished = false;
+    this.life += 1;
+    this.disk.mood.isFull = false;
+    this.disk.mood.failsSync = false;
+  };
+
+  readonly freeze = (): void => void (this.isFrozen = true);
+
+  readonly thaw = (): void => {
+    this.isFrozen = false;
+    for (const planned of this.postponed.splice(0)) this.world.plan(this, 0, () => {
+      if (!planned.isCancelled) planned.ring();
+    });
+  };
+}
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -88,6 +88,7 @@
   readonly app = new Hono();
   readonly runs: Run[] = [];
   readonly breaches: Breach[] = [];
+  arrivals = 0;
   readonly faults: Faults = { failStatus: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, delayNewsMs: 0, slowPullMs: 0 };
   private readonly copies = new Map<string, Copy[]>();
   private readonly newsLines: NewsLine[] = [];
@@ -212,12 +213,14 @@
   };
 
   private readonly pull = async (run: Run, holder: string, blocks: readonly string[], have: number): Promise<number> => {
+    const quit = new AbortController();
+    this.clock.after(2_000, () => quit.abort());
     const receipt = await this.carriage.carry({
       method: 'POST',
       url: `http://${holder}/kv-parts`,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify({ blocks }),
-      signal: AbortSignal.timeout(2_000),
+      signal: quit.signal,
       gate: () => true,
     });
     if (receipt.isErr() || receipt.value.status !== 200) return 0;
@@ -257,6 +260,7 @@
   };
 
   private readonly complete = async (request: Request, path: string): Promise<Response> => {
+    this.arrivals += 1;
     if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus });
     let body: Record<string, unknown>;
     try {
