--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -2,6 +2,7 @@
 import type { Counter } from '@martenworks/counter';
 import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
 import type { Postmaster } from '@martenworks/postmaster';
+import type { Ports } from '@martenworks/envelope';
 import type { Env, Role } from '@martenworks/franking';
 import { envs } from '@martenworks/franking';
 import { keyOf, plans } from '../firms.js';
@@ -17,6 +18,9 @@
   readonly layout?: Record<string, unknown>;
   readonly standIn?: Partial<StandInEnv>;
   readonly counterEnv?: Record<string, unknown>;
+  readonly onCounter?: (counter: Counter) => void;
+  readonly onPostmaster?: (postmaster: Postmaster) => void;
+  readonly portsFor?: (role: Role, ports: Ports) => Ports;
 }
 
 export interface Told {
@@ -60,12 +64,18 @@
     return checked._unsafeUnwrap();
   };
 
+  private readonly portsOf = (role: Role, machine: SimMachine): Ports => {
+    const ports = machine.ports();
+    return this.plan.portsFor?.(role, ports) ?? ports;
+  };
+
   readonly startPostmaster = async (at: number): Promise<void> => {
     const host = this.postmasterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim' }), machine.ports());
+    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim' }), this.portsOf('postmaster', machine));
     if (started.isErr()) throw new Error(`postmaster ${at}: ${JSON.stringify(started.error)}`);
     this.postmasters[at] = started.value;
+    this.plan.onPostmaster?.(started.value);
     const app = operatorWire(started.value).route('/', platformWire(started.value));
     machine.openDoor(`${host}:7101`, app.fetch);
   };
@@ -73,9 +83,10 @@
   readonly startCounter = async (at: number): Promise<void> => {
     const host = this.counterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, this.plan.counterEnv ?? {}), machine.ports());
+    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, this.plan.counterEnv ?? {}), this.portsOf('counter', machine));
     if (started.isErr()) throw new Error(`counter ${at}: ${JSON.stringify(started.error)}`);
     this.counters[at] = started.value;
+    this.plan.onCounter?.(started.value);
     machine.openDoor(`${host}:7101`, callerWire(started.value).fetch);
   };
 
--- a/packages/proving/src/sim/storm.ts
+++ b/packages/proving/src/sim/storm.ts
@@ -2,6 +2,7 @@
 import { Judge } from './judge.js';
 import type { Told } from './judge.js';
 import { SimFleet } from './simFleet.js';
+import type { SimPlan } from './simFleet.js';
 
 export const faultKinds = [
   'replica crashes',
@@ -10,6 +11,10 @@
   'replica errs',
   'replica cuts streams',
   'replica omits the end',
+  'whole pool errs',
+  'whole pool dies',
+  'all machines die',
+  'links between replicas slow',
   'replica claims other weights',
   'replica freezes',
   'counter dies',
@@ -46,6 +51,8 @@
   readonly spanMs?: number;
   readonly fronts?: number;
   readonly replicas?: number;
+  readonly longShare?: number;
+  readonly breakage?: Partial<SimPlan>;
 }
 
 export interface StormReport {
@@ -74,7 +81,7 @@
   private stormEndsAt = 0;
 
   constructor(private readonly plan: StormPlan) {
-    this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6 });
+    this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6, ...plan.breakage });
     this.judge = new Judge(this.fleet);
   }
 
@@ -98,7 +105,7 @@
     const spanMs = plan.spanMs ?? 20_000;
     const kinds = plan.kinds ?? faultKinds;
     const count = plan.faults ?? 6;
-    judge.traffic(plan.ratePerSecond ?? 25, spanMs + settleMs + 3_000, 0.1);
+    judge.traffic(plan.ratePerSecond ?? 25, spanMs + settleMs + 3_000, plan.longShare ?? 0.1);
     this.stormEndsAt = world.time + spanMs;
     for (let at = 0; at < count; at += 1) {
       const kind = kinds[this.pick(kinds.length)] as FaultKind;
@@ -242,6 +249,42 @@
           await this.wait(this.span(500, 3_000));
           if (standIn !== undefined) standIn.faults.cutAfterPieces = null;
         });
+      case 'whole pool errs': {
+        const standIns = fleet.replicaHosts.flatMap((_, at) => fleet.current.get(fleet.replicaName(at)) ?? []);
+        for (const standIn of standIns) standIn.faults.failStatus = 500;
+        return this.wait(this.span(1_000, 4_000)).then(() => {
+          for (const standIn of standIns) standIn.faults.failStatus = null;
+        });
+      }
+      case 'links between replicas slow':
+        return this.onReplica(async (name) => {
+          const standIn = fleet.current.get(name);
+          if (standIn !== undefined) standIn.faults.slowPullMs = 1_500;
+          await this.wait(this.span(1_000, 6_000));
+          if (standIn !== undefined) standIn.faults.slowPullMs = 0;
+        });
+      case 'whole pool dies': {
+        const names = fleet.replicaHosts.map((_, at) => fleet.replicaName(at)).filter(this.claim);
+        for (const name of names) fleet.killReplica(name);
+        return this.wait(this.span(500, 3_000)).then(async () => {
+          for (const name of names) {
+            await this.comeBack(name);
+            this.free(name);
+          }
+        });
+      }
+      case 'all machines die': {
+        const counterAts = fleet.counterHosts.map((_, at) => at).filter((at) => this.claim(`counter ${at}`));
+        const postmasterAts = [0, 1, 2].filter((at) => this.claim(`postmaster ${at}`));
+        for (const at of counterAts) fleet.killCounter(at);
+        for (const at of postmasterAts) fleet.killPostmaster(at);
+        return this.wait(this.span(500, 4_000)).then(async () => {
+          for (const at of postmasterAts) await fleet.bootPostmaster(at);
+          for (const at of counterAts) await fleet.bootCounter(at);
+          for (const at of postmasterAts) this.free(`postmaster ${at}`);
+          for (const at of counterAts) this.free(`counter ${at}`);
+        });
+      }
       case 'replica omits the end':
         return this.onReplica(async (name) => {
           const standIn = fleet.current.get(name);
--- /dev/null
+++ b/packages/proving/src/stories/judge.ts
@@ -0,0 +1,225 @@
+import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
+import type { Counter } from '@martenworks/counter';
+import type { Carriage, Disk, Ports } from '@martenworks/envelope';
+import { Storm } from '../sim/storm.js';
+import type { FaultKind, StormPlan } from '../sim/storm.js';
+
+type Open<T> = { -readonly [K in keyof T]: T[K] };
+const loosened = <T extends object>(held: T): Open<T> & Record<string, unknown> => held as Open<T> & Record<string, unknown>;
+
+const carriageBroken = (wrap: (carriage: Carriage) => Partial<Carriage>) => (role: string, ports: Ports): Ports => (role === 'counter' ? { ...ports, carriage: { ...ports.carriage, ...wrap(ports.carriage) } } : ports);
+
+const diskBroken = (wrap: (disk: Disk) => Partial<Disk>) => (role: string, ports: Ports): Ports => (role === 'postmaster' ? { ...ports, disk: { ...ports.disk, ...wrap(ports.disk) } } : ports);
+
+const deafTo = (topic: 'change', from: number) => (counter: Counter): void => {
+  const take = counter.book.takeChange;
+  loosened(counter.book).takeChange = (generation, change) => (generation > from && topic === 'change' ? false : take(generation, change));
+  const whole = counter.book.takeCheckpoint;
+  loosened(counter.book).takeCheckpoint = (state) => (state.generation > from ? false : whole(state));
+  loosened(counter.freshness).isFresh = () => counter.book.generation() >= 0;
+};
+
+const upGeneration = 9;
+
+interface Break {
+  readonly what: string;
+  readonly rule: string;
+  readonly kinds: readonly FaultKind[];
+  readonly plan: Omit<StormPlan, 'seed' | 'kinds'>;
+}
+
+const breaks: readonly Break[] = [
+  {
+    what: 'every failed shot is held to be unsent',
+    rule: 'runs twice',
+    kinds: ['replica crashes', 'replica cuts streams', 'replica freezes'],
+    plan: {
+      longShare: 0.4,
+      breakage: { portsFor: carriageBroken((carriage) => ({ carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })) })), onCounter: (counter) => void (loosened(counter.stages)['again'] = (parcel: never) => (loosened(counter.stages)['queue'] as (one: never) => void)(parcel)) },
+    },
+  },
+  {
+    what: 'what may have run is told as not run',
+    rule: 'not run, yet ran',
+    kinds: ['replica cuts streams', 'replica crashes', 'key is revoked'],
+    plan: {
+      longShare: 0.4,
+      breakage: {
+        onCounter: (counter) => {
+          const refuse = counter.stages.refuse;
+          loosened(counter.stages).refuse = (parcel, code, detail) => {
+            parcel.mayHaveRun = false;
+            refuse(parcel, code, detail);
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'a cut stream is ended cleanly',
+    rule: 'wrong or cut answer looks whole',
+    kinds: ['replica cuts streams'],
+    plan: {
+      breakage: {
+        onCounter: (counter) => {
+          const next = loosened(counter.stages)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages)['nextPiece'] = async (...args: unknown[]) => {
+            const piece = await next(...args);
+            return piece.kind === 'cut' ? { kind: 'done' } : piece;
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'one piece in a hundred is dropped',
+    rule: 'wrong or cut answer looks whole',
+    kinds: ['layout changes'],
+    plan: {
+      breakage: {
+        onCounter: (counter) => {
+          let count = 0;
+          const next = loosened(counter.stages)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages)['nextPiece'] = async (...args: unknown[]) => {
+            const piece = await next(...args);
+            count += 1;
+            return count % 100 === 0 && piece.kind === 'piece' ? next(...args) : piece;
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'the run is booked to another tenant',
+    rule: 'another tenant',
+    kinds: ['layout changes'],
+    plan: { breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry({ ...request, headers: { ...request.headers, 'x-tenant': 'north' } }) })) } },
+  },
+  {
+    what: 'a counter never hears of revoked keys and holds itself fresh',
+    rule: 'a key not granted',
+    kinds: ['key is revoked'],
+    plan: { faults: 2, breakage: { onCounter: deafTo('change', upGeneration + 1) } },
+  },
+  {
+    what: 'any holder is named, and isolated tenants run anywhere',
+    rule: 'foreign KV (tenant)',
+    kinds: ['kv news is late'],
+    plan: {
+      longShare: 0.5,
+      breakage: {
+        onCounter: (counter) => {
+          loosened(counter.book.quarters).mayName = () => true;
+          loosened(counter.book.quarters).mayRun = () => true;
+          const kept = counter.book.index.kept;
+          loosened(counter.book.index).kept = (...args) => ({ ...kept(...args), isNameable: true });
+        },
+      },
+    },
+  },
+  {
+    what: 'holders are named whatever weights made their parts',
+    rule: 'foreign KV (weights)',
+    kinds: ['new weights'],
+    plan: {
+      longShare: 0.5,
+      faults: 3,
+      breakage: {
+        onCounter: (counter) => {
+          loosened(counter.book).holdersIn = (poolName) => counter.book.inPool(poolName);
+          loosened(counter.book.index).reconcile = ((reconcile) => (records: Parameters<typeof reconcile>[0]) => reconcile(records, () => 0))(counter.book.index.reconcile);
+        },
+      },
+    },
+  },
+  {
+    what: 'a counter misses every change and holds itself fresh',
+    rule: 'an accepted change is not in force',
+    kinds: ['layout changes', 'many lanes'],
+    plan: { breakage: { onCounter: (counter) => (counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined) } },
+  },
+  {
+    what: 'a counter that misses every change still starts old weights',
+    rule: 'old weights started',
+    kinds: ['new weights'],
+    plan: { faults: 2, breakage: { onCounter: (counter) => (counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined) } },
+  },
+  {
+    what: 'the disk lies about syncing',
+    rule: 'an accepted change is lost',
+    kinds: ['postmasters die in a herd', 'layout changes', 'many lanes'],
+    plan: {
+      faults: 10,
+      breakage: {
+        portsFor: diskBroken((disk) => ({
+          open: async (name) => (await disk.open(name)).map((file) => ({ ...file, sync: async () => ok(undefined) })),
+        })),
+      },
+    },
+  },
+  {
+    what: 'a losing change is retried on a newer base under its own id',
+    rule: 'a losing change took effect',
+    kinds: ['rival changes'],
+    plan: {
+      breakage: {
+        onPostmaster: (postmaster) => {
+          const layout = postmaster.changes.layout;
+          loosened(postmaster.changes).layout = async (id, base, edit) => {
+            const outcome = await layout(id, base, edit);
+            if (outcome.isErr() && outcome.error.kind === 'conflict') void layout(id, outcome.error.layoutGeneration, edit);
+            return outcome;
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'rivals are both told that they won',
+    rule: 'an accepted change is lost',
+    kinds: ['rival changes'],
+    plan: {
+      breakage: {
+        onPostmaster: (postmaster) => {
+          const layout = postmaster.changes.layout;
+          loosened(postmaster.changes).layout = async (id, base, edit) => (await layout(id, base, edit)).orElse((fault) => (fault.kind === 'conflict' ? ok({ generation: base + 1, isRepeat: false }) : err(fault)));
+        },
+      },
+    },
+  },
+  {
+    what: 'leaving replicas are held to be ready',
+    rule: 'a leaving replica got a request',
+    kinds: ['replica leaves'],
+    plan: { breakage: { onCounter: (counter) => void (loosened(counter.book).takeReplicas = ((take) => (records: Parameters<typeof take>[0]) => take(records.map((record) => ({ ...record, state: 'ready' as const }))))(counter.book.takeReplicas)) } },
+  },
+  {
+    what: 'extra shots are not counted',
+    rule: 'extra shots',
+    kinds: ['whole pool errs'],
+    plan: { ratePerSecond: 60, faults: 3, breakage: { onCounter: (counter) => void (loosened(counter.stages)['budgetOf'] = () => ({ take: () => true, firstShot: () => {}, left: () => 1 })) } },
+  },
+  {
+    what: 'a counter that lost its postmasters never dials again',
+    rule: 'service still mostly absent',
+    kinds: ['all machines die', 'postmasters die in a herd'],
+    plan: {
+      faults: 3,
+      breakage: { onCounter: (counter) => void (loosened(counter.lines).stop = () => {}), portsFor: (role, ports) => (role === 'counter' ? { ...ports, net: { ...ports.net, dial: ((dial) => { let count = 0; return (address: string, patienceMs: number) => ((count += 1) > 6 ? Promise.resolve(err({ kind: 'net' as const, code: 'BROKEN', isUnsent: true })) : dial(address, patienceMs)); })(ports.net.dial) } } : ports) },
+    },
+  },
+];
+
+describe('the judge', () => {
+  for (const { what, rule, kinds, plan } of breaks) {
+    it(`given a product broken so that ${what}, when storms come, then it tells: ${rule}`, async () => {
+      const heard: string[] = [];
+      for (let seed = 1; seed <= 4 && !heard.includes(rule); seed += 1) {
+        const report = await new Storm({ seed, kinds, faults: 6, ...plan }).run();
+        heard.push(...report.complaints.map((told) => told.rule));
+      }
+      expect(heard).to.include(rule);
+    });
+  }
+});
