Prove founding, swaps, recovery, operators' and callers' outcomes by stories

Two lost disks: no second fleet, an explicit postrider recover. A key's repeat with stream switched off was taken for another request; the delivery is left out of the digest now.

--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -82,7 +82,10 @@
     const isProved = !parcel.mayHaveRun && (parcel.order.idempotencyKey === null || parcel.claim !== null);
     const ran = isProved ? 'no' : 'unknown';
     const denied: Deny = deny.of(code, ran, detail, this.retryAfter(code, parcel.lane?.poolName ?? null));
-    if (!parcel.isAnswered) this.tally.add(`denied_${code}`);
+    if (!parcel.isAnswered) {
+      this.tally.add(`denied_${code}`);
+      this.ports.log.info('denied', { requestId: parcel.order.requestId, tenant: parcel.tenant?.name ?? null, code, ran, detail, retryAfterSeconds: denied.retryAfterSeconds });
+    }
     if (parcel.isRelaying) parcel.cut(detail);
     else {
       parcel.answer(denied);
@@ -135,7 +138,7 @@
   private readonly claimThenQueue = async (parcel: Parcel, idempotencyKey: string): Promise<void> => {
     const { order, tenant } = parcel;
     const key = digests.of([tenant?.name, idempotencyKey]);
-    const outcome = await this.claims.take(key, digests.of([order.path, order.body]), order.requestId);
+    const outcome = await this.claims.take(key, digests.of([order.path, { ...order.body, stream: null }]), order.requestId);
     this.tally.add(`claims_${outcome.k.replace(' ', '_')}`);
     if (outcome.k === 'claimed') {
       parcel.claim = outcome.claim;
@@ -414,6 +417,24 @@
     isFirstPieceIn = true;
     parcel.isRelaying = true;
     this.tally.add(`first_pieces_tier_${tenant.tierName}`);
+    const firstAt = this.ports.clock.now();
+    parcel.whenEnded(() =>
+      this.ports.log.info('request', {
+        requestId: order.requestId,
+        tenant: tenant.name,
+        tier: tenant.tierName,
+        lane: lane.name,
+        replica,
+        holder: placed.holder?.name ?? null,
+        promptTokens: parcel.promptTokens,
+        keptTokens: placed.localTokens,
+        pulledTokens: placed.pulledTokens,
+        shots: parcel.shots,
+        isWhole: parcel.isWhole,
+        firstMs: Math.round(firstAt - parcel.arrivedAt),
+        totalMs: Math.round(this.ports.clock.now() - parcel.arrivedAt),
+      }),
+    );
     parcel.answer({ kind: 'stream', requestId: order.requestId, pieces: this.relay(parcel, replica, first.value, receipt.value, release) });
   };
 
--- a/packages/postmaster/src/index.ts
+++ b/packages/postmaster/src/index.ts
@@ -4,3 +4,4 @@
 export * from './postmaster.js';
 export * from './operatorWire.js';
 export * from './platformWire.js';
+export * from './recovery.js';
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -5,7 +5,7 @@
 import type { Log, Ports } from '@martenworks/envelope';
 import { envs, layouts } from '@martenworks/franking';
 import type { Complaint, Env, Role } from '@martenworks/franking';
-import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
+import { operatorWire, platformWire, postmasters, recovery } from '@martenworks/postmaster';
 import { realDoor } from './door.js';
 import { flags, readJson } from './flags.js';
 
@@ -18,6 +18,7 @@
   counter       a front: takes callers' requests, places and relays them
   postmaster    a core node: agrees on the layout, knows the replicas
   check FILE    checks an env or layout file offline
+  recover       after two lost disks: gives a stopped postmaster's state new members
   help          this page
 
 postrider ROLE --help tells the flags of a role.
@@ -129,6 +130,28 @@
   return exitCodes.fine;
 };
 
+const recoverUsage = `postrider recover --data DIR --member NAME,IP:PORT,INCARNATION --member ... --member ...
+
+For the day on which two of three postmasters lost their disks. Run it on the stopped third, naming all three members
+(their incarnations are in GET /operator/status). Changes and claims that only the lost disks held are gone.
+`;
+
+const recover = async (args: string[]): Promise<number> => {
+  const { values } = parseArgs({ args, options: { data: { type: 'string' }, member: { type: 'string', multiple: true }, help: { type: 'boolean', short: 'h' } } });
+  const members = (values.member ?? []).map((text) => text.split(',')).map(([name = '', address = '', incarnation = '']) => ({ name, address, incarnation }));
+  if (values.help === true || values.data === undefined || members.length !== 3 || members.some((member) => member.incarnation === '')) {
+    (values.help === true ? process.stdout : process.stderr).write(recoverUsage);
+    return values.help === true ? exitCodes.fine : exitCodes.badEnv;
+  }
+  const outcome = await recovery.recover(machine.disk(values.data), machine.clock, machine.random, logs.named('postrider', { role: 'recover' }), members);
+  if (outcome.isErr()) {
+    process.stderr.write(`not recovered: ${JSON.stringify(outcome.error)}\n`);
+    return exitCodes.failed;
+  }
+  process.stdout.write(`recovered at generation ${outcome.value.generation}; start this postmaster again\n`);
+  return exitCodes.fine;
+};
+
 export const run = async (args: string[]): Promise<number> => {
   const [role, ...rest] = args;
   switch (role) {
@@ -137,6 +160,8 @@
       return runRole(role, rest);
     case 'check':
       return check(rest);
+    case 'recover':
+      return recover(rest);
     case undefined:
     case 'help':
     case '--help':
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -194,7 +194,7 @@
   });
 
   private readonly log = (context: Record<string, unknown>): Log => {
-    const write = (message: string, more?: Record<string, unknown>): void => void this.world.lines.push({ at: this.world.time, machine: this.host, message, context: { ...context, ...more } });
+    const write = (message: string, more?: Record<string, unknown>): void => void (message === 'request' || message === 'denied' ? 0 : this.world.lines.push({ at: this.world.time, machine: this.host, message, context: { ...context, ...more } }));
     return { info: write, warn: write, error: write, child: (more) => this.log({ ...context, ...more }) };
   };
 
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -90,6 +90,7 @@
   readonly breaches: Breach[] = [];
   readonly arrived = new Set<string>();
   arrivals = 0;
+  piecesSaid = 0;
   readonly faults: Faults = { failStatus: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, delayNewsMs: 0, slowPullMs: 0 };
   private readonly copies = new Map<string, Copy[]>();
   private readonly newsLines: NewsLine[] = [];
@@ -336,6 +337,7 @@
         }
         await pause.for(this.clock, this.env.decodeMs);
         const text = speech.piece(prompt, run.weights, at);
+        this.piecesSaid += 1;
         const chunk = {
           id: run.runId,
           object: isChat ? 'chat.completion.chunk' : 'text_completion',
--- /dev/null
+++ b/packages/proving/src/stories/callers.ts
@@ -0,0 +1,150 @@
+import { expect } from 'chai';
+import { plans, keyOf } from '../firms.js';
+import type { Ask } from '../firms.js';
+import { Judge } from '../sim/judge.js';
+import { SimFleet } from '../sim/simFleet.js';
+import type { Told } from '../sim/simFleet.js';
+
+const bearer = (key: string): Record<string, string> => ({ authorization: `Bearer ${key}` });
+
+const raised = async (more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<{ fleet: SimFleet; judge: Judge }> => {
+  const fleet = new SimFleet({ seed: 3, fronts: 2, replicas: 3, ...more });
+  await fleet.up();
+  return { fleet, judge: new Judge(fleet) };
+};
+
+const ask = (fleet: SimFleet, kind: Ask['kind'], tenant: string, tail = 'one'): Ask => ({ ...plans.ask(fleet.world.random, 1), kind, tenant, key: keyOf(tenant), prompt: `${'prefix '.repeat(100)}${tail}`, maxTokens: 8 });
+
+const post = (fleet: SimFleet, body: unknown, headers: Record<string, string>, path = '/v1/completions'): Promise<Told> => fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101${path}`, 'POST', body, headers));
+
+describe('callers', () => {
+  it('given each wrong request, when it is sent, then its status, type and ran are told at once', async () => {
+    const { fleet } = await raised({ counterEnv: { bodyLimitBytes: 4_096 }, layout: { ...plans.layout('weights-1'), lanes: { ...(plans.layout('weights-1')['lanes'] as object), secret: { pool: 'main', repeat: 'freely' } } } });
+    const good = { model: 'query', prompt: 'hello', max_tokens: 4 };
+    const key = bearer(keyOf('north'));
+    const cases: [string, unknown, Record<string, string>, number, string][] = [
+      ['no object', [1], key, 400, 'bad_request'],
+      ['no lane', { prompt: 'hello' }, key, 400, 'bad_request'],
+      ['no prompt', { model: 'query' }, key, 400, 'bad_request'],
+      ['no key', good, {}, 401, 'unknown_key'],
+      ['unknown key', good, bearer('nobody-knows-it'), 401, 'unknown_key'],
+      ['lane not granted', { ...good, model: 'secret' }, key, 403, 'lane_not_granted'],
+      ['absent lane', { ...good, model: 'absent' }, key, 404, 'unknown_lane'],
+      ['too large', { ...good, prompt: 'x'.repeat(5_000) }, key, 413, 'too_large'],
+    ];
+    for (const [what, body, headers, status, type] of cases) {
+      const begin = fleet.world.time;
+      const told = await post(fleet, body, headers);
+      const error = told.body['error'] as { type: string; ran: string };
+      expect([what, told.status, error?.type, error?.ran]).to.deep.equal([what, status, type, 'no']);
+      expect(fleet.world.time - begin).to.be.lessThan(100);
+    }
+    const whole = await post(fleet, good, key);
+    expect(whole.status).to.equal(200);
+    expect((whole.body['choices'] as { text: string }[])[0]?.text.length).to.be.greaterThan(10);
+    const chat = await post(fleet, { model: 'query', messages: [{ role: 'user', content: 'hello' }], max_tokens: 4 }, key, '/v1/chat/completions');
+    expect((chat.body['choices'] as { message: { role: string } }[])[0]?.message.role).to.equal('assistant');
+  });
+
+  it('given a tenant over its rate, when it asks on, then it gets 429 with Retry-After and its neighbours do not', async () => {
+    const layout = plans.layout('weights-1');
+    const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
+    const { fleet, judge } = await raised({ layout: { ...layout, tenants: { ...tenants, north: { ...tenants['north'], ratePerSecond: 4 } } } });
+    for (let at = 0; at < 20; at += 1) {
+      judge.send(ask(fleet, 'query', 'north', `n${at}`), 0);
+      judge.send(ask(fleet, 'query', 'south', `s${at}`), 0);
+    }
+    await fleet.world.run(5_000);
+    const north = judge.calls.filter((call) => call.ask.tenant === 'north');
+    expect(north.filter((call) => call.status === 429 && call.ran === 'no' && call.retryAfter !== null).length).to.equal(16);
+    expect(judge.calls.filter((call) => call.ask.tenant === 'south').every((call) => call.verdict === 'whole')).to.equal(true);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+
+  it('given a caller that leaves mid-stream or in the queue, when it has left, then its run is cancelled or never begun', async () => {
+    const { fleet, judge } = await raised({ standIn: { decodeMs: 50 }, layout: { ...plans.layout('weights-1'), pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } } });
+    const quits = Array.from({ length: 12 }, () => new AbortController());
+    const calls = quits.map((quit, at) => judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 200 }, 0, { signal: quit.signal }));
+    await fleet.world.run(1_000);
+    const before = judge.runs().length;
+    expect(before).to.be.greaterThan(0).and.lessThan(calls.length);
+    for (const quit of quits) quit.abort();
+    await fleet.world.run(3_000);
+    expect(judge.runs().length).to.equal(before);
+    expect(judge.runs().some((run) => run.isFinished)).to.equal(false);
+    expect(fleet.counters[0]?.stages.live.size).to.equal(0);
+    judge.send(ask(fleet, 'query', 'south', 'after'), 0);
+    await fleet.world.run(3_000);
+    expect(judge.calls.at(-1)?.verdict).to.equal('whole');
+  });
+
+  it('given a reader that stops reading, when the replica could send on, then the counter takes no more pieces than it can pass on', async () => {
+    const { fleet } = await raised();
+    const quit = new AbortController();
+    const receipt = await fleet.finish(
+      fleet.world.machine('10.9.0.1').carriage().carry({
+        method: 'POST',
+        url: `http://${fleet.counterHosts[0]}:7101/v1/completions`,
+        headers: { 'content-type': 'application/json', ...bearer(keyOf('north')) },
+        body: JSON.stringify({ model: 'query', prompt: 'hello', max_tokens: 2_000, stream: true }),
+        signal: quit.signal,
+        gate: () => true,
+      }),
+    );
+    const body = receipt._unsafeUnwrap().body[Symbol.asyncIterator]();
+    await fleet.finish(body.next());
+    const standIns = [...fleet.current.values()];
+    await fleet.world.run(5_000);
+    expect(standIns.reduce((sum, standIn) => sum + standIn.piecesSaid, 0)).to.be.lessThan(10);
+    quit.abort();
+    await fleet.world.run(2_000);
+    expect(fleet.counters[0]?.stages.live.size).to.equal(0);
+  });
+
+  it('given the horizon of a request, when no piece came by then, then it is denied at that moment with Retry-After', async () => {
+    const { fleet, judge } = await raised({ standIn: { decodeMs: 5_000 } });
+    const call = judge.send(ask(fleet, 'confirm', 'north'), 0, { horizonMs: 700 });
+    await fleet.world.run(20_000);
+    expect([call.status, call.code, call.ran]).to.deep.equal([503, 'horizon_passed', 'unknown']);
+    expect(call.retryAfter).to.not.equal(null);
+    expect(call.endedAt - call.sentAt).to.be.within(695, 720);
+  });
+
+  it('given the same Idempotency-Key at two counters at once and again later, when all are answered, then one run served them all', async () => {
+    const { fleet, judge } = await raised();
+    const wanted = ask(fleet, 'book', 'north');
+    judge.send(wanted, 0, { idempotencyKey: 'order-1' });
+    judge.send(wanted, 1, { idempotencyKey: 'order-1' });
+    await fleet.world.run(3_000);
+    judge.send(wanted, 1, { idempotencyKey: 'order-1', whole: true });
+    judge.send({ ...wanted, prompt: 'something else' }, 1, { idempotencyKey: 'order-1' });
+    await fleet.world.run(3_000);
+    expect(judge.runs().length).to.equal(1);
+    const told = judge.calls.map((call) => (call.verdict === 'denied' ? call.code : call.verdict));
+    expect(told.slice(0, 2).sort()).to.deep.equal(['in_progress', 'whole']);
+    expect(told.slice(2)).to.deep.equal(['whole', 'key_reused']);
+    fleet.killCounter(0);
+    fleet.killCounter(1);
+    await fleet.bootCounter(1);
+    await fleet.world.until('the counter is back', () => fleet.counters[1]?.freshness.isFresh() === true);
+    const late = judge.send(wanted, 1, { idempotencyKey: 'order-1' });
+    await fleet.world.run(3_000);
+    expect([late.status, late.code, late.ran]).to.deep.equal([409, 'outcome_unknown', 'unknown']);
+    expect(judge.runs().length).to.equal(1);
+  });
+
+  it('given a claim whose request was proved not run, when the key comes again, then it runs', async () => {
+    const { fleet, judge } = await raised();
+    fleet.killReplica('app-1');
+    const first = judge.send(ask(fleet, 'book', 'north'), 0, { idempotencyKey: 'order-2' });
+    await fleet.world.run(2_000);
+    expect([first.verdict, first.ran]).to.deep.equal(['denied', 'no']);
+    fleet.bootReplica('app-1');
+    await fleet.finish(fleet.announce('app-1'));
+    await fleet.world.run(6_000);
+    const second = judge.send(ask(fleet, 'book', 'north'), 1, { idempotencyKey: 'order-2' });
+    await fleet.world.run(3_000);
+    expect(second.verdict).to.equal('whole');
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+});
