Share a crowded pool fairly between tiers, tenants and counters

Cause: (1) aging by a fixed step made old low-tier requests overtake new urgent ones in every lasting overload: first tier's p95 wait 4.4 s; (2) a counter refilled each slot it freed, so others starved: small tenants were served 55 to 64 percent. Ruled out: a smaller aging step (the backlog only shifts). Change: rank first with every eighth grant to the oldest, tenants of a tier in turns, a forecast by the tenant's own grant rate that denies at once, urgent headroom on replicas, equal shares among counters that wait.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating, pause } from '@martenworks/envelope';
-import type { Agreed, Change, KvNews, Listener, NetFault, Pong, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, KvNews, Listener, LoadReport, NetFault, Pong, Ports, ReplicaRecord } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import { coaches, wireRelease } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -81,12 +81,13 @@
     if (coach.neighbour?.role !== 'postmaster' || this.pinged.has(coach)) return;
     this.pinged.add(coach);
     const stamp = this.freshness.stamp();
-    const receipt = await coach.ask('ping', this.tracks.report(), pingPatienceMs);
+    const receipt = await coach.ask('ping', { replicas: this.tracks.report(), pools: this.stages.demands() } satisfies LoadReport, pingPatienceMs);
     this.pinged.delete(coach);
     if (receipt.isErr()) return coach.close();
     const pong = receipt.value as Pong;
     this.freshness.heard(stamp, pong);
     this.tracks.toldOthers(pong.loads);
+    this.stages.contention = pong.contention;
     if (pong.generation > this.book.generation()) coach.tell('subscribe', this.book.generation());
     this.stages.pumpAll();
   };
--- a/packages/counter/src/layoutView.ts
+++ b/packages/counter/src/layoutView.ts
@@ -25,6 +25,7 @@
   readonly tenants: ReadonlyMap<string, TenantView>;
   readonly pools: ReadonlyMap<string, Pool>;
   readonly keys: Agreed['keys'];
+  readonly urgencyOf: (rank: number) => number;
 }
 
 export class Door {
@@ -45,6 +46,8 @@
       const granted = new Set(tenant.lanes.map((lane) => this.laneNames.indexOf(lane)));
       tenants.set(name, { index: this.tenantNames.indexOf(name), name, tenant, tierName: tenant.tier, tier, lanes: granted });
     }
-    return { generation: agreed.generation, layoutGeneration: agreed.layoutGeneration, lanes, tenants, pools: new Map(Object.entries(layout.pools)), keys: agreed.keys };
+    const ranks = [...new Set(Object.values(layout.tiers).map((tier) => tier.rank))].sort((a, b) => b - a);
+    const urgencyOf = (rank: number): number => (ranks.length < 2 ? 0 : Math.max(0, ranks.indexOf(rank)) / (ranks.length - 1));
+    return { urgencyOf, generation: agreed.generation, layoutGeneration: agreed.layoutGeneration, lanes, tenants, pools: new Map(Object.entries(layout.pools)), keys: agreed.keys };
   };
 }
--- a/packages/counter/src/pipe.ts
+++ b/packages/counter/src/pipe.ts
@@ -1,7 +1,6 @@
 import { Heap } from 'heap-js';
 
 interface Slot<T> {
-  readonly line: string;
   readonly item: T;
   readonly urgency: number;
   readonly order: number;
@@ -17,7 +16,7 @@
   constructor(private readonly limit: number) {}
 
   readonly put = (item: T, urgency: number): T | null => {
-    const slot = { line: '', item, urgency, order: (this.order += 1) };
+    const slot = { item, urgency, order: (this.order += 1) };
     this.heap.push(slot);
     this.slots.set(item, slot);
     if (this.slots.size <= this.limit) return null;
@@ -43,45 +42,94 @@
   readonly size = (): number => this.slots.size;
 }
 
+interface Line<T> {
+  readonly rank: number;
+  readonly items: Map<T, number>;
+  served: number;
+  grants: number;
+  ratePerMs: number;
+  ratedAt: number;
+}
+
+const elderTurn = 8;
+const rateWindowMs = 1_000;
+const leastForecast = 4;
+
 export class Tray<T> {
-  private readonly heaps = new Map<string, Heap<Slot<T>>>();
-  private readonly slots = new Map<T, Slot<T>>();
-  private order = 0;
+  private readonly lines = new Map<string, Line<T>>();
+  private readonly lineOf = new Map<T, Line<T>>();
+  private turn = 0;
 
   constructor(private readonly limit: number) {}
 
-  readonly put = (line: string, item: T, urgency: number): T | null => {
-    const slot: Slot<T> = { line, item, urgency, order: (this.order += 1) };
-    const heap = this.heaps.get(line) ?? new Heap<Slot<T>>(bySlot);
-    this.heaps.set(line, heap);
-    heap.push(slot);
-    this.slots.set(item, slot);
-    if (this.slots.size <= this.limit) return null;
-    let worst = slot;
-    for (const held of this.slots.values()) if (bySlot(held, worst) > 0) worst = held;
-    this.remove(worst.item);
-    return worst.item;
+  private readonly active = (): Line<T>[] => [...this.lines.values()].filter((line) => line.items.size > 0);
+
+  private readonly lineFor = (name: string, rank: number, now: number): Line<T> => {
+    const held = this.lines.get(name);
+    if (held !== undefined && held.rank === rank) return held;
+    const line: Line<T> = { rank, items: new Map(), served: 0, grants: 0, ratePerMs: 0, ratedAt: now };
+    this.lines.set(name, line);
+    return line;
   };
 
-  readonly heads = (): T[] =>
-    [...this.heaps.values()]
-      .flatMap((heap) => heap.peek() ?? [])
-      .sort(bySlot)
-      .map((slot) => slot.item);
+  readonly put = (name: string, rank: number, item: T, now: number): T | null => {
+    const line = this.lineFor(name, rank, now);
+    if (line.items.size === 0) {
+      const rivals = this.active().filter((other) => other.rank === rank);
+      if (rivals.length > 0) line.served = Math.max(line.served, Math.min(...rivals.map((other) => other.served)));
+    }
+    line.items.set(item, now);
+    this.lineOf.set(item, line);
+    if (this.lineOf.size <= this.limit) return null;
+    const worst = this.active().sort((a, b) => b.rank - a.rank || b.items.size - a.items.size)[0] as Line<T>;
+    const out = [...worst.items.keys()].at(-1) as T;
+    this.remove(out);
+    return out;
+  };
+
+  readonly heads = (): T[] => {
+    const oldest = (line: Line<T>): number => line.items.values().next().value as number;
+    const byRank = (a: Line<T>, b: Line<T>): number => a.rank - b.rank || a.served - b.served || oldest(a) - oldest(b);
+    const byAge = (a: Line<T>, b: Line<T>): number => oldest(a) - oldest(b) || byRank(a, b);
+    return this.active()
+      .sort(this.turn % elderTurn === elderTurn - 1 ? byAge : byRank)
+      .map((line) => line.items.keys().next().value as T);
+  };
+
+  readonly grant = (item: T, now: number): void => {
+    const line = this.lineOf.get(item);
+    if (line === undefined) return;
+    this.remove(item);
+    this.turn += 1;
+    line.served += 1;
+    line.grants += 1;
+    this.rate(line, now);
+  };
+
+  private readonly rate = (line: Line<T>, now: number): void => {
+    const spanMs = now - line.ratedAt;
+    if (spanMs < rateWindowMs) return;
+    const seen = line.grants / spanMs;
+    line.ratePerMs = line.ratePerMs === 0 ? seen : (line.ratePerMs + seen) / 2;
+    line.grants = 0;
+    line.ratedAt = now;
+  };
+
+  readonly forecastMs = (name: string, now: number): number => {
+    const line = this.lines.get(name);
+    if (line === undefined || line.items.size < leastForecast) return 0;
+    this.rate(line, now);
+    return line.ratePerMs === 0 ? 0 : line.items.size / line.ratePerMs;
+  };
 
   readonly remove = (item: T): boolean => {
-    const slot = this.slots.get(item);
-    if (slot === undefined) return false;
-    this.slots.delete(item);
-    const heap = this.heaps.get(slot.line);
-    if (heap === undefined) return false;
-    if (heap.peek() === slot) heap.pop();
-    else heap.remove(slot, (a, b) => a === b);
-    if (heap.size() === 0) this.heaps.delete(slot.line);
-    return true;
+    const line = this.lineOf.get(item);
+    if (line === undefined) return false;
+    this.lineOf.delete(item);
+    return line.items.delete(item);
   };
 
-  readonly size = (): number => this.slots.size;
+  readonly size = (): number => this.lineOf.size;
 }
 
 export class Stage<T> {
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -1,5 +1,5 @@
 import { deny, digests, keys, pause, prompts } from '@martenworks/envelope';
-import type { Deny, DenyCode, Ports } from '@martenworks/envelope';
+import type { Contention, Deny, DenyCode, PoolDemands, Ports, ReplicaRecord } from '@martenworks/envelope';
 import { backWire } from '@martenworks/courier';
 import type { Piece } from '@martenworks/courier';
 import type { Env } from '@martenworks/franking';
@@ -14,19 +14,15 @@
 import type { Tally } from './tally.js';
 import type { Tracks } from './tracks.js';
 
-const agingMs = 1_500;
-const fairStepMs = 20;
+const forecastSafety = 0.5;
+const urgentHeadroom = 0.5;
 const defaultHorizonMs = 30_000;
 const longestHorizonMs = 600_000;
 const largestRetryAfterSeconds = 30;
 
 interface Waiting {
   readonly tray: Tray<Parcel>;
-  readonly byTenant: Map<number, number>;
   readonly byTier: Map<string, number>;
-  finished: number;
-  ratePerMs: number;
-  ratedAt: number;
 }
 
 const scopeOf = (parcel: Parcel): string | null => (parcel.tenant?.tenant.isolated === true ? parcel.tenant.name : null);
@@ -39,6 +35,7 @@
   private readonly admitStage: Stage<Parcel>;
   private readonly matchStage: Stage<Parcel>;
   isDraining = false;
+  contention: Contention = {};
 
   constructor(
     private readonly env: Env,
@@ -70,18 +67,18 @@
     this.admitStage.enter(parcel);
   };
 
-  private readonly retryAfter = (code: DenyCode, poolName: string | null): number | undefined => {
+  private readonly retryAfter = (code: DenyCode, parcel: Parcel): number | undefined => {
     if (code !== 'no_capacity' && code !== 'horizon_passed') return undefined;
-    const queue = poolName === null ? undefined : this.queues.get(poolName);
-    const waitSeconds = queue === undefined || queue.ratePerMs <= 0 ? 1 : queue.tray.size() / queue.ratePerMs / 1000;
-    return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(waitSeconds + this.ports.random.fraction())));
+    const queue = parcel.lane === null ? undefined : this.queues.get(parcel.lane.poolName);
+    const waitMs = queue?.tray.forecastMs(parcel.tenant?.name ?? '', this.ports.clock.now()) ?? 0;
+    return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(waitMs / 1_000 + this.ports.random.fraction())));
   };
 
   readonly refuse = (parcel: Parcel, code: DenyCode, detail: string): void => {
     this.unqueue(parcel);
     const isProved = !parcel.mayHaveRun && (parcel.order.idempotencyKey === null || parcel.claim !== null);
     const ran = isProved ? 'no' : 'unknown';
-    const denied: Deny = deny.of(code, ran, detail, this.retryAfter(code, parcel.lane?.poolName ?? null));
+    const denied: Deny = deny.of(code, ran, detail, this.retryAfter(code, parcel));
     if (!parcel.isAnswered) {
       this.tally.add(`denied_${code}`);
       this.ports.log.info('denied', { requestId: parcel.order.requestId, tenant: parcel.tenant?.name ?? null, code, ran, detail, retryAfterSeconds: denied.retryAfterSeconds });
@@ -198,7 +195,7 @@
   private readonly queueOf = (poolName: string): Waiting => {
     const held = this.queues.get(poolName);
     if (held !== undefined) return held;
-    const queue: Waiting = { tray: new Tray(this.env.queueLimit), byTenant: new Map(), byTier: new Map(), finished: 0, ratePerMs: 0, ratedAt: this.ports.clock.now() };
+    const queue: Waiting = { tray: new Tray(this.env.queueLimit), byTier: new Map() };
     this.queues.set(poolName, queue);
     return queue;
   };
@@ -210,15 +207,10 @@
     const queue = this.queueOf(lane.poolName);
     const ofTier = queue.byTier.get(tenant.tierName) ?? 0;
     if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.env.queueLimit))) return this.refuse(parcel, 'over_share', 'the tier\'s share of the queue is taken');
-    const ofTenant = queue.byTenant.get(tenant.index) ?? 0;
-    const ahead = queue.tray.size();
-    if (queue.ratePerMs > 0 && ahead > 8 && tenant.tier.rank > 0 && ahead / queue.ratePerMs > parcel.horizonAt - this.ports.clock.now()) {
-      return this.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
-    }
-    const urgency = parcel.arrivedAt + tenant.tier.rank * agingMs + ofTenant * fairStepMs;
-    queue.byTenant.set(tenant.index, ofTenant + 1);
+    const now = this.ports.clock.now();
+    if (queue.tray.forecastMs(tenant.name, now) > (parcel.horizonAt - now) * forecastSafety) return this.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
     queue.byTier.set(tenant.tierName, ofTier + 1);
-    const displaced = queue.tray.put(scopeOf(parcel) ?? '', parcel, urgency);
+    const displaced = queue.tray.put(tenant.name, tenant.tier.rank, parcel, now);
     if (displaced !== null) {
       this.forget(queue, displaced);
       this.refuse(displaced, 'no_capacity', 'the queue is full');
@@ -228,13 +220,8 @@
 
   private readonly forget = (queue: Waiting, parcel: Parcel): void => {
     if (parcel.tenant === null) return;
-    const less = <K>(table: Map<K, number>, key: K): void => {
-      const count = (table.get(key) ?? 0) - 1;
-      if (count > 0) table.set(key, count);
-      else table.delete(key);
-    };
-    less(queue.byTenant, parcel.tenant.index);
-    less(queue.byTier, parcel.tenant.tierName);
+    const { tierName } = parcel.tenant;
+    queue.byTier.set(tierName, Math.max(0, (queue.byTier.get(tierName) ?? 0) - 1));
   };
 
   private readonly unqueue = (parcel: Parcel): void => {
@@ -279,7 +266,8 @@
     const now = this.ports.clock.now();
     const ready = this.book.inPool(lane.poolName).filter((record) => !parcel.avoided.has(record.name) && this.book.quarters.mayRun(record, scope, now));
     const sound = ready.filter((record) => !this.tracks.isSuspect(record.name));
-    const free = (sound.length > 0 ? sound : ready).filter((record) => this.tracks.running(record.name) < (record.slots ?? pool.slots));
+    const headroom = 1 + urgentHeadroom * view.urgencyOf(tenant.tier.rank);
+    const free = this.freeOf(sound.length > 0 ? sound : ready, lane.poolName, pool.slots, headroom);
     return place(this.book.index, {
       pool,
       blocks: parcel.blocks,
@@ -294,6 +282,23 @@
     });
   };
 
+  private readonly freeOf = (records: readonly ReplicaRecord[], poolName: string, poolSlots: number, headroom: number): ReplicaRecord[] => {
+    const slotsOf = (record: ReplicaRecord): number => Math.floor((record.slots ?? poolSlots) * headroom);
+    const free = records.filter((record) => this.tracks.running(record.name) < slotsOf(record));
+    const [contenders, calmRunning] = this.contention[poolName] ?? [0, 0];
+    if (contenders === 0) return free;
+    const all = this.book.inPool(poolName);
+    const total = all.reduce((sum, record) => sum + slotsOf(record), 0);
+    const own = all.reduce((sum, record) => sum + this.tracks.own(record.name), 0);
+    if (own >= Math.max(1, Math.ceil((total - calmRunning) / (contenders + 1)))) return [];
+    return free.length > 0 ? free : records.filter((record) => this.tracks.own(record.name) < slotsOf(record));
+  };
+
+  readonly demands = (): PoolDemands =>
+    Object.fromEntries(
+      [...this.queues].map(([poolName, queue]) => [poolName, [queue.tray.size(), this.book.inPool(poolName).reduce((sum, record) => sum + this.tracks.own(record.name), 0)] as const]),
+    );
+
   private readonly pump = (poolName: string): void => {
     const queue = this.queueOf(poolName);
     while (this.freshness.isFresh() && queue.tray.heads().some((parcel) => this.moveOn(queue, parcel, poolName)));
@@ -306,7 +311,7 @@
       this.refuse(parcel, 'no_capacity', 'the pool has no ready replica left for this request');
       return true;
     }
-    queue.tray.remove(parcel);
+    queue.tray.grant(parcel, this.ports.clock.now());
     this.forget(queue, parcel);
     void this.send(parcel, placed);
     return true;
@@ -480,16 +485,6 @@
   };
 
   private readonly finished = (poolName: string): void => {
-    const queue = this.queueOf(poolName);
-    queue.finished += 1;
-    const now = this.ports.clock.now();
-    const spanMs = now - queue.ratedAt;
-    if (spanMs >= 1_000) {
-      const rate = queue.finished / spanMs;
-      queue.ratePerMs = queue.ratePerMs === 0 ? rate : queue.ratePerMs * 0.5 + rate * 0.5;
-      queue.finished = 0;
-      queue.ratedAt = now;
-    }
     queueMicrotask(() => this.pump(poolName));
   };
 
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -168,10 +168,20 @@
 
 export type Loads = Record<string, readonly [running: number, pendingTokens: number]>;
 
+export type PoolDemands = Record<string, readonly [waiting: number, running: number]>;
+
+export interface LoadReport {
+  readonly replicas: Loads;
+  readonly pools: PoolDemands;
+}
+
+export type Contention = Record<string, readonly [contenders: number, calmRunning: number]>;
+
 export interface Pong {
   readonly generation: number;
   readonly acceptedSlot: number | null;
   readonly incarnation: string;
   readonly loads: Loads;
+  readonly contention: Contention;
   readonly counters: number;
 }
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, Change, Claimant, ClaimBallot, Listener, Loads, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, Claimant, ClaimBallot, Listener, LoadReport, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, wireRelease } from '@martenworks/mailcoach';
@@ -175,7 +175,7 @@
       if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
       switch (topic) {
         case 'ping':
-          return this.push.pong(coach, body as Loads);
+          return this.push.pong(coach, body as LoadReport);
         case 'beat':
           return true;
         case 'roster':
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -1,4 +1,4 @@
-import type { Clock, KvNews, Loads, Pong, ReplicaRecord } from '@martenworks/envelope';
+import type { Clock, KvNews, LoadReport, Pong, ReplicaRecord } from '@martenworks/envelope';
 import type { Coach } from '@martenworks/mailcoach';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import type { Decrees, Settled } from './decrees.js';
@@ -7,7 +7,7 @@
   sent: number;
   acked: number;
   ackedAt: number;
-  loads: Loads;
+  report: LoadReport;
 }
 
 export interface AckLine {
@@ -30,7 +30,7 @@
   }
 
   readonly subscribe = (coach: Coach, generation: number): void => {
-    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), loads: {} });
+    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), report: { replicas: {}, pools: {} } });
     coach.tell('replicas', this.records());
     for (const shelf of this.shelves()) coach.tell('shelf', shelf);
     this.bringTo(coach);
@@ -66,23 +66,30 @@
     subscriber.ackedAt = this.clock.now();
   };
 
-  readonly pong = (coach: Coach, loads: Loads): Pong => {
+  readonly pong = (coach: Coach, report: LoadReport): Pong => {
     const subscriber = this.subscribers.get(coach);
-    if (subscriber !== undefined) subscriber.loads = loads;
-    const total: Record<string, [number, number]> = {};
-    for (const [other, { loads: theirs }] of this.subscribers) {
+    if (subscriber !== undefined) subscriber.report = report;
+    const loads: Record<string, [number, number]> = {};
+    const contention: Record<string, [number, number]> = {};
+    for (const [other, { report: theirs }] of this.subscribers) {
       if (other === coach) continue;
-      for (const [replica, [running, tokens]] of Object.entries(theirs)) {
-        const held = (total[replica] ??= [0, 0]);
+      for (const [replica, [running, tokens]] of Object.entries(theirs.replicas)) {
+        const held = (loads[replica] ??= [0, 0]);
         held[0] += running;
         held[1] += tokens;
       }
+      for (const [pool, [waiting, running]] of Object.entries(theirs.pools)) {
+        const held = (contention[pool] ??= [0, 0]);
+        if (waiting > 0) held[0] += 1;
+        else held[1] += running;
+      }
     }
     return {
       generation: this.decrees.agreed()?.generation ?? -1,
       acceptedSlot: this.decrees.acceptedSlot(),
       incarnation: this.decrees.incarnation,
-      loads: total,
+      loads,
+      contention,
       counters: this.subscribers.size,
     };
   };
