--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import type { Pool, ReplicaRecord } from '@martenworks/envelope';
 import { prompts } from '@martenworks/envelope';
 import type { Pigeonhole } from './pigeonhole.js';
@@ -32,12 +33,29 @@
 
 const runCostMs = 15;
 const leastPulledBlocks = 2;
+const leastColdBlocks = 8;
+const homeDiscount = 0.5;
 
 interface HolderKept {
   readonly record: ReplicaRecord;
   readonly blockCount: number;
 }
 
+const homeOf = (blocks: readonly string[], candidates: readonly Candidate[]): string | null => {
+  const anchor = blocks[leastColdBlocks - 1];
+  if (anchor === undefined) return null;
+  let home: string | null = null;
+  let highest = '';
+  for (const { record } of candidates) {
+    const score = createHash('sha256').update(anchor).update(record.name).digest('hex');
+    if (score > highest) {
+      highest = score;
+      home = record.name;
+    }
+  }
+  return home;
+};
+
 export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null => {
   const { pool, blocks, now, isolatedTenant } = question;
   const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, now);
@@ -49,6 +67,7 @@
     }
     holders.sort((a, b) => b.blockCount - a.blockCount);
   }
+  const home = question.useIndex && holders.length === 0 ? homeOf(blocks, question.candidates) : null;
   let best: Placement | null = null;
   const offset = question.candidates.length === 0 ? 0 : Math.floor(question.tieBreak * question.candidates.length);
   for (let step = 0; step < question.candidates.length; step += 1) {
@@ -61,11 +80,14 @@
     const isPulled = pulledTokens > 0 && pullGainMs > 0;
     const localTokens = local * prompts.blockTokens;
     const prefilledTokens = Math.max(0, question.promptTokens - localTokens - (isPulled ? pulledTokens : 0));
+    const isMakingLikely = candidate.pendingTokens >= prefilledTokens;
+    const homeGainMs = candidate.record.name === home && local === 0 ? (prefilledTokens / pool.prefillTokensPerMs) * (isMakingLikely ? 1 : homeDiscount) : 0;
     const costMs =
       candidate.pendingTokens / pool.prefillTokensPerMs +
       candidate.running * runCostMs +
       prefilledTokens / pool.prefillTokensPerMs +
-      (isPulled ? pulledTokens / pool.pullTokensPerMs : 0);
+      (isPulled ? pulledTokens / pool.pullTokensPerMs : 0) -
+      homeGainMs;
     if (best === null || costMs < best.costMs) {
       best = { record: candidate.record, holder: isPulled ? (holder?.record ?? null) : null, localTokens, pulledTokens: isPulled ? pulledTokens : 0, prefilledTokens, costMs };
     }
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -99,7 +99,8 @@
   private running = 0;
   private seq = 0;
   private order = 0;
-  private prefillFreeAt = 0;
+  private readonly prefills: Waiting[] = [];
+  private isPrefilling = false;
 
   constructor(
     readonly env: StandInEnv,
@@ -255,6 +256,23 @@
     });
   };
 
+  private readonly prefillTurn = (priority: number): Promise<void> => {
+    if (!this.isPrefilling) {
+      this.isPrefilling = true;
+      return Promise.resolve();
+    }
+    return new Promise((wake) => {
+      this.prefills.push({ priority, order: (this.order += 1), wake });
+      this.prefills.sort((a, b) => a.priority - b.priority || a.order - b.order);
+    });
+  };
+
+  private readonly prefillDone = (): void => {
+    const next = this.prefills.shift();
+    if (next === undefined) this.isPrefilling = false;
+    else next.wake();
+  };
+
   private readonly done = (): void => {
     const next = this.waiting.shift();
     if (next === undefined) this.running -= 1;
@@ -318,15 +336,19 @@
     try {
       const blocks = prompts.blocks(prompt);
       const copy: Copy = { weights: run.weights, scope: run.isIsolated ? run.tenant : null };
-      const local = this.localBlocks(blocks, copy);
-      const pulled = run.cacheFrom === null || run.cacheFrom === this.env.address ? 0 : await this.pull(run, run.cacheFrom, blocks, local);
-      run.localTokens = local * prompts.blockTokens;
-      run.pulledTokens = pulled * prompts.blockTokens;
-      run.prefilledTokens = Math.max(0, prompts.tokens(prompt) - run.localTokens - run.pulledTokens);
-      const startAt = Math.max(this.clock.now(), this.prefillFreeAt);
-      this.prefillFreeAt = startAt + run.prefilledTokens / this.env.prefillTokensPerMs;
-      await pause.for(this.clock, this.prefillFreeAt - this.clock.now());
-      this.store(blocks, copy);
+      const before = this.localBlocks(blocks, copy);
+      const pulled = run.cacheFrom === null || run.cacheFrom === this.env.address ? 0 : await this.pull(run, run.cacheFrom, blocks, before);
+      await this.prefillTurn(run.priority);
+      try {
+        const local = Math.max(before, this.localBlocks(blocks, copy) - pulled);
+        run.localTokens = local * prompts.blockTokens;
+        run.pulledTokens = pulled * prompts.blockTokens;
+        run.prefilledTokens = Math.max(0, prompts.tokens(prompt) - run.localTokens - run.pulledTokens);
+        await pause.for(this.clock, run.prefilledTokens / this.env.prefillTokensPerMs);
+        this.store(blocks, copy);
+      } finally {
+        this.prefillDone();
+      }
       const isChat = run.path.startsWith('/v1/chat');
       for (let at = 0; at < count; at += 1) {
         if (signal.aborted) return;
