Let the error event of a cut stream out before its connection breaks

Cause: the adapter destroys the socket as soon as the body errors, and the last piece is lost with it.

--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -1,7 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import { deny } from '@martenworks/envelope';
+import { deny, pause } from '@martenworks/envelope';
 import type { Deny } from '@martenworks/envelope';
 import { backWire } from '@martenworks/courier';
 import type { CompletionPath, Piece } from '@martenworks/courier';
@@ -9,6 +9,7 @@
 import type { StreamReceipt } from './parcel.js';
 
 const wholeLimit = 8 * 1024 * 1024;
+const flushMs = 25;
 const encoder = new TextEncoder();
 
 const errorBody = (denied: Deny, requestId: string): Record<string, unknown> => ({
@@ -21,13 +22,16 @@
     ...(denied.retryAfterSeconds === null ? {} : { 'retry-after': String(denied.retryAfterSeconds) }),
   });
 
-const streamReply = (receipt: StreamReceipt): Response => {
+const streamReply = (counter: Counter, receipt: StreamReceipt): Response => {
   const cut = (cause: string): Uint8Array => encoder.encode(`event: error\ndata: ${JSON.stringify(errorBody(deny.of('cut_stream', 'unknown', cause), receipt.requestId))}\n\n`);
   let isCut = false;
   const body = new ReadableStream<Uint8Array>(
     {
       pull: async (controller) => {
-        if (isCut) return controller.error(new Error('the stream was cut'));
+        if (isCut) {
+          await pause.for(counter.ports.clock, flushMs);
+          return controller.error(new Error('the stream was cut'));
+        }
         const next = await receipt.pieces.next();
         if (next.done === true) return controller.error(new Error('the stream was cut'));
         const piece: Piece = next.value;
@@ -97,7 +101,7 @@
         signal: c.req.raw.signal,
       });
       if (receipt.kind === 'deny') return denyReply(c, receipt, requestId);
-      return fields['stream'] === true ? streamReply(receipt) : wholeReply(c, path, receipt);
+      return fields['stream'] === true ? streamReply(counter, receipt) : wholeReply(c, path, receipt);
     };
   const limited = bodyLimit({ maxSize: counter.env.bodyLimitBytes, onError: (c) => denyReply(c, deny.of('too_large', 'no', 'the body is over the limit'), requestIdOf(c, counter)) });
   app.post('/v1/completions', limited, completion('/v1/completions'));
--- a/packages/proving/src/sim/judge.ts
+++ b/packages/proving/src/sim/judge.ts
@@ -99,7 +99,10 @@
     let rawText = '';
     const parser = createParser({
       onEvent: (event) => {
-        if (event.event === 'error') isError = true;
+        if (event.event === 'error') {
+          isError = true;
+          call.ran = (JSON.parse(event.data) as { error: { ran: string } }).error.ran;
+        }
         else if (event.data === '[DONE]') isEnded = true;
         else {
           if (call.firstAt === 0) call.firstAt = world.time;
--- a/packages/proving/src/stories/callers.ts
+++ b/packages/proving/src/stories/callers.ts
@@ -101,6 +101,17 @@
     expect(fleet.counters[0]?.stages.live.size).to.equal(0);
   });
 
+  it('given a replica that cuts its stream midway, when the caller reads on, then an error event ends it, and the connection breaks', async () => {
+    const { fleet, judge } = await raised();
+    for (const standIn of fleet.current.values()) standIn.faults.cutAfterPieces = 3;
+    const streamed = judge.send(ask(fleet, 'query', 'north'), 0);
+    const whole = judge.send(ask(fleet, 'query', 'north'), 0, { whole: true });
+    await fleet.world.run(2_000);
+    expect([streamed.verdict, streamed.ran, streamed.text.split(' ').length]).to.deep.equal(['cut', 'unknown', 4]);
+    expect([whole.verdict, whole.status, whole.code, whole.ran]).to.deep.equal(['denied', 502, 'cut_stream', 'unknown']);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+
   it('given the horizon of a request, when no piece came by then, then it is denied at that moment with Retry-After', async () => {
     const { fleet, judge } = await raised({ standIn: { decodeMs: 5_000 } });
     const call = judge.send(ask(fleet, 'confirm', 'north'), 0, { horizonMs: 700 });
