Add the inspector, a query shell, and JSON Patch changes with plans

postrider inspector: nodes, acks, members, replicas, index, queues, budgets, layout, change, why, plan, apply; table and JSON, codes that tell what was reached. A plan names its base and patch in its id and applies on no other base.

--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -126,6 +126,12 @@
       index: counter.book.index.sizes(),
     }),
   );
+  app.post('/why', limited, async (c) => {
+    const asked = (await c.req.json().catch(() => null)) as { lane?: unknown; tenant?: unknown; prompt?: unknown } | null;
+    if (typeof asked?.lane !== 'string' || typeof asked.tenant !== 'string' || typeof asked.prompt !== 'string') return c.json({ detail: 'lane, tenant and prompt must be text' }, 400);
+    const lines = counter.stages.why(asked.lane, asked.tenant, asked.prompt);
+    return lines === null ? c.json({ detail: 'no such lane or tenant' }, 404) : c.json({ counter: counter.env.name, candidates: lines });
+  });
   app.get('/metrics', (c) => {
     const lines = [
       `martenworks_generation ${counter.book.generation()}`,
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -55,6 +55,7 @@
     name: this.env.name,
     role: 'counter',
     address: this.env.coach,
+    http: this.env.http,
     zone: this.env.zone,
     incarnation: this.incarnation,
   });
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -3,13 +3,13 @@
 import { backWire } from '@martenworks/courier';
 import type { Piece } from '@martenworks/courier';
 import type { Env } from '@martenworks/franking';
-import { place } from '@martenworks/pigeonhole';
-import type { Placement } from '@martenworks/pigeonhole';
+import { place, weigh } from '@martenworks/pigeonhole';
+import type { Placement, PlaceQuestion } from '@martenworks/pigeonhole';
 import type { Book } from './book.js';
 import type { Claims, ShelfState } from './claims.js';
 import { ExtraBudget, RateShare } from './budget.js';
 import type { Freshness } from './freshness.js';
-import type { Parcel } from './parcel.js';
+import { Parcel } from './parcel.js';
 import { Stage, Tray } from './pipe.js';
 import type { Tally } from './tally.js';
 import type { Tracks } from './tracks.js';
@@ -20,6 +20,18 @@
 const longestHorizonMs = 600_000;
 const largestRetryAfterSeconds = 30;
 
+export interface WhyLine {
+  readonly replica: string;
+  readonly state: string;
+  readonly quarter: string;
+  readonly keptTokens: number;
+  readonly mayBeNamed: boolean;
+  readonly running: number;
+  readonly holder: string | null;
+  readonly prefillTokens: number | null;
+  readonly costMs: number | null;
+}
+
 interface Waiting {
   readonly tray: Tray<Parcel>;
   readonly byTier: Map<string, number>;
@@ -257,6 +269,11 @@
   };
 
   private readonly placement = (parcel: Parcel): Placement | null => {
+    const question = this.question(parcel);
+    return question === null ? null : place(this.book.index, question);
+  };
+
+  private readonly question = (parcel: Parcel): PlaceQuestion | null => {
     const view = this.book.view();
     const { lane, tenant } = parcel;
     if (view === null || lane === null || tenant === null) return null;
@@ -268,7 +285,7 @@
     const sound = ready.filter((record) => !this.tracks.isSuspect(record.name));
     const headroom = 1 + urgentHeadroom * view.urgencyOf(tenant.tier.rank);
     const free = this.freeOf(sound.length > 0 ? sound : ready, lane.poolName, pool.slots, headroom);
-    return place(this.book.index, {
+    return {
       pool,
       blocks: parcel.blocks,
       promptTokens: parcel.promptTokens,
@@ -279,7 +296,7 @@
       zone: this.env.zone,
       useIndex: this.env.index,
       tieBreak: this.ports.random.fraction(),
-    });
+    };
   };
 
   private readonly freeOf = (records: readonly ReplicaRecord[], poolName: string, poolSlots: number, headroom: number): ReplicaRecord[] => {
@@ -488,6 +505,38 @@
     queueMicrotask(() => this.pump(poolName));
   };
 
+  readonly why = (laneName: string, tenantName: string, prompt: string): WhyLine[] | null => {
+    const view = this.book.view();
+    const lane = view?.lanes.get(laneName);
+    const tenant = view?.tenants.get(tenantName);
+    if (view === null || lane === undefined || tenant === undefined) return null;
+    const order = { requestId: 'why', key: null, path: '/v1/completions' as const, body: {}, horizonMs: null, idempotencyKey: null, signal: new AbortController().signal };
+    const parcel = new Parcel(order, this.ports.clock.now(), () => {});
+    Object.assign(parcel, { tenant, lane, blocks: prompts.blocks(prompt), promptTokens: prompts.tokens(prompt) });
+    const question = this.question(parcel);
+    const weighed = question === null ? [] : weigh(this.book.index, question);
+    const roles = new Map(this.book.quarters.roles().map(({ replica, role }) => [replica, role]));
+    return this.book
+      .records()
+      .filter((record) => record.pool === lane.poolName)
+      .map((record) => {
+        const found = weighed.find((one) => one.record.name === record.name);
+        const kept = this.book.index.kept(record.name, parcel.blocks, scopeOf(parcel), this.ports.clock.now());
+        return {
+          replica: record.name,
+          state: record.state,
+          quarter: roles.get(record.name) ?? 'none',
+          keptTokens: kept.blockCount * prompts.blockTokens,
+          mayBeNamed: question?.holders.some((holder) => holder.name === record.name) === true && kept.isNameable,
+          running: this.tracks.running(record.name),
+          holder: found?.holder?.name ?? null,
+          prefillTokens: found?.prefilledTokens ?? null,
+          costMs: found === undefined ? null : Math.round(found.costMs * 10) / 10,
+        };
+      })
+      .sort((a, b) => (a.costMs ?? Number.POSITIVE_INFINITY) - (b.costMs ?? Number.POSITIVE_INFINITY));
+  };
+
   readonly depths = (): Record<string, { waiting: number; byTier: Record<string, number> }> =>
     Object.fromEntries([...this.queues].map(([poolName, queue]) => [poolName, { waiting: queue.tray.size(), byTier: Object.fromEntries(queue.byTier) }]));
 
--- /dev/null
+++ b/packages/inspector/src/index.ts
@@ -0,0 +1,53 @@
+import { createInterface } from 'node:readline/promises';
+import { parseArgs } from 'node:util';
+import { print } from './print.js';
+import { codes, help, query } from './queries.js';
+import { askOverHttp } from './reader.js';
+
+export * from './queries.js';
+export * from './reader.js';
+export * from './print.js';
+
+const usage = `postrider inspector --at IP:PORT[,IP:PORT...] [--json] [QUERY]
+
+Asks the postmasters at these http addresses, and through them the counters. With a query: answers it and ends, with
+0 all reached, 1 some nodes not reached, 2 wrong words, 3 nothing reached, 4 refused. Without: a shell; leave with quit.
+
+${help}`;
+
+export const runInspector = async (args: string[]): Promise<number> => {
+  let parsed;
+  try {
+    parsed = parseArgs({ args, allowPositionals: true, options: { at: { type: 'string' }, json: { type: 'boolean', default: false }, help: { type: 'boolean', short: 'h' } } });
+  } catch (cause) {
+    process.stderr.write(`${String((cause as Error).message)}\n`);
+    return codes.usage;
+  }
+  const { values, positionals } = parsed;
+  if (values.help === true) {
+    process.stdout.write(usage);
+    return codes.fine;
+  }
+  const addresses = (values.at ?? '').split(',').filter((part) => part !== '');
+  if (addresses.length === 0) {
+    process.stderr.write(usage);
+    return codes.usage;
+  }
+  const answer = async (words: readonly string[]): Promise<number> => {
+    const outcome = await query(askOverHttp, addresses, words);
+    if (outcome.rows.length > 0 || outcome.code === codes.fine) process.stdout.write(values.json ? print.json(outcome.rows) : print.table(outcome.rows));
+    if (outcome.note !== null) process.stderr.write(`${outcome.note}\n`);
+    return outcome.code;
+  };
+  if (positionals.length > 0) return answer(positionals);
+  const lines = createInterface({ input: process.stdin, output: process.stdout, prompt: 'fleet> ' });
+  lines.prompt();
+  for await (const line of lines) {
+    const words = line.trim().split(/\s+/).filter((word) => word !== '');
+    if (words[0] === 'quit' || words[0] === 'exit') break;
+    if (words.length > 0) await answer(words);
+    lines.prompt();
+  }
+  lines.close();
+  return codes.fine;
+};
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -12,6 +12,7 @@
   readonly name: string;
   readonly role: 'counter' | 'postmaster' | 'inspector';
   readonly address: string;
+  readonly http: string;
   readonly zone: string;
   readonly incarnation: string;
 }
--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -56,7 +56,7 @@
   return home;
 };
 
-export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null => {
+export const weigh = (index: Pigeonhole, question: PlaceQuestion): Placement[] => {
   const { pool, blocks, now, isolatedTenant } = question;
   const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, now);
   const holders: HolderKept[] = [];
@@ -68,7 +68,7 @@
     holders.sort((a, b) => b.blockCount - a.blockCount);
   }
   const home = question.useIndex && holders.length === 0 ? homeOf(blocks, question.candidates) : null;
-  let best: Placement | null = null;
+  const weighed: Placement[] = [];
   const offset = question.candidates.length === 0 ? 0 : Math.floor(question.tieBreak * question.candidates.length);
   for (let step = 0; step < question.candidates.length; step += 1) {
     const candidate = question.candidates[(step + offset) % question.candidates.length] as Candidate;
@@ -88,9 +88,10 @@
       prefilledTokens / pool.prefillTokensPerMs +
       (isPulled ? pulledTokens / pool.pullTokensPerMs : 0) -
       homeGainMs;
-    if (best === null || costMs < best.costMs) {
-      best = { record: candidate.record, holder: isPulled ? (holder?.record ?? null) : null, localTokens, pulledTokens: isPulled ? pulledTokens : 0, prefilledTokens, costMs };
-    }
+    weighed.push({ record: candidate.record, holder: isPulled ? (holder?.record ?? null) : null, localTokens, pulledTokens: isPulled ? pulledTokens : 0, prefilledTokens, costMs });
   }
-  return best;
+  return weighed;
 };
+
+export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null =>
+  weigh(index, question).reduce<Placement | null>((best, one) => (best === null || one.costMs < best.costMs ? one : best), null);
--- a/packages/postmaster/src/desk.ts
+++ b/packages/postmaster/src/desk.ts
@@ -3,14 +3,13 @@
 import { digests } from '@martenworks/envelope';
 import type { Agreed, Change, ChangeBody, KeyGrant, Layout, Tenant } from '@martenworks/envelope';
 import { layouts } from '@martenworks/franking';
+import { editLayout } from './plan.js';
+import type { LayoutEdit } from './plan.js';
 import type { Proposer, Applied, ProposeFault } from './proposer.js';
 
 const patienceMs = 3_000;
 
-export type LayoutEdit = { readonly kind: 'whole'; readonly given: unknown } | { readonly kind: 'part'; readonly given: unknown };
-
-const edited = (state: Agreed, edit: LayoutEdit): Result<Layout, ProposeFault> =>
-  layouts.check(edit.kind === 'whole' ? edit.given : layouts.merge(state.layout, edit.given)).mapErr((complaints) => ({ kind: 'rejected', complaints }));
+const edited = (state: Agreed, edit: LayoutEdit): Result<Layout, ProposeFault> => editLayout(state.layout, edit).mapErr((complaints) => ({ kind: 'rejected', complaints }));
 
 const grantFaults = (state: Agreed, tenantName: string, tenant: Tenant | null): Result<void, ProposeFault> => {
   const held = state.layout.tenants[tenantName];
--- a/packages/postmaster/src/operatorWire.ts
+++ b/packages/postmaster/src/operatorWire.ts
@@ -1,5 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
+import { drawPlan, planIds } from './plan.js';
+import type { LayoutEdit } from './plan.js';
 import type { Postmaster } from './postmaster.js';
 import type { Applied, ProposeFault } from './proposer.js';
 import type { Result } from 'neverthrow';
@@ -34,13 +36,19 @@
   return found === null ? null : Number(found[1]);
 };
 
+const editOf = (c: Context, kind: 'whole' | 'part', given: unknown): LayoutEdit =>
+  kind === 'part' && (c.req.header('content-type') ?? '').startsWith('application/json-patch+json') ? { kind: 'ops', given } : { kind, given };
+
 const changed = async (c: Context, postmaster: Postmaster, kind: 'whole' | 'part'): Promise<Response> => {
   const changeId = changeIdOf(c, postmaster);
   const base = baseOf(c);
   if (base === null) return c.json({ outcome: 'rejected', changeId, detail: 'If-Match must state the generation this change is based on' }, 428);
   const body = await bodyOf(c);
   if (!body.isJson) return c.json({ outcome: 'rejected', changeId, detail: 'the body is not JSON' }, 400);
-  return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, { kind, given: body.value }));
+  const edit = editOf(c, kind, body.value);
+  const planId = c.req.header('plan-id');
+  if (planId !== undefined && planId !== planIds.of(base, edit)) return c.json({ outcome: 'conflict', changeId, detail: 'that plan was made for another base or another change' }, 409);
+  return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, edit));
 };
 
 export const operatorWire = (postmaster: Postmaster): Hono => {
@@ -53,6 +61,19 @@
   });
   app.put('/operator/layout', (c) => changed(c, postmaster, 'whole'));
   app.patch('/operator/layout', (c) => changed(c, postmaster, 'part'));
+  app.post('/operator/plans', async (c) => {
+    const body = await bodyOf(c);
+    if (!body.isJson) return c.json({ outcome: 'rejected', detail: 'the body is not JSON' }, 400);
+    const held = await postmaster.confirmed();
+    if (held === null || !held.isConfirmed) return c.json({ detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
+    const base = baseOf(c) ?? held.state.layoutGeneration;
+    if (base !== held.state.layoutGeneration) return c.json({ outcome: 'conflict', layoutGeneration: held.state.layoutGeneration, detail: `the layout is at generation ${held.state.layoutGeneration}` }, 409);
+    const drawn = drawPlan(held.state, editOf(c, 'part', body.value));
+    return drawn.match(
+      (plan) => c.json(plan, 200, { etag: `"${base}"` }),
+      (complaints) => c.json({ outcome: 'rejected', complaints }, 422),
+    );
+  });
   app.get('/operator/changes/:id', async (c) => {
     const id = c.req.param('id');
     const held = await postmaster.confirmed();
@@ -72,7 +93,9 @@
       members: state?.members ?? [],
       voter: postmaster.decrees.isVoter(),
       reachable: postmaster.reachable(),
+      postmasters: postmaster.roster.entries().filter(({ hello }) => hello.role === 'postmaster').map(({ hello, ageMs }) => ({ name: hello.name, http: hello.http, incarnation: hello.incarnation, zone: hello.zone, heardMsAgo: Math.round(ageMs) })),
       counters: postmaster.push.acks(),
+      claims: postmaster.claims.size(),
       replicas: postmaster.table.records(),
       index: postmaster.kv.sizes(),
       ledgerSegments: postmaster.decrees.ledgerSegments(),
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -87,6 +87,7 @@
     name: this.env.name,
     role: 'postmaster',
     address: this.env.coach,
+    http: this.env.http,
     zone: this.env.zone,
     incarnation: this.decrees.incarnation,
   });
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -12,6 +12,7 @@
 
 export interface AckLine {
   readonly counter: string;
+  readonly http: string;
   readonly zone: string;
   readonly generation: number;
   readonly ackAgeMs: number;
@@ -106,6 +107,7 @@
     const now = this.clock.now();
     return [...this.subscribers].map(([coach, one]) => ({
       counter: coach.neighbour?.name ?? '',
+      http: coach.neighbour?.http ?? '',
       zone: coach.neighbour?.zone ?? '',
       generation: one.acked,
       ackAgeMs: Math.round(now - one.ackedAt),
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import { carriages } from '@martenworks/courier';
 import { callerWire, counters } from '@martenworks/counter';
+import { runInspector } from '@martenworks/inspector';
 import { addresses, logs, machine } from '@martenworks/envelope';
 import type { Log, Ports } from '@martenworks/envelope';
 import { envs, layouts } from '@martenworks/franking';
@@ -17,6 +18,7 @@
 
   counter       a front: takes callers' requests, places and relays them
   postmaster    a core node: agrees on the layout, knows the replicas
+  inspector     queries on the fleet's state, one-shot or as a shell
   check FILE    checks an env or layout file offline
   recover       after two lost disks: gives a stopped postmaster's state new members
   help          this page
@@ -158,6 +160,8 @@
     case 'counter':
     case 'postmaster':
       return runRole(role, rest);
+    case 'inspector':
+      return runInspector(rest);
     case 'check':
       return check(rest);
     case 'recover':
