End shots on a replica that is gone or silent; export vitals

Cause: a shot waited on a vanished replica until its horizon, and a running stream until the stall limit, although the platform had told that it was gone; a replica that answers nothing drew new requests for as long as its count stayed low; a counter that vanished without closing its connections kept its load in everyone's sums; a caller that left made a sound replica suspect. The simulator had told a vanished replica's streams as reset; they hang now as they would.

--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -77,7 +77,7 @@
   return given !== undefined && /^[\w.:-]{1,128}$/.test(given) ? given : counter.ports.random.token(12);
 };
 
-export const callerWire = (counter: Counter): Hono => {
+export const callerWire = (counter: Counter, vitals: () => string[] = () => []): Hono => {
   const app = new Hono();
   const completion =
     (path: CompletionPath) =>
@@ -137,6 +137,7 @@
       `martenworks_generation ${counter.book.generation()}`,
       `martenworks_fresh ${counter.freshness.isFresh() ? 1 : 0}`,
       `martenworks_live ${counter.stages.live.size}`,
+      ...vitals(),
       ...counter.tally.lines().map((line) => `martenworks_${line}`),
     ];
     return c.text(`${lines.join('\n')}\n`);
--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -21,6 +21,12 @@
 
 export type Receipt = Deny | StreamReceipt;
 
+export interface ShotOn {
+  readonly replica: string;
+  readonly incarnation: number;
+  readonly lost: () => void;
+}
+
 export class Parcel {
   keyHash = '';
   laneName = '';
@@ -35,6 +41,7 @@
   isAnswered = false;
   isRelaying = false;
   isWhole = false;
+  shotOn: ShotOn | null = null;
   claim: Claim | null = null;
   keptDatas: string[] = [];
   cutCause: string | null = null;
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -10,6 +10,7 @@
 import { ExtraBudget, RateShare } from './budget.js';
 import type { Freshness } from './freshness.js';
 import { Parcel } from './parcel.js';
+import type { ShotOn } from './parcel.js';
 import { Stage, Tray } from './pipe.js';
 import type { Tally } from './tally.js';
 import type { Tracks } from './tracks.js';
@@ -256,7 +257,12 @@
         this.refuse(parcel, 'key_revoked', 'the key was revoked');
         continue;
       }
-      if (parcel.lane === null || parcel.isRelaying || parcel.shots > 0) continue;
+      if (parcel.shotOn !== null) {
+        const record = this.book.record(parcel.shotOn.replica);
+        if (record !== undefined && (record.incarnation > parcel.shotOn.incarnation || record.state === 'gone')) parcel.shotOn.lost();
+        continue;
+      }
+      if (parcel.lane === null || parcel.isRelaying) continue;
       const lane = view.lanes.get(parcel.laneName);
       if (lane === undefined) this.refuse(parcel, 'unknown_lane', 'the lane was taken away');
       else if (lane.poolName !== parcel.lane.poolName) {
@@ -379,19 +385,21 @@
     this.tally.add('prompt_tokens_local', placed.localTokens);
     this.tally.add('prompt_tokens_pulled', placed.pulledTokens);
     this.tally.add('prompt_tokens_prefilled', placed.prefilledTokens);
-    this.tracks.began(replica, placed.prefilledTokens);
+    const mark = this.tracks.began(replica, placed.prefilledTokens, placed.costMs);
     const shotQuit = new AbortController();
     const quit = (): void => shotQuit.abort();
     parcel.quit.signal.addEventListener('abort', quit, { once: true });
     let isFirstPieceIn = false;
     const release = (): void => {
       parcel.quit.signal.removeEventListener('abort', quit);
-      if (!isFirstPieceIn) this.tracks.firstPiece(replica, placed.prefilledTokens);
+      if (!isFirstPieceIn) this.tracks.given(replica, mark, placed.prefilledTokens);
       this.tracks.ended(replica);
       this.finished(lane.poolName);
     };
     const failed = (code: DenyCode, detail: string): void => {
-      this.tracks.firstPiece(replica, placed.prefilledTokens);
+      if (parcel.shotOn !== shotOn) return;
+      parcel.shotOn = null;
+      this.tracks.given(replica, mark, placed.prefilledTokens);
       isFirstPieceIn = true;
       this.tracks.failed(replica);
       release();
@@ -400,6 +408,12 @@
       this.ports.log.warn('a shot failed', { requestId: order.requestId, replica, detail, shot: parcel.shots, mayHaveRun: parcel.mayHaveRun });
       this.again(parcel, code, detail);
     };
+    const shotOn: ShotOn = {
+      replica,
+      incarnation: placed.record.incarnation,
+      lost: () => (parcel.isRelaying ? parcel.cut('the replica is gone') : failed('replica_failed', 'the replica is gone')),
+    };
+    parcel.shotOn = shotOn;
     const wasSent = parcel.mayHaveRun;
     parcel.mayHaveRun = true;
     const receipt = await backWire.send(this.ports.carriage, {
@@ -415,9 +429,12 @@
       signal: shotQuit.signal,
       gate: () => this.isSendable(parcel, replica, weights),
     });
+    if (parcel.shotOn !== shotOn) return;
     if (receipt.isErr()) {
       if (receipt.error.isUnsent) parcel.mayHaveRun = wasSent;
+      if (parcel.endReported) return release();
       if (receipt.error.cause === 'GATED') {
+        parcel.shotOn = null;
         release();
         if (parcel.endReported) return;
         if (!this.freshness.isFresh()) return this.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
@@ -426,6 +443,7 @@
       return failed('replica_failed', receipt.error.cause);
     }
     const first = await receipt.value.next();
+    if (parcel.shotOn !== shotOn) return;
     if (parcel.endReported) {
       release();
       return;
@@ -435,7 +453,7 @@
       const cause = first.value.kind === 'done' ? 'the stream held no piece' : first.value.cause;
       return failed(first.value.kind === 'wrong' ? 'wrong_weights' : 'cut_stream', cause);
     }
-    this.tracks.firstPiece(replica, placed.prefilledTokens);
+    this.tracks.firstPiece(replica, mark, placed.prefilledTokens);
     isFirstPieceIn = true;
     parcel.isRelaying = true;
     this.tally.add(`first_pieces_tier_${tenant.tierName}`);
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -2,6 +2,8 @@
 
 const firstSuspicionMs = 500;
 const longestSuspicionMs = 5_000;
+const silenceMs = 1_500;
+const forecastSlack = 3;
 
 interface Track {
   running: number;
@@ -10,30 +12,42 @@
   othersTokens: number;
   suspectUntil: number;
   suspicionMs: number;
+  readonly unanswered: Map<number, number>;
 }
 
 export class Tracks {
   private readonly held = new Map<string, Track>();
 
+  private marks = 0;
+
   constructor(private readonly clock: Clock) {}
 
   private readonly of = (replica: string): Track => {
     const held = this.held.get(replica);
     if (held !== undefined) return held;
-    const track: Track = { running: 0, pendingTokens: 0, others: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs };
+    const track: Track = { running: 0, pendingTokens: 0, others: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, unanswered: new Map() };
     this.held.set(replica, track);
     return track;
   };
 
-  readonly began = (replica: string, tokens: number): void => {
+  readonly began = (replica: string, tokens: number, forecastMs: number): number => {
     const track = this.of(replica);
     track.running += 1;
     track.pendingTokens += tokens;
+    const mark = (this.marks += 1);
+    track.unanswered.set(mark, this.clock.now() + silenceMs + Math.max(0, forecastMs) * forecastSlack);
+    return mark;
   };
 
-  readonly firstPiece = (replica: string, tokens: number): void => {
+  readonly given = (replica: string, mark: number, tokens: number): void => {
     const track = this.of(replica);
     track.pendingTokens = Math.max(0, track.pendingTokens - tokens);
+    track.unanswered.delete(mark);
+  };
+
+  readonly firstPiece = (replica: string, mark: number, tokens: number): void => {
+    this.given(replica, mark, tokens);
+    const track = this.of(replica);
     track.suspicionMs = firstSuspicionMs;
     track.suspectUntil = 0;
   };
@@ -60,7 +74,16 @@
   readonly running = (replica: string): number => this.of(replica).running + this.of(replica).others;
   readonly own = (replica: string): number => this.of(replica).running;
   readonly pendingTokens = (replica: string): number => this.of(replica).pendingTokens + this.of(replica).othersTokens;
-  readonly isSuspect = (replica: string): boolean => this.of(replica).suspectUntil > this.clock.now();
+  private readonly isSilent = (track: Track): boolean => {
+    const now = this.clock.now();
+    for (const dueAt of track.unanswered.values()) if (now > dueAt) return true;
+    return false;
+  };
+
+  readonly isSuspect = (replica: string): boolean => {
+    const track = this.of(replica);
+    return track.suspectUntil > this.clock.now() || this.isSilent(track);
+  };
 
   readonly report = (): Loads =>
     Object.fromEntries([...this.held].filter(([, track]) => track.running > 0).map(([replica, track]) => [replica, [track.running, Math.round(track.pendingTokens)] as const]));
--- a/packages/postmaster/src/operatorWire.ts
+++ b/packages/postmaster/src/operatorWire.ts
@@ -51,7 +51,7 @@
   return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, edit));
 };
 
-export const operatorWire = (postmaster: Postmaster): Hono => {
+export const operatorWire = (postmaster: Postmaster, vitals: () => string[] = () => []): Hono => {
   const app = new Hono();
   app.get('/operator/layout', async (c) => {
     const held = await postmaster.confirmed();
@@ -110,6 +110,7 @@
       `martenworks_members_reachable ${postmaster.reachable()}`,
       `martenworks_subscribed_counters ${postmaster.push.acks().length}`,
       `martenworks_ledger_segments ${postmaster.decrees.ledgerSegments()}`,
+      ...vitals(),
       ...postmaster.push.acks().map((ack) => `martenworks_acked_generation{counter="${ack.counter}"} ${ack.generation}`),
     ];
     return c.text(`${lines.join('\n')}\n`);
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -113,6 +113,7 @@
   };
 
   private readonly mind = async (): Promise<void> => {
+    this.push.dropSilent();
     await this.catchUp();
     await this.membership.step();
   };
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -3,10 +3,14 @@
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import type { Decrees, Settled } from './decrees.js';
 
+const reportAgeMs = 2_000;
+const silentMs = 6_000;
+
 interface Subscriber {
   sent: number;
   acked: number;
   ackedAt: number;
+  heardAt: number;
   report: LoadReport;
 }
 
@@ -31,7 +35,7 @@
   }
 
   readonly subscribe = (coach: Coach, generation: number): void => {
-    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), report: { replicas: {}, pools: {} } });
+    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), heardAt: this.clock.now(), report: { replicas: {}, pools: {} } });
     coach.tell('replicas', this.records());
     for (const shelf of this.shelves()) coach.tell('shelf', shelf);
     this.bringTo(coach);
@@ -69,11 +73,12 @@
 
   readonly pong = (coach: Coach, report: LoadReport): Pong => {
     const subscriber = this.subscribers.get(coach);
-    if (subscriber !== undefined) subscriber.report = report;
+    const now = this.clock.now();
+    if (subscriber !== undefined) Object.assign(subscriber, { report, heardAt: now });
     const loads: Record<string, [number, number]> = {};
     const contention: Record<string, [number, number]> = {};
-    for (const [other, { report: theirs }] of this.subscribers) {
-      if (other === coach) continue;
+    for (const [other, { report: theirs, heardAt }] of this.subscribers) {
+      if (other === coach || now - heardAt > reportAgeMs) continue;
       for (const [replica, [running, tokens]] of Object.entries(theirs.replicas)) {
         const held = (loads[replica] ??= [0, 0]);
         held[0] += running;
@@ -103,6 +108,11 @@
     for (const coach of this.subscribers.keys()) coach.tell('kv', news);
   };
 
+  readonly dropSilent = (): void => {
+    const now = this.clock.now();
+    for (const [coach, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) coach.close();
+  };
+
   readonly acks = (): AckLine[] => {
     const now = this.clock.now();
     return [...this.subscribers].map(([coach, one]) => ({
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -9,6 +9,7 @@
 import { operatorWire, platformWire, postmasters, recovery } from '@martenworks/postmaster';
 import { realDoor } from './door.js';
 import { flags, readJson } from './flags.js';
+import { watchVitals } from './vitals.js';
 
 const exitCodes = { fine: 0, failed: 1, badEnv: 2, broken: 70 } as const;
 
@@ -56,7 +57,7 @@
     return exitCodes.failed;
   }
   const postmaster = started.value;
-  const app = operatorWire(postmaster).route('/', platformWire(postmaster));
+  const app = operatorWire(postmaster, watchVitals()).route('/', platformWire(postmaster));
   const door = await realDoor.open(env.http, app.fetch);
   if (door.isErr()) {
     log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
@@ -76,7 +77,7 @@
     return exitCodes.failed;
   }
   const counter = started.value;
-  const door = await realDoor.open(env.http, callerWire(counter).fetch);
+  const door = await realDoor.open(env.http, callerWire(counter, watchVitals()).fetch);
   if (door.isErr()) {
     log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
     return exitCodes.failed;
--- a/packages/proving/src/fleetCommand.ts
+++ b/packages/proving/src/fleetCommand.ts
@@ -13,6 +13,7 @@
     seed: { type: 'string', default: '1' },
     long: { type: 'string', default: '0.06' },
     index: { type: 'string', default: 'on' },
+    profile: { type: 'string' },
     help: { type: 'boolean', short: 'h' },
   },
 });
@@ -27,6 +28,7 @@
   --rate N                  requests a second (the firm's)
   --seed N                  seed of the load (1)
   --long SHARE              share of long prompts (0.06)
+  --profile NAME            a CPU profile of that node, such as counter-1, into the folder
   --index on|off            whether counters use the index of kept prompts (on)
 `);
   process.exit(0);
@@ -37,7 +39,7 @@
   process.stderr.write(`no such firm: ${values.firm}\n`);
   process.exit(2);
 }
-const fleet = new LocalFleet(firm, values.folder, Number(values.net), 9, ['--index', values.index]);
+const fleet = new LocalFleet(firm, values.folder, Number(values.net), 9, ['--index', values.index], values.profile ?? null);
 const quit = async (code: number): Promise<never> => {
   await fleet.down();
   process.exit(code);
@@ -57,5 +59,7 @@
 if (seconds > 0) {
   const outcomes = await load({ hosts: fleet.counterHosts, ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate), seconds, seed: Number(values.seed), weights: () => ['weights-1'], longShare: Number(values.long) });
   process.stdout.write(`${JSON.stringify(summaries.verdicts(outcomes))}\n${summaries.lines(outcomes).join('\n')}\nstand-ins: ${JSON.stringify(await fleet.totals())}\n`);
+  process.stdout.write(`${(await fleet.vitals()).join('\n')}\n`);
+  if (values.profile !== undefined) await fleet.signal(values.profile, 'SIGTERM');
   await quit(0);
 }
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -33,6 +33,7 @@
     readonly net: number,
     readonly frontCount = 9,
     readonly extraFlags: readonly string[] = [],
+    private readonly profiled: string | null = null,
   ) {
     const host = (group: number, at: number): string => `127.${net}.${group}.${at}`;
     this.postmasterHosts = [1, 2, 3].map((at) => host(0, at));
@@ -41,10 +42,12 @@
     this.appHost = host(3, 1);
   }
 
+  private readonly nodeFlags = (name: string): string[] => (name === this.profiled ? ['--cpu-prof', `--cpu-prof-dir=${this.folder}`] : []);
+
   private readonly start = (name: string, args: string[], script = program): ChildProcess => {
     mkdirSync(this.folder, { recursive: true });
     const log = createWriteStream(join(this.folder, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe', 'ipc'] });
+    const child = spawn(process.execPath, [...this.nodeFlags(name), script, ...args], { stdio: ['ignore', 'pipe', 'pipe', 'ipc'] });
     child.stdout?.pipe(log, { end: false });
     child.stderr?.pipe(log, { end: false });
     this.children.set(name, child);
@@ -161,6 +164,16 @@
     return sums;
   };
 
+  readonly vitals = async (): Promise<string[]> => {
+    const rows: string[] = [];
+    for (const host of [...this.postmasterHosts, ...this.counterHosts]) {
+      const text = String((await this.call(`${host}:7101`, 'GET', '/metrics')).body['text']);
+      const read = (name: string): string => new RegExp(`^martenworks_${name} (.*)$`, 'm').exec(text)?.[1] ?? '-';
+      rows.push(`${host.padEnd(14)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`);
+    }
+    return rows;
+  };
+
   readonly down = async (): Promise<void> => {
     await Promise.all([...this.children.keys()].map((name) => this.signal(name, 'SIGKILL')));
   };
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -112,6 +112,11 @@
   readonly latency = (from: string, to: string): number => (from === to ? 0.05 : 0.2 + this.random() * 0.8) + (this.slowLinks.get(`${from}>${to}`) ?? 0);
 }
 
+interface Mood {
+  isSilent: boolean;
+  readonly givenUp: AbortController;
+}
+
 interface Pipe {
   readonly from: SimMachine;
   readonly to: SimMachine;
@@ -323,12 +328,15 @@
         const finish = (outcome: Parameters<typeof settle>[0]): void => {
           if (isDone) return;
           isDone = true;
+          if (outcome.isErr()) request.signal.removeEventListener('abort', givenUp);
           settle(outcome);
         };
         const fail = (code: string, isUnsent: boolean): void => finish(err({ kind: 'net', code, isUnsent } satisfies NetFault));
         const quit = new AbortController();
+        const mood: Mood = { isSilent: false, givenUp: new AbortController() };
         const givenUp = (): void => {
           quit.abort();
+          mood.givenUp.abort();
           fail('ABORTED', false);
         };
         if (request.signal.aborted) return fail('ABORTED', true);
@@ -353,6 +361,7 @@
             fail('ECONNRESET', false);
           };
           const targetGone = (isReset: boolean): void => {
+            mood.isSilent = !isReset;
             quit.abort();
             if (isReset) world.plan(this, world.latency(target.host, this.host), lost);
           };
@@ -362,6 +371,7 @@
           const ended = (): void => {
             target.shutters.delete(targetGone);
             this.shutters.delete(ownGone);
+            request.signal.removeEventListener('abort', givenUp);
           };
           world.plan(target, world.latency(this.host, target.host), () => {
             const handler = target.doors.get(host);
@@ -380,7 +390,7 @@
                 const receipt: CarriageReceipt = {
                   status: response.status,
                   header: (name) => response.headers.get(name),
-                  body: this.bodyOf(response, target, targetLife, quit, ended),
+                  body: this.bodyOf(response, target, targetLife, quit, mood, ended),
                 };
                 finish(ok(receipt));
               };
@@ -395,7 +405,7 @@
       }),
   });
 
-  private readonly bodyOf = async function* (this: SimMachine, response: Response, target: SimMachine, targetLife: number, quit: AbortController, ended: () => void): AsyncGenerator<Uint8Array> {
+  private readonly bodyOf = async function* (this: SimMachine, response: Response, target: SimMachine, targetLife: number, quit: AbortController, mood: Mood, ended: () => void): AsyncGenerator<Uint8Array> {
     const { world } = this;
     const reader = response.body?.getReader();
     if (reader === undefined) return ended();
@@ -415,6 +425,7 @@
         const read = reader.read();
         read.catch(() => {});
         const next = quit.signal.aborted ? 'broken' : await Promise.race([read, broken]);
+        if (mood.isSilent) await new Promise<void>((wake) => (mood.givenUp.signal.aborted ? wake() : mood.givenUp.signal.addEventListener('abort', () => wake(), { once: true })));
         if (next === 'broken' || target.life !== targetLife) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
         if (!(await crossing())) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
         if (next.done) {
--- /dev/null
+++ b/packages/proving/src/stories/gray.ts
@@ -0,0 +1,43 @@
+import { expect } from 'chai';
+import { kinds, plans } from '../firms.js';
+import { Judge } from '../sim/judge.js';
+import { SimFleet } from '../sim/simFleet.js';
+
+describe('replicas in trouble', () => {
+  it('given a replica that takes requests and answers nothing, when the other is sound, then counters soon send it no more, and use it again afterwards', async () => {
+    const fleet = new SimFleet({ seed: 21, fronts: 4, replicas: 2, layout: { ...plans.layout('weights-1'), tenants: Object.fromEntries(plans.tenantNames.map((name) => [name, { tier: 'prompt', lanes: [...kinds] }])), pools: { main: { weights: 'weights-1', slots: 64 }, app: { weights: 'app-1', slots: 64 } } } });
+    await fleet.up();
+    const judge = new Judge(fleet);
+    judge.traffic(120, 20_000, 0);
+    await fleet.world.run(4_000);
+    const machine = fleet.world.machine(fleet.hostOfReplica('replica-1'));
+    machine.freeze();
+    const frozenAt = fleet.world.time;
+    await fleet.world.run(8_000);
+    machine.thaw();
+    const thawedAt = fleet.world.time;
+    await fleet.world.run(30_000);
+    const held = judge.calls.filter((call) => call.sentAt > frozenAt && call.sentAt < thawedAt - 1_000 && call.endedAt > thawedAt);
+    expect(held.filter((call) => call.sentAt < frozenAt + 2_500).length).to.be.greaterThan(0);
+    expect(held.filter((call) => call.sentAt > frozenAt + 2_500).length).to.equal(0);
+    expect(judge.runs().some((run) => run.replica === 'replica-1' && run.startedAt > thawedAt + 2_000)).to.equal(true);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+
+  it('given shots that wait on a replica which vanished, when the platform tells that it is gone, then they end or are tried elsewhere at once', async () => {
+    const fleet = new SimFleet({ seed: 22, fronts: 2, replicas: 3, standIn: { decodeMs: 400 } });
+    await fleet.up();
+    const judge = new Judge(fleet);
+    judge.traffic(30, 1_500, 0);
+    await fleet.world.run(1_600);
+    for (const name of ['replica-1', 'replica-2', 'replica-3']) fleet.world.machine(fleet.hostOfReplica(name)).vanish();
+    await fleet.world.run(500);
+    for (const name of ['replica-1', 'replica-2', 'replica-3']) await fleet.finish(fleet.onPostmaster(0, 'DELETE', `/platform/replicas/${name}`));
+    const toldAt = fleet.world.time;
+    await fleet.world.run(20_000);
+    const open = judge.calls.filter((call) => call.ask.kind !== 'book' && call.endedAt > toldAt - 400);
+    expect(open.length).to.be.greaterThan(3);
+    for (const call of open) expect(call.endedAt - toldAt, `${call.requestId} ${call.verdict} ${call.code}`).to.be.lessThan(500);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+});
