--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -1,4 +1,5 @@
 import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { Heap } from 'heap-js';
 import type { Carriage, CarriageReceipt, Clock, Door, Log, Net, NetFault, Ports, Random, WebHandler, Wire } from '@martenworks/envelope';
 import { logs } from '@martenworks/envelope';
@@ -325,7 +326,7 @@
         const target = world.machine(hostOf(host));
         const targetLife = target.life;
         let isDone = false;
-        const finish = (outcome: Parameters<typeof settle>[0]): void => {
+        const finish = (outcome: Result<CarriageReceipt, NetFault>): void => {
           if (isDone) return;
           isDone = true;
           if (outcome.isErr()) request.signal.removeEventListener('abort', givenUp);
