Learn slow pulls, follow a cache store, notice unannounced restarts

Cause: the pull's price was the layout's figure alone, so a slow link was paid again and again; a keeper that restarted under the same incarnation left its old entries in the index. Now the excess over the forecast is learned by holder and by link and forgotten with time, and a hello with a lower number clears the shelf.

--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -13,10 +13,12 @@
 import type { ShotOn } from './parcel.js';
 import { Stage, Tray } from './pipe.js';
 import type { Tally } from './tally.js';
+import { PullTracks } from './tracks.js';
 import type { Tracks } from './tracks.js';
 
 const forecastSafety = 0.5;
 const urgentHeadroom = 0.5;
+const pullSlackMs = 100;
 const defaultHorizonMs = 30_000;
 const longestHorizonMs = 600_000;
 const largestRetryAfterSeconds = 30;
@@ -45,6 +47,7 @@
   private readonly queues = new Map<string, Waiting>();
   private readonly budgets = new Map<string, ExtraBudget>();
   private readonly rates = new Map<number, RateShare>();
+  private readonly pulls: PullTracks;
   private readonly admitStage: Stage<Parcel>;
   private readonly matchStage: Stage<Parcel>;
   isDraining = false;
@@ -59,6 +62,7 @@
     private readonly tally: Tally,
     private readonly claims: Claims,
   ) {
+    this.pulls = new PullTracks(ports.clock);
     const arrival = (parcel: Parcel): number => parcel.arrivedAt;
     const crowded = (parcel: Parcel): void => this.refuse(parcel, 'no_capacity', 'the stage is full');
     this.admitStage = new Stage(env.queueLimit, arrival, this.admit, crowded);
@@ -302,6 +306,7 @@
       zone: this.env.zone,
       useIndex: this.env.index,
       tieBreak: this.ports.random.fraction(),
+      pullExcessMs: this.pulls.excessMs,
     };
   };
 
@@ -408,6 +413,7 @@
       this.ports.log.warn('a shot failed', { requestId: order.requestId, replica, detail, shot: parcel.shots, mayHaveRun: parcel.mayHaveRun });
       this.again(parcel, code, detail);
     };
+    const sentAt = this.ports.clock.now();
     const shotOn: ShotOn = {
       replica,
       incarnation: placed.record.incarnation,
@@ -458,6 +464,7 @@
     parcel.isRelaying = true;
     this.tally.add(`first_pieces_tier_${tenant.tierName}`);
     const firstAt = this.ports.clock.now();
+    if (placed.holder !== null) this.pulls.seen(placed.holder.name, replica, firstAt - sentAt - placed.costMs - pullSlackMs);
     parcel.whenEnded(() =>
       this.ports.log.info('request', {
         requestId: order.requestId,
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -15,6 +15,34 @@
   readonly unanswered: Map<number, number>;
 }
 
+const pullForgetMs = 20_000;
+const pullBlend = 0.5;
+
+interface Pull {
+  excessMs: number;
+  seenAt: number;
+}
+
+export class PullTracks {
+  private readonly held = new Map<string, Pull>();
+
+  constructor(private readonly clock: Clock) {}
+
+  readonly seen = (holder: string, receiver: string, excessMs: number): void => {
+    for (const link of [holder, `${holder}>${receiver}`]) {
+      const before = this.excess(link);
+      this.held.set(link, { excessMs: before + (Math.max(0, excessMs) - before) * pullBlend, seenAt: this.clock.now() });
+    }
+  };
+
+  private readonly excess = (link: string): number => {
+    const pull = this.held.get(link);
+    return pull === undefined ? 0 : pull.excessMs * 0.5 ** ((this.clock.now() - pull.seenAt) / pullForgetMs);
+  };
+
+  readonly excessMs = (holder: string, receiver: string): number => Math.max(this.excess(`${holder}>${receiver}`), this.excess(holder) / 2);
+}
+
 export class Tracks {
   private readonly held = new Map<string, Track>();
 
--- a/packages/courier/src/kvFollow.ts
+++ b/packages/courier/src/kvFollow.ts
@@ -2,7 +2,7 @@
 import type { Carriage, Clock, KvNews, Log, Random } from '@martenworks/envelope';
 import { backWire } from './backWire.js';
 
-const newsKinds = new Set(['stored', 'removed', 'cleared']);
+const newsKinds = new Set(['hello', 'stored', 'removed', 'cleared']);
 
 const newsOf = (replica: string, data: string): KvNews | null => {
   let told: Record<string, unknown>;
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -82,7 +82,7 @@
   readonly replica: string;
   readonly incarnation: number;
   readonly seq: number;
-  readonly kind: 'stored' | 'removed' | 'cleared';
+  readonly kind: 'hello' | 'stored' | 'removed' | 'cleared';
   readonly tenant: string | null | undefined;
   readonly blocks: readonly string[];
 }
--- a/packages/pigeonhole/src/pigeonhole.ts
+++ b/packages/pigeonhole/src/pigeonhole.ts
@@ -65,7 +65,15 @@
 
   readonly take = (news: KvNews, now: number): void => {
     const shelf = this.shelves.get(news.replica);
-    if (shelf === undefined || news.incarnation !== shelf.incarnation || news.seq <= shelf.seq) return;
+    if (shelf === undefined || news.incarnation !== shelf.incarnation) return;
+    if (news.kind === 'hello') {
+      if (news.seq >= shelf.seq) return;
+      shelf.blocks.clear();
+      shelf.seq = 0;
+      shelf.isWhole = false;
+      return;
+    }
+    if (news.seq <= shelf.seq) return;
     if (news.seq !== shelf.seq + 1) {
       shelf.blocks.clear();
       shelf.isWhole = false;
--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -20,6 +20,7 @@
   readonly zone: string;
   readonly useIndex: boolean;
   readonly tieBreak: number;
+  readonly pullExcessMs: (holder: string, receiver: string) => number;
 }
 
 export interface Placement {
@@ -56,6 +57,27 @@
   return home;
 };
 
+interface Pull {
+  readonly record: ReplicaRecord;
+  readonly tokens: number;
+  readonly costMs: number;
+}
+
+const bestPull = ({ pool, pullExcessMs }: PlaceQuestion, holders: readonly HolderKept[], receiver: string, local: number): Pull | null => {
+  let best: Pull | null = null;
+  let bestGainMs = 0;
+  for (const { record, blockCount } of holders) {
+    if (record.name === receiver || blockCount - local < leastPulledBlocks) continue;
+    const tokens = (blockCount - local) * prompts.blockTokens;
+    const costMs = tokens / pool.pullTokensPerMs + pullExcessMs(record.name, receiver);
+    const gainMs = tokens / pool.prefillTokensPerMs - costMs;
+    if (gainMs <= bestGainMs) continue;
+    best = { record, tokens, costMs };
+    bestGainMs = gainMs;
+  }
+  return best;
+};
+
 export const weigh = (index: Pigeonhole, question: PlaceQuestion): Placement[] => {
   const { pool, blocks, now, isolatedTenant } = question;
   const keptBy = (record: ReplicaRecord) => index.kept(record.name, blocks, isolatedTenant, now);
@@ -65,7 +87,6 @@
       const kept = keptBy(record);
       if (kept.isNameable) holders.push({ record, blockCount: kept.blockCount });
     }
-    holders.sort((a, b) => b.blockCount - a.blockCount);
   }
   const home = question.useIndex && holders.length === 0 ? homeOf(blocks, question.candidates) : null;
   const weighed: Placement[] = [];
@@ -73,22 +94,20 @@
   for (let step = 0; step < question.candidates.length; step += 1) {
     const candidate = question.candidates[(step + offset) % question.candidates.length] as Candidate;
     const local = question.useIndex ? keptBy(candidate.record).blockCount : 0;
-    const holder = holders.find((one) => one.record.name !== candidate.record.name);
-    const pulledBlocks = holder === undefined ? 0 : holder.blockCount - local;
-    const pulledTokens = pulledBlocks >= leastPulledBlocks ? pulledBlocks * prompts.blockTokens : 0;
-    const pullGainMs = pulledTokens / pool.prefillTokensPerMs - pulledTokens / pool.pullTokensPerMs;
-    const isPulled = pulledTokens > 0 && pullGainMs > 0;
+    const pull = bestPull(question, holders, candidate.record.name, local);
+    const holder = pull?.record ?? null;
+    const pulledTokens = pull?.tokens ?? 0;
     const localTokens = local * prompts.blockTokens;
-    const prefilledTokens = Math.max(0, question.promptTokens - localTokens - (isPulled ? pulledTokens : 0));
+    const prefilledTokens = Math.max(0, question.promptTokens - localTokens - pulledTokens);
     const isMakingLikely = candidate.pendingTokens >= prefilledTokens;
     const homeGainMs = candidate.record.name === home && local === 0 ? (prefilledTokens / pool.prefillTokensPerMs) * (isMakingLikely ? 1 : homeDiscount) : 0;
     const costMs =
       candidate.pendingTokens / pool.prefillTokensPerMs +
       candidate.running * runCostMs +
       prefilledTokens / pool.prefillTokensPerMs +
-      (isPulled ? pulledTokens / pool.pullTokensPerMs : 0) -
+      (pull?.costMs ?? 0) -
       homeGainMs;
-    weighed.push({ record: candidate.record, holder: isPulled ? (holder?.record ?? null) : null, localTokens, pulledTokens: isPulled ? pulledTokens : 0, prefilledTokens, costMs });
+    weighed.push({ record: candidate.record, holder, localTokens, pulledTokens, prefilledTokens, costMs });
   }
   return weighed;
 };
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -78,7 +78,7 @@
     prefillTokensPerMs: 8,
     pullTokensPerMs: 80,
     decodeMs: 5,
-    isStore: false,
+    store: null,
   });
 
   readonly startStandIns = async (): Promise<void> => {
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -90,7 +90,7 @@
     machine.openDoor(`${host}:7101`, callerWire(started.value).fetch);
   };
 
-  readonly startStandIn = (name: string, host: string): void => {
+  readonly startStandIn = (name: string, host: string, more: Partial<StandInEnv> = {}): void => {
     const machine = this.world.machine(host);
     const incarnation = (this.incarnations.get(name) ?? 0) + 1;
     this.incarnations.set(name, incarnation);
@@ -104,8 +104,9 @@
         prefillTokensPerMs: 8,
         pullTokensPerMs: 80,
         decodeMs: 5,
-        isStore: false,
+        store: null,
         ...this.plan.standIn,
+        ...more,
       },
       machine.clock(),
       machine.carriage(),
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -12,7 +12,7 @@
   readonly prefillTokensPerMs: number;
   readonly pullTokensPerMs: number;
   readonly decodeMs: number;
-  readonly isStore: boolean;
+  readonly store: string | null;
 }
 
 export interface Faults {
@@ -110,6 +110,11 @@
     this.app.post('/v1/completions', (c) => this.complete(c.req.raw, '/v1/completions'));
     this.app.post('/v1/chat/completions', (c) => this.complete(c.req.raw, '/v1/chat/completions'));
     this.app.get('/kv-events', (c) => this.newsStream(Number(c.req.query('after') ?? '0'), c.req.raw.signal));
+    this.app.post('/kv-keep', async (c) => {
+      const { blocks, copy } = (await c.req.json()) as { blocks: string[]; copy: Copy };
+      this.store(blocks, copy);
+      return c.json({ kept: blocks.length });
+    });
     this.app.post('/kv-parts', async (c) => c.json(this.keptParts(((await c.req.json()) as { blocks: string[] }).blocks)));
     this.app.get('/standin/report', (c) => c.json({ runs: this.runs, breaches: this.breaches }));
     this.app.get('/standin/totals', (c) => c.json(this.totals()));
@@ -165,7 +170,8 @@
             leave();
           }
         };
-        controller.enqueue(encoder.encode(': kv-events\n\n'));
+        const hello = { incarnation: this.env.incarnation, seq: this.seq, kind: 'hello' };
+        controller.enqueue(encoder.encode(`data: ${JSON.stringify(hello)}\n\n`));
         for (const line of this.newsLines) if (line.seq > after) listener(line);
         this.listeners.add(listener);
         signal.addEventListener('abort', leave, { once: true });
@@ -215,6 +221,17 @@
     if (evicted.length > 0) this.tell('removed', null, evicted);
   };
 
+  private readonly offload = async (store: string, blocks: readonly string[], copy: Copy): Promise<void> => {
+    await this.carriage.carry({
+      method: 'POST',
+      url: `http://${store}/kv-keep`,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ blocks, copy }),
+      signal: new AbortController().signal,
+      gate: () => true,
+    });
+  };
+
   private readonly pull = async (run: Run, holder: string, blocks: readonly string[], have: number): Promise<number> => {
     const quit = new AbortController();
     this.clock.after(2_000, () => quit.abort());
@@ -346,6 +363,7 @@
         run.prefilledTokens = Math.max(0, prompts.tokens(prompt) - run.localTokens - run.pulledTokens);
         await pause.for(this.clock, run.prefilledTokens / this.env.prefillTokensPerMs);
         this.store(blocks, copy);
+        if (this.env.store !== null) void this.offload(this.env.store, blocks, copy);
       } finally {
         this.prefillDone();
       }
