--- a/packages/inspector/src/queries.ts
+++ b/packages/inspector/src/queries.ts
@@ -47,7 +47,11 @@
 
 const members = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['members']).map((member) => ({ seenBy: name, ...member })));
 
-const views: Record<string, (seen: Seen) => Row[]> = { nodes, acks, replicas, index, queues, budgets, members };
+const leases = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['leases']).map((lease) => ({ duty: lease['duty'], holder: name, fence: lease['fence'], leftMs: lease['leftMs'] })));
+
+const watchers = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['watch']).map((line) => ({ toldBy: name, node: line['node'], suspectedBy: list(line['suspectedBy']).join(' '), down: line['isDown'] })));
+
+const views: Record<string, (seen: Seen) => Row[]> = { nodes, acks, replicas, index, queues, budgets, members, leases, watchers };
 
 export const help = `queries:
   nodes                        every node: role, zone, state, generation
@@ -55,6 +59,8 @@
   members                      who votes, as each postmaster holds it
   replicas                     every replica: state, incarnation, running, suspicion
   index                        what is known to be kept, by replica
+  leases                       who does which duty, under which number
+  watchers                     whom watchers miss
   queues | budgets             waiting requests by pool and tier | extra shots left
   layout                       the layout in force
   change ID                    what became of a change
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -18,6 +18,7 @@
   readonly layout?: Record<string, unknown>;
   readonly standIn?: Partial<StandInEnv>;
   readonly counterEnv?: Record<string, unknown>;
+  readonly postmasterEnv?: Record<string, unknown>;
   readonly onCounter?: (counter: Counter) => void;
   readonly onPostmaster?: (postmaster: Postmaster) => void;
   readonly portsFor?: (role: Role, ports: Ports) => Ports;
@@ -72,7 +73,7 @@
   readonly startPostmaster = async (at: number): Promise<void> => {
     const host = this.postmasterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim' }), this.portsOf('postmaster', machine));
+    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim', ...this.plan.postmasterEnv }), this.portsOf('postmaster', machine));
     if (started.isErr()) throw new Error(`postmaster ${at}: ${JSON.stringify(started.error)}`);
     this.postmasters[at] = started.value;
     this.plan.onPostmaster?.(started.value);
@@ -211,6 +212,20 @@
     await this.startCounter(at);
   };
 
+  readonly rollCounter = async (at: number): Promise<void> => {
+    const counter = this.counters[at];
+    await counter?.drain();
+    await counter?.stop();
+    this.killCounter(at);
+    await this.bootCounter(at);
+  };
+
+  readonly rollPostmaster = async (at: number): Promise<void> => {
+    await this.postmasters[at]?.stop();
+    this.killPostmaster(at);
+    await this.bootPostmaster(at);
+  };
+
   readonly killReplica = (name: string): void => {
     this.world.machine(this.hostOfReplica(name)).kill();
     this.current.delete(name);
--- /dev/null
+++ b/packages/proving/src/stories/upkeep.ts
@@ -0,0 +1,121 @@
+import { expect } from 'chai';
+import { decreeBooks } from '@martenworks/postmaster';
+import { wireRelease } from '@martenworks/mailcoach';
+import { keyOf, plans } from '../firms.js';
+import { Judge } from '../sim/judge.js';
+import { SimFleet } from '../sim/simFleet.js';
+import type { SimDisk } from '../sim/simDisk.js';
+
+const sizeOf = (disk: SimDisk): number => [...disk.files.values()].reduce((sum, held) => sum + held.safe.length, 0);
+
+const raised = async (seed: number, more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<SimFleet> => {
+  const fleet = new SimFleet({ seed, fronts: 3, replicas: 4, ...more });
+  await fleet.up();
+  return fleet;
+};
+
+describe('roll-outs', () => {
+  it('given load, when every postmaster and counter is restarted in turn, then no accepted change and no begun answer is lost', async () => {
+    const fleet = await raised(61);
+    const judge = new Judge(fleet);
+    judge.traffic(40, 45_000);
+    for (let round = 0; round < 3; round += 1) {
+      const base = Number((await fleet.finish(fleet.onPostmaster(round, 'GET', '/operator/layout'))).body['generation']);
+      const put = await fleet.finish(fleet.onPostmaster(round, 'PATCH', '/operator/layout', { tiers: { steady: { rank: 1, horizonMs: 20_000 + round } } }, { 'if-match': `"${base}"`, 'change-id': `roll-${round}` }));
+      expect(put.status).to.equal(200);
+      judge.acceptedIds.set(`roll-${round}`, Number(put.body['generation']));
+      await fleet.finish(fleet.rollPostmaster(round));
+      await fleet.world.until('the postmaster is back', () => fleet.postmasters[round]?.isReady() === true);
+      await fleet.finish(fleet.rollCounter(round), 60_000);
+      await fleet.world.until('the counter is back', () => fleet.counters[round]?.freshness.isFresh() === true);
+    }
+    await fleet.world.run(60_000);
+    const tally = judge.tally();
+    expect(tally['cut'] ?? 0, JSON.stringify(tally)).to.equal(0);
+    for (const call of judge.calls) {
+      if (call.verdict === 'lost') expect(call.code).to.equal('ECONNREFUSED');
+      if (call.verdict === 'denied') expect([call.code, call.ran, call.retryAfter === null]).to.deep.equal([call.code === 'draining' ? 'draining' : 'not_fresh', 'no', false]);
+    }
+    expect(tally['whole'] ?? 0).to.be.greaterThan(judge.calls.length * 0.9);
+    expect([...judge.complaints(), ...judge.statePlaints()]).to.deep.equal([]);
+  });
+
+  it('given a counter of another wire release, when it greets the fleet, then it is refused and says so, and the others serve on', async () => {
+    let isStrange = false;
+    const fleet = await raised(62, {
+      onCounter: (counter) => {
+        if (!isStrange) return;
+        const hello = counter.hello;
+        (counter.lines as unknown as { own: () => unknown }).own = () => ({ ...hello(), release: wireRelease + 1 });
+      },
+    });
+    isStrange = true;
+    fleet.killCounter(2);
+    await fleet.bootCounter(2);
+    await fleet.world.run(10_000);
+    expect(fleet.counters.map((counter) => counter?.freshness.isFresh())).to.deep.equal([true, true, false]);
+    expect(fleet.world.lines.some((line) => line.context['cause'] === 'another wire release')).to.equal(true);
+    const judge = new Judge(fleet);
+    const ask = { ...plans.ask(fleet.world.random, 1), kind: 'query' as const, tenant: 'north', key: keyOf('north') };
+    const calls = [0, 1, 2].map((at) => judge.send(ask, at));
+    await fleet.world.run(3_000);
+    expect(calls.map((call) => call.verdict)).to.deep.equal(['whole', 'whole', 'denied']);
+    expect([calls[2]?.code, calls[2]?.ran]).to.deep.equal(['not_fresh', 'no']);
+  });
+});
+
+describe('ledger upkeep', () => {
+  it('given hundreds of wide changes and thousands of claims, when they are kept, then disks stay bounded, and a postmaster comes back with all of it', async () => {
+    const fleet = await raised(63, { fronts: 1, replicas: 2 });
+    const lanes = Object.fromEntries(Array.from({ length: 400 }, (_, at) => [`lane-${at}`, { pool: 'main', repeat: 'freely' }]));
+    let base = 1;
+    let largest = 0;
+    for (let round = 0; round < 300; round += 1) {
+      const put = await fleet.finish(fleet.onPostmaster(round % 3, 'PATCH', '/operator/layout', { lanes, tiers: { steady: { rank: 1, horizonMs: 10_000 + round } } }, { 'if-match': `"${base}"`, 'change-id': `wide-${round}` }));
+      expect(put.status, JSON.stringify(put.body)).to.equal(200);
+      base = Number(put.body['generation']);
+      largest = Math.max(largest, ...[0, 1, 2].map((at) => sizeOf(fleet.machineOf('postmaster', at).disk)));
+    }
+    expect(largest).to.be.lessThan(12 * 1024 * 1024);
+    fleet.killPostmaster(1);
+    await fleet.bootPostmaster(1);
+    expect(fleet.postmasters[1]?.decrees.agreed()?.layoutGeneration).to.equal(base);
+    expect(Object.keys(fleet.postmasters[1]?.decrees.agreed()?.changeIds ?? {}).length).to.be.greaterThan(300);
+  });
+
+  it('given an empty machine, when it joins in place of a lost one, then it is rebuilt from the others and votes within six seconds', async () => {
+    const fleet = await raised(64);
+    fleet.killPostmaster(2, true);
+    await fleet.world.run(3_000);
+    await fleet.bootPostmaster(2);
+    const waited = await fleet.world.until('it votes', () => fleet.postmasters[2]?.decrees.isVoter() === true);
+    expect(waited).to.be.lessThan(6_000);
+    expect(fleet.postmasters[2]?.table.records().length).to.equal(5);
+    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds['first-layout']).to.not.equal(undefined);
+  });
+
+  it('given a damaged ledger, when its postmaster starts, then it names the file and the place, and does not start', async () => {
+    const fleet = await raised(65);
+    fleet.killPostmaster(0);
+    const machine = fleet.machineOf('postmaster', 0);
+    const [name, held] = [...machine.disk.files].find(([file]) => file.startsWith('decrees-segment')) ?? [];
+    if (name === undefined || held === undefined) throw new Error('no segment');
+    held.safe[20] = (held.safe[20] ?? 0) ^ 0x55;
+    machine.boot();
+    const ports = machine.ports();
+    const opened = await fleet.finish(decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log));
+    expect(opened._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name });
+  });
+
+  it('given claims past their retention, when postmasters tidy, then they are gone from memory and disk', async () => {
+    const fleet = await raised(66, { postmasterEnv: { claimRetentionMs: 5_000 } });
+    const judge = new Judge(fleet);
+    judge.keyedTraffic(40, 20_000);
+    await fleet.world.run(21_000);
+    const sizes = fleet.postmasters.map((one) => one?.claims.size() ?? 0);
+    expect(Math.max(...sizes)).to.be.lessThan(600);
+    await fleet.world.run(15_000);
+    expect(fleet.postmasters.map((one) => one?.claims.size())).to.deep.equal([0, 0, 0]);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+});
