Deny what waits when freshness is lost; refresh waiting requests' tenants

Cause: a queued request of a counter that lost its postmasters waited for its horizon; a queued request kept the tenant entry of its admission, so one of a tenant just made isolated would have run as a shared one.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -69,6 +69,7 @@
   };
 
   private readonly pingAll = (): void => {
+    this.stages.sweep();
     for (const coach of this.lines.open()) void this.ping(coach);
   };
 
--- a/packages/counter/src/pipe.ts
+++ b/packages/counter/src/pipe.ts
@@ -144,6 +144,8 @@
     return line.items.delete(item);
   };
 
+  readonly items = (): T[] => [...this.lineOf.keys()];
+
   readonly size = (): number => this.lineOf.size;
 }
 
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -9,6 +9,7 @@
 import type { Claims, ShelfState } from './claims.js';
 import { ExtraBudget, RateShare } from './budget.js';
 import type { Freshness } from './freshness.js';
+import type { TenantView } from './layoutView.js';
 import { Parcel } from './parcel.js';
 import type { ShotOn } from './parcel.js';
 import { Stage, Tray } from './pipe.js';
@@ -241,10 +242,19 @@
     queue.byTier.set(tierName, Math.max(0, (queue.byTier.get(tierName) ?? 0) - 1));
   };
 
-  private readonly unqueue = (parcel: Parcel): void => {
-    if (parcel.lane === null) return;
+  private readonly unqueue = (parcel: Parcel): boolean => {
+    if (parcel.lane === null) return false;
     const queue = this.queues.get(parcel.lane.poolName);
-    if (queue?.tray.remove(parcel) === true) this.forget(queue, parcel);
+    if (queue?.tray.remove(parcel) !== true) return false;
+    this.forget(queue, parcel);
+    return true;
+  };
+
+  readonly sweep = (): void => {
+    if (this.freshness.isFresh()) return;
+    for (const queue of this.queues.values()) {
+      for (const parcel of queue.tray.items()) this.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters while the request waited');
+    }
   };
 
   readonly pumpAll = (): void => {
@@ -272,12 +282,16 @@
       }
       if (parcel.lane === null || parcel.isRelaying) continue;
       const lane = view.lanes.get(parcel.laneName);
-      if (lane === undefined) this.refuse(parcel, 'unknown_lane', 'the lane was taken away');
-      else if (lane.poolName !== parcel.lane.poolName) {
-        this.unqueue(parcel);
-        parcel.lane = lane;
-        this.queue(parcel);
-      } else parcel.lane = lane;
+      if (lane === undefined) {
+        this.refuse(parcel, 'unknown_lane', 'the lane was taken away');
+        continue;
+      }
+      const tenant = view.tenants.get(parcel.tenant.name) as TenantView;
+      const isMoved = lane.poolName !== parcel.lane.poolName || tenant.tierName !== parcel.tenant.tierName || tenant.tier.rank !== parcel.tenant.tier.rank;
+      const isWaiting = isMoved && this.unqueue(parcel);
+      parcel.lane = lane;
+      parcel.tenant = tenant;
+      if (isWaiting) this.queue(parcel);
     }
     this.pumpAll();
   };
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -19,6 +19,7 @@
   readonly standIn?: Partial<StandInEnv>;
   readonly counterEnv?: Record<string, unknown>;
   readonly postmasterEnv?: Record<string, unknown>;
+  readonly tenants?: readonly string[];
   readonly onCounter?: (counter: Counter) => void;
   readonly onPostmaster?: (postmaster: Postmaster) => void;
   readonly portsFor?: (role: Role, ports: Ports) => Ports;
@@ -181,11 +182,12 @@
     if (put.status !== 200) throw new Error(`layout: ${JSON.stringify(put)}`);
     const announced = await this.finish(this.announceAll());
     if (announced.status !== 200) throw new Error(`announce: ${JSON.stringify(announced)}`);
-    for (const tenant of plans.tenantNames) {
+    const tenants = this.plan.tenants ?? plans.tenantNames;
+    for (const tenant of tenants) {
       const granted = await this.finish(this.onPostmaster(0, 'POST', '/platform/clients', { tenant, key: keyOf(tenant) }, { 'change-id': `grant-${tenant}` }));
       if (granted.status !== 200) throw new Error(`grant: ${JSON.stringify(granted)}`);
     }
-    await this.world.until('every counter ready', () => this.counters.every((one) => one?.freshness.isFresh() === true && one.book.generation() >= 9));
+    await this.world.until('every counter ready', () => this.counters.every((one) => one?.freshness.isFresh() === true && one.book.generation() >= 1 + tenants.length));
   };
 
   readonly machineOf = (kind: 'postmaster' | 'counter', at: number): SimMachine => this.world.machine((kind === 'postmaster' ? this.postmasterHosts[at] : this.counterHosts[at]) as string);
--- a/packages/proving/src/stories/callers.ts
+++ b/packages/proving/src/stories/callers.ts
@@ -121,6 +121,32 @@
     expect(call.endedAt - call.sentAt).to.be.within(695, 720);
   });
 
+  it('given requests that wait in a counter, when it loses the postmasters, then each is denied within two seconds, not at its horizon', async () => {
+    const { fleet, judge } = await raised({ standIn: { decodeMs: 400 }, layout: { ...plans.layout('weights-1'), pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } } });
+    const calls = Array.from({ length: 14 }, (_, at) => judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 20 }, 0, { horizonMs: 60_000 }));
+    await fleet.world.run(500);
+    for (const host of fleet.postmasterHosts) fleet.world.cutBoth(fleet.counterHosts[0] as string, host);
+    await fleet.world.run(2_100);
+    const waiting = calls.filter((call) => call.verdict === 'denied');
+    expect(waiting.length).to.equal(calls.length - judge.runs().length).and.greaterThan(8);
+    for (const call of waiting) expect([call.code, call.ran, call.retryAfter]).to.deep.equal(['not_fresh', 'no', '1']);
+    await fleet.world.run(20_000);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+
+  it('given a tenant that is made isolated, when its requests wait, then they run as the isolated tenant\'s', async () => {
+    const { fleet, judge } = await raised({ standIn: { decodeMs: 100 }, layout: { ...plans.layout('weights-1'), tenants: { north: { tier: 'prompt', lanes: ['query'] }, south: { tier: 'prompt', lanes: ['query'] } }, pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } }, tenants: ['north', 'south'] });
+    for (let at = 0; at < 14; at += 1) judge.send(ask(fleet, 'query', 'north', `n${at}`), 0, { horizonMs: 60_000 });
+    await fleet.world.run(200);
+    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { north: { isolated: true } } }, { 'if-match': '"1"' }));
+    expect(put.status).to.equal(200);
+    await fleet.world.run(500);
+    const before = judge.runs().length;
+    await fleet.world.run(40_000);
+    expect(judge.runs().length).to.be.greaterThan(before);
+    expect(judge.runs().slice().sort((a, b) => a.startedAt - b.startedAt).slice(before).every((run) => run.isIsolated)).to.equal(true);
+  });
+
   it('given the same Idempotency-Key at two counters at once and again later, when all are answered, then one run served them all', async () => {
     const { fleet, judge } = await raised();
     const wanted = ask(fleet, 'book', 'north');
