--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -142,5 +142,10 @@
     ];
     return c.text(`${lines.join('\n')}\n`);
   });
+  app.notFound((c) => denyReply(c, deny.of('bad_request', 'no', 'no such path or method'), requestIdOf(c, counter)));
+  app.onError((cause, c) => {
+    counter.ports.log.error('a request broke its handler', { cause: String(cause.stack ?? cause) });
+    return c.json({ error: { type: 'internal', message: 'a fault of ours', ran: 'unknown' } }, 500);
+  });
   return app;
 };
--- a/packages/proving/src/sim/storm.ts
+++ b/packages/proving/src/sim/storm.ts
@@ -14,6 +14,7 @@
   'whole pool errs',
   'whole pool dies',
   'all machines die',
+  'a zone is lost',
   'links between replicas slow',
   'replica claims other weights',
   'replica freezes',
@@ -71,6 +72,7 @@
 }
 
 const settleMs = 12_000;
+const inForceMs = 2_000;
 
 export class Storm {
   readonly fleet: SimFleet;
@@ -78,6 +80,7 @@
   readonly brought: Record<string, number> = {};
   private readonly state: Quirk = { busy: new Set(), weights: 1, changes: 0 };
   private readonly open = new Set<Promise<void>>();
+  private readonly late: Told[] = [];
 
   constructor(private readonly plan: StormPlan) {
     this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6, ...plan.breakage });
@@ -118,7 +121,7 @@
     const probesFrom = world.time;
     judge.traffic(20, 2_000);
     await world.run(45_000);
-    const complaints = [...judge.complaints(), ...judge.statePlaints(), ...this.recoveryPlaints(healedAt, probesFrom)];
+    const complaints = [...judge.complaints(), ...judge.statePlaints(), ...this.late, ...this.recoveryPlaints(healedAt, probesFrom)];
     return { seed: plan.seed, digest: world.digest, brought: this.brought, complaints, tally: judge.tally(), calls: judge.calls.length };
   };
 
@@ -192,7 +195,9 @@
     for (let shot = 0; ; shot += 1) {
       const told = await this.fleet.onPostmaster(shot === 0 ? at : this.pick(3), 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"`, 'change-id': id });
       if (told.status === 200) {
-        this.judge.acceptedIds.set(id, Number(told.body['generation']));
+        const generation = Number(told.body['generation']);
+        this.judge.acceptedIds.set(id, generation);
+        this.fleet.world.plan(null, inForceMs, () => this.checkInForce(id, generation));
         return true;
       }
       if (told.status === 409 || told.status === 422) {
@@ -203,6 +208,13 @@
     }
   };
 
+  private readonly checkInForce = (id: string, generation: number): void => {
+    this.fleet.counters.forEach((counter, at) => {
+      if (counter === null || !counter.freshness.isFresh() || counter.book.generation() >= generation) return;
+      this.late.push({ rule: 'an accepted change is not in force', detail: `${id}: counter ${at + 1} serves under ${counter.book.generation()}, not ${generation}, after ${inForceMs} ms` });
+    });
+  };
+
   private readonly begin = (kind: FaultKind): Promise<void> | null => {
     const { fleet, judge } = this;
     const { world } = fleet;
@@ -284,6 +296,19 @@
           for (const at of counterAts) this.free(`counter ${at}`);
         });
       }
+      case 'a zone is lost': {
+        const zone = this.pick(3);
+        const counterAts = fleet.counterHosts.map((_, at) => at).filter((at) => at % 3 === zone && this.claim(`counter ${at}`));
+        const hasPostmaster = this.claim(`postmaster ${zone}`);
+        for (const at of counterAts) fleet.killCounter(at);
+        if (hasPostmaster) fleet.killPostmaster(zone);
+        return this.wait(this.span(1_000, 8_000)).then(async () => {
+          if (hasPostmaster) await fleet.bootPostmaster(zone);
+          for (const at of counterAts) await fleet.bootCounter(at);
+          if (hasPostmaster) this.free(`postmaster ${zone}`);
+          for (const at of counterAts) this.free(`counter ${at}`);
+        });
+      }
       case 'replica omits the end':
         return this.onReplica(async (name) => {
           const standIn = fleet.current.get(name);
--- a/packages/proving/src/stories/callers.ts
+++ b/packages/proving/src/stories/callers.ts
@@ -61,6 +61,21 @@
     expect(judge.complaints()).to.deep.equal([]);
   });
 
+  it('given a tier with a small share of the queue, when its requests pile up, then it is denied over its share while another tier still queues', async () => {
+    const layout = plans.layout('weights-1');
+    const { fleet, judge } = await raised({
+      counterEnv: { queueLimit: 20 },
+      standIn: { decodeMs: 100 },
+      layout: { ...layout, tiers: { prompt: { rank: 0 }, steady: { rank: 1, share: 0.1 }, patient: { rank: 3 } }, pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } },
+    });
+    for (let at = 0; at < 12; at += 1) judge.send(ask(fleet, 'query', 'harbor', `h${at}`), 0);
+    for (let at = 0; at < 8; at += 1) judge.send(ask(fleet, 'query', 'north', `n${at}`), 0);
+    await fleet.world.run(20_000);
+    const harbor = judge.calls.filter((call) => call.ask.tenant === 'harbor');
+    expect(harbor.filter((call) => call.code === 'over_share' && call.status === 429 && call.ran === 'no' && call.retryAfter !== null).length).to.be.greaterThan(4);
+    expect(judge.calls.filter((call) => call.ask.tenant === 'north').every((call) => call.verdict === 'whole')).to.equal(true);
+  });
+
   it('given a caller that leaves mid-stream or in the queue, when it has left, then its run is cancelled or never begun', async () => {
     const { fleet, judge } = await raised({ standIn: { decodeMs: 50 }, layout: { ...plans.layout('weights-1'), pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } } });
     const quits = Array.from({ length: 12 }, () => new AbortController());
--- a/packages/roundsman/src/ring.ts
+++ b/packages/roundsman/src/ring.ts
@@ -1,6 +1,14 @@
 import { createHash } from 'node:crypto';
 
-const place = (name: string): string => createHash('sha256').update(`ring\n${name}`).digest('hex');
+const places = new Map<string, string>();
+
+const place = (name: string): string => {
+  const held = places.get(name);
+  if (held !== undefined) return held;
+  const found = createHash('sha256').update(`ring\n${name}`).digest('hex');
+  places.set(name, found);
+  return found;
+};
 
 export interface RingNode {
   readonly name: string;
