Free a stand-in's slot when its stream is given up between two pieces

Ruled out: the claims, the budget, the platform's records. The simulator passed an abort on only while a piece was awaited; it cancels at once now, as a socket does.

--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -51,7 +51,7 @@
     if (new Set(members.map((member) => member.name)).size !== coreSize) return;
     const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter((vow) => vow !== null);
     const texts = vows.map((vow) => JSON.stringify(vow));
-    const shared = vows.find((vow, at) => texts.filter((text) => text === texts[at]).length > coreSize / 2);
+    const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > coreSize / 2);
     if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
     if (texts.some((text) => text !== JSON.stringify(members))) return;
     await this.collect(members, reached);
--- a/packages/postmaster/src/operatorWire.ts
+++ b/packages/postmaster/src/operatorWire.ts
@@ -97,6 +97,7 @@
       counters: postmaster.push.acks(),
       claims: postmaster.claims.size(),
       leases: postmaster.duties.lines(),
+      followed: postmaster.kv.followedCount(),
       watch: postmaster.verdicts.lines(),
       replicas: postmaster.table.records(),
       index: postmaster.kv.sizes(),
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -5,7 +5,7 @@
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import type { Handlers, Hello } from '@martenworks/mailcoach';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/roundsman';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/roundsman';
--- a/packages/postmaster/src/proposer.ts
+++ b/packages/postmaster/src/proposer.ts
@@ -118,7 +118,7 @@
         settle(outcome);
       };
       for (const member of state.members) {
-        void this.helpful(state, member, call).then(async (vote) => {
+        void this.helpful(member, call).then(async (vote) => {
           if (vote?.k === wanted) votes.push(vote);
           if (vote?.k === 'denied' || vote?.k === 'ahead') isOutrun = true;
           if (vote?.k === 'denied') this.seenRound = Math.max(this.seenRound, vote.promised[0]);
@@ -136,7 +136,7 @@
 
   private seenRound = 0;
 
-  private readonly helpful = async (state: Agreed, member: Member, call: (member: Member) => Promise<Vote | null>): Promise<Vote | null> => {
+  private readonly helpful = async (member: Member, call: (member: Member) => Promise<Vote | null>): Promise<Vote | null> => {
     const vote = await call(member);
     if (vote?.k !== 'behind') return vote;
     await this.voters.supply(member, this.decrees.since(vote.generation));
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -220,6 +220,7 @@
   private readonly net = (life: number): Net => ({
     dial: (address, patienceMs) =>
       new Promise((settle) => {
+        if (this.life !== life) return;
         const fail = (code: string): void => settle(err({ kind: 'net', code, isUnsent: true }));
         const target = this.world.machine(hostOf(address));
         let isDone = false;
@@ -321,6 +322,7 @@
     close: async () => {},
     carry: (request) =>
       new Promise((settle) => {
+        if (this.life !== life) return;
         const { world } = this;
         const { host, pathname, search } = new URL(request.url);
         const target = world.machine(hostOf(host));
@@ -410,6 +412,7 @@
     const { world } = this;
     const reader = response.body?.getReader();
     if (reader === undefined) return ended();
+    quit.signal.addEventListener('abort', () => void reader.cancel().catch(() => {}), { once: true });
     const crossing = (): Promise<boolean> =>
       new Promise((settle) => {
         const leave = (): void => {
