--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -320,6 +320,7 @@
 
   readonly stop = async (): Promise<void> => {
     for (const repeat of this.repeats) repeat.stop();
+    this.duties.resign();
     this.rounds.stop();
     this.kv.stop();
     this.lines.stop();
--- a/packages/proving/src/stories/rounds.ts
+++ b/packages/proving/src/stories/rounds.ts
@@ -109,6 +109,14 @@
     expect(overlaps).to.equal(0);
   });
 
+  it('given a holder that is stopped in order, when it resigns, then its duties are taken up within two seconds, not after the lease', async () => {
+    const fleet = await raised(53);
+    const holder = kvHolders(fleet, 'replica-1')[0] as number;
+    await fleet.finish(fleet.rollPostmaster(holder));
+    await fleet.world.run(1_900);
+    for (const name of ['replica-1', 'replica-2', 'replica-3', 'replica-4']) expect(kvHolders(fleet, name).length, name).to.equal(1);
+  });
+
   it('given grantors that restart, when a lease they granted still runs, then they grant it to nobody else, and numbers never go back', async () => {
     const world = new SimWorld(1);
     const clock = world.machine('10.0.0.1').clock();
--- a/packages/roundsman/src/lease.ts
+++ b/packages/roundsman/src/lease.ts
@@ -158,6 +158,13 @@
     if (hasChanged) this.changed();
   };
 
+  readonly resign = (): void => {
+    const duties = [...this.held].map(([duty, lease]) => ({ duty, fence: lease.fence }));
+    this.held.clear();
+    this.changed();
+    if (duties.length > 0) this.releaseAll({ holder: this.holder(), duties });
+  };
+
   readonly lines = (): DutyLine[] =>
     [...this.held].flatMap(([duty, lease]) => (this.fenceOf(duty) === null ? [] : [{ duty, fence: lease.fence, leftMs: Math.round(lease.endAt - this.clock.now()) }]));
 }
