Acknowledge pushes that brought nothing new; judge weights from their offer

Cause: a counter that had learned a generation from one postmaster never acknowledged it to the others, so their status showed -1. The judge held an early start of weights against a change that was chosen, in force and only later answered, because its proposer had died; weights may start from their offer on.

--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -99,17 +99,17 @@
       void this.ping(coach);
     },
     left: () => {},
-    told: (_coach, topic, body) => {
+    told: (coach, topic, body) => {
       switch (topic) {
         case 'heart':
           return this.rounds.watch.heart(body as string);
         case 'change': {
           const { generation, change } = body as { generation: number; change: Change };
-          this.book.takeChange(generation, change);
+          if (!this.book.takeChange(generation, change)) coach.tell('ack', this.book.generation());
           return;
         }
         case 'checkpoint':
-          this.book.takeCheckpoint(body as Agreed);
+          if (!this.book.takeCheckpoint(body as Agreed)) coach.tell('ack', this.book.generation());
           return;
         case 'replicas':
           this.book.takeReplicas(body as ReplicaRecord[]);
--- a/packages/proving/src/sim/storm.ts
+++ b/packages/proving/src/sim/storm.ts
@@ -474,7 +474,7 @@
         return (async () => {
           const { at, base } = await this.layoutOf();
           const weights = `weights-${(this.state.weights += 1)}`;
-          const marker = { at: world.time, pool: 'main', weights };
+          const marker = { offeredAt: world.time, at: Number.POSITIVE_INFINITY, pool: 'main', weights };
           judge.weightsFrom.push(marker);
           const isTaken = await this.change({ pools: { main: { weights } } }, at, base);
           if (isTaken) marker.at = world.time;
