Borrow shelves in one place; drop state that nothing read

Found on reading the whole change again: the asking for a neighbour's shelves stood twice; a parcel's prompt, a default horizon and a guard against a second ending were never needed; the ring was rebuilt for every node on each beat.

--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -30,7 +30,6 @@
 export class Parcel {
   keyHash = '';
   laneName = '';
-  prompt = '';
   promptTokens = 0;
   blocks: readonly string[] = [];
   tenant: TenantView | null = null;
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -20,7 +20,6 @@
 const forecastSafety = 0.5;
 const urgentHeadroom = 0.5;
 const pullSlackMs = 100;
-const defaultHorizonMs = 30_000;
 const longestHorizonMs = 600_000;
 const largestRetryAfterSeconds = 30;
 
@@ -137,10 +136,9 @@
     if (!this.isWithinRate(parcel)) return this.refuse(parcel, 'over_share', 'the tenant is over its rate');
     parcel.lane = lane;
     parcel.laneName = laneName;
-    parcel.prompt = prompt;
     parcel.promptTokens = prompts.tokens(prompt);
     parcel.blocks = prompts.blocks(prompt);
-    const horizonMs = Math.min(longestHorizonMs, parcel.order.horizonMs ?? tenant.tier.horizonMs ?? defaultHorizonMs);
+    const horizonMs = Math.min(longestHorizonMs, parcel.order.horizonMs ?? tenant.tier.horizonMs);
     parcel.horizonAt = parcel.arrivedAt + horizonMs;
     const clockEvent = this.ports.clock.after(Math.max(0, parcel.horizonAt - this.ports.clock.now()), () => {
       if (!parcel.isAnswered) this.refuse(parcel, 'horizon_passed', 'the horizon passed before a first piece came');
@@ -157,12 +155,7 @@
     this.tally.add(`claims_${outcome.k.replace(' ', '_')}`);
     if (outcome.k === 'claimed') {
       parcel.claim = outcome.claim;
-      let isNoted = false;
-      const note = (): void => {
-        if (isNoted) return;
-        isNoted = true;
-        this.claims.ended(outcome.claim, this.shelfStateOf(parcel));
-      };
+      const note = (): void => this.claims.ended(outcome.claim, this.shelfStateOf(parcel));
       if (parcel.endReported) return note();
       parcel.whenEnded(note);
       return this.queue(parcel);
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -5,7 +5,7 @@
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
-import type { Handlers, Hello } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/roundsman';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/roundsman';
@@ -152,8 +152,7 @@
       const { incarnation } = coach.neighbour;
       if (!this.replicas.syncedFrom.has(incarnation)) {
         await this.replicas.reconcile(incarnation, this.lines);
-        const told = await coach.ask('shelves', this.table.records().map((record) => record.name), votePatienceMs);
-        if (told.isOk()) this.push.tellShelves(this.kv.takeShelves(told.value as ShelfCheckpoint[]));
+        await this.borrowShelves(coach, this.table.records().map((record) => record.name));
       }
       const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
       if (told.isOk()) await this.proposer.learn(told.value as Since);
@@ -191,13 +190,17 @@
     return replies.filter((reply) => reply !== null);
   };
 
+  private readonly borrowShelves = async (coach: Coach, names: readonly string[]): Promise<void> => {
+    const told = await coach.ask('shelves', names, votePatienceMs);
+    if (told.isOk()) this.push.tellShelves(this.kv.takeShelves(told.value as ShelfCheckpoint[]));
+  };
+
   private readonly repairIndex = async (): Promise<void> => {
     const broken = this.kv.broken();
     if (broken.length === 0) return;
     for (const coach of this.lines.open()) {
       if (coach.neighbour?.role !== 'postmaster') continue;
-      const told = await coach.ask('shelves', broken, votePatienceMs);
-      if (told.isOk()) this.push.tellShelves(this.kv.takeShelves(told.value as ShelfCheckpoint[]));
+      await this.borrowShelves(coach, broken);
     }
   };
 
--- a/packages/roundsman/src/watch.ts
+++ b/packages/roundsman/src/watch.ts
@@ -15,6 +15,8 @@
   spreadMs: number;
 }
 
+const unheardSince = (at: number): Heard => ({ at, meanMs: heartMs, spreadMs: heartMs / 4 });
+
 export class Watch {
   private readonly heard = new Map<string, Heard>();
 
@@ -26,13 +28,17 @@
 
   readonly watchers = (): string[] => ring.watchersOf(this.own().name, this.nodes());
 
-  private readonly watched = (): RingNode[] => this.nodes().filter((node) => node.name !== this.own().name && ring.watchersOf(node.name, this.nodes()).includes(this.own().name));
+  private readonly watched = (): RingNode[] => {
+    const nodes = this.nodes();
+    const own = this.own().name;
+    return nodes.filter((node) => node.name !== own && ring.watchersOf(node.name, nodes).includes(own));
+  };
 
   readonly heart = (name: string): void => {
     const now = this.clock.now();
     const held = this.heard.get(name);
     if (held === undefined) {
-      this.heard.set(name, { at: now, meanMs: heartMs, spreadMs: heartMs / 4 });
+      this.heard.set(name, unheardSince(now));
       return;
     }
     const gap = now - held.at;
@@ -47,7 +53,7 @@
     const now = this.clock.now();
     const watched = new Set(this.watched().map((node) => node.name));
     for (const name of [...this.heard.keys()]) if (!watched.has(name)) this.heard.delete(name);
-    for (const name of watched) if (!this.heard.has(name)) this.heard.set(name, { at: now, meanMs: heartMs, spreadMs: heartMs / 4 });
+    for (const name of watched) if (!this.heard.has(name)) this.heard.set(name, unheardSince(now));
     return [...this.heard].filter(([, held]) => now - held.at > this.limitMs(held)).map(([name]) => name);
   };
 
