--- a/packages/proving/src/firms.ts
+++ b/packages/proving/src/firms.ts
@@ -54,6 +54,8 @@
 
 export const plans = {
   tenantNames,
+  tiers: { prompt: 0, steady: 1, patient: 3 },
+  prober: 'prober',
   layout: (weights: string): Record<string, unknown> => ({
     tiers: { prompt: { rank: 0, horizonMs: 10_000 }, steady: { rank: 1, horizonMs: 20_000 }, patient: { rank: 3, horizonMs: 60_000, share: 0.5 } },
     pools: { main: { weights, slots: 8 }, app: { weights: 'app-1', slots: 32 } },
--- a/packages/proving/src/load.ts
+++ b/packages/proving/src/load.ts
@@ -16,6 +16,7 @@
   readonly totalMs: number;
   readonly requestId: string;
   readonly sentAt: number;
+  readonly runId: string;
 }
 
 export interface LoadPlan {
@@ -29,6 +30,7 @@
 
 const one = async (agent: Agent, host: string, ask: Ask, requestId: string, weights: () => readonly string[]): Promise<Outcome> => {
   const begin = performance.now();
+  let runId = '';
   const done = (status: number, verdict: Outcome['verdict'], code = '', ran = '', firstMs = 0): Outcome => ({
     kind: ask.kind,
     tier: ask.tier,
@@ -40,6 +42,7 @@
     totalMs: performance.now() - begin,
     requestId,
     sentAt: begin,
+    runId,
   });
   try {
     const receipt = await request(`http://${host}:7101/v1/completions`, {
@@ -62,7 +65,9 @@
         else if (event.data === '[DONE]') isEnded = true;
         else {
           if (firstMs === 0) firstMs = performance.now() - begin;
-          said += (JSON.parse(event.data) as { choices: { text: string }[] }).choices[0]?.text ?? '';
+          const chunk = JSON.parse(event.data) as { id: string; choices: { text: string }[] };
+          if (runId === '') runId = chunk.id;
+          said += chunk.choices[0]?.text ?? '';
         }
       },
     });
@@ -73,7 +78,7 @@
       return done(200, 'cut', 'cut', 'unknown', firstMs);
     }
     if (!isEnded || isError) return done(200, isEnded ? 'wrong' : 'cut', 'cut', 'unknown', firstMs);
-    const isRight = [...weights(), 'app-1'].some((one) => speech.whole(ask.prompt, one, ask.maxTokens) === said);
+    const isRight = [...weights(), 'app-1'].some((one) => speech.whole(ask.prompt, one, runId, ask.maxTokens) === said);
     return done(200, isRight ? 'whole' : 'wrong', '', '', firstMs);
   } catch (cause) {
     return done(0, 'broken', (cause as { code?: string }).code ?? 'UNKNOWN');
--- a/packages/proving/src/sim/judge.ts
+++ b/packages/proving/src/sim/judge.ts
@@ -20,6 +20,7 @@
   text: string;
   endedAt: number;
   firstAt: number;
+  isLeft: boolean;
 }
 
 export interface Told {
@@ -31,14 +32,39 @@
 const inForceMs = 2_000;
 const leavingMs = 3_000;
 const oldWeightsMs = 12_000;
+const extraShare = 0.2;
+const extraAllowance = 18;
+const connectSlackMs = 1_500;
+const leavingShare = 0.02;
+const twinShare = 0.06;
+const strangerShare = 0.01;
+
+export interface Grant {
+  readonly tenant: string;
+  readonly from: number;
+  to: number;
+}
+
+export interface Probe {
+  readonly call: Call;
+  readonly change: string;
+  readonly isWanted: boolean;
+  readonly priority: number;
+  readonly repeat: 'once' | 'freely';
+}
+
+const poolOf = (replica: string): string => (replica === 'app-1' ? 'app' : 'main');
+const notInForce = new Set(['unknown_lane', 'lane_not_granted', 'unknown_key']);
 
 export class Judge {
   readonly calls: Call[] = [];
   readonly weightsFrom: { offeredAt: number; at: number; pool: string; weights: string }[] = [];
-  readonly granted = new Map<string, { tenant: string; from: number; to: number }>();
+  readonly granted = new Map<string, Grant[]>();
+  readonly probes: Probe[] = [];
   readonly leftAt: { name: string; incarnation: number; at: number }[] = [];
   readonly acceptedIds = new Map<string, number>();
   readonly refusedIds = new Set<string>();
+  readonly gone = new Set<number>();
   private next = 0;
 
   constructor(
@@ -64,8 +90,10 @@
       text: '',
       endedAt: 0,
       firstAt: 0,
+      isLeft: false,
     };
     this.calls.push(call);
+    more.signal?.addEventListener('abort', () => (call.isLeft = call.endedAt === 0), { once: true });
     void this.follow(call, more).then(() => (call.endedAt = world.time));
     return call;
   };
@@ -140,13 +168,29 @@
     call.ran = body.error?.ran ?? '';
   };
 
-  readonly traffic = (ratePerSecond: number, forMs: number, longShare?: number): void => {
+  readonly living = (): number[] => Array.from({ length: this.fleet.plan.fronts }, (_, at) => at).filter((at) => !this.gone.has(at));
+
+  private readonly somewhere = (): number => {
+    const living = this.living();
+    return living[Math.floor(this.fleet.world.random() * living.length)] as number;
+  };
+
+  readonly traffic = (ratePerSecond: number, forMs: number, longShare?: number, isRough = false): void => {
     const { world } = this.fleet;
     const end = world.time + forMs;
     const go = (): void => {
       if (world.time >= end) return;
       const ask = plans.ask(world.random, this.calls.length, longShare);
-      this.send(ask, Math.floor(world.random() * this.fleet.plan.fronts));
+      const draw = isRough ? world.random() : 0.25;
+      const quit = new AbortController();
+      if (draw < leavingShare) world.plan(null, world.random() * 400, () => quit.abort());
+      this.send(ask, this.somewhere(), { signal: quit.signal });
+      if (draw > 1 - twinShare) this.send({ ...plans.ask(world.random, 0, 0), kind: ask.kind, prompt: ask.prompt, maxTokens: ask.maxTokens }, this.somewhere());
+      if (draw > 0.5 && draw < 0.5 + strangerShare) {
+        const key = `never-granted-${this.calls.length}`;
+        this.granted.set(key, []);
+        this.send({ ...ask, key, tenant: 'nobody' }, this.somewhere());
+      }
       world.plan(null, (-Math.log(1 - world.random()) * 1000) / ratePerSecond, go);
     };
     go();
@@ -155,7 +199,7 @@
   readonly keyedTraffic = (ratePerSecond: number, forMs: number): void => {
     const { world } = this.fleet;
     const end = world.time + forMs;
-    const somewhere = (): number => Math.floor(world.random() * this.fleet.plan.fronts);
+    const { somewhere } = this;
     const retry = (ask: Ask, idempotencyKey: string, call: Call, left: number): void => {
       world.plan(null, 300, () => {
         if (call.verdict === 'open') return retry(ask, idempotencyKey, call, left);
@@ -177,7 +221,81 @@
   readonly runs = (): (Run & { replica: string; incarnation: number })[] =>
     this.fleet.stays.flatMap(({ standIn }) => standIn.runs.map((run) => ({ ...run, replica: standIn.env.name, incarnation: standIn.env.incarnation })));
 
-  readonly arrivals = (): number => this.fleet.stays.reduce((sum, { standIn }) => sum + standIn.arrivals, 0);
+  readonly grant = (key: string, tenant: string): Grant => {
+    const grant: Grant = { tenant, from: this.fleet.world.time, to: Number.POSITIVE_INFINITY };
+    this.granted.set(key, [...(this.granted.get(key) ?? []), grant]);
+    return grant;
+  };
+
+  private readonly keyPlaints = (call: Call, own: readonly Run[]): Told[] => {
+    const grants = this.granted.get(call.ask.key);
+    return own.flatMap((run): Told[] => {
+      const then = grants?.filter((grant) => run.startedAt >= grant.from && run.startedAt <= grant.to + inForceMs);
+      if (then?.length === 0) return [{ rule: 'a key not granted', detail: `${call.requestId} at ${Math.round(run.startedAt)}` }];
+      const holders = then?.map((grant) => grant.tenant) ?? [call.ask.tenant];
+      return holders.includes(run.tenant) ? [] : [{ rule: 'another tenant', detail: `${call.requestId} of ${holders.join()} ran for ${run.tenant}` }];
+    });
+  };
+
+  private readonly probePlaints = (byRequest: ReadonlyMap<string, Run[]>): Told[] =>
+    this.probes.flatMap(({ call, change, isWanted, priority, repeat }): Told[] => {
+      const own = byRequest.get(call.requestId) ?? [];
+      const detail = `${change}: ${call.requestId} at ${call.host}, ${Math.round(call.sentAt)}: ${call.verdict} ${call.code}`;
+      if (!isWanted) return own.length > 0 || call.verdict === 'whole' ? [{ rule: 'a losing change took effect', detail }] : [];
+      const told: Told[] = [];
+      if (call.verdict === 'denied' && notInForce.has(call.code)) told.push({ rule: 'an accepted change is not in force', detail });
+      if (own.some((run) => run.priority !== priority)) told.push({ rule: 'an accepted change is not in force', detail: `${detail} ran at ${own.map((run) => run.priority).join()}, not ${priority}` });
+      if (repeat === 'once' && own.length > 1) told.push({ rule: 'runs twice', detail });
+      return told;
+    });
+
+  private readonly extraPlaints = (): Told[] => {
+    const told: Told[] = [];
+    const firsts = new Map<string, number[]>();
+    const extras = new Map<string, number[]>();
+    const seen = new Set<string>();
+    const add = (table: Map<string, number[]>, pool: string, at: number): void => void table.set(pool, [...(table.get(pool) ?? []), at]);
+    const visits = this.fleet.stays.flatMap(({ standIn, name }) => standIn.visits.map((visit) => ({ ...visit, pool: poolOf(name) }))).sort((a, b) => a.at - b.at);
+    for (const { requestId, at, pool } of visits) {
+      add(seen.has(`${pool} ${requestId}`) ? extras : firsts, pool, at);
+      seen.add(`${pool} ${requestId}`);
+    }
+    for (const call of this.calls) {
+      const pool = call.ask.kind === 'book' ? 'app' : 'main';
+      if (!seen.has(`${pool} ${call.requestId}`)) add(firsts, pool, call.sentAt);
+    }
+    for (const [pool, ats] of extras) {
+      const sorted = (firsts.get(pool) ?? []).sort((a, b) => a - b);
+      const upTo = (at: number): number => {
+        let low = 0;
+        let high = sorted.length;
+        while (low < high) {
+          const middle = (low + high) >> 1;
+          if ((sorted[middle] as number) <= at) low = middle + 1;
+          else high = middle;
+        }
+        return low;
+      };
+      let worst = 0;
+      for (let end = 0; end < ats.length; end += 1) {
+        for (let begin = 0; begin <= end; begin += 1) {
+          const traffic = upTo(ats[end] as number) - upTo((ats[begin] as number) - connectSlackMs);
+          worst = Math.max(worst, end - begin + 1 - traffic * extraShare - extraAllowance);
+        }
+      }
+      if (worst > 0) told.push({ rule: 'extra shots', detail: `pool ${pool}: ${worst.toFixed(1)} more than a fifth and the allowance in some window, ${ats.length} in all` });
+    }
+    return told;
+  };
+
+  private readonly textPlaints = (call: Call, runs: readonly Run[]): Told[] => {
+    const label = `${call.requestId} ${call.ask.kind} ${call.verdict}`;
+    const spoken = (run: Run): string => speech.whole(call.ask.prompt, run.weights, run.runId, call.ask.maxTokens);
+    if (call.verdict !== 'whole') return call.text === '' || runs.some((run) => spoken(run).startsWith(call.text)) ? [] : [{ rule: 'skipped, repeated or spliced piece', detail: label }];
+    const finished = runs.filter((run) => run.isFinished);
+    if (finished.length === 0) return [{ rule: runs.some((run) => spoken(run).startsWith(call.text)) ? 'wrong or cut answer looks whole' : 'success the replica never gave', detail: label }];
+    return finished.some((run) => spoken(run) === call.text) ? [] : [{ rule: 'wrong or cut answer looks whole', detail: label }];
+  };
 
   readonly complaints = (): Told[] => {
     const told: Told[] = [];
@@ -195,18 +313,14 @@
       }
       if (call.verdict === 'denied' && call.ran === 'no' && own.length > 0) told.push({ rule: 'not run, yet ran', detail: label });
       if (call.verdict === 'denied' && (call.status === 429 || call.status === 503) && call.retryAfter === null) told.push({ rule: 'no Retry-After', detail: label });
-      const spoken = this.weightsFrom.map(({ weights }) => speech.whole(call.ask.prompt, weights, call.ask.maxTokens));
-      if (call.verdict === 'whole') {
-        if (!spoken.includes(call.text)) told.push({ rule: 'wrong or cut answer looks whole', detail: label });
-        if (call.idempotencyKey === null && !own.some((run) => run.isFinished)) told.push({ rule: 'success the replica never gave', detail: label });
-      } else if (call.text !== '' && !spoken.some((text) => text.startsWith(call.text))) told.push({ rule: 'skipped, repeated or spliced piece', detail: label });
+      told.push(...(call.idempotencyKey === null ? this.textPlaints(call, own) : []), ...this.keyPlaints(call, own));
       for (const run of own) {
-        const grant = this.granted.get(call.ask.key);
-        const holder = grant?.tenant ?? call.ask.tenant;
-        if (run.tenant !== holder) told.push({ rule: 'another tenant', detail: `${label} ran for ${run.tenant}` });
-        if (grant !== undefined && (run.startedAt > grant.to + inForceMs || run.startedAt < grant.from)) told.push({ rule: 'a key not granted', detail: `${label} at ${run.startedAt}` });
+        const due = this.weightsFrom.findLast((one) => one.pool === poolOf(run.replica) && call.sentAt >= one.at + inForceMs);
+        const used = this.weightsFrom.findLast((one) => one.pool === poolOf(run.replica) && one.weights === run.weights);
+        if (due !== undefined && used !== undefined && used.offeredAt < due.offeredAt) told.push({ rule: 'an accepted change is not in force', detail: `${label} sent at ${Math.round(call.sentAt)} ran on ${run.weights}, not ${due.weights}` });
       }
     }
+    told.push(...this.probePlaints(byRequest), ...this.extraPlaints());
     const keyed = new Map<string, Call[]>();
     for (const call of this.calls) {
       if (call.idempotencyKey === null) continue;
@@ -217,7 +331,7 @@
       const under = some.flatMap((call) => byRequest.get(call.requestId) ?? []);
       for (const call of some) {
         if (call.verdict === 'denied' && call.ran === 'no' && under.some((run) => run.startedAt <= call.endedAt)) told.push({ rule: 'not run, yet ran', detail: `${call.requestId} under key ${key}` });
-        if (call.verdict === 'whole' && !under.some((run) => run.isFinished)) told.push({ rule: 'success the replica never gave', detail: `${call.requestId} under key ${key}` });
+        told.push(...this.textPlaints(call, under));
       }
     }
     for (const [key, count] of byKey) if (count > 1) told.push({ rule: 'runs twice', detail: `idempotency key ${key}: ${count} runs` });
@@ -225,14 +339,11 @@
     for (const run of runs) {
       const left = this.leftAt.find((one) => one.name === run.replica && one.incarnation === run.incarnation);
       if (left !== undefined && run.startedAt > left.at + leavingMs) told.push({ rule: 'a leaving replica got a request', detail: `${run.requestId} on ${run.replica} ${Math.round(run.startedAt - left.at)} ms after` });
-      const pool = run.replica === 'app-1' ? 'app' : 'main';
+      const pool = poolOf(run.replica);
       const named = this.weightsFrom.filter((one) => one.pool === pool);
       const mayUse = named.some((one, index) => one.weights === run.weights && run.startedAt >= one.offeredAt && run.startedAt <= (named[index + 1]?.at ?? Number.POSITIVE_INFINITY) + oldWeightsMs);
       if (!mayUse) told.push({ rule: 'old weights started', detail: `${run.requestId} on ${run.weights} at ${Math.round(run.startedAt)}` });
     }
-    const requests = new Set(this.fleet.stays.flatMap(({ standIn }) => [...standIn.arrived])).size;
-    const arrivals = this.arrivals();
-    if (arrivals > requests * 1.2 + 18 + 5) told.push({ rule: 'extra shots', detail: `${arrivals} arrivals for ${requests} requests` });
     return told;
   };
 
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -20,6 +20,7 @@
   readonly counterEnv?: Record<string, unknown>;
   readonly postmasterEnv?: Record<string, unknown>;
   readonly tenants?: readonly string[];
+  readonly hasStore?: boolean;
   readonly onCounter?: (counter: Counter) => void;
   readonly onPostmaster?: (postmaster: Postmaster) => void;
   readonly portsFor?: (role: Role, ports: Ports) => Ports;
@@ -49,6 +50,7 @@
   readonly counterHosts: string[];
   readonly replicaHosts: string[];
   readonly appHost = '10.3.0.1';
+  readonly storeHost = '10.4.0.1';
   readonly stays: Stay[] = [];
   readonly current = new Map<string, StandIn>();
   private readonly incarnations = new Map<string, number>();
@@ -106,8 +108,9 @@
         prefillTokensPerMs: 8,
         pullTokensPerMs: 80,
         decodeMs: 5,
-        store: null,
+        store: this.plan.hasStore === true && name.startsWith('replica-') ? `${this.storeHost}:8000` : null,
         ...this.plan.standIn,
+        ...(name === 'store-1' ? { store: null, keptBlocks: 20_000 } : {}),
         ...more,
       },
       machine.clock(),
@@ -122,7 +125,7 @@
 
   readonly replicaName = (at: number): string => `replica-${at + 1}`;
 
-  readonly hostOfReplica = (name: string): string => (name === 'app-1' ? this.appHost : (this.replicaHosts[Number(name.split('-')[1]) - 1] as string));
+  readonly hostOfReplica = (name: string): string => (name === 'app-1' ? this.appHost : name === 'store-1' ? this.storeHost : (this.replicaHosts[Number(name.split('-')[1]) - 1] as string));
 
   readonly call = async (url: string, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', body?: unknown, headers: Record<string, string> = {}, signal: AbortSignal = new AbortController().signal): Promise<Told> => {
     const receipt = await this.world.machine(outsideHost).carriage().carry({
@@ -163,14 +166,16 @@
     this.onPostmaster(at, 'POST', '/platform/replicas', [
       ...this.replicaHosts.map((host, index) => ({ name: this.replicaName(index), address: `${host}:8000`, pool: 'main', incarnation: this.incarnationOf(this.replicaName(index)) })),
       { name: 'app-1', address: `${this.appHost}:8000`, pool: 'app', incarnation: this.incarnationOf('app-1') },
+      ...(this.plan.hasStore === true ? [{ name: 'store-1', kind: 'store', address: `${this.storeHost}:8000`, pool: 'main', incarnation: this.incarnationOf('store-1') }] : []),
     ]);
 
   readonly announce = (name: string, at = 0): Promise<Told> =>
-    this.onPostmaster(at, 'POST', '/platform/replicas', [{ name, address: `${this.hostOfReplica(name)}:8000`, pool: name === 'app-1' ? 'app' : 'main', incarnation: this.incarnationOf(name) }]);
+    this.onPostmaster(at, 'POST', '/platform/replicas', [{ name, address: `${this.hostOfReplica(name)}:8000`, pool: name === 'app-1' ? 'app' : 'main', kind: name === 'store-1' ? 'store' : 'replica', incarnation: this.incarnationOf(name) }]);
 
   readonly startAll = async (): Promise<void> => {
     this.replicaHosts.forEach((host, at) => this.startStandIn(this.replicaName(at), host));
     this.startStandIn('app-1', this.appHost);
+    if (this.plan.hasStore === true) this.startStandIn('store-1', this.storeHost);
     await Promise.all(this.postmasterHosts.map((_, at) => this.startPostmaster(at)));
     await Promise.all(this.counterHosts.map((_, at) => this.startCounter(at)));
   };
@@ -233,6 +238,13 @@
     this.current.delete(name);
   };
 
+  readonly movePostmaster = async (at: number, host: string, name: string): Promise<void> => {
+    this.killPostmaster(at, true);
+    this.postmasterHosts[at] = host;
+    this.postmasterNames[at] = name;
+    await this.bootPostmaster(at);
+  };
+
   readonly bootReplica = (name: string): void => {
     const host = this.hostOfReplica(name);
     this.world.machine(host).boot();
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -168,6 +168,8 @@
   isFrozen = false;
   life = 0;
   wallJump = 0;
+  monoLost = 0;
+  private frozenAt: number | null = null;
   readonly postponed: Planned[] = [];
   disk: SimDisk;
   private readonly listeners = new Map<string, (wire: Wire) => void>();
@@ -184,7 +186,7 @@
   readonly clock = (): Clock => {
     const { life } = this;
     return {
-      now: () => this.world.time,
+      now: () => this.world.time - this.monoLost,
       wall: () => 1_700_000_000_000 + this.world.time + this.wallJump,
       after: (delayMs, ring) => {
         if (this.life !== life) return { cancel: () => {} };
@@ -471,9 +473,13 @@
     this.disk.mood.failsSync = false;
   };
 
-  readonly freeze = (): void => void (this.isFrozen = true);
+  readonly freeze = (): void => {
+    this.isFrozen = true;
+    this.frozenAt = this.world.time;
+  };
 
-  readonly thaw = (): void => {
+  readonly thaw = (stopsMonotonic = false): void => {
+    if (stopsMonotonic && this.isFrozen) this.monoLost += this.world.time - (this.frozenAt ?? this.world.time);
     this.isFrozen = false;
     for (const planned of this.postponed.splice(0)) this.world.plan(this, 0, () => {
       if (!planned.isCancelled) planned.ring();
--- a/packages/proving/src/sim/storm.ts
+++ b/packages/proving/src/sim/storm.ts
@@ -1,6 +1,7 @@
 import { plans, keyOf } from '../firms.js';
+import type { Kind } from '../firms.js';
 import { Judge } from './judge.js';
-import type { Told } from './judge.js';
+import type { Call, Grant, Told } from './judge.js';
 import { SimFleet } from './simFleet.js';
 import type { SimPlan } from './simFleet.js';
 
@@ -41,7 +42,22 @@
   'key is revoked',
   'kv news is late',
   'kv news is lost',
+  'disk is slow',
+  'postmaster dies having confirmed',
+  'postmaster returns empty elsewhere',
+  'postmaster is swapped for a stranger',
+  'replicas are replaced in turn',
+  'replica is cut from some counters',
+  'cache store is lost',
+  'new client with a new tenant',
+  'counter is told to stop',
+  'postmaster is told to stop',
+  'clock jumps over a freeze',
+  'layout is probed',
 ] as const;
+
+export const finalKinds = ['counter lost for good', 'front of a zone lost for good', 'postmaster lost for good', 'replica lost for good', 'replica silent for good', 'none'] as const;
+export type FinalKind = (typeof finalKinds)[number];
 export type FaultKind = (typeof faultKinds)[number];
 
 export interface StormPlan {
@@ -53,6 +69,7 @@
   readonly fronts?: number;
   readonly replicas?: number;
   readonly longShare?: number;
+  readonly final?: FinalKind;
   readonly breakage?: Partial<SimPlan>;
 }
 
@@ -63,27 +80,65 @@
   readonly complaints: Told[];
   readonly tally: Record<string, number>;
   readonly calls: number;
+  readonly final: FinalKind;
+  readonly spans: readonly Span[];
+  readonly shares: readonly Share[];
+}
+
+export interface Span {
+  readonly kind: FaultKind;
+  readonly from: number;
+  readonly to: number;
+  readonly recoveryMs: number | null;
+}
+
+export interface Share {
+  readonly tier: string;
+  readonly during: readonly [whole: number, all: number];
+  readonly after: readonly [whole: number, all: number];
 }
 
 interface Quirk {
   readonly busy: Set<string>;
   weights: number;
   changes: number;
+  probes: number;
+  probedLane: string;
+  moves: number;
 }
 
+const isolationEvery = 3;
+
+const stormLayout = (seed: number): Record<string, unknown> => {
+  const layout = plans.layout('weights-1');
+  const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
+  const isApart = seed % isolationEvery !== 0;
+  return {
+    ...layout,
+    pools: { main: { weights: 'weights-1', slots: 8, store: 'store-1' }, app: { weights: 'app-1', slots: 32 } },
+    tenants: {
+      ...Object.fromEntries(Object.entries(tenants).map(([name, tenant]) => [name, { ...tenant, isolated: isApart && tenant['isolated'] === true }])),
+      [plans.prober]: { tier: 'patient', lanes: ['query'] },
+    },
+  };
+};
+
 const settleMs = 12_000;
+const serviceShare = 0.9;
+const serviceWindowMs = 1_000;
 const inForceMs = 2_000;
 
 export class Storm {
   readonly fleet: SimFleet;
   readonly judge: Judge;
   readonly brought: Record<string, number> = {};
-  private readonly state: Quirk = { busy: new Set(), weights: 1, changes: 0 };
+  private readonly state: Quirk = { busy: new Set(), weights: 1, changes: 0, probes: 0, probedLane: 'query', moves: 0 };
   private readonly open = new Set<Promise<void>>();
   private readonly late: Told[] = [];
+  private readonly spans: { kind: FaultKind; from: number; to: number }[] = [];
 
   constructor(private readonly plan: StormPlan) {
-    this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6, ...plan.breakage });
+    this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6, hasStore: true, layout: stormLayout(plan.seed), tenants: [...plans.tenantNames, plans.prober], ...plan.breakage });
     this.judge = new Judge(this.fleet);
   }
 
@@ -103,11 +158,12 @@
     const { fleet, judge, plan } = this;
     const { world } = fleet;
     await fleet.up();
-    for (const tenant of plans.tenantNames) judge.granted.set(keyOf(tenant), { tenant, from: 0, to: Number.POSITIVE_INFINITY });
+    for (const tenant of [...plans.tenantNames, plans.prober]) judge.grant(keyOf(tenant), tenant);
     const spanMs = plan.spanMs ?? 20_000;
     const kinds = plan.kinds ?? faultKinds;
     const count = plan.faults ?? 6;
-    judge.traffic(plan.ratePerSecond ?? 25, spanMs + settleMs + 3_000, plan.longShare ?? 0.1);
+    const final = plan.final ?? (finalKinds[this.pick(finalKinds.length)] as FinalKind);
+    judge.traffic(plan.ratePerSecond ?? 25, spanMs + settleMs + 3_000, plan.longShare ?? 0.1, true);
     judge.keyedTraffic(4, spanMs + settleMs);
     for (let at = 0; at < count; at += 1) {
       const kind = kinds[this.pick(kinds.length)] as FaultKind;
@@ -116,13 +172,66 @@
     await world.run(spanMs);
     await world.until('the faults to pass', () => this.open.size === 0, 90_000);
     world.healAll();
+    await fleet.finish(this.bringFinal(final), 60_000);
     const healedAt = world.time;
     await world.run(settleMs);
     const probesFrom = world.time;
     judge.traffic(20, 2_000);
     await world.run(45_000);
     const complaints = [...judge.complaints(), ...judge.statePlaints(), ...this.late, ...this.recoveryPlaints(healedAt, probesFrom)];
-    return { seed: plan.seed, digest: world.digest, brought: this.brought, complaints, tally: judge.tally(), calls: judge.calls.length };
+    const spans = this.spans.map((span) => ({ ...span, recoveryMs: this.recoveryOf(span.to) }));
+    return { seed: plan.seed, digest: world.digest, brought: this.brought, complaints, tally: judge.tally(), calls: judge.calls.length, final, spans, shares: this.shares() };
+  };
+
+  private readonly isServed = (call: Call): boolean => call.verdict === 'whole';
+
+  private readonly counted = (): Call[] => this.judge.calls.filter((call) => call.idempotencyKey === null && call.ask.tenant !== 'nobody' && call.ask.tenant !== plans.prober && !call.isLeft);
+
+  private readonly recoveryOf = (to: number): number | null => {
+    const calls = this.counted();
+    for (let at = to; at < to + settleMs; at += 100) {
+      const some = calls.filter((call) => call.sentAt >= at && call.sentAt < at + serviceWindowMs);
+      if (some.length > 0 && some.filter(this.isServed).length >= some.length * serviceShare) return at - to;
+    }
+    return null;
+  };
+
+  private readonly shares = (): Share[] => {
+    const calls = this.counted();
+    const isDuring = (call: Call): boolean => this.spans.some(({ from, to }) => call.sentAt >= from && call.sentAt <= to);
+    const isAfter = (call: Call): boolean => !isDuring(call) && this.spans.some(({ to }) => call.sentAt > to);
+    return Object.keys(plans.tiers).flatMap((tier) => {
+      const some = calls.filter((call) => call.ask.tier === tier);
+      const count = (is: (call: Call) => boolean): [number, number] => [some.filter((call) => is(call) && this.isServed(call)).length, some.filter(is).length];
+      return some.length === 0 ? [] : [{ tier, during: count(isDuring), after: count(isAfter) }];
+    });
+  };
+
+  private readonly bringFinal = async (final: FinalKind): Promise<void> => {
+    const { fleet, judge } = this;
+    switch (final) {
+      case 'counter lost for good':
+      case 'front of a zone lost for good': {
+        const at = this.pick(fleet.plan.fronts);
+        const lost = final === 'counter lost for good' ? [at] : fleet.counterHosts.map((_, one) => one).filter((one) => one % 3 === at % 3);
+        for (const one of lost) {
+          fleet.killCounter(one);
+          judge.gone.add(one);
+        }
+        return;
+      }
+      case 'postmaster lost for good':
+        return fleet.killPostmaster(this.pick(3), this.random() < 0.5);
+      case 'replica lost for good':
+      case 'replica silent for good': {
+        const name = fleet.replicaName(this.pick(fleet.plan.replicas));
+        fleet.world.machine(fleet.hostOfReplica(name)).vanish();
+        if (final === 'replica lost for good') await this.tellUntilTaken((at) => fleet.onPostmaster(at, 'DELETE', `/platform/replicas/${name}`));
+        return;
+      }
+      case 'none':
+        return;
+    }
   };
 
   private readonly recoveryPlaints = (healedAt: number, probesFrom: number): Told[] => {
@@ -130,7 +239,7 @@
     const whole = probes.filter((call) => call.verdict === 'whole').length;
     const told: Told[] = whole < probes.length * 0.8 ? [{ rule: 'service still mostly absent', detail: `${whole} of ${probes.length} whole ${Math.round(probesFrom - healedAt)} ms after healing` }] : [];
     for (const call of this.judge.calls) if (call.verdict === 'open') told.push({ rule: 'a call never ended', detail: call.requestId });
-    const generations = new Set(this.fleet.counters.map((counter) => counter?.book.generation()));
+    const generations = new Set(this.judge.living().map((at) => this.fleet.counters[at]?.book.generation()));
     if (generations.size !== 1) told.push({ rule: 'an accepted change is not in force', detail: `counters hold generations ${[...generations].join(', ')}` });
     return told;
   };
@@ -139,7 +248,11 @@
     const work = this.begin(kind);
     if (work === null) return;
     this.brought[kind] = (this.brought[kind] ?? 0) + 1;
-    const tracked = work.finally(() => void this.open.delete(tracked));
+    const from = this.fleet.world.time;
+    const tracked = work.finally(() => {
+      this.spans.push({ kind, from, to: this.fleet.world.time });
+      this.open.delete(tracked);
+    });
     this.open.add(tracked);
   };
 
@@ -208,6 +321,19 @@
     }
   };
 
+  private readonly probed = (lane: string, tier: string, repeat: 'once' | 'freely'): Record<string, unknown> => ({
+    lanes: { [lane]: { pool: 'main', repeat } },
+    tenants: { [plans.prober]: { tier, lanes: [lane] } },
+  });
+
+  private readonly probeAll = (lane: string, change: string, isWanted: boolean, tier: string, repeat: 'once' | 'freely'): void => {
+    const priority = plans.tiers[tier as keyof typeof plans.tiers];
+    for (const at of this.judge.living()) {
+      const ask = { ...plans.ask(this.random, this.judge.calls.length, 0), kind: lane as Kind, tenant: plans.prober, key: keyOf(plans.prober) };
+      this.judge.probes.push({ call: this.judge.send(ask, at), change, isWanted, priority, repeat });
+    }
+  };
+
   private readonly checkInForce = (id: string, generation: number): void => {
     this.fleet.counters.forEach((counter, at) => {
       if (counter === null || !counter.freshness.isFresh() || counter.book.generation() >= generation) return;
@@ -215,6 +341,58 @@
     });
   };
 
+  private readonly grant = async (key: string, tenant: string, entry: Record<string, unknown> | null, prefix = ''): Promise<Grant> => {
+    const grant = this.judge.grant(key, tenant);
+    await this.tellUntilTaken((at) => this.fleet.onPostmaster(at, 'POST', '/platform/clients', { tenant, key, ...(entry === null ? {} : { grant: entry }) }, { 'change-id': `grant-${prefix}${key}` }));
+    return grant;
+  };
+
+  private readonly untilVoter = async (at: number, shots: number): Promise<void> => {
+    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1) await this.wait(100);
+    if (this.fleet.postmasters[at]?.decrees.isVoter() !== true) throw new Error('the empty postmaster was never swapped in');
+  };
+
+  private readonly confirmChange = async (at: number): Promise<void> => {
+    const { fleet, judge } = this;
+    const held = await fleet.onPostmaster(at, 'GET', '/operator/layout');
+    const id = `last-word-${(this.state.changes += 1)}`;
+    const told = await fleet.onPostmaster(at, 'PATCH', '/operator/layout', { tiers: { steady: { rank: 1, horizonMs: 20_000 + this.pick(1_000) } } }, { 'if-match': `"${Number(held.body['generation'])}"`, 'change-id': id });
+    if (told.status !== 200) return;
+    judge.acceptedIds.set(id, Number(told.body['generation']));
+    fleet.world.plan(null, inForceMs, () => this.checkInForce(id, Number(told.body['generation'])));
+  };
+
+  private readonly confirmRevocation = async (at: number): Promise<void> => {
+    const { fleet, judge } = this;
+    const tenant = plans.tenantNames[this.pick(plans.tenantNames.length)] as string;
+    const key = `last-key-${(this.state.changes += 1)}`;
+    const grant = await this.grant(key, tenant, null);
+    const stopAt = fleet.world.time + 8_000;
+    const ask = (): void => {
+      if (fleet.world.time >= stopAt) return;
+      judge.send({ ...plans.ask(this.random, judge.calls.length, 0.1), key, tenant }, judge.living()[this.pick(judge.living().length)] as number);
+      fleet.world.plan(null, 100, ask);
+    };
+    ask();
+    await this.wait(1_000);
+    const told = await fleet.onPostmaster(at, 'POST', '/platform/keys/revoke', { key }, { 'change-id': `revoke-${key}` });
+    if (told.status === 200) grant.to = fleet.world.time;
+  };
+
+  private readonly confirmLeaving = async (at: number): Promise<void> => {
+    const { fleet, judge } = this;
+    const name = fleet.replicaName(this.pick(fleet.plan.replicas));
+    if (!this.claim(name)) return;
+    const told = await fleet.onPostmaster(at, 'POST', `/platform/replicas/${name}/leaving`);
+    if (told.status === 200) judge.leftAt.push({ name, incarnation: fleet.incarnationOf(name), at: fleet.world.time });
+    void this.wait(4_500).then(async () => {
+      fleet.killReplica(name);
+      await this.wait(200);
+      await this.comeBack(name);
+      this.free(name);
+    });
+  };
+
   private readonly begin = (kind: FaultKind): Promise<void> | null => {
     const { fleet, judge } = this;
     const { world } = fleet;
@@ -458,11 +636,36 @@
           await this.change({ tiers: { prompt: { rank: 0, horizonMs: 8_000 + this.pick(4_000) } } }, at, base);
         })();
       case 'rival changes':
+        if (!this.claim('prober')) return null;
         return (async () => {
           const { base } = await this.layoutOf();
-          const wins = await Promise.all([0, 1, 2].map((at) => this.change({ tiers: { steady: { rank: 1, horizonMs: 20_000 + at } } }, at, base)));
+          const names = [0, 1, 2].map(() => `rival-${(this.state.probes += 1)}`);
+          const wins = await Promise.all(names.map((name, at) => this.change({ tiers: { steady: { rank: 1, horizonMs: 20_000 + at } }, ...this.probed(name, 'patient', 'freely') }, at, base)));
           if (wins.filter(Boolean).length > 1) judge.acceptedIds.set('two rivals were both accepted', -1);
-        })();
+          const won = names.findIndex((_, at) => wins[at]);
+          if (won >= 0) this.state.probedLane = names[won] as string;
+          await this.wait(inForceMs);
+          names.forEach((name, at) => this.probeAll(name, `rival ${name}`, wins[at] === true, 'patient', 'freely'));
+        })().finally(() => this.free('prober'));
+      case 'layout is probed':
+        if (!this.claim('prober')) return null;
+        return (async () => {
+          const { at, base } = await this.layoutOf();
+          const name = `probe-${(this.state.probes += 1)}`;
+          const before = this.state.probedLane;
+          const tier = Object.keys(plans.tiers)[this.pick(3)] as string;
+          const repeat = this.random() < 0.5 ? 'once' : 'freely';
+          const faulty = await this.change({ ...this.probed(`${name}-faulty`, 'absent', repeat) }, at, base);
+          if (faulty) judge.refusedIds.add('a faulty change was accepted');
+          const isTaken = await this.change(this.probed(name, tier, repeat), at, base);
+          if (isTaken) this.state.probedLane = name;
+          for (let round = 0; round < 2; round += 1) {
+            await this.wait(inForceMs);
+            this.probeAll(name, `probe ${name}`, isTaken, tier, repeat);
+            this.probeAll(`${name}-faulty`, 'a faulty change', false, tier, repeat);
+            if (isTaken && before.startsWith('probe-')) this.probeAll(before, `probe ${name} took ${before} away`, false, tier, repeat);
+          }
+        })().finally(() => this.free('prober'));
       case 'many lanes':
         return (async () => {
           const { at, base } = await this.layoutOf();
@@ -481,28 +684,122 @@
           else judge.weightsFrom.splice(judge.weightsFrom.indexOf(marker), 1);
         })().finally(() => this.free('weights'));
       case 'key is revoked':
+      case 'new client with a new tenant':
         return (async () => {
-          const tenant = plans.tenantNames[this.pick(plans.tenantNames.length)] as string;
+          const isNew = kind === 'new client with a new tenant';
+          const tenant = isNew ? `newcomer-${this.pick(1_000_000)}` : (plans.tenantNames[this.pick(plans.tenantNames.length)] as string);
           const key = `brief-${this.state.changes}-${this.pick(1_000_000)}`;
-          const at = this.pick(3);
-          const id = `grant-${key}`;
-          const granted = await this.fleet.onPostmaster(at, 'POST', '/platform/clients', { tenant, key }, { 'change-id': id });
-          if (granted.status !== 200) return;
-          judge.acceptedIds.set(id, Number(granted.body['generation']));
-          const grant = { tenant, from: 0, to: Number.POSITIVE_INFINITY };
-          judge.granted.set(key, grant);
-          const stopAt = world.time + 12_000;
+          const grant = await this.grant(key, tenant, isNew ? { tier: 'steady', isolated: this.random() < 0.3, lanes: ['confirm', 'query', 'diagnose'] } : null);
+          const stopAt = world.time + 16_000;
+          let holder = tenant;
           const ask = (): void => {
             if (world.time >= stopAt) return;
-            judge.send({ ...plans.ask(this.random, judge.calls.length, 0.3), key, tenant }, this.pick(fleet.plan.fronts));
+            judge.send({ ...plans.ask(this.random, judge.calls.length, 0.3), key, tenant: holder }, judge.living()[this.pick(judge.living().length)] as number);
             world.plan(null, 150, ask);
           };
           ask();
           await this.wait(this.span(1_500, 4_000));
+          if (isNew && this.random() < 0.5) return;
           await this.tellUntilTaken((one) => fleet.onPostmaster(one, 'POST', '/platform/keys/revoke', { key }, { 'change-id': `revoke-${key}` }));
           grant.to = world.time;
-          await this.wait(4_000);
+          await this.wait(this.span(500, 4_000));
+          if (this.random() < 0.5) {
+            holder = plans.tenantNames[this.pick(plans.tenantNames.length)] as string;
+            await this.grant(key, holder, null, 'again-');
+          }
+          await this.wait(3_000);
+        })();
+      case 'disk is slow':
+        return this.onPostmaster(async (at) => {
+          const { disk } = fleet.machineOf('postmaster', at);
+          disk.mood.delayMs = this.span(20, 400);
+          await this.wait(this.span(1_000, 8_000));
+          disk.mood.delayMs = 0;
+        });
+      case 'postmaster dies having confirmed':
+        return this.onPostmaster(async (at) => {
+          const losesDisk = this.random() < 0.4;
+          const draw = this.pick(3);
+          if (draw === 0) await this.confirmChange(at);
+          else if (draw === 1) await this.confirmRevocation(at);
+          else await this.confirmLeaving(at);
+          fleet.killPostmaster(at, losesDisk);
+          await this.wait(this.span(100, 3_000));
+          await fleet.bootPostmaster(at);
+          if (losesDisk) await this.untilVoter(at, 300);
+        }, true);
+      case 'postmaster returns empty elsewhere':
+      case 'postmaster is swapped for a stranger':
+        return this.onPostmaster(async (at) => {
+          const isStranger = kind === 'postmaster is swapped for a stranger';
+          const move = (this.state.moves += 1);
+          await fleet.movePostmaster(at, `10.0.7.${move}`, isStranger ? `postmaster-new-${move}` : (fleet.postmasterNames[at] as string));
+          await this.untilVoter(at, 600);
+        }, true);
+      case 'replicas are replaced in turn': {
+        const names = fleet.replicaHosts.map((_, at) => fleet.replicaName(at)).filter(this.claim);
+        return (async () => {
+          for (const name of names) {
+            const incarnation = fleet.incarnationOf(name);
+            await this.tellUntilTaken((at) => fleet.onPostmaster(at, 'POST', `/platform/replicas/${name}/leaving`));
+            judge.leftAt.push({ name, incarnation, at: world.time });
+            await this.wait(this.span(200, 1_200));
+            fleet.killReplica(name);
+            await this.wait(this.span(100, 600));
+            await this.comeBack(name);
+            this.free(name);
+          }
         })();
+      }
+      case 'replica is cut from some counters':
+        return this.onReplica(async (name) => {
+          const host = fleet.hostOfReplica(name);
+          const some = fleet.counterHosts.filter(() => this.random() < 0.5);
+          for (const other of some) world.cutBoth(host, other);
+          await this.wait(this.span(500, 6_000));
+          for (const other of some) {
+            world.heal(host, other);
+            world.heal(other, host);
+          }
+        });
+      case 'cache store is lost':
+        if (!fleet.current.has('store-1') || !this.claim('store-1')) return null;
+        return (async () => {
+          fleet.killReplica('store-1');
+          await this.wait(this.span(200, 3_000));
+          if (this.random() < 0.5) await this.comeBack('store-1');
+          else {
+            world.machine(fleet.storeHost).boot();
+            fleet.startStandIn('store-1', fleet.storeHost, { incarnation: fleet.incarnationOf('store-1') });
+          }
+          const standIn = fleet.current.get('store-1');
+          if (standIn !== undefined && this.random() < 0.5) standIn.faults.delayNewsMs = this.span(200, 3_000);
+          await this.wait(this.span(500, 5_000));
+          if (standIn !== undefined) standIn.faults.delayNewsMs = 0;
+        })().finally(() => this.free('store-1'));
+      case 'counter is told to stop':
+        return this.onCounter(async (at) => {
+          if (this.random() < 0.5) return fleet.rollCounter(at);
+          void fleet.counters[at]?.drain();
+          await this.wait(this.span(50, 1_500));
+          fleet.killCounter(at);
+          await fleet.bootCounter(at);
+        });
+      case 'postmaster is told to stop':
+        return this.onPostmaster((at) => fleet.rollPostmaster(at));
+      case 'clock jumps over a freeze': {
+        const isCounter = this.random() < 0.6;
+        const work = async (at: number): Promise<void> => {
+          const machine = fleet.machineOf(isCounter ? 'counter' : 'postmaster', at);
+          machine.freeze();
+          await this.wait(this.span(300, 8_000));
+          const keepsWall = this.random() < 0.5;
+          if (!keepsWall) machine.wallJump += (this.random() < 0.5 ? -1 : 1) * this.span(2_000, 4_000_000);
+          machine.thaw(keepsWall);
+          await this.wait(1_000);
+        };
+        return isCounter ? this.onCounter(work) : this.onPostmaster(work);
+      }
       case 'kv news is late':
       case 'kv news is lost':
         return this.onReplica(async (name) => {
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -43,6 +43,11 @@
   idempotencyKey: string | null;
 }
 
+export interface Visit {
+  readonly requestId: string;
+  readonly at: number;
+}
+
 export interface Breach {
   readonly rule: 'weights' | 'tenant';
   readonly requestId: string;
@@ -74,8 +79,12 @@
 const newsLimit = 50_000;
 
 export const speech = {
-  piece: (prompt: string, weights: string, at: number): string => `${createHash('sha256').update(`${weights}|${at}|`).update(prompt).digest('hex').slice(0, 6)} `,
-  whole: (prompt: string, weights: string, count: number): string => Array.from({ length: count }, (_, at) => speech.piece(prompt, weights, at)).join(''),
+  digest: (prompt: string): string => createHash('sha256').update(prompt).digest('hex'),
+  piece: (digest: string, weights: string, runId: string, at: number): string => `${createHash('sha256').update(`${weights}|${runId}|${at}|${digest}`).digest('hex').slice(0, 6)} `,
+  whole: (prompt: string, weights: string, runId: string, count: number): string => {
+    const digest = speech.digest(prompt);
+    return Array.from({ length: count }, (_, at) => speech.piece(digest, weights, runId, at)).join('');
+  },
 };
 
 const promptOf = (body: Record<string, unknown>): string => {
@@ -88,8 +97,8 @@
   readonly app = new Hono();
   readonly runs: Run[] = [];
   readonly breaches: Breach[] = [];
-  readonly arrived = new Set<string>();
-  arrivals = 0;
+  readonly visits: Visit[] = [];
+  private runCount = 0;
   piecesSaid = 0;
   readonly faults: Faults = { failStatus: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, delayNewsMs: 0, slowPullMs: 0 };
   private readonly copies = new Map<string, Copy[]>();
@@ -116,7 +125,7 @@
       return c.json({ kept: blocks.length });
     });
     this.app.post('/kv-parts', async (c) => c.json(this.keptParts(((await c.req.json()) as { blocks: string[] }).blocks)));
-    this.app.get('/standin/report', (c) => c.json({ runs: this.runs, breaches: this.breaches }));
+    this.app.get('/standin/report', (c) => c.json({ runs: this.runs, breaches: this.breaches, visits: this.visits }));
     this.app.get('/standin/totals', (c) => c.json(this.totals()));
     this.app.post('/standin/faults', async (c) => {
       Object.assign(this.faults, await c.req.json());
@@ -299,8 +308,8 @@
   };
 
   private readonly complete = async (request: Request, path: string): Promise<Response> => {
-    this.arrivals += 1;
-    this.arrived.add(request.headers.get('x-request-id') ?? '');
+    this.visits.push({ requestId: request.headers.get('x-request-id') ?? '', at: this.clock.now() });
+    if (this.visits.length > runLimit) this.visits.shift();
     if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus });
     let body: Record<string, unknown>;
     try {
@@ -315,7 +324,7 @@
     const tenant = request.headers.get('x-tenant') ?? '';
     const run: Run = {
       requestId: request.headers.get('x-request-id') ?? '',
-      runId: `run-${this.env.name}-${this.env.incarnation}-${this.runs.length}`,
+      runId: `run-${this.env.name}-${this.env.incarnation}-${(this.runCount += 1)}`,
       tenant,
       isIsolated,
       weights,
@@ -371,6 +380,7 @@
         this.prefillDone();
       }
       const isChat = run.path.startsWith('/v1/chat');
+      const digest = speech.digest(prompt);
       for (let at = 0; at < count; at += 1) {
         if (signal.aborted) return;
         if (this.faults.stallMs > 0) await pause.for(this.clock, this.faults.stallMs);
@@ -379,7 +389,7 @@
           throw new Error('cut by a fault');
         }
         await pause.for(this.clock, this.env.decodeMs);
-        const text = speech.piece(prompt, run.weights, at);
+        const text = speech.piece(digest, run.weights, run.runId, at);
         this.piecesSaid += 1;
         const chunk = {
           id: run.runId,
--- a/packages/proving/src/stories/judge.ts
+++ b/packages/proving/src/stories/judge.ts
@@ -20,7 +20,7 @@
   loosened(counter.freshness).isFresh = () => counter.book.generation() >= 0;
 };
 
-const upGeneration = 9;
+const upGeneration = 10;
 
 interface Break {
   readonly what: string;
@@ -29,7 +29,7 @@
   readonly plan: Omit<StormPlan, 'seed' | 'kinds'>;
 }
 
-const breaks: readonly Break[] = [
+const breaks: Break[] = [
   {
     what: 'every failed shot is held to be unsent',
     rule: 'runs twice',
@@ -228,6 +228,132 @@
   },
 ];
 
+const promptIn = (body: string | null): string => String((JSON.parse(body ?? '{}') as { prompt?: unknown }).prompt);
+
+const replaying = (splicesAt: number): ((carriage: Carriage) => Partial<Carriage>) => {
+  const heard = new Map<string, Uint8Array[]>();
+  return (carriage) => ({
+    carry: async (request) => {
+      const receipt = await carriage.carry(request);
+      if (receipt.isErr() || receipt.value.status !== 200 || !request.url.includes('/v1/')) return receipt;
+      const prompt = promptIn(request.body);
+      const own: Uint8Array[] = [];
+      const other = heard.get(prompt) ?? own;
+      heard.set(prompt, other);
+      const body = async function* (): AsyncGenerator<Uint8Array> {
+        let id = '';
+        for await (const bytes of receipt.value.body) {
+          own.push(bytes);
+          const text = Buffer.from(bytes).toString('utf8');
+          id = /"id":"([^"]+)"/.exec(text)?.[1] ?? id;
+          const theirs = own.length > splicesAt ? other[own.length - 1] : undefined;
+          yield theirs === undefined || text.includes('[DONE]') ? bytes : Buffer.from(Buffer.from(theirs).toString('utf8').replace(/"id":"[^"]+"/, `"id":"${id}"`));
+        }
+      };
+      return ok({ ...receipt.value, body: body() });
+    },
+  });
+};
+
+breaks.push(
+  {
+    what: 'an equal prompt is answered with another request\'s run',
+    rule: 'wrong or cut answer looks whole',
+    kinds: ['layout changes'],
+    plan: { faults: 1, breakage: { portsFor: carriageBroken(replaying(0)) } },
+  },
+  {
+    what: 'two runs of one prompt are spliced',
+    rule: 'wrong or cut answer looks whole',
+    kinds: ['layout changes'],
+    plan: { faults: 1, breakage: { portsFor: carriageBroken(replaying(2)) } },
+  },
+  {
+    what: 'tiers change on paper but not towards replicas',
+    rule: 'an accepted change is not in force',
+    kinds: ['layout is probed'],
+    plan: { faults: 2, breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry(request.body === null ? request : { ...request, body: request.body.replace(/"priority":\d+/, '"priority":0') }) })) } },
+  },
+  {
+    what: 'a losing or faulty change opens its lane all the same',
+    rule: 'a losing change took effect',
+    kinds: ['rival changes', 'layout is probed'],
+    plan: {
+      faults: 3,
+      breakage: {
+        onCounter: (counter) => {
+          const view = counter.book.view;
+          loosened(counter.book).view = () => {
+            const held = view();
+            const query = held?.lanes.get('query');
+            if (held === null || query === undefined) return held;
+            const tenants = Object.assign(new Map(held.tenants), {
+              get: (name: string) => {
+                const tenant = held.tenants.get(name);
+                return tenant === undefined || name !== 'prober' ? tenant : { ...tenant, lanes: new Set([...tenant.lanes, query.index]) };
+              },
+            });
+            return { ...held, tenants, lanes: Object.assign(new Map(held.lanes), { get: (name: string) => held.lanes.get(name) ?? (/^(rival|probe)-/.test(name) ? query : undefined) }) };
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'a key granted anew still runs for its first holder',
+    rule: 'another tenant',
+    kinds: ['key is revoked'],
+    plan: {
+      faults: 4,
+      breakage: {
+        onCounter: (counter) => {
+          const first = new Map<string, string>();
+          const view = counter.book.view;
+          loosened(counter.book).view = () => {
+            const held = view();
+            if (held === null) return null;
+            for (const [hash, grant] of Object.entries(held.keys)) if (!first.has(hash)) first.set(hash, grant.tenant);
+            return { ...held, keys: Object.fromEntries(Object.keys(held.keys).map((hash) => [hash, { tenant: first.get(hash) as string }])) };
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'a key that was never granted is taken for the first tenant\'s',
+    rule: 'a key not granted',
+    kinds: ['layout changes'],
+    plan: {
+      faults: 1,
+      breakage: {
+        onCounter: (counter) => {
+          const view = counter.book.view;
+          loosened(counter.book).view = () => {
+            const held = view();
+            return held === null ? null : { ...held, keys: new Proxy(held.keys, { get: (keys, hash) => keys[hash as string] ?? { tenant: 'north' }, getOwnPropertyDescriptor: () => ({ configurable: true, enumerable: true, value: { tenant: 'north' } }) }) };
+          };
+        },
+      },
+    },
+  },
+  {
+    what: 'a restarted counter has a full purse',
+    rule: 'extra shots',
+    kinds: ['counters die in a herd', 'whole pool errs'],
+    plan: { ratePerSecond: 60, faults: 14, spanMs: 24_000, longShare: 0, breakage: { onCounter: (counter) => void (loosened(counter.stages)['budgetOf'] = ((budgetOf) => (pool: string) => {
+      const budget = budgetOf(pool) as { tokens: number; isFilled?: boolean };
+      if (budget.isFilled !== true) Object.assign(budget, { isFilled: true, tokens: 40, firstShot: () => {} });
+      return budget;
+    })(loosened(counter.stages)['budgetOf'] as (pool: string) => unknown)) } },
+  },
+  {
+    what: 'a machine lost for good takes the whole service with it',
+    rule: 'service still mostly absent',
+    kinds: ['layout changes'],
+    plan: { faults: 1, final: 'postmaster lost for good', breakage: { onCounter: (counter) => void (loosened(counter.freshness).isFresh = () => counter.freshness.voiceCount() === 3) } },
+  },
+);
+
 describe('the judge', () => {
   for (const { what, rule, kinds, plan } of breaks) {
     it(`given a product broken so that ${what}, when storms come, then it tells: ${rule}`, async () => {
--- a/packages/proving/src/trialsCommand.ts
+++ b/packages/proving/src/trialsCommand.ts
@@ -1,56 +1,144 @@
+import { availableParallelism } from 'node:os';
 import { parseArgs } from 'node:util';
-import { Storm, faultKinds } from './sim/storm.js';
-import type { FaultKind } from './sim/storm.js';
-
-const { values } = parseArgs({
-  options: {
-    from: { type: 'string', default: '1' },
-    seeds: { type: 'string', default: '20' },
-    faults: { type: 'string', default: '6' },
-    only: { type: 'string' },
-    verbose: { type: 'boolean', default: false },
-    help: { type: 'boolean', short: 'h' },
-  },
-});
-
-if (values.help === true) {
-  process.stdout.write(`seeded storms over the in-memory fleet; every line of the never list is judged
+import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
+import { Storm, faultKinds, finalKinds } from './sim/storm.js';
+import type { FaultKind, FinalKind, StormPlan, StormReport } from './sim/storm.js';
+
+const sizes: Record<string, Partial<StormPlan>> = {
+  small: {},
+  stations: { fronts: 9, replicas: 13, ratePerSecond: 190, longShare: 0.06 },
+  sawmill: { fronts: 9, replicas: 8, ratePerSecond: 180, longShare: 0.06 },
+};
+
+const usage = `seeded storms over the in-memory fleet; every line of the never list is judged
 
   --from N       first seed (1)
   --seeds N      how many seeds (20)
   --faults N     faults in a storm (6)
   --only "KIND"  one kind of fault, or several parted by commas
+  --each         one storm of one fault for each kind and seed, with its recovery
+  --final KIND   what is lost for good at the end of each storm (drawn by seed)
+  --size SIZE    small (4 counters, 6 replicas), stations or sawmill: the users' full sizes (small)
+  --jobs N       storms at once (all cores)
   --verbose      the log of each failing seed
 
 kinds: ${faultKinds.join(', ')}
-`);
-  process.exit(0);
+finals: ${finalKinds.join(', ')}
+`;
+
+interface Result {
+  readonly plan: StormPlan;
+  readonly report: StormReport | null;
+  readonly brought: Record<string, number>;
+  readonly fault: string;
+  readonly lines: readonly string[];
 }
 
-const kinds = values.only === undefined ? faultKinds : values.only.split(',').filter((kind): kind is FaultKind => (faultKinds as readonly string[]).includes(kind));
-const brought: Record<string, number> = {};
-const rules: Record<string, number> = {};
-let failing = 0;
-let calls = 0;
-const from = Number(values.from);
-for (let seed = from; seed < from + Number(values.seeds); seed += 1) {
-  const storm = new Storm({ seed, kinds, faults: Number(values.faults) });
+const trial = async (plan: StormPlan): Promise<Result> => {
+  const storm = new Storm(plan);
+  const lines = (): string[] => storm.fleet.world.lines.map((line) => `    ${Math.round(line.at)} ${line.machine} ${line.message} ${JSON.stringify(line.context)}`);
   try {
     const report = await storm.run();
-    calls += report.calls;
-    for (const [kind, count] of Object.entries(report.brought)) brought[kind] = (brought[kind] ?? 0) + count;
-    for (const told of report.complaints) rules[told.rule] = (rules[told.rule] ?? 0) + 1;
-    if (report.complaints.length > 0) {
-      failing += 1;
-      process.stdout.write(`seed ${seed}: ${JSON.stringify(report.brought)} ${JSON.stringify(report.tally)}\n`);
-      for (const told of report.complaints.slice(0, 5)) process.stdout.write(`  ${told.rule}: ${told.detail}\n`);
-    }
+    return { plan, report, brought: report.brought, fault: '', lines: report.complaints.length > 0 ? lines() : [] };
+  } catch (cause) {
+    return { plan, report: null, brought: storm.brought, fault: String((cause as Error).stack ?? cause), lines: lines() };
+  }
+};
+
+const quantile = (sorted: readonly number[], share: number): number => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
+
+const plainly = (text: string): never => {
+  process.stderr.write(`${text}\n`);
+  process.exit(2);
+};
+
+const count = (name: string, raw: string, least: number): number => (/^\d+$/.test(raw) && Number(raw) >= least ? Number(raw) : plainly(`--${name}: must be a whole number of ${least} or more`));
+
+const run = async (): Promise<void> => {
+  let parsed;
+  try {
+    parsed = parseArgs({
+      options: {
+        from: { type: 'string', default: '1' },
+        seeds: { type: 'string', default: '20' },
+        faults: { type: 'string', default: '6' },
+        only: { type: 'string' },
+        each: { type: 'boolean', default: false },
+        final: { type: 'string' },
+        size: { type: 'string', default: 'small' },
+        jobs: { type: 'string', default: String(availableParallelism()) },
+        verbose: { type: 'boolean', default: false },
+        help: { type: 'boolean', short: 'h' },
+      },
+    });
   } catch (cause) {
+    return plainly(String((cause as Error).message));
+  }
+  const { values } = parsed;
+  if (values.help === true) {
+    process.stdout.write(usage);
+    process.exit(0);
+  }
+  const kinds = values.only === undefined ? [...faultKinds] : values.only.split(',').map((kind) => kind.trim() as FaultKind);
+  for (const kind of kinds) if (!faultKinds.includes(kind)) plainly(`--only: no such fault: ${kind}\nknown: ${faultKinds.join(', ')}`);
+  if (values.final !== undefined && !finalKinds.includes(values.final as FinalKind)) plainly(`--final: no such fault: ${values.final}\nknown: ${finalKinds.join(', ')}`);
+  const size = sizes[values.size] ?? plainly(`--size: no such size: ${values.size}\nknown: ${Object.keys(sizes).join(', ')}`);
+  const from = count('from', values.from, 0);
+  const seeds = Array.from({ length: count('seeds', values.seeds, 1) }, (_, at) => from + at);
+  const more = { ...size, ...(values.final === undefined ? {} : { final: values.final as FinalKind }) };
+  const waiting: StormPlan[] = values.each
+    ? seeds.flatMap((seed) => kinds.map((kind) => ({ seed, kinds: [kind], faults: 1, spanMs: 14_000, ...more })))
+    : seeds.map((seed) => ({ seed, kinds, faults: count('faults', values.faults, 0), ...more }));
+  const storms = waiting.length;
+  const brought: Record<string, number> = {};
+  const rules: Record<string, number> = {};
+  const finals: Record<string, number> = {};
+  const recoveries = new Map<string, (number | null)[]>();
+  const shares = new Map<string, [number, number, number, number]>();
+  let failing = 0;
+  let calls = 0;
+  const note = ({ plan, report, brought: had, fault, lines }: Result): void => {
+    for (const [kind, times] of Object.entries(had)) brought[kind] = (brought[kind] ?? 0) + times;
+    if (report !== null) {
+      calls += report.calls;
+      finals[report.final] = (finals[report.final] ?? 0) + 1;
+      for (const told of report.complaints) rules[told.rule] = (rules[told.rule] ?? 0) + 1;
+      for (const span of report.spans) recoveries.set(span.kind, [...(recoveries.get(span.kind) ?? []), span.recoveryMs]);
+      for (const { tier, during, after } of report.shares) {
+        const held = shares.get(tier) ?? [0, 0, 0, 0];
+        shares.set(tier, [held[0] + during[0], held[1] + during[1], held[2] + after[0], held[3] + after[1]]);
+      }
+      if (report.complaints.length === 0) return;
+    } else rules['the storm did not end'] = (rules['the storm did not end'] ?? 0) + 1;
     failing += 1;
-    process.stdout.write(`seed ${seed}: ${JSON.stringify(storm.brought)} ${String((cause as Error).message)}\n`);
-    rules['the storm did not end'] = (rules['the storm did not end'] ?? 0) + 1;
+    process.stdout.write(`seed ${plan.seed}: ${JSON.stringify(had)} ${report === null ? fault : `${report.final} ${JSON.stringify(report.tally)}`}\n`);
+    for (const told of report?.complaints.slice(0, 5) ?? []) process.stdout.write(`  ${told.rule}: ${told.detail}\n`);
+    if (values.verbose) process.stdout.write(`${lines.join('\n')}\n`);
+  };
+  const work = (): Promise<void> =>
+    new Promise((done, fail) => {
+      const worker = new Worker(new URL(import.meta.url), { workerData: 'trial' });
+      const next = (): void => {
+        const plan = waiting.shift();
+        if (plan === undefined) void worker.terminate().then(() => done());
+        else worker.postMessage(plan);
+      };
+      worker.on('message', (result: Result) => {
+        note(result);
+        next();
+      });
+      worker.on('error', fail);
+      next();
+    });
+  await Promise.all(Array.from({ length: Math.min(storms, count('jobs', values.jobs, 1)) }, work));
+  process.stdout.write(`seeds ${from}..${from + seeds.length - 1}, ${values.size}: ${storms} storms, ${calls} calls, ${failing} failing\nbrought: ${JSON.stringify(brought)}\nlost for good: ${JSON.stringify(finals)}\nrules: ${JSON.stringify(rules)}\n`);
+  for (const [kind, all] of [...recoveries].sort()) {
+    const times = all.filter((one) => one !== null).sort((a, b) => a - b);
+    process.stdout.write(`  ${kind.padEnd(40)} n=${all.length} back after p50=${quantile(times, 0.5)} p95=${quantile(times, 0.95)} max=${times.at(-1) ?? '-'} ms, not within 12 s: ${all.length - times.length}\n`);
   }
-  if (values.verbose) for (const line of storm.fleet.world.lines) process.stdout.write(`    ${Math.round(line.at)} ${line.machine} ${line.message} ${JSON.stringify(line.context)}\n`);
-}
-process.stdout.write(`seeds ${from}..${from + Number(values.seeds) - 1}: ${calls} calls, ${failing} failing seeds\nbrought: ${JSON.stringify(brought)}\nrules: ${JSON.stringify(rules)}\n`);
-process.exit(failing === 0 ? 0 : 1);
+  for (const [tier, [inWhole, inAll, afterWhole, afterAll]] of shares) process.stdout.write(`  tier ${tier.padEnd(8)} whole during faults ${inWhole} of ${inAll}, after ${afterWhole} of ${afterAll}\n`);
+  process.exit(failing === 0 ? 0 : 1);
+};
+
+if (isMainThread) await run();
+else if (workerData === 'trial') parentPort?.on('message', (plan: StormPlan) => void trial(plan).then((result) => parentPort?.postMessage(result)));
