--- a/packages/counter/src/book.ts
+++ b/packages/counter/src/book.ts
@@ -1,5 +1,5 @@
 import { agreed as agreedState, replicas } from '@martenworks/envelope';
-import type { Agreed, Change, Clock, KvNews, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, Clock, KvNews, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
 import { Pigeonhole, Quarters } from '@martenworks/pigeonhole';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Door } from './layoutView.js';
@@ -33,9 +33,11 @@
     this.changed();
   };
 
+  private readonly eraOf = (record: ReplicaRecord): number => (record.kind === 'store' ? this.state?.storeSince[record.name] : this.state?.weightsSince[record.pool]) ?? 0;
+
   private readonly reindex = (): void => {
-    this.index.reconcile(this.held.values(), (record) => this.state?.weightsSince[record.pool] ?? 0);
-    this.quarters.align(this.held.values(), this.state, this.index.isUsed, this.clock.now());
+    this.index.reconcile(this.held.values(), this.eraOf);
+    this.quarters.align(this.held.values(), this.state, this.clock.now());
   };
 
   readonly takeChange = (generation: number, change: Change): boolean => {
@@ -66,8 +68,17 @@
   readonly inPool = (poolName: string): ReplicaRecord[] =>
     this.records().filter((record) => record.pool === poolName && record.kind === 'replica' && record.state === 'ready' && record.born <= this.generation());
 
-  readonly holdersIn = (poolName: string, store: string | null): ReplicaRecord[] =>
-    this.records().filter(
-      (record) => record.state === 'ready' && (record.kind === 'replica' ? record.pool === poolName : record.name === store) && record.born >= (this.state?.weightsSince[poolName] ?? 0),
-    );
+  readonly holdersIn = (poolName: string, store: string | null): ReplicaRecord[] => {
+    const { state } = this;
+    if (state === null) return [];
+    const isStoreShared = agreedState.servesIsolated(state.layout, poolName);
+    const isOfPool = (record: ReplicaRecord): boolean => (record.kind === 'replica' ? record.pool === poolName : record.name === store && !isStoreShared);
+    return this.records().filter((record) => record.state === 'ready' && isOfPool(record) && record.born >= this.eraOf(record));
+  };
+
+  readonly sidesWanted = (): SideClaim[] => this.quarters.wanted(this.clock.now());
+
+  readonly sidesAdmitted = (standings: readonly SideStanding[]): void => {
+    for (const one of standings) this.quarters.admitted(one, this.index.isUsed(one.replica), this.clock.now());
+  };
 }
--- a/packages/counter/src/budget.ts
+++ b/packages/counter/src/budget.ts
@@ -1,11 +1,9 @@
 const extraShare = 0.2;
 
 export class ExtraBudget {
-  private tokens: number;
+  private tokens = 0;
 
-  constructor(readonly allowance: number) {
-    this.tokens = Math.min(1, allowance);
-  }
+  constructor(readonly allowance: number) {}
 
   readonly firstShot = (): void => {
     this.tokens = Math.min(Math.max(1, this.allowance), this.tokens + extraShare);
--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -77,7 +77,7 @@
   return given !== undefined && /^[\w.:-]{1,128}$/.test(given) ? given : counter.ports.random.token(12);
 };
 
-export const callerWire = (counter: Counter, vitals: () => string[] = () => []): Hono => {
+export const callerWire = (counter: Counter): Hono => {
   const app = new Hono();
   const completion =
     (path: CompletionPath) =>
@@ -111,38 +111,7 @@
     const isReady = counter.freshness.isFresh() && !counter.stages.isDraining;
     return isReady ? c.json({ status: 'ready', generation: counter.book.generation() }) : c.json({ status: 'not ready', voices: counter.freshness.voiceCount() }, 503, { 'retry-after': '1' });
   });
-  app.get('/status', (c) =>
-    c.json({
-      name: counter.env.name,
-      zone: counter.env.zone,
-      incarnation: counter.incarnation,
-      generation: counter.book.generation(),
-      fresh: counter.freshness.isFresh(),
-      voices: counter.freshness.voiceCount(),
-      live: counter.stages.live.size,
-      queues: counter.stages.depths(),
-      budgets: counter.stages.budgetsLeft(),
-      replicas: counter.tracks.all(),
-      index: counter.book.index.sizes(),
-    }),
-  );
-  app.post('/why', limited, async (c) => {
-    const asked = (await c.req.json().catch(() => null)) as { lane?: unknown; tenant?: unknown; prompt?: unknown } | null;
-    if (typeof asked?.lane !== 'string' || typeof asked.tenant !== 'string' || typeof asked.prompt !== 'string') return c.json({ detail: 'lane, tenant and prompt must be text' }, 400);
-    const lines = counter.stages.why(asked.lane, asked.tenant, asked.prompt);
-    return lines === null ? c.json({ detail: 'no such lane or tenant' }, 404) : c.json({ counter: counter.env.name, candidates: lines });
-  });
-  app.get('/metrics', (c) => {
-    const lines = [
-      `martenworks_generation ${counter.book.generation()}`,
-      `martenworks_fresh ${counter.freshness.isFresh() ? 1 : 0}`,
-      `martenworks_live ${counter.stages.live.size}`,
-      ...vitals(),
-      ...counter.tally.lines().map((line) => `martenworks_${line}`),
-    ];
-    return c.text(`${lines.join('\n')}\n`);
-  });
-  app.notFound((c) => denyReply(c, deny.of('bad_request', 'no', 'no such path or method'), requestIdOf(c, counter)));
+  app.notFound((c) => denyReply(c, deny.of('no_such_page', 'no', 'no such path or method'), requestIdOf(c, counter)));
   app.onError((cause, c) => {
     counter.ports.log.error('a request broke its handler', { cause: String(cause.stack ?? cause) });
     return c.json({ error: { type: 'internal', message: 'a fault of ours', ran: 'unknown' } }, 500);
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating, pause } from '@martenworks/envelope';
-import type { Agreed, Change, KvNews, Listener, LoadReport, NetFault, Pong, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, KvNews, Listener, LoadReport, NetFault, Pong, Ports, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import { coaches, hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -19,6 +19,7 @@
 
 const pingMs = 250;
 const pingPatienceMs = 2_000;
+const admitPatienceMs = 1_000;
 
 export class Counter {
   readonly incarnation: string;
@@ -34,6 +35,7 @@
   private readonly pinger: Repeating;
   private readonly pinged = new Set<Coach>();
   private listener: Listener | null = null;
+  private isAdmitting = false;
 
   constructor(
     readonly env: Env,
@@ -65,11 +67,46 @@
   private readonly changed = (): void => {
     for (const coach of this.lines?.open() ?? []) coach.tell('ack', this.book.generation());
     this.stages?.recheck();
+    if (this.lines !== undefined) void this.admitSides();
     this.lines?.align();
   };
 
+  private readonly admitSides = async (): Promise<void> => {
+    const claims = this.book.sidesWanted();
+    if (this.isAdmitting || claims.length === 0) return;
+    this.isAdmitting = true;
+    const standings = await this.askSides(claims);
+    this.isAdmitting = false;
+    if (standings.length === 0) return;
+    this.book.sidesAdmitted(standings);
+    this.stages.pumpAll();
+  };
+
+  private readonly askSides = async (claims: readonly SideClaim[]): Promise<SideStanding[]> => {
+    const members = this.book.agreed()?.members ?? [];
+    const majority = Math.floor(members.length / 2) + 1;
+    const told = new Map<string, SideStanding[]>();
+    return new Promise((settle) => {
+      let open = members.length;
+      const tally = (standings: readonly SideStanding[]): void => {
+        open -= 1;
+        for (const one of standings) told.set(one.replica, [...(told.get(one.replica) ?? []), one]);
+        const known = [...told.values()].filter((some) => some.length >= majority);
+        if (known.length < claims.length && open > 0) return;
+        settle(known.map((some) => ({ ...(some[0] as SideStanding), sides: [...new Set(some.flatMap((one) => one.sides))], ageMs: some.map((one) => one.ageMs).sort((a, b) => b - a)[majority - 1] as number })));
+      };
+      if (members.length === 0) settle([]);
+      for (const member of members) {
+        const coach = this.lines.to(member.incarnation);
+        if (coach === undefined) tally([]);
+        else void coach.ask('admitSides', claims, admitPatienceMs).then((receipt) => tally(receipt.isOk() ? ((receipt.value as SideStanding[] | null) ?? []) : []));
+      }
+    });
+  };
+
   private readonly pingAll = (): void => {
     this.stages.sweep();
+    void this.admitSides();
     for (const coach of this.lines.open()) void this.ping(coach);
   };
 
--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -1,5 +1,6 @@
 export * from './counter.js';
 export * from './callerWire.js';
+export * from './operatorPages.js';
 export * from './parcel.js';
 export * from './pipe.js';
 export * from './budget.js';
--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -36,6 +36,9 @@
   lane: LaneView | null = null;
   horizonAt = Number.POSITIVE_INFINITY;
   shots = 0;
+  extraShots = 0;
+  isOnce = false;
+  comeBackSeconds: number | null = null;
   mayHaveRun = false;
   isAnswered = false;
   isRelaying = false;
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -1,7 +1,9 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { deny, digests, keys, pause, prompts } from '@martenworks/envelope';
 import type { Contention, Deny, DenyCode, PoolDemands, Ports, ReplicaRecord } from '@martenworks/envelope';
 import { backWire } from '@martenworks/courier';
-import type { Piece } from '@martenworks/courier';
+import type { Piece, ShotFault } from '@martenworks/courier';
 import type { Env } from '@martenworks/franking';
 import { place, weigh } from '@martenworks/pigeonhole';
 import type { Placement, PlaceQuestion } from '@martenworks/pigeonhole';
@@ -9,7 +11,7 @@
 import type { Claims, ShelfState } from './claims.js';
 import { ExtraBudget, RateShare } from './budget.js';
 import type { Freshness } from './freshness.js';
-import type { TenantView } from './layoutView.js';
+import type { LaneView, TenantView } from './layoutView.js';
 import { Parcel } from './parcel.js';
 import type { ShotOn } from './parcel.js';
 import { Stage, Tray } from './pipe.js';
@@ -20,6 +22,9 @@
 const forecastSafety = 0.5;
 const urgentHeadroom = 0.5;
 const pullSlackMs = 100;
+const extraShotLimit = 2;
+const callersFaults = new Set([400, 413, 414, 415, 422]);
+const busyStatuses = new Set([429, 503]);
 const longestHorizonMs = 600_000;
 const largestRetryAfterSeconds = 30;
 
@@ -35,6 +40,11 @@
   readonly costMs: number | null;
 }
 
+interface Standing {
+  readonly lane: LaneView;
+  readonly tenant: TenantView;
+}
+
 interface Waiting {
   readonly tray: Tray<Parcel>;
   readonly byTier: Map<string, number>;
@@ -86,6 +96,7 @@
 
   private readonly retryAfter = (code: DenyCode, parcel: Parcel): number | undefined => {
     if (code !== 'no_capacity' && code !== 'horizon_passed') return undefined;
+    if (parcel.comeBackSeconds !== null) return Math.min(largestRetryAfterSeconds, Math.max(1, parcel.comeBackSeconds));
     const queue = parcel.lane === null ? undefined : this.queues.get(parcel.lane.poolName);
     const waitMs = queue?.tray.forecastMs(parcel.tenant?.name ?? '', this.ports.clock.now()) ?? 0;
     return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(waitMs / 1_000 + this.ports.random.fraction())));
@@ -136,6 +147,7 @@
     if (!this.isWithinRate(parcel)) return this.refuse(parcel, 'over_share', 'the tenant is over its rate');
     parcel.lane = lane;
     parcel.laneName = laneName;
+    parcel.isOnce = lane.repeat === 'once';
     parcel.promptTokens = prompts.tokens(prompt);
     parcel.blocks = prompts.blocks(prompt);
     const horizonMs = Math.min(longestHorizonMs, parcel.order.horizonMs ?? tenant.tier.horizonMs);
@@ -211,7 +223,33 @@
     return queue;
   };
 
+  private readonly standing = (parcel: Parcel): Result<Standing, readonly [DenyCode, string]> => {
+    const view = this.book.view();
+    const grant = view !== null && Object.hasOwn(view.keys, parcel.keyHash) ? view.keys[parcel.keyHash] : undefined;
+    const tenant = grant?.tenant === parcel.tenant?.name ? view?.tenants.get(grant?.tenant ?? '') : undefined;
+    if (view === null || tenant === undefined) return err(['key_revoked', 'the key was revoked']);
+    const lane = view.lanes.get(parcel.laneName);
+    if (lane === undefined) return err(['unknown_lane', 'the lane was taken away']);
+    if (!tenant.lanes.has(lane.index)) return err(['lane_not_granted', 'the lane was taken from the key\'s holder']);
+    return ok({ lane, tenant });
+  };
+
+  private readonly isStanding = (parcel: Parcel): boolean =>
+    this.standing(parcel).match(
+      ({ lane, tenant }) => {
+        parcel.lane = lane;
+        parcel.tenant = tenant;
+        parcel.isOnce ||= lane.repeat === 'once';
+        return true;
+      },
+      ([code, detail]) => {
+        this.refuse(parcel, code, detail);
+        return false;
+      },
+    );
+
   private readonly queue = (parcel: Parcel): void => {
+    if (!this.isStanding(parcel)) return;
     const { lane, tenant } = parcel;
     if (lane === null || tenant === null) return;
     if (this.book.inPool(lane.poolName).length === 0) return this.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
@@ -269,22 +307,19 @@
         continue;
       }
       if (parcel.shotOn !== null) {
+        parcel.isOnce ||= view.lanes.get(parcel.laneName)?.repeat === 'once';
         const record = this.book.record(parcel.shotOn.replica);
         if (record !== undefined && (record.incarnation > parcel.shotOn.incarnation || record.state === 'gone')) parcel.shotOn.lost();
         continue;
       }
       if (parcel.lane === null || parcel.isRelaying) continue;
-      const lane = view.lanes.get(parcel.laneName);
-      if (lane === undefined) {
-        this.refuse(parcel, 'unknown_lane', 'the lane was taken away');
-        continue;
-      }
-      const tenant = view.tenants.get(parcel.tenant.name) as TenantView;
-      const isMoved = lane.poolName !== parcel.lane.poolName || tenant.tierName !== parcel.tenant.tierName || tenant.tier.rank !== parcel.tenant.tier.rank;
+      const { lane, tenant } = parcel;
+      const isMoved = this.standing(parcel).match(
+        (next) => next.lane.poolName !== lane.poolName || next.tenant.tierName !== tenant.tierName || next.tenant.tier.rank !== tenant.tier.rank,
+        () => false,
+      );
       const isWaiting = isMoved && this.unqueue(parcel);
-      parcel.lane = lane;
-      parcel.tenant = tenant;
-      if (isWaiting) this.queue(parcel);
+      if (this.isStanding(parcel) && isWaiting) this.queue(parcel);
     }
     this.pumpAll();
   };
@@ -347,7 +382,7 @@
     const placed = this.placement(parcel);
     if (placed === null) {
       if (this.book.inPool(poolName).some((record) => !parcel.avoided.has(record.name))) return false;
-      this.refuse(parcel, 'no_capacity', 'the pool has no ready replica left for this request');
+      this.refuse(parcel, parcel.shots > 0 && parcel.comeBackSeconds === null ? 'replica_failed' : 'no_capacity', 'the pool has no ready replica left for this request');
       return true;
     }
     queue.tray.grant(parcel, this.ports.clock.now());
@@ -365,23 +400,29 @@
     return budget;
   };
 
-  private readonly isSendable = (parcel: Parcel, replica: string, weights: string): boolean => {
+  private readonly isSendable = (parcel: Parcel, placed: Placement, shot: Standing, weights: string): boolean => {
+    const standing = this.standing(parcel);
     const view = this.book.view();
-    if (view === null || parcel.endReported || parcel.tenant === null || parcel.lane === null) return false;
-    return (
-      this.freshness.isFresh() &&
-      view.keys[parcel.keyHash]?.tenant === parcel.tenant.name &&
-      view.pools.get(parcel.lane.poolName)?.weights === weights &&
-      this.book.record(replica)?.state === 'ready' &&
-      this.ports.clock.now() < parcel.horizonAt
-    );
+    if (view === null || standing.isErr() || parcel.endReported) return false;
+    const { lane, tenant } = standing.value;
+    const now = this.ports.clock.now();
+    const isAsPlaced = lane.poolName === shot.lane.poolName && tenant.tenant.isolated === shot.tenant.tenant.isolated && view.pools.get(lane.poolName)?.weights === weights;
+    if (!isAsPlaced || !this.freshness.isFresh() || now >= parcel.horizonAt) return false;
+    const scope = tenant.tenant.isolated ? tenant.name : null;
+    const isThere = (wanted: ReplicaRecord, among: readonly ReplicaRecord[]): boolean => among.some((record) => record.name === wanted.name && record.incarnation === wanted.incarnation);
+    if (!isThere(placed.record, this.book.inPool(lane.poolName)) || !this.book.quarters.mayRun(placed.record, scope, now)) return false;
+    const { holder } = placed;
+    if (holder === null) return true;
+    const held = this.book.record(holder.name);
+    return held !== undefined && isThere(holder, this.book.holdersIn(lane.poolName, view.pools.get(lane.poolName)?.store ?? null)) && this.book.quarters.mayName(held, scope);
   };
 
   private readonly again = (parcel: Parcel, code: DenyCode, detail: string): void => {
-    if (parcel.endReported || parcel.lane === null) return;
-    const mayRepeat = !parcel.mayHaveRun || parcel.lane.repeat === 'freely';
-    if (!mayRepeat || this.isDraining) return this.refuse(parcel, code, detail);
+    if (parcel.endReported || !this.isStanding(parcel) || parcel.lane === null) return;
+    const mayRepeat = !parcel.mayHaveRun || !parcel.isOnce;
+    if (!mayRepeat || this.isDraining || parcel.extraShots >= extraShotLimit) return this.refuse(parcel, code, detail);
     if (!this.budgetOf(parcel.lane.poolName).take()) return this.refuse(parcel, code, `${detail}; no extra shot is left`);
+    parcel.extraShots += 1;
     this.tally.add('shots_extra');
     this.queue(parcel);
   };
@@ -412,27 +453,56 @@
       this.tracks.ended(replica);
       this.finished(lane.poolName);
     };
-    const failed = (code: DenyCode, detail: string): void => {
-      if (parcel.shotOn !== shotOn) return;
+    const dropped = (): void => {
       parcel.shotOn = null;
-      this.tracks.given(replica, mark, placed.prefilledTokens);
-      isFirstPieceIn = true;
-      this.tracks.failed(replica);
       release();
       shotQuit.abort();
       parcel.avoided.add(replica);
+    };
+    const failed = (code: DenyCode, detail: string): void => {
+      if (parcel.shotOn !== shotOn) return;
+      this.tracks.failed(replica);
+      dropped();
       this.ports.log.warn('a shot failed', { requestId: order.requestId, replica, detail, shot: parcel.shots, mayHaveRun: parcel.mayHaveRun });
       this.again(parcel, code, detail);
     };
+    const turnedAway = ({ status, cause, retryAfterSeconds }: ShotFault): void => {
+      if (status !== null && callersFaults.has(status)) {
+        dropped();
+        return this.refuse(parcel, 'bad_request', `the replica turned it away: ${cause}`);
+      }
+      if (status === null || !busyStatuses.has(status) || retryAfterSeconds === null) return failed('replica_failed', cause);
+      this.tracks.rests(replica, retryAfterSeconds * 1_000);
+      parcel.comeBackSeconds = retryAfterSeconds;
+      dropped();
+      this.again(parcel, 'no_capacity', `the replica is full: ${cause}`);
+    };
     const sentAt = this.ports.clock.now();
     const shotOn: ShotOn = {
       replica,
       incarnation: placed.record.incarnation,
-      lost: () => (parcel.isRelaying ? parcel.cut('the replica is gone') : failed('replica_failed', 'the replica is gone')),
+      lost: () => {
+        if (parcel.isRelaying) return parcel.cut('the replica is gone');
+        if (isOut) return failed('replica_failed', 'the replica is gone');
+        withdrawn();
+      },
     };
     parcel.shotOn = shotOn;
     const wasSent = parcel.mayHaveRun;
-    parcel.mayHaveRun = true;
+    let isOut = false;
+    const withdrawn = (): void => {
+      parcel.shotOn = null;
+      release();
+      shotQuit.abort();
+      if (parcel.endReported) return;
+      if (!this.freshness.isFresh()) return this.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
+      this.queue(parcel);
+    };
+    const mayLeave = (): boolean => {
+      isOut = parcel.shotOn === shotOn && this.isSendable(parcel, placed, { lane, tenant }, weights);
+      parcel.mayHaveRun ||= isOut;
+      return isOut;
+    };
     const receipt = await backWire.send(this.ports.carriage, {
       requestId: order.requestId,
       replica: placed.record.address,
@@ -444,20 +514,14 @@
       priority: tenant.tier.rank,
       cacheFrom: placed.holder?.address ?? null,
       signal: shotQuit.signal,
-      gate: () => this.isSendable(parcel, replica, weights),
+      gate: mayLeave,
     });
     if (parcel.shotOn !== shotOn) return;
     if (receipt.isErr()) {
       if (receipt.error.isUnsent) parcel.mayHaveRun = wasSent;
       if (parcel.endReported) return release();
-      if (receipt.error.cause === 'GATED') {
-        parcel.shotOn = null;
-        release();
-        if (parcel.endReported) return;
-        if (!this.freshness.isFresh()) return this.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
-        return this.queue(parcel);
-      }
-      return failed('replica_failed', receipt.error.cause);
+      if (receipt.error.cause === 'GATED') return withdrawn();
+      return turnedAway(receipt.error);
     }
     const first = await receipt.value.next();
     if (parcel.shotOn !== shotOn) return;
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -90,6 +90,11 @@
     track.suspicionMs = Math.min(track.suspicionMs * 2, longestSuspicionMs);
   };
 
+  readonly rests = (replica: string, forMs: number): void => {
+    const track = this.of(replica);
+    track.suspectUntil = Math.max(track.suspectUntil, this.clock.now() + Math.min(forMs, longestSuspicionMs));
+  };
+
   readonly toldOthers = (loads: Loads): void => {
     for (const [replica, track] of this.held) if (loads[replica] === undefined) track.others = track.othersTokens = 0;
     for (const [replica, [running, tokens]] of Object.entries(loads)) {
--- a/packages/courier/src/backWire.ts
+++ b/packages/courier/src/backWire.ts
@@ -26,8 +26,16 @@
   readonly isUnsent: boolean;
   readonly status: number | null;
   readonly cause: string;
+  readonly retryAfterSeconds: number | null;
 }
 
+const noRetry = { retryAfterSeconds: null };
+
+const retryAfterIn = (receipt: CarriageReceipt): number | null => {
+  const told = receipt.header('retry-after');
+  return told !== null && /^\d{1,6}$/.test(told) ? Number(told) : null;
+};
+
 const doneMark = '[DONE]';
 
 const eventsIn = async function* (body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
@@ -141,14 +149,14 @@
       signal: shot.signal,
       gate: shot.gate,
     });
-    if (receipt.isErr()) return err({ kind: 'shot', isUnsent: receipt.error.isUnsent, status: null, cause: receipt.error.code });
+    if (receipt.isErr()) return err({ kind: 'shot', isUnsent: receipt.error.isUnsent, status: null, cause: receipt.error.code, ...noRetry });
     if (receipt.value.status !== 200) {
       await drainQuietly(receipt.value);
-      return err({ kind: 'shot', isUnsent: false, status: receipt.value.status, cause: `status ${receipt.value.status}` });
+      return err({ kind: 'shot', isUnsent: false, status: receipt.value.status, cause: `status ${receipt.value.status}`, retryAfterSeconds: retryAfterIn(receipt.value) });
     }
     if (!(receipt.value.header('content-type') ?? '').startsWith('text/event-stream')) {
       await drainQuietly(receipt.value);
-      return err({ kind: 'shot', isUnsent: false, status: 200, cause: 'the receipt is no event stream' });
+      return err({ kind: 'shot', isUnsent: false, status: 200, cause: 'the receipt is no event stream', ...noRetry });
     }
     return ok(pieces(receipt.value.body, shot.weights));
   },
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -47,6 +47,7 @@
   readonly layoutGeneration: number;
   readonly layout: Layout;
   readonly weightsSince: Record<string, number>;
+  readonly storeSince: Record<string, number>;
   readonly keys: Record<string, KeyGrant>;
   readonly members: readonly Member[];
   readonly changeIds: Record<string, { generation: number; digest: string }>;
@@ -76,6 +77,7 @@
   readonly zone: string;
   readonly slots: number | null;
   readonly born: number;
+  readonly sides: readonly string[];
 }
 
 export interface KvNews {
@@ -108,12 +110,38 @@
   ),
 });
 
+const servesIsolated = (layout: Layout, pool: string): boolean =>
+  Object.values(layout.tenants).some((tenant) => tenant.isolated && tenant.lanes.some((lane) => layout.lanes[lane]?.pool === pool));
+
+const storeUses = (layout: Layout): Map<string, { weights: string; isMixed: boolean }> => {
+  const uses = new Map<string, { weights: string; isMixed: boolean }>();
+  for (const [name, pool] of Object.entries(layout.pools)) {
+    if (pool.store === null) continue;
+    uses.set(pool.store, { weights: pool.weights, isMixed: uses.get(pool.store)?.isMixed === true || servesIsolated(layout, name) });
+  }
+  return uses;
+};
+
+const storeSince = (state: Agreed, layout: Layout, generation: number): Agreed['storeSince'] => {
+  const before = storeUses(state.layout);
+  const after = storeUses(layout);
+  const since: Record<string, number> = { ...state.storeSince };
+  for (const store of new Set([...before.keys(), ...after.keys()])) {
+    const [was, is] = [before.get(store), after.get(store)];
+    if (since[store] === undefined && was === undefined) since[store] = is?.isMixed === true ? generation : 0;
+    else if (was?.weights !== is?.weights || was?.isMixed === true || is?.isMixed === true) since[store] = generation;
+  }
+  return since;
+};
+
 export const agreed = {
+  servesIsolated,
   founded: (members: readonly Member[]): Agreed => ({
     generation: 0,
     layoutGeneration: 0,
     layout: emptyLayout,
     weightsSince: {},
+    storeSince: {},
     keys: {},
     members,
     changeIds: {},
@@ -125,7 +153,7 @@
     switch (body.kind) {
       case 'layout':
         return body.base === state.layoutGeneration
-          ? { ...next, layout: body.layout, layoutGeneration: generation, weightsSince: weightsSince(state, body.layout, generation) }
+          ? { ...next, layout: body.layout, layoutGeneration: generation, weightsSince: weightsSince(state, body.layout, generation), storeSince: storeSince(state, body.layout, generation) }
           : next;
       case 'grant': {
         const isTenantNew = body.tenant !== null && state.layout.tenants[body.grant.tenant] === undefined;
@@ -133,6 +161,7 @@
         return {
           ...next,
           layout: layout as Layout,
+          storeSince: storeSince(state, layout as Layout, generation),
           layoutGeneration: isTenantNew ? generation : state.layoutGeneration,
           keys: { ...state.keys, [body.keyHash]: body.grant },
         };
@@ -149,16 +178,19 @@
 const isAhead = (a: ReplicaRecord, b: ReplicaRecord): boolean => {
   if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation;
   if (a.state !== b.state) return stateRanks[a.state] > stateRanks[b.state];
-  return JSON.stringify({ ...a, born: 0 }) < JSON.stringify({ ...b, born: 0 });
+  return JSON.stringify({ ...a, born: 0, sides: [] }) < JSON.stringify({ ...b, born: 0, sides: [] });
 };
 
+const movedSide = '*moved*';
+const unknownSide = '*unknown*';
+
 export const replicas = {
   merge: (held: ReplicaRecord | undefined, told: ReplicaRecord): ReplicaRecord => {
     if (held === undefined) return told;
     const ahead = isAhead(told, held) ? told : held;
     if (held.incarnation !== told.incarnation) return ahead;
-    const born = Math.min(held.born, told.born);
-    return born === ahead.born ? ahead : { ...ahead, born };
+    const sides = new Set([...(held.sides ?? [unknownSide]), ...(told.sides ?? [unknownSide]), ...(held.pool === told.pool ? [] : [movedSide])]);
+    return { ...ahead, born: Math.min(held.born, told.born), sides: [...sides].sort() };
   },
   isNews: (held: ReplicaRecord | undefined, told: ReplicaRecord): boolean => {
     const merged = replicas.merge(held, told);
@@ -166,6 +198,17 @@
   },
 };
 
+export interface SideClaim {
+  readonly replica: string;
+  readonly incarnation: number;
+  readonly side: string;
+}
+
+export interface SideStanding extends SideClaim {
+  readonly sides: readonly string[];
+  readonly ageMs: number;
+}
+
 export type Loads = Record<string, readonly [running: number, pendingTokens: number]>;
 
 export type PoolDemands = Record<string, readonly [waiting: number, running: number]>;
--- a/packages/envelope/src/outcome.ts
+++ b/packages/envelope/src/outcome.ts
@@ -19,7 +19,8 @@
   | 'outcome_unknown'
   | 'key_reused'
   | 'no_claim'
-  | 'caller_left';
+  | 'caller_left'
+  | 'no_such_page';
 
 const statusByCode: Record<DenyCode, number> = {
   bad_request: 400,
@@ -41,6 +42,7 @@
   key_reused: 422,
   no_claim: 503,
   caller_left: 499,
+  no_such_page: 404,
 };
 
 export interface Deny {
--- a/packages/franking/src/env.ts
+++ b/packages/franking/src/env.ts
@@ -11,6 +11,7 @@
   readonly zone: string;
   readonly coach: string;
   readonly http: string;
+  readonly operators: string | null;
   readonly seeds: readonly string[];
   readonly data: string | null;
   readonly fronts: number;
@@ -38,6 +39,7 @@
   zone: label,
   coach: address,
   http: address,
+  'operators?': address,
   seeds: address.array().narrow((seeds, context) => seeds.length === 3 || context.mustBe('exactly three addresses')),
   'data?': 'string > 0',
   'fronts?': '1 <= number.integer <= 1000',
@@ -62,6 +64,7 @@
   zone: { form: forms.text, help: 'the zone this machine stands in' },
   coach: { form: forms.text, help: 'IP:PORT for the fleet\'s own connections' },
   http: { form: forms.text, help: 'IP:PORT for HTTP (callers, or operators and platform)' },
+  operators: { form: forms.text, help: 'IP:PORT for operators\' pages, on a private network (counter only; none)' },
   seeds: { form: forms.list, help: 'three IP:PORT of other nodes, parted by commas' },
   data: { form: forms.text, help: 'data folder (postmaster only)' },
   fronts: { form: forms.count, help: 'how many counters share the extra allowance (9)' },
@@ -83,6 +86,9 @@
     const faults: Complaint[] = shaped instanceof type.errors ? shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message })) : [];
     const data = (flagged['data'] ?? fromFile['data']) as unknown;
     if (role === 'postmaster' && data === undefined) faults.push({ path: '/data', message: 'a postmaster needs a data folder' });
+    const operators = (flagged['operators'] ?? fromFile['operators']) as unknown;
+    if (role === 'postmaster' && operators !== undefined) faults.push({ path: '/operators', message: 'is for counters; a postmaster\'s http is the operators\' already' });
+    if (operators !== undefined && [flagged['http'] ?? fromFile['http'], flagged['coach'] ?? fromFile['coach']].includes(operators)) faults.push({ path: '/operators', message: 'must be another address than http and coach' });
     if (shaped instanceof type.errors || faults.length > 0) return err(faults);
     return ok({
       role,
@@ -90,6 +96,7 @@
       zone: shaped.zone,
       coach: shaped.coach,
       http: shaped.http,
+      operators: shaped.operators ?? null,
       seeds: shaped.seeds,
       data: shaped.data ?? null,
       fronts: shaped.fronts ?? 9,
--- a/packages/franking/src/layoutCheck.ts
+++ b/packages/franking/src/layoutCheck.ts
@@ -84,6 +84,10 @@
 
 const absent = (layout: Layout): Complaint[] => [
   ...(['tiers', 'pools', 'lanes', 'tenants'] as const).flatMap((at) => named(layout[at], at)),
+  ...Object.entries(layout.pools).flatMap(([key, one]) => {
+    const first = Object.entries(layout.pools).find(([, other]) => one.store !== null && other.store === one.store);
+    return first === undefined || first[1].weights === one.weights ? [] : [{ path: `/pools/${key}/store`, message: `is the store of pool ${first[0]} too, which has other weights` }];
+  }),
   ...Object.entries(layout.lanes)
     .filter(([, one]) => !Object.hasOwn(layout.pools, one.pool))
     .map(([key, one]) => ({ path: `/lanes/${key}/pool`, message: `names the absent pool ${one.pool}` })),
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -3,7 +3,7 @@
 import type { Clock, ClockEvent, Listener, Log, Net, NetFault, Wire } from '@martenworks/envelope';
 import { Unpacker, frames } from './frames.js';
 
-export const wireRelease = 1;
+export const wireRelease = 2;
 const backlogLimit = 8 * 1024 * 1024;
 const callLimit = 1024;
 
@@ -18,12 +18,12 @@
 }
 
 export const hellos = {
-  of: (role: Hello['role'], node: { readonly name: string; readonly coach: string; readonly http: string; readonly zone: string }, incarnation: string): Hello => ({
+  of: (role: Hello['role'], node: { readonly name: string; readonly coach: string; readonly http: string; readonly operators: string | null; readonly zone: string }, incarnation: string): Hello => ({
     release: wireRelease,
     name: node.name,
     role,
     address: node.coach,
-    http: node.http,
+    http: role === 'counter' ? (node.operators ?? '') : node.http,
     zone: node.zone,
     incarnation,
   }),
--- a/packages/pigeonhole/src/pigeonhole.ts
+++ b/packages/pigeonhole/src/pigeonhole.ts
@@ -81,6 +81,8 @@
     shelf.seq = news.seq;
     if (news.kind === 'cleared') {
       shelf.blocks.clear();
+      shelf.scopes.clear();
+      shelf.isWhole = true;
       return;
     }
     if (news.kind === 'removed') {
--- a/packages/pigeonhole/src/quarters.ts
+++ b/packages/pigeonhole/src/quarters.ts
@@ -1,17 +1,17 @@
 import { createHash } from 'node:crypto';
-import type { Agreed, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
 
-const usedGraceMs = 15_000;
+const usedGraceMs = 9_000;
 const unusedGraceMs = 3_000;
+const steadyMs = 1_000;
 const mixed = '*mixed*';
 const shared = '*shared*';
 
 interface Seat {
   readonly incarnation: number;
   role: string;
-  before: string;
-  openAt: number;
-  isConstant: boolean;
+  roleSince: number;
+  readonly openAt: Map<string, number>;
 }
 
 const score = (label: string, replica: string): string => createHash('sha256').update(`${label}\n${replica}`).digest('hex');
@@ -49,10 +49,12 @@
   },
 };
 
+const admits = (role: string, isolatedTenant: string | null): boolean => role === mixed || role === (isolatedTenant ?? shared);
+
 export class Quarters {
   private readonly seats = new Map<string, Seat>();
 
-  readonly align = (records: Iterable<ReplicaRecord>, state: Agreed | null, isUsed: (replica: string) => boolean, now: number): void => {
+  readonly align = (records: Iterable<ReplicaRecord>, state: Agreed | null, now: number): void => {
     if (state === null) return;
     const isolated = Object.entries(state.layout.tenants).filter(([, tenant]) => tenant.isolated);
     const served = new Set(Object.values(state.layout.lanes).map((lane) => lane.pool));
@@ -66,36 +68,41 @@
     for (const [pool, some] of byPool) {
       const tenants = isolated.filter(([, tenant]) => tenant.lanes.some((lane) => state.layout.lanes[lane]?.pool === pool)).map(([name]) => name);
       const roles = quarterPlan.roles(some.map((record) => record.name).sort(), tenants);
-      for (const record of some) this.seat(record, roles.get(record.name) ?? mixed, now + (isUsed(record.name) ? usedGraceMs : unusedGraceMs));
+      for (const record of some) this.seat(record, roles.get(record.name) ?? mixed, now);
     }
     for (const name of [...this.seats.keys()]) if (!present.has(name)) this.seats.delete(name);
   };
 
-  private readonly seat = (record: ReplicaRecord, role: string, openAt: number): void => {
+  private readonly seat = (record: ReplicaRecord, role: string, now: number): void => {
     const held = this.seats.get(record.name);
-    if (held === undefined || held.incarnation !== record.incarnation) {
-      this.seats.set(record.name, { incarnation: record.incarnation, role, before: role, openAt: 0, isConstant: true });
-      return;
-    }
-    if (held.role === role) return;
-    held.before = held.role;
-    held.role = role;
-    held.openAt = openAt;
-    held.isConstant = false;
+    if (held === undefined || held.incarnation !== record.incarnation) this.seats.set(record.name, { incarnation: record.incarnation, role, roleSince: now, openAt: new Map() });
+    else if (held.role !== role) Object.assign(held, { role, roleSince: now });
+  };
+
+  readonly wanted = (now: number): SideClaim[] =>
+    [...this.seats].flatMap(([replica, { incarnation, role, roleSince, openAt }]) =>
+      openAt.has(role) || (openAt.size > 0 && now - roleSince < steadyMs) ? [] : [{ replica, incarnation, side: role }],
+    );
+
+  readonly admitted = ({ replica, incarnation, side, sides, ageMs }: SideStanding, isUsed: boolean, now: number): void => {
+    const seat = this.seats.get(replica);
+    if (seat === undefined || seat.incarnation !== incarnation) return;
+    const isSole = sides.every((one) => one === side);
+    seat.openAt.set(side, isSole ? now : now + Math.max(0, (isUsed ? usedGraceMs : unusedGraceMs) - ageMs));
   };
 
   readonly mayRun = (record: ReplicaRecord, isolatedTenant: string | null, now: number): boolean => {
     const seat = this.seats.get(record.name);
-    if (seat === undefined) return false;
-    const admits = (role: string): boolean => role === mixed || role === (isolatedTenant ?? shared);
-    return admits(seat.role) && (seat.isConstant || now >= seat.openAt || admits(seat.before));
+    if (seat === undefined || seat.incarnation !== record.incarnation || !admits(seat.role, isolatedTenant)) return false;
+    return [...seat.openAt].some(([role, openAt]) => admits(role, isolatedTenant) && now >= openAt);
   };
 
   readonly mayName = (record: ReplicaRecord, isolatedTenant: string | null): boolean => {
-    if (record.kind === 'store') return true;
+    if (record.kind === 'store') return isolatedTenant === null;
+    const side = isolatedTenant ?? shared;
     const seat = this.seats.get(record.name);
-    return seat !== undefined && seat.isConstant && seat.role === (isolatedTenant ?? shared);
+    return seat?.role === side && seat.incarnation === record.incarnation && record.sides.length === 1 && record.sides[0] === side;
   };
 
-  readonly roles = (): { replica: string; role: string; isConstant: boolean }[] => [...this.seats].map(([replica, seat]) => ({ replica, role: seat.role, isConstant: seat.isConstant }));
+  readonly roles = (): { replica: string; role: string }[] => [...this.seats].map(([replica, seat]) => ({ replica, role: seat.role }));
 }
--- a/packages/postmaster/src/platformWire.ts
+++ b/packages/postmaster/src/platformWire.ts
@@ -32,7 +32,7 @@
 
 const recordOf = (given: typeof announcement.infer, held: ReplicaRecord | undefined, generation: number): ReplicaRecord => {
   const isBack = held?.state === 'gone' || (held?.state === 'leaving' && given.state === 'ready');
-  const isSame = held !== undefined && held.address === given.address && !isBack;
+  const isSame = held !== undefined && held.address === given.address && held.pool === (given.pool ?? held.pool) && !isBack;
   return {
     name: given.name,
     kind: given.kind ?? 'replica',
@@ -43,6 +43,7 @@
     zone: given.zone ?? '',
     slots: given.slots ?? null,
     born: generation,
+    sides: [],
   };
 };
 
@@ -65,6 +66,12 @@
     if (!body.isJson) return badRequest(c, 'the body is not JSON');
     const checked = announcement.array()(Array.isArray(body.value) ? body.value : [body.value]);
     if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
+    const moved = checked.flatMap((one, at) => {
+      const held = postmaster.table.find(one.name);
+      const isMoved = held !== undefined && held.incarnation === one.incarnation && one.pool !== undefined && one.pool !== held.pool;
+      return isMoved ? [{ path: `/${at}/pool`, message: `this incarnation serves pool ${held.pool}; in another pool it must be a new one` }] : [];
+    });
+    if (moved.length > 0) return c.json({ outcome: 'rejected', complaints: moved }, 422);
     return announced(c, postmaster, checked.map((one) => recordOf(one, postmaster.table.find(one.name), postmaster.decrees.agreed()?.generation ?? 0)));
   });
 
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, Change, Claimant, ClaimBallot, Listener, LoadReport, Member, NetFault, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type { Agreed, Change, Claimant, ClaimBallot, Listener, LoadReport, Member, NetFault, Ports, ReplicaRecord, SideClaim } from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -25,6 +25,7 @@
 import type { Voters } from './proposer.js';
 import { PushDesk } from './pushDesk.js';
 import { ReplicaDesk } from './replicaDesk.js';
+import { SideDesk } from './sideDesk.js';
 import { replicaTables } from './replicaTable.js';
 import type { ReplicaTable } from './replicaTable.js';
 
@@ -50,6 +51,7 @@
   readonly changes: ChangeDesk;
   readonly push: PushDesk;
   readonly replicas: ReplicaDesk;
+  readonly sides: SideDesk;
   readonly kv: KvDesk;
   readonly duties: Duties;
   readonly rounds: Rounds;
@@ -96,6 +98,7 @@
       (replica) => this.duties.fenceOf(kvDuty(replica)),
     );
     this.push = new PushDesk(decrees, clock, table.records, this.kv.shelves);
+    this.sides = new SideDesk(table, clock);
     this.replicas = new ReplicaDesk(table, claims, decrees, () => this.lines);
     this.founding = new Founding(decrees, this.hello, () => this.lines, () => this.roster.neighbours('postmaster'), this.proposer.learn, log);
     this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, this.verdicts.isDown, log);
@@ -270,6 +273,8 @@
         case 'supply':
           await this.proposer.learn(body as Since);
           return true;
+        case 'admitSides':
+          return this.decrees.isVoter() ? this.sides.admit(body as SideClaim[]) : null;
         case 'replicaNews':
           return this.replicas.takeNews(body as ReplicaRecord[]);
         case 'claimPrepare': {
--- /dev/null
+++ b/packages/postmaster/src/sideDesk.ts
@@ -0,0 +1,38 @@
+import type { Clock, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
+import type { ReplicaTable } from './replicaTable.js';
+
+export class SideDesk {
+  private readonly since = new Map<string, number>();
+
+  constructor(
+    private readonly table: ReplicaTable,
+    private readonly clock: Clock,
+  ) {
+    this.note(table.records());
+    table.watch(this.note);
+  }
+
+  private readonly labelOf = (replica: string, incarnation: number, side: string): string => `${replica}\n${incarnation}\n${side}`;
+
+  private readonly note = (records: readonly ReplicaRecord[]): void => {
+    for (const { name, incarnation, sides, state } of records) {
+      for (const side of sides) {
+        const label = this.labelOf(name, incarnation, side);
+        if (state === 'gone') this.since.delete(label);
+        else if (!this.since.has(label)) this.since.set(label, this.clock.now());
+      }
+    }
+  };
+
+  readonly admit = async (claims: readonly SideClaim[]): Promise<SideStanding[] | null> => {
+    const known = claims.filter(({ replica, incarnation }) => this.table.find(replica)?.incarnation === incarnation);
+    const told = known.map(({ replica, side }) => ({ ...(this.table.find(replica) as ReplicaRecord), sides: [side] }));
+    const kept = await this.table.take(told);
+    if (kept.isErr()) return null;
+    return known.flatMap((claim) => {
+      const record = this.table.find(claim.replica);
+      const since = this.since.get(this.labelOf(claim.replica, claim.incarnation, claim.side));
+      return record === undefined || record.incarnation !== claim.incarnation || since === undefined ? [] : [{ ...claim, sides: record.sides, ageMs: this.clock.now() - since }];
+    });
+  };
+}
--- a/packages/postrider/src/flags.ts
+++ b/packages/postrider/src/flags.ts
@@ -48,7 +48,7 @@
     return { isHelp: false, env: envs.check(role, table, given) };
   },
   help: (role: Role): string => {
-    const lines = fields.filter((field) => role === 'postmaster' || field !== 'data').map((field) => `  --${kebab(field).padEnd(18)} ${envFields[field].help}`);
+    const lines = fields.filter((field) => (role === 'postmaster' ? field !== 'operators' : field !== 'data')).map((field) => `  --${kebab(field).padEnd(18)} ${envFields[field].help}`);
     return [`postrider ${role}: ${role === 'counter' ? 'a front, which takes callers\' requests' : 'a core node, which keeps the agreed state'}`, '', `usage: postrider ${role} [--env FILE] [flags]`, '', '  --env FILE           JSON file with the fields below; flags go before it', ...lines, ''].join('\n');
   },
 };
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -1,9 +1,9 @@
 import { parseArgs } from 'node:util';
 import { carriages } from '@martenworks/courier';
-import { callerWire, counters } from '@martenworks/counter';
+import { callerWire, counters, operatorPages } from '@martenworks/counter';
 import { runInspector } from '@martenworks/inspector';
 import { addresses, logs, machine } from '@martenworks/envelope';
-import type { Log, Ports } from '@martenworks/envelope';
+import type { Listener, Log, Ports, WebHandler } from '@martenworks/envelope';
 import { envs, layouts } from '@martenworks/franking';
 import type { Complaint, Env, Role } from '@martenworks/franking';
 import { operatorWire, platformWire, postmasters, recovery } from '@martenworks/postmaster';
@@ -77,16 +77,21 @@
     return exitCodes.failed;
   }
   const counter = started.value;
-  const door = await realDoor.open(env.http, callerWire(counter, watchVitals()).fetch);
-  if (door.isErr()) {
-    log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
-    return exitCodes.failed;
+  const doors: Listener[] = [];
+  const wanted: [string, WebHandler][] = [[env.http, callerWire(counter).fetch], ...(env.operators === null ? [] : [[env.operators, operatorPages(counter, watchVitals()).fetch] as [string, WebHandler]])];
+  for (const [address, handler] of wanted) {
+    const door = await realDoor.open(address, handler);
+    if (door.isErr()) {
+      log.error('the HTTP address could not be opened', { address, fault: door.error });
+      return exitCodes.failed;
+    }
+    doors.push(door.value);
   }
-  log.info('the counter is up', { coach: env.coach, http: env.http, zone: env.zone, incarnation: counter.incarnation });
+  log.info('the counter is up', { coach: env.coach, http: env.http, operators: env.operators, zone: env.zone, incarnation: counter.incarnation });
   log.info('draining', { signal: await untilAsked(), live: counter.stages.live.size });
   await counter.drain();
   await counter.stop();
-  await door.value.close();
+  await Promise.all(doors.map((door) => door.close()));
   log.info('closed');
   return exitCodes.fine;
 };
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -66,7 +66,7 @@
 
   readonly startCounter = (at: number): ChildProcess => {
     const name = `counter-${at + 1}`;
-    return this.start(name, ['counter', ...this.common(name, this.counterHosts[at] as string, at), '--fronts', String(this.frontCount), ...this.extraFlags]);
+    return this.start(name, ['counter', ...this.common(name, this.counterHosts[at] as string, at), '--operators', `${this.counterHosts[at]}:7102`, '--fronts', String(this.frontCount), ...this.extraFlags]);
   };
 
   readonly standInEnv = (name: string, host: string): StandInEnv => ({
@@ -166,10 +166,10 @@
 
   readonly vitals = async (): Promise<string[]> => {
     const rows: string[] = [];
-    for (const host of [...this.postmasterHosts, ...this.counterHosts]) {
-      const text = String((await this.call(`${host}:7101`, 'GET', '/metrics')).body['text']);
+    for (const address of [...this.postmasterHosts.map((host) => `${host}:7101`), ...this.counterHosts.map((host) => `${host}:7102`)]) {
+      const text = String((await this.call(address, 'GET', '/metrics')).body['text']);
       const read = (name: string): string => new RegExp(`^martenworks_${name} (.*)$`, 'm').exec(text)?.[1] ?? '-';
-      rows.push(`${host.padEnd(14)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`);
+      rows.push(`${address.padEnd(17)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`);
     }
     return rows;
   };
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -1,4 +1,4 @@
-import { callerWire, counters } from '@martenworks/counter';
+import { callerWire, counters, operatorPages } from '@martenworks/counter';
 import type { Counter } from '@martenworks/counter';
 import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
 import type { Postmaster } from '@martenworks/postmaster';
@@ -87,11 +87,12 @@
   readonly startCounter = async (at: number): Promise<void> => {
     const host = this.counterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, this.plan.counterEnv ?? {}), this.portsOf('counter', machine));
+    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, { operators: `${host}:7102`, ...this.plan.counterEnv }), this.portsOf('counter', machine));
     if (started.isErr()) throw new Error(`counter ${at}: ${JSON.stringify(started.error)}`);
     this.counters[at] = started.value;
     this.plan.onCounter?.(started.value);
     machine.openDoor(`${host}:7101`, callerWire(started.value).fetch);
+    machine.openDoor(`${host}:7102`, operatorPages(started.value).fetch);
   };
 
   readonly startStandIn = (name: string, host: string, more: Partial<StandInEnv> = {}): void => {
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -17,11 +17,13 @@
 
 export interface Faults {
   failStatus: number | null;
+  failRetryAfter: number | null;
   cutAfterPieces: number | null;
   stallMs: number;
   omitsEnd: boolean;
   claimedWeights: string | null;
   dropNews: boolean;
+  hidesNews: boolean;
   delayNewsMs: number;
   slowPullMs: number;
 }
@@ -100,7 +102,7 @@
   readonly visits: Visit[] = [];
   private runCount = 0;
   piecesSaid = 0;
-  readonly faults: Faults = { failStatus: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, delayNewsMs: 0, slowPullMs: 0 };
+  readonly faults: Faults = { failStatus: null, failRetryAfter: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, hidesNews: false, delayNewsMs: 0, slowPullMs: 0 };
   private readonly copies = new Map<string, Copy[]>();
   private readonly newsLines: NewsLine[] = [];
   private readonly listeners = new Set<(line: NewsLine) => void>();
@@ -157,6 +159,7 @@
   };
 
   private readonly tell = (kind: NewsLine['kind'], tenant: string | null, blocks: readonly string[]): void => {
+    if (this.faults.hidesNews) return;
     const line: NewsLine = { incarnation: this.env.incarnation, seq: (this.seq += 1), kind, tenant, blocks };
     this.newsLines.push(line);
     if (this.newsLines.length > newsLimit) this.newsLines.shift();
@@ -310,7 +313,7 @@
   private readonly complete = async (request: Request, path: string): Promise<Response> => {
     this.visits.push({ requestId: request.headers.get('x-request-id') ?? '', at: this.clock.now() });
     if (this.visits.length > runLimit) this.visits.shift();
-    if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus });
+    if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus, ...(this.faults.failRetryAfter === null ? {} : { headers: { 'retry-after': String(this.faults.failRetryAfter) } }) });
     let body: Record<string, unknown>;
     try {
       body = (await request.json()) as Record<string, unknown>;
--- a/packages/proving/src/stories/holders.ts
+++ b/packages/proving/src/stories/holders.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { Pigeonhole } from '@martenworks/pigeonhole';
 import { keyOf, kinds, plans } from '../firms.js';
 import type { Ask } from '../firms.js';
 import { Judge } from '../sim/judge.js';
@@ -122,4 +123,74 @@
     expect(judge.complaints()).to.deep.equal([]);
     expect(judge.tally()).to.deep.equal({ whole: judge.calls.length });
   });
+
+  it('given a replica that served an isolated tenant and told nothing of it, when its quarter becomes shared and every counter starts anew, then it is named to nobody', async () => {
+    const { fleet, judge } = await raised(36, 4, layoutOf(['depot']));
+    const own = fleet.counters[0]?.book.quarters.roles().find(({ role }) => role === 'depot')?.replica ?? '';
+    const hide = (hidesNews: boolean): void => {
+      for (const standIn of fleet.current.values()) standIn.faults.hidesNews = hidesNews;
+    };
+    hide(true);
+    await waves(fleet, judge, 'depot', 'zeta', 2);
+    hide(false);
+    expect(judge.runs().some((run) => run.replica === own && run.isIsolated)).to.equal(true);
+    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { depot: { isolated: false } } }, { 'if-match': '"1"' }));
+    expect(put.status).to.equal(200);
+    await fleet.world.run(20_000);
+    await waves(fleet, judge, 'north', 'zeta', 10);
+    expect(judge.runs().some((run) => run.replica === own && !run.isIsolated)).to.equal(true);
+    for (const at of [0, 1]) {
+      fleet.killCounter(at);
+      await fleet.bootCounter(at);
+    }
+    for (const name of ['replica-1', 'replica-2', 'replica-3', 'replica-4'].filter((one) => one !== own)) {
+      fleet.killReplica(name);
+      fleet.bootReplica(name);
+      await fleet.finish(fleet.announce(name));
+    }
+    await fleet.world.run(6_000);
+    await waves(fleet, judge, 'south', 'zeta', 10);
+    expect(judge.runs().filter((run) => run.cacheFrom === `${fleet.hostOfReplica(own)}:8000`).length).to.equal(0);
+    expect(judge.complaints()).to.deep.equal([]);
+    expect(judge.tally()).to.deep.equal({ whole: judge.calls.length });
+  });
+
+  it('given a store that keeps an isolated tenant\'s parts and told nothing of them, when others ask for the same prefix, then it is named to nobody until it is announced anew without isolated tenants', async () => {
+    const { fleet, judge } = await raised(37, 3, layoutOf(['depot'], { store: 'store-1' }), { hasStore: true, standIn: { decodeMs: 20, keptBlocks: 60 } });
+    const store = (): void => void Object.assign(fleet.current.get('store-1')?.faults ?? {}, { hidesNews: true });
+    store();
+    await waves(fleet, judge, 'depot', 'eta', 1);
+    Object.assign(fleet.current.get('store-1')?.faults ?? {}, { hidesNews: false });
+    const rounds = async (): Promise<void> => {
+      for (let round = 0; round < 2; round += 1) for (const name of ['eta', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6']) await waves(fleet, judge, 'north', name, 1);
+    };
+    const fromStore = (): number => named(judge).filter((run) => run.cacheFrom === `${fleet.storeHost}:8000`).length;
+    await rounds();
+    expect(fromStore()).to.equal(0);
+    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { depot: { isolated: false } } }, { 'if-match': '"1"' }));
+    expect(put.status).to.equal(200);
+    await fleet.world.run(20_000);
+    await rounds();
+    expect(fromStore()).to.equal(0);
+    fleet.killReplica('store-1');
+    fleet.bootReplica('store-1');
+    await fleet.finish(fleet.announce('store-1'));
+    await fleet.world.run(2_000);
+    await rounds();
+    expect(fromStore()).to.be.greaterThan(0);
+    expect(judge.complaints()).to.deep.equal([]);
+  });
+
+  it('given notices with a gap, when the replica tells that its cache is cleared, then it may be named again', () => {
+    const index = new Pigeonhole(60_000);
+    index.reconcile([{ name: 'r', kind: 'replica', incarnation: 1, state: 'ready', pool: 'main', address: '10.2.0.1:8000', zone: '', slots: null, born: 0, sides: [] }], () => 0);
+    const told = (seq: number, kind: 'stored' | 'cleared', blocks: string[]): void => index.take({ replica: 'r', incarnation: 1, seq, kind, tenant: null, blocks }, 0);
+    told(1, 'stored', ['a']);
+    expect(index.kept('r', ['a'], null, 0)).to.deep.equal({ blockCount: 1, isNameable: true });
+    told(3, 'stored', ['b']);
+    expect(index.kept('r', ['b'], null, 0).isNameable).to.equal(false);
+    told(4, 'cleared', []);
+    told(5, 'stored', ['c']);
+    expect(index.kept('r', ['c'], null, 0)).to.deep.equal({ blockCount: 1, isNameable: true });
+  });
 });
