--- /dev/null
+++ b/packages/counter/src/admit.ts
@@ -0,0 +1,28 @@
+import { keys } from '@martenworks/envelope';
+import type { Bench } from './bench.js';
+import type { Denying } from './denying.js';
+import type { Parcel } from './parcel.js';
+import { standings } from './standing.js';
+
+export class Admit {
+  isDraining = false;
+
+  constructor(
+    private readonly bench: Bench,
+    private readonly denying: Denying,
+    private readonly next: (parcel: Parcel) => void,
+  ) {}
+
+  readonly work = (parcel: Parcel): void => {
+    if (parcel.isEnded) return;
+    if (this.isDraining) return this.denying.refuse(parcel, 'draining', 'this counter is closing');
+    const view = this.bench.book.view();
+    if (view === null || !this.bench.freshness.isFresh()) return this.denying.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
+    if (parcel.order.key === null) return this.denying.refuse(parcel, 'unknown_key', 'no bearer key was given');
+    parcel.keyHash = keys.hash(parcel.order.key);
+    const tenant = standings.holderOf(view, parcel.keyHash);
+    if (tenant === undefined) return this.denying.refuse(parcel, 'unknown_key', 'the key is not granted');
+    parcel.tenant = tenant;
+    this.next(parcel);
+  };
+}
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -48,7 +48,7 @@
     this.freshness = new Freshness(clock, () => this.book.agreed()?.members ?? [], this.book.generation);
     this.tracks = new Tracks(clock, this.tellHeavy);
     this.claims = new Claims(ports, this.hello, () => this.book.agreed()?.members ?? [], () => this.lines);
-    this.stages = new Stages(env, ports, this.book, this.tracks, this.freshness, this.tally, this.claims);
+    this.stages = new Stages({ env, ports, book: this.book, tracks: this.tracks, freshness: this.freshness, tally: this.tally, claims: this.claims });
     this.rounds = new Rounds(ports, this.hello, this.roster, () => this.lines, () => {});
     this.lines = new Lines(ports, this.hello, env.seeds, this.roster, () => [...(this.book.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()], this.handlers(this.joinPostmaster));
     this.pinger = new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.pingAll);
@@ -79,7 +79,7 @@
     this.isAdmitting = false;
     if (standings.length === 0) return;
     this.book.sidesAdmitted(standings);
-    this.stages.pumpAll();
+    this.stages.placing.pumpAll();
   };
 
   private readonly askSides = async (claims: readonly SideClaim[]): Promise<SideStanding[]> => {
@@ -104,7 +104,7 @@
     });
   };
 
-  private readonly report = (): LoadReport => ({ replicas: this.tracks.report(), pools: this.stages.demands() });
+  private readonly report = (): LoadReport => ({ replicas: this.tracks.report(), pools: this.stages.placing.demands() });
 
   private readonly tellHeavy = (): void => {
     const report = this.report();
@@ -112,7 +112,7 @@
   };
 
   private readonly pingAll = (): void => {
-    this.stages.sweep();
+    this.stages.placing.sweep();
     void this.admitSides();
     for (const coach of this.lines.open()) void this.ping(coach);
   };
@@ -127,11 +127,11 @@
     const pong = receipt.value as Pong;
     this.freshness.heard(stamp, pong);
     this.tracks.toldOthers(pong.loads);
-    this.stages.contention = pong.contention;
+    this.stages.placing.contention = pong.contention;
     const broken = this.book.index.broken();
     if (broken.length > 0) coach.tell('shelvesPlease', broken);
     if (pong.generation > this.book.generation()) coach.tell('subscribe', this.book.generation());
-    this.stages.pumpAll();
+    this.stages.placing.pumpAll();
   };
 
   private readonly joinPostmaster = (coach: Coach): void => {
@@ -184,7 +184,7 @@
   readonly serve = (order: Order): Promise<Receipt> => new Promise((settle) => this.stages.enter(new Parcel(order, this.ports.clock.now(), settle)));
 
   readonly drain = async (): Promise<void> => {
-    this.stages.isDraining = true;
+    this.stages.drain();
     const { clock } = this.ports;
     const endAt = clock.now() + this.env.drainMs;
     while (this.stages.live.size > 0 && clock.now() < endAt) await pause.for(clock, 50);
@@ -194,7 +194,7 @@
     this.pinger.stop();
     this.rounds.stop();
     this.lines.stop();
-    for (const parcel of [...this.stages.live]) this.stages.refuse(parcel, 'draining', 'this counter is closing');
+    for (const parcel of [...this.stages.live]) this.stages.denying.refuse(parcel, 'draining', 'this counter is closing');
     await this.listener?.close();
     await this.ports.carriage.close();
   };
--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -27,6 +27,21 @@
   readonly lost: () => void;
 }
 
+type Step = 'entered' | 'waiting' | 'out' | 'relaying' | 'ended';
+
+const followers: Record<Step, readonly Step[]> = {
+  entered: ['waiting', 'relaying', 'ended'],
+  waiting: ['waiting', 'out', 'ended'],
+  out: ['entered', 'relaying', 'ended'],
+  relaying: ['ended'],
+  ended: [],
+};
+
+export const scopes = {
+  ofTenant: (tenant: TenantView): string | null => (tenant.tenant.isolated ? tenant.name : null),
+  of: (parcel: Parcel): string | null => (parcel.tenant === null ? null : scopes.ofTenant(parcel.tenant)),
+};
+
 export class Parcel {
   keyHash = '';
   laneName = '';
@@ -40,16 +55,14 @@
   isOnce = false;
   comeBackSeconds: number | null = null;
   mayHaveRun = false;
-  isAnswered = false;
-  isRelaying = false;
   isWhole = false;
-  shotOn: ShotOn | null = null;
   claim: Claim | null = null;
   keptDatas: string[] = [];
   cutCause: string | null = null;
-  endReported = false;
   readonly avoided = new Set<string>();
   readonly quit = new AbortController();
+  private step: Step = 'entered';
+  private shot: ShotOn | null = null;
   private readonly enders: (() => void)[] = [];
 
   constructor(
@@ -58,18 +71,55 @@
     private readonly settle: (receipt: Receipt) => void,
   ) {}
 
+  private readonly goes = (next: Step): void => {
+    if (!followers[this.step].includes(next)) throw new Error(`a parcel went from ${this.step} to ${next}`);
+    this.step = next;
+  };
+
+  get isEnded(): boolean {
+    return this.step === 'ended';
+  }
+
+  get isRelaying(): boolean {
+    return this.step === 'relaying';
+  }
+
+  get isAnswered(): boolean {
+    return this.isEnded || this.isRelaying;
+  }
+
+  get shotOn(): ShotOn | null {
+    return this.shot;
+  }
+
   readonly whenEnded = (verb: () => void): void => void this.enders.push(verb);
 
-  readonly answer = (receipt: Receipt): void => {
+  readonly waits = (): void => this.goes('waiting');
+
+  readonly leaves = (shot: ShotOn): void => {
+    this.goes('out');
+    this.shot = shot;
+  };
+
+  readonly comesBack = (): void => {
+    if (this.step === 'out') this.goes('entered');
+    this.shot = null;
+  };
+
+  readonly relays = (pieces: AsyncGenerator<Piece>): void => {
+    this.goes('relaying');
+    this.settle({ kind: 'stream', requestId: this.order.requestId, pieces });
+  };
+
+  readonly denies = (denied: Deny): void => {
     if (this.isAnswered) return;
-    this.isAnswered = true;
-    this.settle(receipt);
-    if (receipt.kind === 'deny') this.end();
+    this.settle(denied);
+    this.end();
   };
 
   readonly end = (): void => {
-    if (this.endReported) return;
-    this.endReported = true;
+    if (this.isEnded) return;
+    this.goes('ended');
     this.quit.abort();
     for (const verb of this.enders) verb();
   };
--- a/packages/proving/src/stories/judge.ts
+++ b/packages/proving/src/stories/judge.ts
@@ -38,7 +38,7 @@
       longShare: 0.5,
       ratePerSecond: 45,
       faults: 16,
-      breakage: { portsFor: carriageBroken((carriage) => ({ carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })) })), onCounter: (counter) => void (loosened(counter.stages)['again'] = (parcel: never) => (loosened(counter.stages)['queue'] as (one: never) => void)(parcel)) },
+      breakage: { portsFor: carriageBroken((carriage) => ({ carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })) })), onCounter: (counter) => void (loosened(counter.stages.sending)['again'] = (parcel: never) => counter.stages.placing.queue(parcel)) },
     },
   },
   {
@@ -64,8 +64,8 @@
       longShare: 0.4,
       breakage: {
         onCounter: (counter) => {
-          const refuse = counter.stages.refuse;
-          loosened(counter.stages).refuse = (parcel, code, detail) => {
+          const refuse = counter.stages.denying.refuse;
+          loosened(counter.stages.denying).refuse = (parcel, code, detail) => {
             parcel.mayHaveRun = false;
             refuse(parcel, code, detail);
           };
@@ -80,8 +80,8 @@
     plan: {
       breakage: {
         onCounter: (counter) => {
-          const next = loosened(counter.stages)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
-          loosened(counter.stages)['nextPiece'] = async (...args: unknown[]) => {
+          const next = loosened(counter.stages.relaying)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
             const piece = await next(...args);
             return piece.kind === 'cut' ? { kind: 'done' } : piece;
           };
@@ -97,8 +97,8 @@
       breakage: {
         onCounter: (counter) => {
           let count = 0;
-          const next = loosened(counter.stages)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
-          loosened(counter.stages)['nextPiece'] = async (...args: unknown[]) => {
+          const next = loosened(counter.stages.relaying)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
             const piece = await next(...args);
             count += 1;
             return count % 100 === 0 && piece.kind === 'piece' ? next(...args) : piece;
@@ -215,7 +215,7 @@
     what: 'extra shots are not counted',
     rule: 'extra shots',
     kinds: ['whole pool errs'],
-    plan: { ratePerSecond: 60, faults: 3, breakage: { onCounter: (counter) => void (loosened(counter.stages)['budgetOf'] = () => ({ take: () => true, firstShot: () => {}, left: () => 1 })) } },
+    plan: { ratePerSecond: 60, faults: 3, breakage: { onCounter: (counter) => void (loosened(counter.stages.sending)['budgetOf'] = () => ({ take: () => true, firstShot: () => {}, left: () => 1 })) } },
   },
   {
     what: 'a counter that lost its postmasters never dials again',
@@ -340,11 +340,11 @@
     what: 'a restarted counter has a full purse',
     rule: 'extra shots',
     kinds: ['counters die in a herd', 'whole pool errs'],
-    plan: { ratePerSecond: 60, faults: 14, spanMs: 24_000, longShare: 0, breakage: { onCounter: (counter) => void (loosened(counter.stages)['budgetOf'] = ((budgetOf) => (pool: string) => {
+    plan: { ratePerSecond: 60, faults: 14, spanMs: 24_000, longShare: 0, breakage: { onCounter: (counter) => void (loosened(counter.stages.sending)['budgetOf'] = ((budgetOf) => (pool: string) => {
       const budget = budgetOf(pool) as { tokens: number; isFilled?: boolean };
       if (budget.isFilled !== true) Object.assign(budget, { isFilled: true, tokens: 40, firstShot: () => {} });
       return budget;
-    })(loosened(counter.stages)['budgetOf'] as (pool: string) => unknown)) } },
+    })(loosened(counter.stages.sending)['budgetOf'] as (pool: string) => unknown)) } },
   },
   {
     what: 'a machine lost for good takes the whole service with it',
