--- a/packages/inspector/src/queries.ts
+++ b/packages/inspector/src/queries.ts
@@ -29,7 +29,7 @@
 const replicas = (seen: Seen): Row[] =>
   list(newest(seen)['replicas']).map((record) => {
     const views = live(seen.counters).flatMap(([, status]) => list(status['replicas']).filter((one) => one['replica'] === record['name']));
-    return { replica: record['name'], pool: record['pool'], state: record['state'], incarnation: record['incarnation'], born: record['born'], address: record['address'], running: views.reduce((sum, one) => sum + Number(one['running']), 0), suspectedBy: views.filter((one) => one['isSuspect'] === true).length };
+    return { replica: record['name'], pool: record['pool'], state: record['state'], incarnation: record['incarnation'], born: record['born'], sides: list(record['sides']).map(String).join(' '), address: record['address'], running: views.reduce((sum, one) => sum + Number(one['running']), 0), suspectedBy: views.filter((one) => one['isSuspect'] === true).length };
   });
 
 const index = (seen: Seen): Row[] =>
--- a/packages/proving/src/realTrialsCommand.ts
+++ b/packages/proving/src/realTrialsCommand.ts
@@ -180,23 +180,22 @@
   else judge.weightsFrom.splice(judge.weightsFrom.indexOf(marker), 1);
 };
 
-const rollOut = async (): Promise<void> => {
-  for (let at = 0; at < 9; at += 1) {
-    await fleet.until(`counter ${at + 1} is up`, () => fleet.isReady(fleet.counterHosts[at] as string));
-    const code = await fleet.signal(`counter-${at + 1}`, 'SIGTERM');
-    if (code !== 0) late.push({ rule: 'a roll-out was not clean', detail: `counter ${at + 1} ended with ${code}` });
-    fleet.startCounter(at);
-    await fleet.until(`counter ${at + 1} is back`, () => fleet.isReady(fleet.counterHosts[at] as string));
-  }
-  for (let at = 0; at < 3; at += 1) {
-    await fleet.until(`postmaster ${at + 1} is up`, () => fleet.isReady(fleet.postmasterHosts[at] as string));
-    const code = await fleet.signal(`postmaster-${at + 1}`, 'SIGTERM');
-    if (code !== 0) late.push({ rule: 'a roll-out was not clean', detail: `postmaster ${at + 1} ended with ${code}` });
-    fleet.startPostmaster(at);
-    await fleet.until(`postmaster ${at + 1} is back`, () => fleet.isReady(fleet.postmasterHosts[at] as string));
+const rollEach = async (role: 'counter' | 'postmaster', hosts: readonly string[], start: (at: number) => unknown): Promise<void> => {
+  for (const [at, host] of hosts.entries()) {
+    const name = `${role}-${at + 1}`;
+    await fleet.until(`${name} is up`, () => fleet.isReady(host));
+    const code = await fleet.signal(name, 'SIGTERM');
+    if (code !== 0) late.push({ rule: 'a roll-out was not clean', detail: `${name} ended with ${code}` });
+    start(at);
+    await fleet.until(`${name} is back`, () => fleet.isReady(host));
   }
 };
 
+const rollOut = async (): Promise<void> => {
+  await rollEach('counter', fleet.counterHosts, fleet.startCounter);
+  await rollEach('postmaster', fleet.postmasterHosts, fleet.startPostmaster);
+};
+
 const bring = async (kind: FaultKind): Promise<void> => {
   const counter = pick(9);
   const postmaster = pick(3);
