Read ledgers of the release before: unknown sides, no stores' generations

Cause: a replica's record written before sides were kept has none, and a postmaster that replayed one broke at its start. Now such an incarnation counts as having served an unknown side: it is used, and named to nobody until it is replaced.

--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -136,6 +136,7 @@
 
 export const agreed = {
   servesIsolated,
+  filled: (state: Agreed): Agreed => ({ ...state, storeSince: (state.storeSince as Agreed['storeSince'] | undefined) ?? {} }),
   founded: (members: readonly Member[]): Agreed => ({
     generation: 0,
     layoutGeneration: 0,
@@ -185,11 +186,12 @@
 const unknownSide = '*unknown*';
 
 export const replicas = {
+  filled: (record: ReplicaRecord): ReplicaRecord => ({ ...record, sides: (record.sides as readonly string[] | undefined) ?? [unknownSide] }),
   merge: (held: ReplicaRecord | undefined, told: ReplicaRecord): ReplicaRecord => {
     if (held === undefined) return told;
     const ahead = isAhead(told, held) ? told : held;
     if (held.incarnation !== told.incarnation) return ahead;
-    const sides = new Set([...(held.sides ?? [unknownSide]), ...(told.sides ?? [unknownSide]), ...(held.pool === told.pool ? [] : [movedSide])]);
+    const sides = new Set([...held.sides, ...told.sides, ...(held.pool === told.pool ? [] : [movedSide])]);
     return { ...ahead, born: Math.min(held.born, told.born), sides: [...sides].sort() };
   },
   isNews: (held: ReplicaRecord | undefined, told: ReplicaRecord): boolean => {
--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -74,7 +74,7 @@
     if (checkpoint !== null) {
       this.incarnation = checkpoint.incarnation;
       this.vowed = checkpoint.vow;
-      this.state = checkpoint.agreed;
+      this.state = checkpoint.agreed === null ? null : agreedState.filled(checkpoint.agreed);
       this.live = checkpoint.live;
     }
     for (const record of records) this.redo(record);
@@ -90,7 +90,7 @@
         this.vowed = record.members;
         return;
       case 'adopted':
-        this.state = record.agreed;
+        this.state = agreedState.filled(record.agreed);
         this.live = { promised: null, accepted: null };
         this.recent.length = 0;
         return;
--- a/packages/postmaster/src/replicaTable.ts
+++ b/packages/postmaster/src/replicaTable.ts
@@ -18,7 +18,7 @@
   ) {}
 
   readonly replay = (records: readonly ReplicaRecord[]): void => {
-    for (const record of records) this.held.set(record.name, replicas.merge(this.held.get(record.name), record));
+    for (const record of records) this.held.set(record.name, replicas.merge(this.held.get(record.name), replicas.filled(record)));
   };
 
   readonly watch = (verb: (records: readonly ReplicaRecord[]) => void): void => void this.watchers.push(verb);
--- a/packages/proving/src/stories/upkeep.ts
+++ b/packages/proving/src/stories/upkeep.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { ledgers } from '@martenworks/ledger';
 import { decreeBooks } from '@martenworks/postmaster';
 import { wireRelease } from '@martenworks/mailcoach';
 import { keyOf, plans } from '../firms.js';
@@ -110,6 +111,37 @@
     expect(opened._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name });
   });
 
+  it('given ledgers of a release that knew no sides and no stores\' generations, when all three start with them, then they serve, and name no replica that they know nothing of', async () => {
+    const fleet = await raised(67);
+    for (const at of [0, 1, 2]) fleet.killPostmaster(at);
+    for (const at of [0, 1, 2]) {
+      const machine = fleet.machineOf('postmaster', at);
+      machine.boot();
+      const { disk } = machine.ports();
+      for (const prefix of ['decrees', 'replicas']) {
+        const held = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
+        const older = JSON.parse(JSON.stringify(held.records, (key, value: unknown) => (key === 'sides' || key === 'storeSince' ? undefined : value))) as unknown[];
+        for (const name of [...machine.disk.files.keys()]) if (name.startsWith(prefix)) machine.disk.files.delete(name);
+        const { ledger } = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
+        const names = older.map((record) => (record as { name?: string }).name);
+        const kept = prefix === 'replicas' ? older.filter((_, index) => names.indexOf(names[index]) === index) : older;
+        for (const record of kept) await fleet.finish(ledger.append(record));
+      }
+      await fleet.startPostmaster(at);
+    }
+    for (const at of [0, 1]) {
+      fleet.killCounter(at);
+      await fleet.bootCounter(at);
+    }
+    await fleet.world.run(12_000);
+    const judge = new Judge(fleet);
+    judge.traffic(40, 6_000, 0.1);
+    await fleet.world.run(20_000);
+    expect(judge.tally()).to.deep.equal({ whole: judge.calls.length });
+    expect(judge.runs().filter((run) => run.cacheFrom !== null).length).to.equal(0);
+    expect(fleet.postmasters[0]?.table.records().every((record) => record.sides.includes('*unknown*'))).to.equal(true);
+  });
+
   it('given claims past their retention, when postmasters tidy, then they are gone from memory and disk', async () => {
     const fleet = await raised(66, { postmasterEnv: { claimRetentionMs: 5_000 } });
     const judge = new Judge(fleet);
