Ask a majority of postmasters in one place for replicas' news and looks

Found on reading the whole change again: announcing and looking each polled the others by a loop of its own.

--- a/packages/postmaster/src/replicaDesk.ts
+++ b/packages/postmaster/src/replicaDesk.ts
@@ -20,54 +20,38 @@
     private readonly lines: () => Lines,
   ) {}
 
-  readonly announce = async (records: readonly ReplicaRecord[]): Promise<Result<void, ReplicaFault>> => {
-    const kept = await this.table.take(records);
-    if (kept.isErr()) return err({ kind: 'disk' });
-    const merged = records.flatMap((record) => this.table.find(record.name) ?? []);
-    const members = this.decrees.agreed()?.members ?? [];
-    const needed = Math.floor(members.length / 2) + 1 - (this.decrees.isVoter() ? 1 : 0);
-    const others = members.filter((member) => member.incarnation !== this.decrees.incarnation);
-    if (members.length === 0) return err({ kind: 'unknown' });
-    return new Promise((settle) => {
-      let acks = 0;
-      let open = others.length;
-      const tally = (isAck: boolean): void => {
-        open -= 1;
-        if (isAck) acks += 1;
-        if (acks >= needed) settle(ok(undefined));
-        else if (open <= 0) settle(err({ kind: 'unknown' }));
-      };
-      for (const member of others) {
-        const coach = this.lines().to(member.incarnation);
-        if (coach === undefined) tally(false);
-        else void coach.ask('replicaNews', merged, patienceMs).then((receipt) => tally(receipt.isOk() && receipt.value === true));
-      }
-    });
-  };
-
-  readonly learn = async (names: readonly string[]): Promise<boolean> => {
+  private readonly byMajority = (topic: string, body: unknown, isHeard: (told: unknown) => boolean | Promise<boolean>): Promise<boolean> => {
     const members = this.decrees.agreed()?.members ?? [];
     const majority = Math.floor(members.length / 2) + 1;
     const others = members.filter((member) => member.incarnation !== this.decrees.incarnation);
     return new Promise((settle) => {
       let heard = this.decrees.isVoter() ? 1 : 0;
       let open = others.length;
-      const tally = async (records: readonly ReplicaRecord[] | null): Promise<void> => {
-        const isTaken = records !== null && (await this.table.take(records)).isOk();
-        if (isTaken) heard += 1;
+      const tally = (isOne: boolean): void => {
         open -= 1;
+        if (isOne) heard += 1;
         if (heard >= majority) settle(true);
         else if (open <= 0) settle(false);
       };
       if (others.length === 0) settle(false);
       for (const member of others) {
         const coach = this.lines().to(member.incarnation);
-        if (coach === undefined) void tally(null);
-        else void coach.ask('replicaLook', names, patienceMs).then((receipt) => tally(receipt.isOk() ? (receipt.value as ReplicaRecord[] | null) : null));
+        if (coach === undefined) tally(false);
+        else void coach.ask(topic, body, patienceMs).then(async (receipt) => tally(receipt.isOk() && (await isHeard(receipt.value))));
       }
     });
   };
 
+  readonly announce = async (records: readonly ReplicaRecord[]): Promise<Result<void, ReplicaFault>> => {
+    const kept = await this.table.take(records);
+    if (kept.isErr()) return err({ kind: 'disk' });
+    const merged = records.flatMap((record) => this.table.find(record.name) ?? []);
+    return (await this.byMajority('replicaNews', merged, (told) => told === true)) ? ok(undefined) : err({ kind: 'unknown' });
+  };
+
+  readonly learn = (names: readonly string[]): Promise<boolean> =>
+    this.byMajority('replicaLook', names, async (told) => told !== null && (await this.takeNews(told as ReplicaRecord[])));
+
   readonly look = (names: readonly string[]): ReplicaRecord[] | null => (this.decrees.isVoter() ? names.flatMap((name) => this.table.find(name) ?? []) : null);
 
   readonly takeNews = async (records: readonly ReplicaRecord[]): Promise<boolean> => (await this.table.take(records)).isOk();
