--- a/packages/courier/src/carriage.ts
+++ b/packages/courier/src/carriage.ts
@@ -3,36 +3,55 @@
 import { err, ok } from 'neverthrow';
 import type { Carriage } from '@martenworks/envelope';
 
+const headerList = (raw: unknown): readonly string[] => (Array.isArray(raw) ? raw.map(String) : Object.entries((raw ?? {}) as Record<string, string | string[]>).flatMap(([name, value]) => (Array.isArray(value) ? value.flatMap((one) => [name, one]) : [name, value])));
+
 const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
 
+const hasHeader = (headers: readonly string[], wanted: string): boolean => headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === wanted);
+
+const withLength = (headers: Record<string, string> | readonly string[], size: number): Record<string, string> | string[] => {
+  if (!Array.isArray(headers)) return { ...(headers as Record<string, string>), 'content-length': String(size) };
+  return hasHeader(headers as string[], 'content-length') ? [...(headers as string[])] : [...(headers as string[]), 'content-length', String(size)];
+};
+
+/** Connections to one address at most, and milliseconds until a connection counts as not to be had. */
+export interface CarriageTerms {
+  readonly connections: number;
+  readonly connectMs: number;
+}
+
+const usualTerms: CarriageTerms = { connections: 256, connectMs: 1_000 };
+
 export const carriages = {
-  real: (localHost: string | null): Carriage => {
+  real: (localHost: string | null, terms: CarriageTerms = usualTerms): Carriage => {
     const agent = new Agent({
-      connections: 256,
+      connections: terms.connections,
       pipelining: 1,
       keepAliveTimeout: 4_000,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: 1_000, ...(localHost === null ? {} : { localAddress: localHost }) },
+      connect: { timeout: terms.connectMs, ...(localHost === null ? {} : { localAddress: localHost }) },
     });
     return {
       carry: async ({ method, url, headers, body, signal, gate }) => {
         let isGated = false;
-        const gated = async function* (text: string): AsyncGenerator<Buffer> {
+        const bytes = typeof body === 'string' ? Buffer.from(body, 'utf8') : body;
+        const gated = async function* (): AsyncGenerator<Uint8Array> {
           isGated = !gate();
           if (isGated) throw new Error('the gate is shut');
-          yield Buffer.from(text, 'utf8');
+          yield bytes as Uint8Array;
         };
         try {
           const receipt = await request(url, {
             dispatcher: agent,
-            method,
-            headers: body === null ? headers : { ...headers, 'content-length': String(Buffer.byteLength(body, 'utf8')) },
-            body: body === null ? null : Readable.from(gated(body), { objectMode: false }),
+            method: method as 'GET',
+            headers: bytes === null ? (headers as Record<string, string>) : (withLength(headers, bytes.length) as Record<string, string>),
+            body: bytes === null ? null : Readable.from(gated(), { objectMode: false }),
             signal,
           });
           return ok({
             status: receipt.statusCode,
+            headers: () => headerList(receipt.headers),
             header: (name) => {
               const held = receipt.headers[name.toLowerCase()];
               return Array.isArray(held) ? (held[0] ?? null) : (held ?? null);
--- a/packages/envelope/src/index.ts
+++ b/packages/envelope/src/index.ts
@@ -8,3 +8,6 @@
 export * from './machine.js';
 export * from './log.js';
 export * from './claim.js';
+export * from './ways.js';
+export * from './backEnds.js';
+export * from './wayNews.js';
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -1,3 +1,5 @@
+import type { WaysInForce } from './ways.js';
+
 export interface Tier {
   readonly rank: number;
   readonly share: number;
@@ -51,13 +53,17 @@
   readonly keys: Record<string, KeyGrant>;
   readonly members: readonly Member[];
   readonly changeIds: Record<string, { generation: number; digest: string }>;
+  readonly ways: WaysInForce | null;
+  readonly named: Record<string, number>;
 }
 
 export type ChangeBody =
   | { readonly kind: 'layout'; readonly layout: Layout; readonly base: number }
   | { readonly kind: 'grant'; readonly keyHash: string; readonly grant: KeyGrant; readonly tenant: Tenant | null }
   | { readonly kind: 'revoke'; readonly keyHash: string }
-  | { readonly kind: 'swap'; readonly outgoing: string; readonly incoming: Member };
+  | { readonly kind: 'swap'; readonly outgoing: string; readonly incoming: Member }
+  | { readonly kind: 'ways'; readonly base: number; readonly ways: WaysInForce }
+  | { readonly kind: 'weights'; readonly model: string; readonly version: number };
 
 export interface Change {
   readonly id: string;
@@ -136,7 +142,12 @@
 
 export const agreed = {
   servesIsolated,
-  filled: (state: Agreed): Agreed => ({ ...state, storeSince: (state.storeSince as Agreed['storeSince'] | undefined) ?? {} }),
+  filled: (state: Agreed): Agreed => ({
+    ...state,
+    storeSince: (state.storeSince as Agreed['storeSince'] | undefined) ?? {},
+    ways: (state.ways as WaysInForce | null | undefined) ?? null,
+    named: (state.named as Agreed['named'] | undefined) ?? {},
+  }),
   founded: (members: readonly Member[]): Agreed => ({
     generation: 0,
     layoutGeneration: 0,
@@ -146,6 +157,8 @@
     keys: {},
     members,
     changeIds: {},
+    ways: null,
+    named: {},
   }),
   apply: (state: Agreed, change: Change): Agreed => {
     const generation = state.generation + 1;
@@ -171,9 +184,16 @@
         return { ...next, keys: Object.fromEntries(Object.entries(state.keys).filter(([hash]) => hash !== body.keyHash)) };
       case 'swap':
         return { ...next, members: state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member)) };
+      case 'ways':
+        return body.base === (state.ways?.edition ?? 0) && body.ways.edition > body.base ? { ...next, ways: body.ways } : next;
+      case 'weights':
+        return body.version > (state.named[body.model] ?? 0) ? { ...next, named: { ...state.named, [body.model]: body.version } } : next;
     }
   },
-  isVoid: (state: Agreed, change: Change): boolean => change.body.kind === 'layout' && change.body.base !== state.layoutGeneration,
+  isVoid: (state: Agreed, change: Change): boolean =>
+    (change.body.kind === 'layout' && change.body.base !== state.layoutGeneration) ||
+    (change.body.kind === 'ways' && change.body.base !== (state.ways?.edition ?? 0)) ||
+    (change.body.kind === 'weights' && change.body.version <= (state.named[change.body.model] ?? 0)),
 };
 
 const isAhead = (a: ReplicaRecord, b: ReplicaRecord): boolean => {
--- a/packages/envelope/src/ports.ts
+++ b/packages/envelope/src/ports.ts
@@ -66,10 +66,10 @@
 }
 
 export interface CarriageRequest {
-  readonly method: 'GET' | 'POST';
+  readonly method: string;
   readonly url: string;
-  readonly headers: Record<string, string>;
-  readonly body: string | null;
+  readonly headers: Record<string, string> | readonly string[];
+  readonly body: string | Uint8Array | null;
   readonly signal: AbortSignal;
   readonly gate: () => boolean;
 }
@@ -77,6 +77,7 @@
 export interface CarriageReceipt {
   readonly status: number;
   readonly header: (name: string) => string | null;
+  readonly headers: () => readonly string[];
   readonly body: AsyncIterable<Uint8Array>;
 }
 
--- /dev/null
+++ b/packages/envelope/src/wayNews.ts
@@ -0,0 +1,53 @@
+import type { Member } from './layout.js';
+import type { KeptNews, ReplicaCard, WayBook } from './ways.js';
+
+/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. */
+export interface StateNews {
+  readonly generation: number;
+  readonly edition: number;
+  readonly book: WayBook | null;
+  readonly named: Record<string, number>;
+  readonly members: readonly Member[];
+}
+
+export interface StateHeld {
+  readonly generation: number;
+  readonly edition: number;
+}
+
+export interface Subscription extends StateHeld {
+  readonly wantsContent: boolean;
+}
+
+export interface CardsNews {
+  readonly isWhole: boolean;
+  readonly put: readonly ReplicaCard[];
+  readonly gone: readonly string[];
+}
+
+/** A replica that is being brought to other weights: `version` is null while it is, and the new one once it holds it. */
+export interface WeightsNews {
+  readonly id: string;
+  readonly model: string;
+  readonly version: number | null;
+  readonly forMs: number;
+}
+
+/** Which parts one address keeps; `isWhole` says that nothing else of it is known. */
+export interface ShelfNews {
+  readonly address: string;
+  readonly isWhole: boolean;
+  readonly isHeard: boolean;
+  readonly news: readonly KeptNews[];
+}
+
+export interface FrontPing extends StateHeld {
+  readonly isReady: boolean;
+}
+
+export interface FrontPong {
+  readonly generation: number;
+  readonly fronts: number;
+  readonly isSettled: boolean;
+  readonly listAgeMs: number | null;
+}
--- a/packages/franking/src/index.ts
+++ b/packages/franking/src/index.ts
@@ -1,2 +1,3 @@
 export * from './layoutCheck.js';
 export * from './env.js';
+export * from './wayEnv.js';
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -160,8 +160,8 @@
       });
       coach.begin();
     }),
-  dial: async (net: Net, clock: Clock, log: Log, own: Hello, address: string, handlers: Handlers): Promise<Result<Coach, CoachFault>> => {
-    const wire = await net.dial(address, helloPatienceMs);
+  dial: async (net: Net, clock: Clock, log: Log, own: Hello, address: string, handlers: Handlers, patienceMs = helloPatienceMs): Promise<Result<Coach, CoachFault>> => {
+    const wire = await net.dial(address, patienceMs);
     if (wire.isErr()) return err({ kind: 'coach', code: 'unreachable' });
     return new Promise((settle) => {
       const coach: Coach = new Coach(wire.value, clock, log, own, {
@@ -172,7 +172,7 @@
           settle(ok(joined));
         },
       });
-      const clockEvent = clock.after(helloPatienceMs, () => {
+      const clockEvent = clock.after(patienceMs, () => {
         if (coach.neighbour === null) coach.close();
         settle(err({ kind: 'coach', code: 'unreachable' }));
       });
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -17,7 +17,7 @@
   readonly members: readonly Member[] | null;
 }
 
-export const coreSize = 3;
+const usualCoreSize = 3;
 const patienceMs = 1_000;
 
 const memberOf = (hello: Hello): Member => ({ name: hello.name, address: hello.address, incarnation: hello.incarnation });
@@ -30,6 +30,7 @@
     private readonly known: () => readonly Hello[],
     private readonly learn: (since: Since) => Promise<void>,
     private readonly log: Log,
+    private readonly coreSize = usualCoreSize,
   ) {}
 
   private readonly postmasters = (): Map<string, Coach> =>
@@ -46,12 +47,13 @@
       if (standing.generation >= 0) return this.joinLate(coach);
       standings.set(incarnation, standing);
     }
-    if (reached.size !== coreSize - 1 || this.known().length !== coreSize - 1) return;
-    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])].map(memberOf).sort((a, b) => (a.name < b.name ? -1 : 1));
-    if (new Set(members.map((member) => member.name)).size !== coreSize) return;
+    if (reached.size < this.coreSize - 1 || this.known().length !== reached.size) return;
+    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])].map(memberOf).sort((a, b) => (a.name < b.name ? -1 : 1)).slice(0, this.coreSize);
+    if (!members.some((member) => member.incarnation === this.own().incarnation)) return;
+    if (new Set(members.map((member) => member.name)).size !== this.coreSize) return;
     const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter((vow) => vow !== null);
     const texts = vows.map((vow) => JSON.stringify(vow));
-    const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > coreSize / 2);
+    const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > this.coreSize / 2);
     if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
     if (texts.some((text) => text !== JSON.stringify(members))) return;
     await this.collect(members, reached);
@@ -60,7 +62,8 @@
   private readonly collect = async (members: readonly Member[], reached: Map<string, Coach>): Promise<void> => {
     const own = await this.decrees.vow(members);
     if (!own.isVowed) return;
-    for (const coach of reached.values()) {
+    for (const [incarnation, coach] of reached) {
+      if (!members.some((member) => member.incarnation === incarnation)) continue;
       const told = await coach.ask('vow', members, patienceMs);
       if (told.isErr() || !(told.value as VowReply).isVowed) return;
     }
--- a/packages/postmaster/src/index.ts
+++ b/packages/postmaster/src/index.ts
@@ -5,3 +5,6 @@
 export * from './operatorWire.js';
 export * from './platformWire.js';
 export * from './recovery.js';
+export * from './wayPostmaster.js';
+export * from './wayDesk.js';
+export type { ProposeFault, Applied } from './proposer.js';
--- a/packages/postmaster/src/leases.ts
+++ b/packages/postmaster/src/leases.ts
@@ -4,6 +4,7 @@
 import { ledgers } from '@martenworks/ledger';
 import type { Ledger, LedgerFault } from '@martenworks/ledger';
 import { LeaseBook } from '@martenworks/roundsman';
+import type { LeaseTerms } from '@martenworks/roundsman';
 
 const segmentsBeforeCheckpoint = 4;
 
@@ -15,7 +16,7 @@
 }
 
 export const leaseBooks = {
-  open: async (disk: Disk, clock: Clock, log: Log): Promise<Result<KeptLeases, LedgerFault>> => {
+  open: async (disk: Disk, clock: Clock, log: Log, terms?: LeaseTerms): Promise<Result<KeptLeases, LedgerFault>> => {
     const opened = await ledgers.open(disk, 'leases');
     if (opened.isErr()) return err(opened.error);
     const { checkpoint, records } = opened.value;
@@ -27,7 +28,7 @@
       if (ledger.segmentCount() > segmentsBeforeCheckpoint) await ledger.checkpoint(book.fences);
       return written.isOk();
     };
-    const book = new LeaseBook(clock, keep, kept, checkpoint === null && records.length === 0);
+    const book = new LeaseBook(clock, keep, kept, terms === undefined && checkpoint === null && records.length === 0, terms);
     return ok({ book, close: ledger.close });
   },
 };
--- a/packages/postmaster/src/membership.ts
+++ b/packages/postmaster/src/membership.ts
@@ -7,7 +7,7 @@
 import type { Standing } from './founding.js';
 import type { Proposer } from './proposer.js';
 
-const strangerWaitMs = 12_000;
+const usualStrangerWaitMs = 12_000;
 const patienceMs = 1_000;
 const swapPatienceMs = 2_000;
 
@@ -21,6 +21,7 @@
     private readonly lines: () => Lines,
     private readonly isDown: (name: string) => boolean,
     private readonly log: Log,
+    private readonly strangerWaitMs = usualStrangerWaitMs,
   ) {}
 
   private readonly noteLost = (members: readonly Member[]): void => {
@@ -36,7 +37,7 @@
     const lost = members.filter((member) => this.lostAt.has(member.incarnation));
     const sameName = members.find((member) => member.name === newcomer.name);
     if (sameName !== undefined) return lost.find((member) => member.name === newcomer.name);
-    return lost.find((member) => this.isDown(member.name) && this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > strangerWaitMs);
+    return lost.find((member) => this.isDown(member.name) && this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > this.strangerWaitMs);
   };
 
   readonly step = async (): Promise<void> => {
--- /dev/null
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -0,0 +1,123 @@
+import { pause } from '@martenworks/envelope';
+import type { BackEnds, Clock, KeptNews, Log, Random, ShelfNews } from '@martenworks/envelope';
+
+const leastTokens = 256;
+const holdMs = 1_000;
+const paceMs = 400;
+const faultPauseMs = 250;
+const unheardMs = 1_500;
+const bundleMs = 60;
+
+const labelOf = ({ salt, part }: KeptNews): string => `${salt}\n${part}`;
+
+interface Shelf {
+  readonly kept: Map<string, KeptNews>;
+  readonly fresh: KeptNews[];
+  epoch: string;
+  since: number;
+  heardAt: number;
+  isHeard: boolean;
+  isCleared: boolean;
+  isStopped: boolean;
+}
+
+/** Follows what replicas and stores keep and tells it on in bundles; parts below 256 tokens are not worth telling. */
+export class ShelfDesk {
+  private readonly shelves = new Map<string, Shelf>();
+  private isBundling = false;
+
+  constructor(
+    private readonly backEnds: BackEnds,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+    private readonly tell: (news: readonly ShelfNews[]) => void,
+  ) {}
+
+  readonly align = (addresses: ReadonlySet<string>): void => {
+    for (const [address, shelf] of this.shelves) {
+      if (addresses.has(address)) continue;
+      shelf.isStopped = true;
+      this.shelves.delete(address);
+    }
+    for (const address of addresses) {
+      if (this.shelves.has(address)) continue;
+      const shelf: Shelf = { kept: new Map(), fresh: [], epoch: '', since: 0, heardAt: this.clock.now(), isHeard: false, isCleared: false, isStopped: false };
+      this.shelves.set(address, shelf);
+      void this.follow(address, shelf);
+    }
+  };
+
+  private readonly follow = async (address: string, shelf: Shelf): Promise<void> => {
+    await pause.for(this.clock, this.random.fraction() * paceMs);
+    while (!shelf.isStopped) {
+      const askedAt = this.clock.now();
+      const page = await this.backEnds.keptNews(address, shelf.since, holdMs);
+      if (shelf.isStopped) return;
+      if (page.isErr()) {
+        if (shelf.isHeard && this.clock.now() - shelf.heardAt > unheardMs) this.hush(address, shelf);
+        await pause.for(this.clock, faultPauseMs * (0.5 + this.random.fraction()));
+        continue;
+      }
+      const { epoch, next, isLost, news } = page.value;
+      const isReborn = shelf.epoch !== '' && shelf.epoch !== epoch;
+      if (isReborn || isLost) {
+        this.log.info('what is kept is known anew', { address, isReborn, isLost });
+        shelf.kept.clear();
+        shelf.fresh.length = 0;
+        shelf.isCleared = true;
+      }
+      if (isReborn && shelf.since > next) {
+        Object.assign(shelf, { epoch, since: 0, heardAt: this.clock.now(), isHeard: true });
+        this.plan();
+        continue;
+      }
+      const isBack = !shelf.isHeard;
+      Object.assign(shelf, { epoch, since: next, heardAt: this.clock.now(), isHeard: true });
+      for (const one of news) this.note(shelf, one);
+      if (isBack || shelf.isCleared || shelf.fresh.length > 0) this.plan();
+      const spentMs = this.clock.now() - askedAt;
+      if (spentMs < paceMs) await pause.for(this.clock, (paceMs - spentMs) * (0.9 + 0.2 * this.random.fraction()));
+    }
+  };
+
+  private readonly note = (shelf: Shelf, news: KeptNews): void => {
+    const label = labelOf(news);
+    if (news.tokens >= leastTokens) shelf.kept.set(label, news);
+    else if (!shelf.kept.delete(label)) return;
+    shelf.fresh.push(news);
+  };
+
+  private readonly hush = (address: string, shelf: Shelf): void => {
+    shelf.isHeard = false;
+    this.log.warn('an address has not told what it keeps', { address });
+    this.plan();
+  };
+
+  private readonly plan = (): void => {
+    if (this.isBundling) return;
+    this.isBundling = true;
+    this.clock.after(bundleMs, this.carry);
+  };
+
+  private readonly toldHeard = new Map<string, boolean>();
+
+  private readonly carry = (): void => {
+    this.isBundling = false;
+    const bundle: ShelfNews[] = [];
+    for (const [address, shelf] of this.shelves) {
+      if (!shelf.isCleared && shelf.fresh.length === 0 && this.toldHeard.get(address) === shelf.isHeard) continue;
+      bundle.push({ address, isWhole: shelf.isCleared, isHeard: shelf.isHeard, news: shelf.fresh.splice(0) });
+      shelf.isCleared = false;
+      this.toldHeard.set(address, shelf.isHeard);
+    }
+    for (const address of this.toldHeard.keys()) if (!this.shelves.has(address)) this.toldHeard.delete(address);
+    if (bundle.length > 0) this.tell(bundle);
+  };
+
+  readonly whole = (): ShelfNews[] => [...this.shelves].map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
+
+  readonly sizes = (): { address: string; parts: number; isHeard: boolean }[] => [...this.shelves].map(([address, shelf]) => ({ address, parts: shelf.kept.size, isHeard: shelf.isHeard }));
+
+  readonly stop = (): void => this.align(new Set());
+}
--- /dev/null
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -0,0 +1,349 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Repeating } from '@martenworks/envelope';
+import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, NetFault, Ports, StateHeld, Subscription } from '@martenworks/envelope';
+import type { WayEnv } from '@martenworks/franking';
+import type { LedgerFault } from '@martenworks/ledger';
+import { coaches, hellos } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { Duties, Lines, Roster } from '@martenworks/roundsman';
+import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/roundsman';
+import { CardReader } from './cardReader.js';
+import { decreeBooks } from './decrees.js';
+import type { Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
+import { Founding } from './founding.js';
+import type { Standing } from './founding.js';
+import { leaseBooks } from './leases.js';
+import type { KeptLeases } from './leases.js';
+import { Membership } from './membership.js';
+import { Proposer } from './proposer.js';
+import type { Voters } from './proposer.js';
+import { ShelfDesk } from './shelfDesk.js';
+import { WayDesk } from './wayDesk.js';
+import { WayPush } from './wayPush.js';
+import { WeightsDesk } from './weightsDesk.js';
+
+const votePatienceMs = 800;
+const foundingMs = 150;
+const upkeepMs = 300;
+const settleAfterMs = 150;
+const settleCheckMs = 100;
+const beatMs = 400;
+const beatPatienceMs = 900;
+const dutyMs = 300;
+const weightsStepMs = 60;
+const leasePatienceMs = 500;
+const strangerWaitMs = 2_500;
+const leaseMs = 1_600;
+const leaseMarginMs = 400;
+const fencesPerGeneration = 1_000;
+const weightsDuty = 'weights';
+
+export const wayPace = { patienceMs: 700, longestWaitMs: 400 };
+
+export class WayPostmaster {
+  readonly roster: Roster;
+  readonly lines: Lines;
+  readonly proposer: Proposer;
+  readonly changes: WayDesk;
+  readonly push: WayPush;
+  readonly cards: CardReader;
+  readonly shelves: ShelfDesk;
+  readonly duties: Duties;
+  readonly weights: WeightsDesk;
+  private readonly founding: Founding;
+  private readonly membership: Membership;
+  private readonly repeats: Repeating[] = [];
+  private listener: Listener | null = null;
+  private isStepping = false;
+  private isMinding = false;
+
+  constructor(
+    readonly env: WayEnv,
+    readonly ports: Ports,
+    readonly backEnds: BackEnds,
+    readonly decrees: Decrees,
+    private readonly leases: KeptLeases,
+    terms: LeaseTerms,
+    seeds: readonly string[],
+  ) {
+    const { clock, random, log } = ports;
+    this.roster = new Roster(clock, this.hello);
+    this.lines = new Lines(ports, this.hello, seeds, this.roster, () => (decrees.agreed()?.members ?? []).map((member) => member.address), this.handlers(), wayPace);
+    this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
+    this.changes = new WayDesk(this.proposer);
+    this.duties = new Duties(
+      clock,
+      () => decrees.incarnation,
+      this.reachableVoters,
+      () => (decrees.isVoter() ? [weightsDuty] : []),
+      this.askLeases,
+      (ask) => {
+        this.leases.book.release(ask);
+        this.tellPostmasters('leaseDrop', ask);
+      },
+      () => Math.floor((decrees.agreed()?.members.length ?? 0) / 2) + 1,
+      () => {},
+      terms,
+    );
+    this.cards = new CardReader(
+      backEnds,
+      clock,
+      random,
+      log,
+      { everyMs: env.listEveryMs, perSecond: env.listPerSecond, readers: () => decrees.agreed()?.members.length ?? env.voters },
+      (news) => {
+        this.push.tellContent('cards', news);
+        this.alignShelves();
+      },
+    );
+    this.shelves = new ShelfDesk(backEnds, clock, random, log, (news) => this.push.tellContent('shelves', news));
+    this.push = new WayPush(decrees, clock, this.cards.ageMs, (coach) => {
+      coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
+      coach.tell('shelves', this.shelves.whole());
+    });
+    this.weights = new WeightsDesk(
+      backEnds,
+      clock,
+      log,
+      this.cards.all,
+      this.wantedWeights,
+      () => this.duties.fenceOf(weightsDuty),
+      () => this.env.name,
+      (news) => this.push.tellAll('weights', news),
+      this.cards.holds,
+    );
+    this.founding = new Founding(decrees, this.hello, () => this.lines, () => this.roster.neighbours('postmaster'), this.proposer.learn, log, env.voters);
+    this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, () => true, log, strangerWaitMs);
+    decrees.watch(() => {
+      this.lines.align();
+      this.alignShelves();
+    });
+    this.alignShelves();
+    this.repeats.push(
+      new Repeating(clock, () => foundingMs * (0.5 + random.fraction()), this.stepFounding),
+      new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
+      new Repeating(clock, () => settleCheckMs * (0.5 + random.fraction()), this.settleRival),
+      new Repeating(clock, () => beatMs, this.beat),
+      new Repeating(clock, () => dutyMs * (0.9 + 0.2 * random.fraction()), () => void this.duties.tick()),
+      new Repeating(clock, () => weightsStepMs, this.weights.step),
+    );
+  }
+
+  readonly hello = (): Hello => hellos.of('postmaster', { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone }, this.decrees.incarnation);
+
+  readonly open = async (): Promise<Result<void, NetFault>> => {
+    const { net, clock, log } = this.ports;
+    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
+    if (opened.isErr()) return err(opened.error);
+    this.listener = opened.value;
+    return ok(undefined);
+  };
+
+  private readonly wantedWeights = (): { pool: string; model: string; version: number }[] => {
+    const state = this.decrees.agreed();
+    return (state?.ways?.book.pools ?? []).flatMap(({ name, engine }) =>
+      (engine?.models ?? []).flatMap((model) => {
+        const version = state?.named[model];
+        return version === undefined ? [] : [{ pool: name, model, version }];
+      }),
+    );
+  };
+
+  private readonly alignShelves = (): void => {
+    const book = this.decrees.agreed()?.ways?.book;
+    if (book === undefined) return;
+    const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
+    this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]));
+  };
+
+  private readonly stepFounding = (): void => {
+    if (this.isStepping || this.decrees.agreed() !== null) return;
+    this.isStepping = true;
+    void this.founding.step().finally(() => (this.isStepping = false));
+  };
+
+  private readonly upkeep = (): void => {
+    if (this.isMinding) return;
+    this.isMinding = true;
+    void this.mind().finally(() => (this.isMinding = false));
+  };
+
+  private readonly mind = async (): Promise<void> => {
+    this.push.dropSilent();
+    const state = this.decrees.agreed();
+    if (state === null) return;
+    await Promise.all(
+      this.postmasters().map(async (coach) => {
+        const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
+        if (told.isOk() && told.value !== null) await this.proposer.learn(told.value as Since);
+      }),
+    );
+    await this.membership.step();
+  };
+
+  private readonly postmasters = (): Coach[] => this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+
+  private readonly settleRival = (): void => {
+    const age = this.decrees.unsettledFor();
+    if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
+  };
+
+  private readonly beat = (): void => {
+    for (const coach of this.lines.open()) {
+      void coach.ask('beat', null, beatPatienceMs).then((receipt) => {
+        if (receipt.isErr() && receipt.error.code === 'late') coach.close();
+      });
+    }
+  };
+
+  private readonly tellPostmasters = (topic: string, body: unknown): void => {
+    for (const coach of this.postmasters()) coach.tell(topic, body);
+  };
+
+  private readonly reachableVoters = (): string[] =>
+    (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation).filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
+
+  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
+    const replies = await Promise.all(
+      (this.decrees.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
+        if (member.incarnation === this.decrees.incarnation) return this.leases.book.grant(ask);
+        const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
+        return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
+      }),
+    );
+    return replies.filter((reply) => reply !== null);
+  };
+
+  private readonly voters = (): Voters => {
+    const isSelf = (member: Member): boolean => member.incarnation === this.decrees.incarnation;
+    const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
+      const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, votePatienceMs);
+      return receipt?.isOk() === true ? receipt.value : null;
+    };
+    return {
+      prepare: (member, slot, ballot) => (isSelf(member) ? this.decrees.prepare(slot, ballot) : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>)),
+      accept: (member, slot, ballot, change) => (isSelf(member) ? this.decrees.accept(slot, ballot, change) : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>)),
+      settle: (settled) => this.tellPostmasters('settled', settled),
+      since: (member, generation) => (isSelf(member) ? Promise.resolve(this.decrees.since(generation)) : (asked(member, 'since', generation) as Promise<Since | null>)),
+      supply: async (member, since) => void (await asked(member, 'supply', since)),
+    };
+  };
+
+  private readonly handlers = (): Handlers => ({
+    joined: (coach) => {
+      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    },
+    left: (coach) => this.push.drop(coach),
+    told: (coach, topic, body) => {
+      if (topic === 'settled') void this.decrees.settle(body as Settled);
+      else if (topic === 'subscribe') this.push.subscribe(coach, body as Subscription);
+      else if (topic === 'ack') this.push.acked(coach, body as StateHeld);
+      else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
+    },
+    asked: async (coach, topic, body) => {
+      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+      switch (topic) {
+        case 'ping':
+          return this.push.pong(coach, body as FrontPing, this.isReady());
+        case 'state':
+          return this.push.stateFor(body as StateHeld);
+        case 'beat':
+          return true;
+        case 'leaseAsk':
+          return this.decrees.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
+        case 'roster':
+          this.roster.merge(body as RosterEntry[]);
+          return this.roster.entries().filter(({ hello }) => hello.role === 'postmaster');
+        case 'standing':
+          return this.standing();
+        case 'vow':
+          return this.decrees.vow(body as Member[]);
+        case 'prepare': {
+          const { slot, ballot } = body as { slot: number; ballot: Ballot };
+          return this.decrees.prepare(slot, ballot);
+        }
+        case 'accept': {
+          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
+          return this.decrees.accept(slot, ballot, change);
+        }
+        case 'since':
+          return this.decrees.since(body as number);
+        case 'supply':
+          await this.proposer.learn(body as Since);
+          return true;
+        default:
+          return null;
+      }
+    },
+  });
+
+  private readonly standing = (): Standing => ({
+    incarnation: this.decrees.incarnation,
+    generation: this.decrees.agreed()?.generation ?? -1,
+    isVoter: this.decrees.isVoter(),
+    vow: this.decrees.vowHeld(),
+    syncedFrom: (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation),
+  });
+
+  /** The newest agreed state, read against a majority: null where no majority was heard. */
+  readonly confirmed = async (): Promise<Agreed | null> => {
+    const state = this.decrees.agreed();
+    if (state === null) return null;
+    const others = state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
+    for (const since of told) if (since !== null) await this.proposer.learn(since);
+    const heard = told.filter((since) => since !== null).length + (this.decrees.isVoter() ? 1 : 0);
+    return heard > state.members.length / 2 ? this.decrees.agreed() : null;
+  };
+
+  readonly isReady = (): boolean => {
+    const state = this.decrees.agreed();
+    return state !== null && this.reachableVoters().length > state.members.length / 2;
+  };
+
+  readonly status = (): Record<string, unknown> => {
+    const state = this.decrees.agreed();
+    return {
+      name: this.env.name,
+      zone: this.env.zone,
+      incarnation: this.decrees.incarnation,
+      generation: state?.generation ?? null,
+      edition: state?.ways?.edition ?? null,
+      named: state?.named ?? {},
+      members: state?.members ?? [],
+      voter: this.decrees.isVoter(),
+      reachable: this.reachableVoters().length,
+      fronts: this.push.lines(),
+      leases: this.duties.lines(),
+      weights: this.weights.status(),
+      replicas: this.cards.all(),
+      listAgeMs: this.cards.ageMs(),
+      shelves: this.shelves.sizes(),
+    };
+  };
+
+  readonly stop = async (): Promise<void> => {
+    for (const repeat of this.repeats) repeat.stop();
+    this.cards.stop();
+    this.shelves.stop();
+    this.duties.resign();
+    this.lines.stop();
+    await this.listener?.close();
+    await this.decrees.close();
+    await this.leases.close();
+  };
+}
+
+export const wayPostmasters = {
+  start: async (env: WayEnv, ports: Ports, backEnds: BackEnds, seeds: readonly string[]): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
+    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log);
+    if (decrees.isErr()) return err(decrees.error);
+    const terms: LeaseTerms = { leaseMs, marginMs: leaseMarginMs, gapMs: env.orderGapMs, floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration };
+    const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
+    if (leases.isErr()) return err(leases.error);
+    const postmaster = new WayPostmaster(env, ports, backEnds, decrees.value, leases.value, terms, seeds);
+    const opened = await postmaster.open();
+    return opened.isErr() ? err(opened.error) : ok(postmaster);
+  },
+};
--- /dev/null
+++ b/packages/postmaster/src/wayPush.ts
@@ -0,0 +1,104 @@
+import type { Agreed, Clock, FrontPing, FrontPong, StateHeld, StateNews, Subscription } from '@martenworks/envelope';
+import type { Coach } from '@martenworks/mailcoach';
+import type { Decrees } from './decrees.js';
+
+const silentMs = 4_000;
+
+interface Subscriber {
+  generation: number;
+  edition: number;
+  acked: number;
+  heardAt: number;
+  wantsContent: boolean;
+}
+
+export interface FrontLine {
+  readonly front: string;
+  readonly zone: string;
+  readonly acked: number;
+  readonly isContent: boolean;
+  readonly heardMsAgo: number;
+}
+
+const stateNews = (state: Agreed, held: StateHeld): StateNews => {
+  const edition = state.ways?.edition ?? 0;
+  return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, members: state.members };
+};
+
+export class WayPush {
+  private readonly subscribers = new Map<Coach, Subscriber>();
+
+  constructor(
+    private readonly decrees: Decrees,
+    private readonly clock: Clock,
+    private readonly listAgeMs: () => number | null,
+    private readonly greet: (coach: Coach) => void,
+  ) {
+    decrees.watch(this.bring);
+  }
+
+  readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
+    const wasContent = this.subscribers.get(coach)?.wantsContent === true;
+    this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
+    this.bringTo(coach);
+    if (wantsContent && !wasContent) this.greet(coach);
+  };
+
+  readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
+
+  private readonly bring = (): void => {
+    for (const coach of this.subscribers.keys()) this.bringTo(coach);
+  };
+
+  private readonly bringTo = (coach: Coach): void => {
+    const subscriber = this.subscribers.get(coach);
+    const state = this.decrees.agreed();
+    if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
+    if (!subscriber.wantsContent) return void coach.tell('news', state.generation);
+    const news = stateNews(state, subscriber);
+    coach.tell('state', news);
+    subscriber.generation = news.generation;
+    subscriber.edition = news.edition;
+  };
+
+  readonly stateFor = (held: StateHeld): StateNews | null => {
+    const state = this.decrees.agreed();
+    return state === null ? null : stateNews(state, held);
+  };
+
+  readonly acked = (coach: Coach, { generation, edition }: StateHeld): void => {
+    const subscriber = this.subscribers.get(coach);
+    if (subscriber === undefined) return;
+    Object.assign(subscriber, { acked: generation, heardAt: this.clock.now() });
+    subscriber.generation = Math.max(subscriber.generation, generation);
+    subscriber.edition = Math.max(subscriber.edition, edition);
+  };
+
+  readonly pong = (coach: Coach, ping: FrontPing, isSettled: boolean): FrontPong => {
+    this.acked(coach, ping);
+    return { generation: this.decrees.agreed()?.generation ?? -1, fronts: this.fronts(), isSettled, listAgeMs: this.listAgeMs() };
+  };
+
+  readonly fronts = (): number => {
+    const now = this.clock.now();
+    return [...this.subscribers.values()].filter(({ heardAt }) => now - heardAt <= silentMs).length;
+  };
+
+  readonly tellAll = (topic: string, body: unknown): void => {
+    for (const coach of this.subscribers.keys()) coach.tell(topic, body);
+  };
+
+  readonly tellContent = (topic: string, body: unknown): void => {
+    for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent) coach.tell(topic, body);
+  };
+
+  readonly dropSilent = (): void => {
+    const now = this.clock.now();
+    for (const [coach, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) coach.close();
+  };
+
+  readonly lines = (): FrontLine[] => {
+    const now = this.clock.now();
+    return [...this.subscribers].map(([coach, one]) => ({ front: coach.neighbour?.name ?? '', zone: coach.neighbour?.zone ?? '', acked: one.acked, isContent: one.wantsContent, heardMsAgo: Math.round(now - one.heardAt) }));
+  };
+}
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -26,6 +26,8 @@
   readonly context: Record<string, unknown>;
 }
 
+const pairsOf = (list: readonly string[]): [string, string][] => list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
+
 export class SimWorld {
   readonly random: () => number;
   readonly machines = new Map<string, SimMachine>();
@@ -386,15 +388,16 @@
             }
             const asked = new Request(`http://${host}${pathname}${search}`, {
               method: request.method,
-              headers: request.headers,
+              headers: Array.isArray(request.headers) ? pairsOf(request.headers as string[]) : (request.headers as Record<string, string>),
               signal: quit.signal,
-              ...(request.body === null ? {} : { body: request.body }),
+              ...(request.body === null ? {} : { body: request.body as string }),
             });
             void Promise.resolve(handler(asked)).then((response) => {
               const arrive = (): void => {
                 const receipt: CarriageReceipt = {
                   status: response.status,
                   header: (name) => response.headers.get(name),
+                  headers: () => [...response.headers].flat(),
                   body: this.bodyOf(response, target, targetLife, quit, mood, ended),
                 };
                 finish(ok(receipt));
--- a/packages/proving/src/stories/judge.ts
+++ b/packages/proving/src/stories/judge.ts
@@ -236,7 +236,7 @@
     carry: async (request) => {
       const receipt = await carriage.carry(request);
       if (receipt.isErr() || receipt.value.status !== 200 || !request.url.includes('/v1/')) return receipt;
-      const prompt = promptIn(request.body);
+      const prompt = promptIn(request.body as string | null);
       const own: Uint8Array[] = [];
       const other = heard.get(prompt) ?? own;
       heard.set(prompt, other);
@@ -272,7 +272,7 @@
     what: 'tiers change on paper but not towards replicas',
     rule: 'an accepted change is not in force',
     kinds: ['layout is probed'],
-    plan: { faults: 2, breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry(request.body === null ? request : { ...request, body: request.body.replace(/"priority":\d+/, '"priority":0') }) })) } },
+    plan: { faults: 2, breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry(request.body === null ? request : { ...request, body: String(request.body).replace(/"priority":\d+/, '"priority":0') }) })) } },
   },
   {
     what: 'a losing or faulty change opens its lane all the same',
--- a/packages/roundsman/src/lease.ts
+++ b/packages/roundsman/src/lease.ts
@@ -22,6 +22,16 @@
   endAt: number;
 }
 
+/** Milliseconds: how long a grant lasts, how much earlier its holder stops, how long after its end nobody else gets it; and the fence that any new one must pass. */
+export interface LeaseTerms {
+  readonly leaseMs: number;
+  readonly marginMs: number;
+  readonly gapMs: number;
+  readonly floor: () => number;
+}
+
+const usualTerms: LeaseTerms = { leaseMs, marginMs, gapMs: 0, floor: () => 0 };
+
 export class LeaseBook {
   private readonly grants = new Map<string, Grant>();
   private readonly quietUntil: number;
@@ -31,8 +41,9 @@
     private readonly keep: (duty: string, fence: number) => Promise<boolean>,
     kept: readonly (readonly [duty: string, fence: number])[],
     isNew: boolean,
+    private readonly terms: LeaseTerms = usualTerms,
   ) {
-    this.quietUntil = isNew ? 0 : clock.now() + leaseMs;
+    this.quietUntil = isNew ? 0 : clock.now() + terms.leaseMs + terms.gapMs;
     for (const [duty, fence] of kept) this.grants.set(duty, { holder: '', fence: Math.max(fence, this.grants.get(duty)?.fence ?? 0), endAt: 0 });
   }
 
@@ -53,15 +64,15 @@
     for (const { duty, fence } of duties) {
       const held = this.grants.get(duty);
       const isRenewal = held !== undefined && held.holder === holder && held.fence === fence;
-      const isFree = now >= this.quietUntil && (held === undefined || held.endAt <= now);
+      const isFree = now >= this.quietUntil && (held === undefined || held.endAt + (held.holder === holder ? 0 : this.terms.gapMs) <= now);
       if (isRenewal) {
-        held.endAt = now + leaseMs;
+        held.endAt = now + this.terms.leaseMs;
         granted.push(duty);
-      } else if (isFree && fence > (held?.fence ?? 0)) {
-        this.grants.set(duty, { holder, fence, endAt: now + leaseMs });
+      } else if (isFree && fence > Math.max(held?.fence ?? 0, this.terms.floor())) {
+        this.grants.set(duty, { holder, fence, endAt: now + this.terms.leaseMs });
         writes.push(this.keep(duty, fence).then((isKept) => void (isKept && granted.push(duty))));
       }
-      fences[duty] = this.grants.get(duty)?.fence ?? 0;
+      fences[duty] = Math.max(this.grants.get(duty)?.fence ?? 0, this.terms.floor());
     }
     await Promise.all(writes);
     return { granted, fences };
@@ -95,6 +106,7 @@
     private readonly releaseAll: (ask: LeaseAsk) => void,
     private readonly majority: () => number,
     private readonly changed: () => void,
+    private readonly terms: LeaseTerms = usualTerms,
   ) {}
 
   private readonly wallGap = (): number => this.clock.wall() - this.clock.now();
@@ -128,7 +140,7 @@
       const idleTicks = fence === null ? (this.idle.get(duty) ?? 0) + 1 : 0;
       this.idle.set(duty, idleTicks);
       if (fence !== null) duties.push({ duty, fence });
-      else if (idleTicks > this.rankFor(duty) * idleTicksBeforeHelp) duties.push({ duty, fence: (this.fences.get(duty) ?? 0) + 1 });
+      else if (idleTicks > this.rankFor(duty) * idleTicksBeforeHelp) duties.push({ duty, fence: Math.max(this.fences.get(duty) ?? 0, this.terms.floor()) + 1 });
     }
     for (const duty of this.idle.keys()) if (!wanted.has(duty)) this.idle.delete(duty);
     if (duties.length === 0) return;
@@ -150,7 +162,7 @@
         continue;
       }
       const isNew = this.held.get(duty)?.fence !== fence;
-      this.held.set(duty, { fence, endAt: askedAt + leaseMs - marginMs, wallGap });
+      this.held.set(duty, { fence, endAt: askedAt + this.terms.leaseMs - this.terms.marginMs, wallGap });
       this.idle.set(duty, 0);
       if (isNew) hasChanged = true;
     }
--- a/packages/roundsman/src/lines.ts
+++ b/packages/roundsman/src/lines.ts
@@ -10,6 +10,14 @@
 const rosterPatienceMs = 800;
 const enoughPostmasters = 3;
 
+/** Milliseconds: how long one dial may take, and the longest wait between two. */
+export interface DialPace {
+  readonly patienceMs: number;
+  readonly longestWaitMs: number;
+}
+
+const usualPace: DialPace = { patienceMs: 2_000, longestWaitMs };
+
 interface Line {
   coach: Coach | null;
   isStopped: boolean;
@@ -27,6 +35,7 @@
     private readonly roster: Roster,
     private readonly agreedAddresses: () => readonly string[],
     private readonly handlers: Handlers,
+    private readonly pace: DialPace = usualPace,
   ) {
     this.refresher = new Repeating(ports.clock, () => refreshMs * (0.75 + 0.5 * ports.random.fraction()), this.refresh);
     this.align();
@@ -70,7 +79,7 @@
           this.handlers.left(coach);
           hangUp();
         },
-      });
+      }, this.pace.patienceMs);
       if (dialed.isOk()) {
         const coach = dialed.value;
         if (line.isStopped || this.isStopped) coach.close();
@@ -80,11 +89,11 @@
         const openedAt = clock.now();
         await ended;
         line.coach = null;
-        if (clock.now() - openedAt > longestWaitMs) waitMs = firstWaitMs;
+        if (clock.now() - openedAt > this.pace.longestWaitMs) waitMs = firstWaitMs;
       }
       if (line.isStopped || this.isStopped) return;
       await pause.for(clock, waitMs * (0.5 + random.fraction()));
-      waitMs = Math.min(waitMs * 2, longestWaitMs);
+      waitMs = Math.min(waitMs * 2, this.pace.longestWaitMs);
     }
   };
 
--- /dev/null
+++ b/packages/throughpost/src/callDoor.ts
@@ -0,0 +1,115 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { addresses } from '@martenworks/envelope';
+import type { CallerLimits, NetFault } from '@martenworks/envelope';
+import type { BodyFault, Call, Reply } from './call.js';
+
+const largestHeaderBytes = 128 * 1024;
+const checkEveryMs = 1_000;
+const slowBodyMs = 30_000;
+
+const bodyOf = (incoming: IncomingMessage, limitBytes: number): Promise<Result<Uint8Array, BodyFault>> =>
+  new Promise((settle) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    if (Number(incoming.headers['content-length'] ?? 0) > limitBytes) return settle(err('too large'));
+    incoming.on('data', (part: Buffer) => {
+      size += part.length;
+      if (size > limitBytes) {
+        incoming.removeAllListeners('data');
+        incoming.resume();
+        return settle(err('too large'));
+      }
+      parts.push(part);
+    });
+    incoming.on('end', () => settle(ok(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts))));
+    incoming.on('error', () => settle(err('gone')));
+    incoming.on('close', () => settle(err('gone')));
+  });
+
+const sizeOf = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
+
+const replyOver = (response: ServerResponse): Reply => ({
+  write: (bytes) =>
+    new Promise((settle) => {
+      if (response.destroyed || response.write(bytes)) return settle();
+      const done = (): void => {
+        response.off('drain', done);
+        response.off('close', done);
+        settle();
+      };
+      response.on('drain', done);
+      response.on('close', done);
+    }),
+  end: () => void response.end(),
+  cut: () => {
+    if (response.socket !== null && !response.writableFinished) response.socket.destroy();
+    else response.destroy();
+  },
+});
+
+export interface CallDoorTerms {
+  readonly onCall: (call: Call) => void;
+  readonly isClosing: () => boolean;
+}
+
+/** A caller-side HTTP/1.1 server that keeps targets, headers and bodies as they came. */
+export class CallDoor {
+  private readonly server: Server;
+
+  constructor(private readonly terms: CallDoorTerms) {
+    this.server = createServer({ maxHeaderSize: largestHeaderBytes, connectionsCheckingInterval: checkEveryMs, requestTimeout: slowBodyMs, noDelay: true }, this.take);
+    this.server.on('clientError', (cause: Error & { code?: string }, socket) => {
+      if (!socket.writable) return void socket.destroy();
+      const status = cause.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : cause.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+      socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+    });
+  }
+
+  private readonly take = (incoming: IncomingMessage, response: ServerResponse): void => {
+    incoming.on('error', () => {});
+    response.on('error', () => {});
+    this.terms.onCall({
+      method: incoming.method ?? 'GET',
+      target: incoming.url ?? '/',
+      host: incoming.headers.host ?? '',
+      headers: incoming.rawHeaders,
+      headerBytes: sizeOf(incoming.rawHeaders) + (incoming.url ?? '').length,
+      body: (limitBytes) => bodyOf(incoming, limitBytes),
+      whenGone: (verb) =>
+        void response.on('close', () => {
+          if (!response.writableFinished) verb();
+        }),
+      answer: (status, headers, isLast) => {
+        if (isLast || this.terms.isClosing()) response.shouldKeepAlive = false;
+        response.writeHead(status, [...headers]);
+        return replyOver(response);
+      },
+    });
+  };
+
+  readonly limit = (limits: CallerLimits): void => {
+    this.server.keepAliveTimeout = limits.idleMs;
+    this.server.headersTimeout = limits.headerMs;
+  };
+
+  readonly open = (address: string): Promise<Result<void, NetFault>> =>
+    new Promise((settle) => {
+      const { host, port } = addresses.split(address);
+      this.server.once('error', (cause) => settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })));
+      this.server.listen(port, host, 1_024, () => settle(ok(undefined)));
+    });
+
+  readonly shut = (): void => {
+    this.server.close();
+    this.server.closeIdleConnections();
+  };
+
+  readonly isEmpty = (): Promise<boolean> => new Promise((settle) => this.server.getConnections((cause, count) => settle(cause !== null || count === 0)));
+
+  readonly closeIdle = (): void => this.server.closeIdleConnections();
+
+  readonly destroy = (): void => this.server.closeAllConnections();
+}
--- /dev/null
+++ b/packages/throughpost/src/coreTouch.ts
@@ -0,0 +1,168 @@
+import { Repeating } from '@martenworks/envelope';
+import type { CardsNews, FrontPong, Ports, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
+import type { WayEnv } from '@martenworks/franking';
+import { hellos } from '@martenworks/mailcoach';
+import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { Lines, Roster } from '@martenworks/roundsman';
+import type { RosterEntry } from '@martenworks/roundsman';
+
+const pingMs = 500;
+const pingPatienceMs = 900;
+const chooseMs = 150;
+const askPatienceMs = 700;
+const newsGraceMs = 120;
+const staleListFactor = 3;
+const dialPace = { patienceMs: 700, longestWaitMs: 400 };
+
+export interface TouchEars {
+  readonly state: (news: StateNews) => void;
+  readonly cards: (news: CardsNews) => void;
+  readonly weights: (news: WeightsNews) => void;
+  readonly shelves: (news: readonly ShelfNews[]) => void;
+  readonly isReady: () => boolean;
+}
+
+interface Heard {
+  at: number;
+  pong: FrontPong;
+}
+
+/** Holds a connection to every core node. One of them, in this front's own zone where there is one, tells all its news; the others tell only which generation they hold, and are asked for it if this front does not hold it yet. */
+export class CoreTouch {
+  private readonly roster: Roster;
+  private readonly lines: Lines;
+  private readonly repeats: Repeating[];
+  private readonly heard = new Map<Coach, Heard>();
+  private readonly asking = new Set<Coach>();
+  private content: Coach | null = null;
+  private held: StateNews | null = null;
+  private lastHeardAt: number;
+
+  constructor(
+    private readonly env: WayEnv,
+    private readonly ports: Ports,
+    private readonly incarnation: string,
+    seeds: readonly string[],
+    private readonly ears: TouchEars,
+  ) {
+    const { clock, random } = ports;
+    this.lastHeardAt = clock.now();
+    this.roster = new Roster(clock, this.hello);
+    this.lines = new Lines(ports, this.hello, seeds, this.roster, () => (this.held?.members ?? []).map((member) => member.address), this.handlers(), dialPace);
+    this.repeats = [new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.ping), new Repeating(clock, () => chooseMs, this.choose)];
+  }
+
+  private readonly hello = (): Hello => hellos.of('counter', { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone }, this.incarnation);
+
+  private readonly handlers = (): Handlers => ({
+    joined: (coach) => {
+      if (coach.neighbour?.role !== 'postmaster') return;
+      this.roster.heard(coach.neighbour);
+      coach.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
+      this.choose();
+    },
+    left: (coach) => {
+      this.heard.delete(coach);
+      if (this.content === coach) this.content = null;
+      this.choose();
+    },
+    told: (coach, topic, body) => {
+      if (topic === 'state') this.take(coach, body as StateNews);
+      else if (topic === 'news') this.hearOf(coach, body as number);
+      else if (topic === 'weights') this.ears.weights(body as WeightsNews);
+      else if (coach !== this.content) return;
+      else if (topic === 'cards') this.ears.cards(body as CardsNews);
+      else if (topic === 'shelves') this.ears.shelves(body as ShelfNews[]);
+    },
+    asked: async (coach, topic, body) => {
+      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+      if (topic === 'beat') return true;
+      if (topic !== 'roster') return null;
+      this.roster.merge(body as RosterEntry[]);
+      return [];
+    },
+  });
+
+  readonly stateHeld = (): StateHeld => ({ generation: this.held?.generation ?? -1, edition: this.held?.edition ?? 0 });
+
+  private readonly take = (coach: Coach, news: StateNews): void => {
+    if (this.held !== null && news.generation <= this.held.generation) return;
+    if (news.book === null && news.edition !== (this.held?.edition ?? 0)) return this.askState(coach, 0);
+    this.held = { ...news, book: news.book ?? this.held?.book ?? null };
+    this.ears.state(this.held);
+    coach.tell('ack', this.stateHeld());
+    this.lines.align();
+  };
+
+  private readonly hearOf = (coach: Coach, generation: number): void => {
+    if (generation <= (this.held?.generation ?? -1)) return;
+    const waitMs = coach === this.content || this.content === null ? 0 : newsGraceMs;
+    this.ports.clock.after(waitMs, () => {
+      if (generation > (this.held?.generation ?? -1)) this.askState(coach, this.held?.edition ?? 0);
+    });
+  };
+
+  private readonly askState = (coach: Coach, edition: number): void => {
+    if (this.asking.has(coach) || !coach.isLive()) return;
+    this.asking.add(coach);
+    void coach.ask('state', { generation: this.held?.generation ?? -1, edition }, askPatienceMs).then((receipt) => {
+      this.asking.delete(coach);
+      if (receipt.isOk() && receipt.value !== null) this.take(coach, receipt.value as StateNews);
+    });
+  };
+
+  private readonly cores = (): Coach[] => this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+
+  private readonly listLimitMs = (): number => this.env.listEveryMs * staleListFactor + this.env.listPatienceMs;
+
+  private readonly worth = (coach: Coach): number => {
+    const heard = this.heard.get(coach);
+    if (heard === undefined) return 0;
+    const isCurrent = heard.pong.listAgeMs !== null && heard.pong.listAgeMs <= this.listLimitMs();
+    return 1 + (isCurrent ? 4 : 0) + (heard.pong.isSettled ? 2 : 0) + (coach.neighbour?.zone === this.env.zone ? 1 : 0);
+  };
+
+  private readonly choose = (): void => {
+    const cores = this.cores();
+    const best = cores.reduce<Coach | null>((found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found), null);
+    const isHeld = this.content !== null && this.content.isLive();
+    if (best === null || best === this.content || (isHeld && this.worth(best) <= this.worth(this.content as Coach))) return;
+    if (this.worth(best) === 0 && isHeld) return;
+    if (isHeld) this.content?.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
+    this.content = best;
+    best.tell('subscribe', { ...this.stateHeld(), wantsContent: true });
+  };
+
+  private readonly ping = (): void => {
+    for (const coach of this.cores()) {
+      void coach.ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs).then((receipt) => {
+        if (receipt.isErr()) {
+          if (receipt.error.code === 'late') coach.close();
+          return;
+        }
+        const pong = receipt.value as FrontPong | null;
+        if (pong === null) return;
+        this.lastHeardAt = this.ports.clock.now();
+        this.heard.set(coach, { at: this.lastHeardAt, pong });
+        this.hearOf(coach, pong.generation);
+      });
+    }
+  };
+
+  readonly state = (): StateNews | null => this.held;
+
+  readonly fronts = (): number => Math.max(1, ...[...this.heard.values()].map(({ pong }) => pong.fronts));
+
+  readonly unheardMs = (): number => this.ports.clock.now() - this.lastHeardAt;
+
+  readonly status = (): Record<string, unknown> => ({
+    content: this.content?.neighbour?.name ?? null,
+    cores: this.cores().map((coach) => ({ name: coach.neighbour?.name ?? '', zone: coach.neighbour?.zone ?? '', generation: this.heard.get(coach)?.pong.generation ?? null })),
+    held: this.stateHeld(),
+  });
+
+  readonly stop = (): void => {
+    for (const repeat of this.repeats) repeat.stop();
+    this.lines.stop();
+  };
+}
--- /dev/null
+++ b/packages/throughpost/src/events.ts
@@ -0,0 +1,42 @@
+const newline = 10;
+const carriageReturn = 13;
+
+export interface WholeEvent {
+  readonly bytes: Uint8Array;
+  readonly id: string | null;
+}
+
+const idIn = (bytes: Uint8Array): string | null => {
+  const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('utf8');
+  const found = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(text);
+  return found?.[1] ?? null;
+};
+
+/** Cuts a stream of server-sent events into whole ones, byte for byte (an event ends with an empty line). */
+export class EventCutter {
+  private held: Uint8Array = new Uint8Array();
+
+  private readonly endOf = (bytes: Uint8Array): number => {
+    for (let at = 0; at < bytes.length; at += 1) {
+      if (bytes[at] !== newline) continue;
+      let next = at + 1;
+      if (bytes[next] === carriageReturn) next += 1;
+      if (bytes[next] === newline) return next + 1;
+    }
+    return -1;
+  };
+
+  readonly take = (bytes: Uint8Array): WholeEvent[] => {
+    let rest = this.held.length === 0 ? bytes : Buffer.concat([this.held, bytes]);
+    const events: WholeEvent[] = [];
+    for (let end = this.endOf(rest); end > 0; end = this.endOf(rest)) {
+      const event = rest.subarray(0, end);
+      events.push({ bytes: event, id: idIn(event) });
+      rest = rest.subarray(end);
+    }
+    this.held = rest;
+    return events;
+  };
+
+  readonly left = (): Uint8Array => this.held;
+}
--- /dev/null
+++ b/packages/throughpost/src/extraBudget.ts
@@ -0,0 +1,60 @@
+import type { Clock } from '@martenworks/envelope';
+
+/** The fleet's bound: in any window, further shots at a pool are at most `ratio` of its requests plus `slack`, over all fronts together. */
+export interface ExtraTerms {
+  readonly ratio: number;
+  readonly windowMs: number;
+  readonly slack: number;
+}
+
+const cautiousShare = 0.75;
+const bucketCount = 10;
+
+interface Bucket {
+  at: number;
+  first: number;
+  extra: number;
+}
+
+/** This front's part: what its own requests earn, and an equal part of the slack. Sums over fronts keep the fleet's bound, since each keeps its part in each window. */
+export class ExtraBudget {
+  private readonly pools = new Map<string, Bucket[]>();
+  private readonly startedAt: number;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly terms: ExtraTerms,
+    private readonly fronts: () => number,
+  ) {
+    this.startedAt = clock.now();
+  }
+
+  private readonly bucket = (pool: string): Bucket => {
+    const at = Math.floor(this.clock.now() / (this.terms.windowMs / bucketCount));
+    const buckets = this.pools.get(pool) ?? [];
+    this.pools.set(pool, buckets);
+    while (buckets[0] !== undefined && buckets[0].at < at - bucketCount) buckets.shift();
+    const last = buckets[buckets.length - 1];
+    if (last?.at === at) return last;
+    const fresh: Bucket = { at, first: 0, extra: 0 };
+    buckets.push(fresh);
+    return fresh;
+  };
+
+  readonly first = (pool: string): void => void (this.bucket(pool).first += 1);
+
+  readonly left = (pool: string): number => {
+    this.bucket(pool);
+    const buckets = this.pools.get(pool) ?? [];
+    const sum = (of: 'first' | 'extra'): number => buckets.reduce((total, bucket) => total + bucket[of], 0);
+    const isYoung = this.clock.now() - this.startedAt < this.terms.windowMs;
+    const slack = (this.terms.slack * cautiousShare * (isYoung ? 0.5 : 1)) / Math.max(1, this.fronts());
+    return Math.floor(sum('first') * this.terms.ratio * cautiousShare + slack) - sum('extra');
+  };
+
+  readonly take = (pool: string): boolean => {
+    if (this.left(pool) < 1) return false;
+    this.bucket(pool).extra += 1;
+    return true;
+  };
+}
--- /dev/null
+++ b/packages/throughpost/src/front.ts
@@ -0,0 +1,189 @@
+import type { Result } from 'neverthrow';
+import { keys } from '@martenworks/envelope';
+import type { Customer, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
+import type { WayEnv } from '@martenworks/franking';
+import { BookDoor } from '@martenworks/waybill';
+import type { BookView, WayView } from '@martenworks/waybill';
+import { headerLists } from './call.js';
+import type { Call } from './call.js';
+import { CallDoor } from './callDoor.js';
+import { CoreTouch } from './coreTouch.js';
+import { ExtraBudget } from './extraBudget.js';
+import { Passage } from './passage.js';
+import { ReplicaTracks } from './replicaTracks.js';
+import { ShelfBook } from './shelfBook.js';
+import { WayPlacing } from './wayPlacing.js';
+import type { NamedSince, WayPlace, WayQuestion } from './wayPlacing.js';
+
+const connectionShare = 0.8;
+const usualConnections = 64;
+const readyWaitMs = 250;
+const openDrainMs = 2_600;
+const lastDrainMs = 700;
+const drainStepMs = 50;
+const versionShare = 0.8;
+
+export class Tally {
+  private readonly counts = new Map<string, number>();
+
+  readonly add = (name: string): void => void this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+
+  readonly all = (): Record<string, number> => Object.fromEntries(this.counts);
+}
+
+interface Named {
+  readonly version: number;
+  readonly at: number;
+}
+
+/** A front on the opaque path: takes callers' requests, places each, and passes what the replica answers. */
+export class Front {
+  readonly tracks: ReplicaTracks;
+  readonly shelves: ShelfBook;
+  readonly budget: ExtraBudget;
+  readonly touch: CoreTouch;
+  readonly door: CallDoor;
+  readonly tally = new Tally();
+  readonly live = new Set<Passage>();
+  private readonly placing: WayPlacing;
+  private readonly bookDoor = new BookDoor();
+  private readonly namedAt = new Map<string, Named>();
+  private view: BookView | null = null;
+  private hasCards = false;
+  isClosing = false;
+
+  constructor(
+    readonly env: WayEnv,
+    readonly ports: Ports,
+    readonly wire: ThroughWire,
+    seeds: readonly string[],
+  ) {
+    const { clock, random } = ports;
+    this.tracks = new ReplicaTracks(clock);
+    this.shelves = new ShelfBook(clock);
+    this.touch = new CoreTouch(env, ports, random.token(8), seeds, {
+      state: this.takeState,
+      cards: (news) => {
+        this.hasCards = true;
+        this.tracks.take(news);
+      },
+      weights: this.tracks.takeWeights,
+      shelves: this.shelves.take,
+      isReady: () => this.isReady(),
+    });
+    this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
+    this.placing = new WayPlacing(this.tracks, this.shelves, clock, this.namedSince, env.versionMs * versionShare);
+    this.door = new CallDoor({ onCall: (call) => void this.take(call), isClosing: () => this.isClosing });
+  }
+
+  private readonly takeState = (news: StateNews): void => {
+    const now = this.ports.clock.now();
+    for (const [model, version] of Object.entries(news.named)) if ((this.namedAt.get(model)?.version ?? 0) < version) this.namedAt.set(model, { version, at: now });
+    if (news.book === null || this.view?.edition === news.edition) return;
+    this.view = this.bookDoor.view(news.edition, news.book);
+    this.door.limit(news.book.limits);
+    this.ports.log.info('an edition is in force', { edition: news.edition, generation: news.generation });
+  };
+
+  private readonly namedSince = (model: string): NamedSince | null => {
+    const named = this.namedAt.get(model);
+    return named === undefined ? null : { version: named.version, sinceMs: this.ports.clock.now() - named.at };
+  };
+
+  readonly isReady = (): boolean => !this.isClosing && this.view !== null && this.hasCards && !this.isUnheard();
+
+  private readonly isUnheard = (): boolean => this.env.unheardMs !== null && this.touch.unheardMs() > this.env.unheardMs;
+
+  private readonly connections = (pool: string): number => {
+    const limit = this.view?.pool(pool)?.connectionLimit ?? null;
+    return limit === null ? usualConnections : Math.max(1, Math.floor((limit * connectionShare) / this.touch.fronts()));
+  };
+
+  readonly place = (question: WayQuestion): WayPlace | null => (this.view === null ? null : this.placing.place(question, this.view, this.connections(question.pool)));
+
+  readonly isAnyOpen = (pool: string, avoided: ReadonlySet<string>): boolean => this.tracks.inPool(pool).some((track) => !track.card.isLeaving && !avoided.has(track.card.id));
+
+  private readonly pathOf = (target: string): string => {
+    const end = target.search(/[?#]/);
+    return end < 0 ? target : target.slice(0, end);
+  };
+
+  private readonly standingOf = (call: Call, key: string | null): { view: WayView; customer: Customer | null } | { status: number; message: string } => {
+    const view = this.view?.match(call.host, this.pathOf(call.target)) ?? null;
+    if (this.view === null || view === null) return { status: 404, message: 'no way leads there' };
+    const customer = key === null ? null : this.view.holderOf(keys.hash(key));
+    if (customer === null && this.view.isKeyed && !view.way.isOpen) return { status: 401, message: 'the key is not granted' };
+    return { view, customer };
+  };
+
+  readonly isStanding = (call: Call, view: WayView, customer: Customer | null): boolean => {
+    const now = this.view?.match(call.host, this.pathOf(call.target));
+    if (now === null || now === undefined || now.way.name !== view.way.name) return false;
+    return customer === null || (this.view?.book.customers ?? []).some((held) => held.name === customer.name && held.keyHashes.some((hash) => customer.keyHashes.includes(hash)));
+  };
+
+  readonly deny = (call: Call, status: number, message: string, comeBackMs: number | null, isLast = false): void => {
+    const bytes = Buffer.from(this.wire.denialBody(message), 'utf8');
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(bytes.length)];
+    if (comeBackMs !== null) headers.push('Retry-After', (comeBackMs / 1_000).toFixed(2));
+    const reply = call.answer(status, headers, isLast);
+    if (call.method !== 'HEAD') void reply.write(bytes);
+    reply.end();
+  };
+
+  readonly replyHeaders = (list: readonly string[], isRestreamed: boolean): string[] => {
+    const kept = headerLists.endToEnd(list);
+    return isRestreamed ? headerLists.without(kept, new Set(['content-length'])) : kept;
+  };
+
+  private readonly take = async (call: Call): Promise<void> => {
+    const { view } = this;
+    if (view === null || !this.hasCards || this.isUnheard()) return this.deny(call, 503, 'this front does not know yet what is in force', readyWaitMs);
+    const { limits } = view.book;
+    if (call.headerBytes > limits.headerBytes) return this.deny(call, 431, 'the headers are too large', null, true);
+    const order = this.wire.order(call.headers);
+    if (order.isErr()) return this.deny(call, 400, order.error, null);
+    const standing = this.standingOf(call, order.value.key);
+    if ('status' in standing) return this.deny(call, standing.status, standing.message, null);
+    const body = await call.body(limits.bodyBytes);
+    if (body.isErr()) return body.error === 'too large' ? this.deny(call, 413, 'the body is too large', null, true) : undefined;
+    const again = this.standingOf(call, order.value.key);
+    if ('status' in again) return this.deny(call, again.status, again.message, null);
+    const pool = Passage.poolFor(again.view, this.ports.random.fraction());
+    await new Passage(this, call, again.view, order.value, again.customer, body.value, pool).run();
+  };
+
+  readonly open = (): Promise<Result<void, NetFault>> => this.door.open(this.env.http);
+
+  /** Takes no new connections after a while, finishes what runs, within `drainMs`. */
+  readonly drain = async (): Promise<void> => {
+    const { clock } = this.ports;
+    const startedAt = clock.now();
+    const step = (): Promise<void> => new Promise((wake) => void clock.after(drainStepMs, wake));
+    this.isClosing = true;
+    while (clock.now() - startedAt < Math.min(openDrainMs, this.env.drainMs / 2)) await step();
+    this.door.shut();
+    while (clock.now() - startedAt < this.env.drainMs - lastDrainMs) {
+      this.door.closeIdle();
+      if (this.live.size === 0 && (await this.door.isEmpty())) return;
+      await step();
+    }
+  };
+
+  readonly status = (): Record<string, unknown> => ({
+    name: this.env.name,
+    zone: this.env.zone,
+    isReady: this.isReady(),
+    edition: this.view?.edition ?? null,
+    live: this.live.size,
+    tally: this.tally.all(),
+    touch: this.touch.status(),
+    replicas: this.tracks.all().map(({ card, running, pendingTokens }) => ({ id: card.id, pool: card.pool, isLeaving: card.isLeaving, weights: card.weights, running, pendingTokens })),
+    shelves: this.shelves.sizes(),
+  });
+
+  readonly stop = (): void => {
+    this.touch.stop();
+    this.door.destroy();
+  };
+}
--- /dev/null
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -0,0 +1,106 @@
+import type { CardsNews, Clock, ReplicaCard, WeightsNews } from '@martenworks/envelope';
+
+const firstSuspicionMs = 400;
+const longestSuspicionMs = 4_000;
+const blend = 0.2;
+const startTokensPerMs = 40;
+const slowestTokensPerMs = 5;
+const fastestTokensPerMs = 1_000;
+const heavyTokens = 1_000;
+
+export interface Track {
+  card: ReplicaCard;
+  running: number;
+  pendingTokens: number;
+  suspectUntil: number;
+  suspicionMs: number;
+  fullUntil: number;
+  restUntil: number;
+  isGone: boolean;
+  readonly whenGone: Set<() => void>;
+}
+
+const newest = (told: ReplicaCard, held: ReplicaCard): ReplicaCard => {
+  const weights = { ...held.weights };
+  for (const [model, version] of Object.entries(told.weights)) weights[model] = Math.max(version, weights[model] ?? 0);
+  return { ...told, weights, isLeaving: told.isLeaving || held.isLeaving };
+};
+
+/** What this front knows of each replica's life: its card, what it runs there, and how far it is trusted. */
+export class ReplicaTracks {
+  private readonly tracks = new Map<string, Track>();
+  private readonly byPool = new Map<string, Track[]>();
+  private tokensPerMs = startTokensPerMs;
+
+  constructor(private readonly clock: Clock) {}
+
+  readonly take = ({ isWhole, put, gone }: CardsNews): void => {
+    const told = new Set(put.map((card) => card.id));
+    for (const card of put) {
+      const held = this.tracks.get(card.id);
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
+      else held.card = newest(card, held.card);
+    }
+    for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
+    this.byPool.clear();
+    for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
+  };
+
+  private readonly remove = (id: string): void => {
+    const track = this.tracks.get(id);
+    if (track === undefined) return;
+    this.tracks.delete(id);
+    track.isGone = true;
+    for (const verb of [...track.whenGone]) verb();
+  };
+
+  readonly takeWeights = ({ id, model, version, forMs }: WeightsNews): void => {
+    const track = this.tracks.get(id);
+    if (track === undefined) return;
+    track.restUntil = version === null ? this.clock.now() + forMs : 0;
+    if (version !== null) this.holds(track, model, version);
+  };
+
+  readonly holds = (track: Track, model: string, version: number): void => {
+    if ((track.card.weights[model] ?? 0) < version) track.card = { ...track.card, weights: { ...track.card.weights, [model]: version } };
+  };
+
+  readonly inPool = (pool: string): readonly Track[] => this.byPool.get(pool) ?? [];
+
+  readonly all = (): Track[] => [...this.tracks.values()];
+
+  readonly isSuspect = (track: Track): boolean => track.suspectUntil > this.clock.now();
+
+  readonly isResting = (track: Track): boolean => Math.max(track.restUntil, track.fullUntil) > this.clock.now();
+
+  readonly began = (track: Track, tokens: number): void => {
+    track.running += 1;
+    track.pendingTokens += tokens;
+  };
+
+  readonly given = (track: Track, tokens: number): void => void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
+
+  readonly ended = (track: Track): void => void (track.running = Math.max(0, track.running - 1));
+
+  readonly answered = (track: Track): void => {
+    track.suspectUntil = 0;
+    track.suspicionMs = firstSuspicionMs;
+  };
+
+  readonly failed = (track: Track): void => {
+    const now = this.clock.now();
+    if (track.suspectUntil > now) return;
+    track.suspectUntil = now + track.suspicionMs;
+    track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
+  };
+
+  readonly full = (track: Track, forMs: number): void => void (track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs));
+
+  readonly measured = (tokens: number, spentMs: number): void => {
+    if (tokens < heavyTokens || spentMs <= 0) return;
+    const seen = Math.min(fastestTokensPerMs, Math.max(slowestTokensPerMs, tokens / spentMs));
+    this.tokensPerMs += (seen - this.tokensPerMs) * blend;
+  };
+
+  readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
+}
--- /dev/null
+++ b/packages/throughpost/src/shelfBook.ts
@@ -0,0 +1,70 @@
+import type { Clock, ShelfNews } from '@martenworks/envelope';
+
+const trustOwnMs = 3_000;
+
+interface Shelf {
+  isHeard: boolean;
+  readonly kept: Map<string, number>;
+  readonly own: Map<string, number>;
+}
+
+const labelOf = (salt: string, part: string): string => `${salt}\n${part}`;
+
+/** The front's index: which address keeps how many tokens of which part under which salt, from what the core tells and, for a while, from what this front saw itself. */
+export class ShelfBook {
+  private readonly shelves = new Map<string, Shelf>();
+
+  constructor(private readonly clock: Clock) {}
+
+  private readonly shelf = (address: string): Shelf => {
+    const held = this.shelves.get(address);
+    if (held !== undefined) return held;
+    const fresh: Shelf = { isHeard: false, kept: new Map(), own: new Map() };
+    this.shelves.set(address, fresh);
+    return fresh;
+  };
+
+  readonly take = (bundle: readonly ShelfNews[]): void => {
+    for (const { address, isWhole, isHeard, news } of bundle) {
+      const shelf = this.shelf(address);
+      shelf.isHeard = isHeard;
+      if (isWhole) shelf.kept.clear();
+      for (const { isKept, salt, part, tokens } of news) {
+        const label = labelOf(salt, part);
+        if (tokens > 0) shelf.kept.set(label, tokens);
+        else shelf.kept.delete(label);
+        if (!isKept) shelf.own.delete(label);
+      }
+    }
+  };
+
+  readonly keepOnly = (addresses: ReadonlySet<string>): void => {
+    for (const address of this.shelves.keys()) if (!addresses.has(address)) this.shelves.delete(address);
+  };
+
+  /** What this front saw itself: `address` was given the part just now. */
+  readonly saw = (address: string, salt: string, part: string): void => void this.shelf(address).own.set(labelOf(salt, part), this.clock.now());
+
+  /** The address was found without the part: what the index says of it is wrong until told anew. */
+  readonly missed = (address: string, salt: string, part: string): void => {
+    const shelf = this.shelf(address);
+    shelf.own.delete(labelOf(salt, part));
+    shelf.kept.delete(labelOf(salt, part));
+  };
+
+  readonly keeps = (address: string, salt: string, part: string, tokens: number): boolean => {
+    const shelf = this.shelves.get(address);
+    if (shelf === undefined) return false;
+    const label = labelOf(salt, part);
+    if ((shelf.kept.get(label) ?? 0) >= tokens) return true;
+    const sawAt = shelf.own.get(label);
+    if (sawAt === undefined) return false;
+    if (this.clock.now() - sawAt <= trustOwnMs) return true;
+    shelf.own.delete(label);
+    return false;
+  };
+
+  readonly isHeard = (address: string): boolean => this.shelves.get(address)?.isHeard === true;
+
+  readonly sizes = (): { address: string; parts: number }[] => [...this.shelves].map(([address, { kept }]) => ({ address, parts: kept.size }));
+}
--- /dev/null
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -0,0 +1,147 @@
+import { createHash } from 'node:crypto';
+import type { CallerOrder, Clock, Customer, Part, WayStore } from '@martenworks/envelope';
+import { salts } from '@martenworks/waybill';
+import type { BookView } from '@martenworks/waybill';
+import type { ReplicaTracks, Track } from './replicaTracks.js';
+import type { ShelfBook } from './shelfBook.js';
+
+const trackedTokens = 256;
+const runCostMs = 4;
+const homeGainMs = 24;
+const secondGainMs = 8;
+const crowdingShare = 0.6;
+const oldWeightsMs = 15;
+const suspicionMs = 2_000;
+
+export interface WayPlace {
+  readonly track: Track;
+  readonly version: number | null;
+  readonly salt: string | null;
+  readonly holder: string | null;
+  readonly store: string | null;
+  readonly anchor: Part | null;
+  readonly isKept: boolean;
+  readonly readTokens: number;
+  readonly costMs: number;
+}
+
+export interface WayQuestion {
+  readonly pool: string;
+  readonly order: CallerOrder;
+  readonly customer: Customer | null;
+  readonly avoided: ReadonlySet<string>;
+}
+
+export interface NamedSince {
+  readonly version: number;
+  readonly sinceMs: number;
+}
+
+const scores = {
+  of: (label: string, name: string): string => createHash('sha1').update(label).update('\n').update(name).digest('hex'),
+};
+
+/** The part that decides where a prompt is at home: the last shareable one that is long enough to be worth keeping, else the last shareable one. A prompt's last part is its own or its session's. */
+const anchorOf = (parts: readonly Part[]): { anchor: Part | null; at: number } => {
+  const shareable = parts.length > 1 ? parts.slice(0, -1) : parts;
+  const long = shareable.findLastIndex((part) => part.tokens >= trackedTokens);
+  const at = long >= 0 ? long : shareable.length - 1;
+  return { anchor: shareable[at] ?? null, at };
+};
+
+const ranked = <T>(label: string, list: readonly T[], nameOf: (one: T) => string): T[] =>
+  list
+    .map((one) => ({ one, score: scores.of(label, nameOf(one)) }))
+    .sort((a, b) => (a.score < b.score ? 1 : -1))
+    .map(({ one }) => one);
+
+/** Chooses the replica that runs a prompt and the one that hands over what it lacks. Homes come by rendezvous hashing over the anchor part (Thaler and Ravishankar), so that fronts which never talk choose alike; a busy home is left for a replica that pulls from it. */
+export class WayPlacing {
+  constructor(
+    private readonly tracks: ReplicaTracks,
+    private readonly shelves: ShelfBook,
+    private readonly clock: Clock,
+    private readonly named: (model: string) => NamedSince | null,
+    private readonly oldWeightsForMs: number,
+  ) {}
+
+  private readonly mayRun = (track: Track, model: string | null, view: BookView): boolean => {
+    if (track.card.isLeaving || this.tracks.isResting(track)) return false;
+    if (model === null) return true;
+    const version = track.card.weights[model];
+    if (version === undefined) return view.pool(track.card.pool)?.engine === null;
+    const named = this.named(model);
+    return named === null || version >= named.version || named.sinceMs < this.oldWeightsForMs;
+  };
+
+  private readonly saltFor = (track: Track, { order, customer }: WayQuestion): { version: number | null; salt: string | null } => {
+    const version = order.model === null ? undefined : track.card.weights[order.model];
+    return order.model === null || version === undefined ? { version: null, salt: null } : { version, salt: salts.of(order.model, version, customer) };
+  };
+
+  /** Milliseconds of reading that a replica would have to do, by the index. */
+  private readonly keptTokens = (address: string, salt: string, parts: readonly Part[], upTo: number): number => {
+    let kept = 0;
+    for (let at = 0; at <= upTo; at += 1) {
+      const part = parts[at] as Part;
+      if (part.tokens >= trackedTokens && !this.shelves.keeps(address, salt, part.id, part.tokens)) break;
+      kept += part.tokens;
+    }
+    return kept;
+  };
+
+  private readonly storeFor = (anchor: Part, salt: string, stores: readonly WayStore[]): { keeping: WayStore | null; home: WayStore | null } => {
+    const heard = ranked(anchor.id, stores.filter((store) => this.shelves.isHeard(store.address)), (store) => store.name);
+    return { keeping: heard.find((store) => this.shelves.keeps(store.address, salt, anchor.id, anchor.tokens)) ?? null, home: heard[0] ?? null };
+  };
+
+  readonly place = (question: WayQuestion, view: BookView, connections: number): WayPlace | null => {
+    const { order, pool, avoided } = question;
+    const all = this.tracks.inPool(pool);
+    const open = all.filter((track) => this.mayRun(track, order.model, view) && !avoided.has(track.card.id) && track.running < connections);
+    if (open.length === 0) return null;
+    const { anchor, at } = anchorOf(order.parts);
+    const isTracked = anchor !== null && anchor.tokens >= trackedTokens;
+    const homes = anchor === null ? [] : ranked(`${anchor.id}${question.customer?.isIsolated === true ? question.customer.name : ''}`, all.filter((track) => !track.card.isLeaving), (track) => track.card.id);
+    const named = order.model === null ? null : this.named(order.model);
+    const engine = view.pool(pool)?.engine ?? null;
+    const pullMs = (tokens: number): number => (engine === null || !(engine.linkMbps > 0) ? 0 : (tokens * engine.tokenBytes * 8) / (engine.linkMbps * 1_000));
+    const anyKept = new Map<string, boolean>();
+    const keepsAnchor = (track: Track, salt: string): boolean => {
+      const label = `${track.card.id} ${salt}`;
+      const held = anyKept.get(label) ?? this.keptTokens(track.card.address, salt, order.parts, at) > 0;
+      anyKept.set(label, held);
+      return held;
+    };
+    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean } | null = null;
+    const offset = Math.floor(this.clock.now()) % open.length;
+    for (let step = 0; step < open.length; step += 1) {
+      const track = open[(step + offset) % open.length] as Track;
+      const { version, salt } = this.saltFor(track, question);
+      const rank = homes.indexOf(track);
+      const isKept = isTracked && salt !== null && keepsAnchor(track, salt);
+      const hasHolder = isTracked && !isKept && salt !== null && all.some((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
+      const anchorTokens = isTracked ? order.parts.slice(0, at + 1).reduce((sum, part) => sum + part.tokens, 0) : 0;
+      const readTokens = Math.max(0, order.tokensIn - (isKept || hasHolder ? anchorTokens : 0));
+      const crowdingMs = hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare + pullMs(anchorTokens) : 0;
+      const gainMs = rank === 0 ? homeGainMs + (isTracked && !isKept && !hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare : 0) : rank === 1 ? secondGainMs : 0;
+      const costMs =
+        this.tracks.readMs(track.pendingTokens + readTokens) +
+        track.running * runCostMs +
+        crowdingMs -
+        gainMs +
+        (this.tracks.isSuspect(track) ? suspicionMs : 0) +
+        (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
+      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept };
+    }
+    if (best === null) return null;
+    const { track, salt } = best;
+    if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor };
+    const { keeping, home } = this.storeFor(anchor, salt, view.book.stores);
+    const holders = best.isKept ? [] : all.filter((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
+    const near = holders.find((other) => other.card.zone === track.card.zone) ?? holders[0];
+    const guess = homes.find((other) => other !== track && !this.tracks.isSuspect(other));
+    const holder = near?.card.address ?? keeping?.address ?? (best.isKept ? null : (home?.address ?? (homes[0] === track ? null : (guess?.card.address ?? null))));
+    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor };
+  };
+}
--- /dev/null
+++ b/packages/waybill/src/index.ts
@@ -0,0 +1,3 @@
+export * from './books.js';
+export * from './match.js';
+export * from './salts.js';
