--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -51,3 +51,12 @@
   readonly isSettled: boolean;
   readonly listAgeMs: number | null;
 }
+
+/** A long prompt that one front has a replica read: `tokens` is 0 once it is read. Told to the other fronts, which do not see each other's requests. */
+export interface ReadingNews {
+  readonly id: string;
+  readonly replica: string;
+  readonly tokens: number;
+  readonly salt: string | null;
+  readonly part: string | null;
+}
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -239,6 +239,10 @@
       if (topic === 'settled') void this.decrees.settle(body as Settled);
       else if (topic === 'subscribe') this.push.subscribe(coach, body as Subscription);
       else if (topic === 'ack') this.push.acked(coach, body as StateHeld);
+      else if (topic === 'reading') {
+        this.push.tellOthers(coach, 'reading', body);
+        this.tellPostmasters('readingRelay', body);
+      } else if (topic === 'readingRelay') this.push.tellContent('reading', body);
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
     asked: async (coach, topic, body) => {
--- /dev/null
+++ b/packages/roundsman/test/leaseTerms.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai';
+import { SimWorld } from '@martenworks/proving';
+import { Duties, LeaseBook } from '@martenworks/roundsman';
+import type { LeaseAsk, LeaseReply, LeaseTerms } from '@martenworks/roundsman';
+
+const office = (gapMs: number) => {
+  const world = new SimWorld(11);
+  const { clock } = world.machine('10.0.0.1').ports();
+  let generation = 1;
+  const terms: LeaseTerms = { leaseMs: 1_600, marginMs: 400, gapMs, floor: () => generation * 1_000 };
+  const books = Array.from({ length: 3 }, () => new LeaseBook(clock, async () => true, [], false, terms));
+  const dutiesOf = (name: string, reached: () => readonly number[]) =>
+    new Duties(
+      clock,
+      () => name,
+      () => ['a', 'b'],
+      () => ['weights'],
+      async (ask: LeaseAsk): Promise<LeaseReply[]> => Promise.all(reached().map((at) => (books[at] as LeaseBook).grant(ask))),
+      (ask) => books.forEach((book) => book.release(ask)),
+      () => 2,
+      () => {},
+      terms,
+    );
+  return { world, books, terms, dutiesOf, clock, raise: () => (generation += 1) };
+};
+
+const turn = async (world: SimWorld, duties: readonly Duties[], forMs: number, seen: (at: number) => void = () => {}): Promise<void> => {
+  for (let spent = 0; spent < forMs; spent += 100) {
+    for (const one of duties) void one.tick();
+    await world.run(100);
+    seen(world.time);
+  }
+};
+
+describe('leases with a gap between holders', () => {
+  it('given a holder that falls silent, when another takes over, then never two hold at once and the gap lies between their last and first moment', async () => {
+    const { world, dutiesOf } = office(3_000);
+    let isCut = false;
+    const a = dutiesOf('a', () => (isCut ? [] : [0, 1, 2]));
+    const b = dutiesOf('b', () => [0, 1, 2]);
+    await turn(world, [a], 6_000);
+    expect(a.fenceOf('weights')).to.not.equal(null);
+    isCut = true;
+    let lastOfA = 0;
+    let firstOfB = 0;
+    await turn(world, [a, b], 9_000, (at) => {
+      if (a.fenceOf('weights') !== null) lastOfA = at;
+      if (b.fenceOf('weights') !== null && firstOfB === 0) firstOfB = at;
+    });
+    expect(firstOfB).to.be.greaterThan(0);
+    expect(firstOfB - lastOfA).to.be.at.least(3_000);
+    expect(b.fenceOf('weights')).to.be.greaterThan(1_001);
+  });
+
+  it('given voters that start anew and forgot a grant, when another asks at once, then it waits as long as the old one might still act', async () => {
+    const { world, books, dutiesOf } = office(3_000);
+    const b = dutiesOf('b', () => [0, 1, 2]);
+    await turn(world, [b], 4_000);
+    expect(books.length).to.equal(3);
+    expect(b.fenceOf('weights')).to.equal(null);
+    await turn(world, [b], 2_000);
+    expect(b.fenceOf('weights')).to.not.equal(null);
+  });
+
+  it('given a voter that lost its disk and was swapped in anew, when the others raise the generation, then every later fence is above all earlier ones', async () => {
+    const { world, books, terms, clock, raise, dutiesOf } = office(0);
+    const a = dutiesOf('a', () => [0, 1]);
+    await turn(world, [a], 3_000);
+    const before = a.fenceOf('weights') as number;
+    raise();
+    books[0] = new LeaseBook(clock, async () => true, [], false, terms);
+    await world.run(5_000);
+    const b = dutiesOf('b', () => [0, 2]);
+    await turn(world, [b], 3_000);
+    expect(b.fenceOf('weights')).to.be.greaterThan(before);
+  });
+});
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,5 +1,5 @@
 import { Repeating } from '@martenworks/envelope';
-import type { CardsNews, FrontPong, Ports, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -19,6 +19,7 @@
   readonly cards: (news: CardsNews) => void;
   readonly weights: (news: WeightsNews) => void;
   readonly shelves: (news: readonly ShelfNews[]) => void;
+  readonly reading: (news: ReadingNews) => void;
   readonly isReady: () => boolean;
 }
 
@@ -71,6 +72,7 @@
       else if (topic === 'news') this.hearOf(coach, body as number);
       else if (topic === 'weights') this.ears.weights(body as WeightsNews);
       else if (coach !== this.content) return;
+      else if (topic === 'reading') this.ears.reading(body as ReadingNews);
       else if (topic === 'cards') this.ears.cards(body as CardsNews);
       else if (topic === 'shelves') this.ears.shelves(body as ShelfNews[]);
     },
@@ -149,6 +151,8 @@
     }
   };
 
+  readonly tellReading = (news: ReadingNews): void => void this.content?.tell('reading', news);
+
   readonly state = (): StateNews | null => this.held;
 
   readonly fronts = (): number => Math.max(1, ...[...this.heard.values()].map(({ pong }) => pong.fronts));
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -69,11 +69,16 @@
       },
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
+      reading: (news) => {
+        this.tracks.takeReading(news);
+        const address = this.tracks.addressOf(news.replica);
+        if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
+      },
       isReady: () => this.isReady(),
     });
     this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
     this.placing = new WayPlacing(this.tracks, this.shelves, clock, this.namedSince, env.versionMs * versionShare);
-    this.door = new CallDoor({ onCall: (call) => void this.take(call), isClosing: () => this.isClosing });
+    this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
   private readonly takeState = (news: StateNews): void => {
@@ -136,7 +141,8 @@
     return isRestreamed ? headerLists.without(kept, new Set(['content-length'])) : kept;
   };
 
-  private readonly take = async (call: Call): Promise<void> => {
+  /** Answers one call; the door hands it over, or whoever stands in for the door. */
+  readonly receive = async (call: Call): Promise<void> => {
     const { view } = this;
     if (view === null || !this.hasCards || this.isUnheard()) return this.deny(call, 503, 'this front does not know yet what is in force', readyWaitMs);
     const { limits } = view.book;
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -1,4 +1,4 @@
-import type { CallerOrder, CarriageReceipt, Customer, NetFault, ReceiptHead } from '@martenworks/envelope';
+import type { CallerOrder, CarriageReceipt, Customer, NetFault, ReadingNews, ReceiptHead } from '@martenworks/envelope';
 import type { Result } from 'neverthrow';
 import { shares } from '@martenworks/waybill';
 import type { WayView } from '@martenworks/waybill';
@@ -6,9 +6,10 @@
 import type { Call, Reply } from './call.js';
 import { EventCutter } from './events.js';
 import type { Front } from './front.js';
+import { heavyTokens } from './replicaTracks.js';
 import type { WayPlace } from './wayPlacing.js';
 
-const patienceShare = 0.45;
+const patienceShare = 0.7;
 const patienceFactor = 3;
 const patienceSlackMs = 60;
 const silenceGaps = 2;
@@ -172,15 +173,25 @@
       });
     };
     let isPending = true;
+    const note = this.noteReading(placed);
     const given = (): void => {
-      if (isPending) tracks.given(track, placed.readTokens);
+      if (!isPending) return;
       isPending = false;
+      tracks.given(track, placed.readTokens);
+      if (note !== null) this.front.touch.tellReading({ ...note, tokens: 0 });
     };
     this.shots += 1;
     if (this.shots === 1) this.front.budget.first(this.pool);
     tracks.began(track, placed.readTokens);
     let isOut = false;
     const wasRun = this.mayHaveRun;
+    const gate = (): boolean => {
+      if (stopped !== null || track.card.isLeaving || track.isGone || tracks.isResting(track)) return false;
+      isOut = true;
+      this.mayHaveRun = true;
+      return true;
+    };
+    const body = this.body.length === 0 ? null : this.body;
     const carried = ports.carriage.carry({
       method: this.call.method,
       url: `http://${card.address}${this.call.target}`,
@@ -195,15 +206,11 @@
         store: placed.store,
         resumeAfter: this.lastId,
       }),
-      body: this.body.length === 0 ? null : this.body,
+      body,
       signal: shot.signal,
-      gate: () => {
-        if (stopped !== null || track.card.isLeaving || track.isGone || tracks.isResting(track)) return false;
-        isOut = true;
-        this.mayHaveRun = true;
-        return true;
-      },
+      gate,
     });
+    if (body === null && !gate()) shot.abort();
     try {
       const receipt = await Promise.race([carried, whenStopped]);
       if (isOut) this.arrivals += 1;
@@ -221,6 +228,14 @@
     }
   };
 
+  private readonly noteReading = ({ track, readTokens, salt, anchor }: WayPlace): ReadingNews | null => {
+    if (readTokens < heavyTokens) return null;
+    const note: ReadingNews = { id: this.front.ports.random.token(4), replica: track.card.id, tokens: readTokens, salt, part: anchor?.id ?? null };
+    this.front.touch.tellReading(note);
+    if (salt !== null && anchor !== null) this.front.shelves.reads(track.card.address, salt, anchor.id);
+    return note;
+  };
+
   private readonly discard = (receipt: CarriageReceipt): void => {
     void receipt.body[Symbol.asyncIterator]().return?.();
   };
@@ -294,6 +309,7 @@
   private readonly turnedAway = ({ track }: WayPlace, head: ReceiptHead): void => {
     const { tracks, tally } = this.front;
     tally.add('shots_turned_away');
+    this.front.ports.log.info('turned away', { replica: track.card.id, running: track.running, head, resting: track.restUntil - this.front.ports.clock.now() });
     for (const [model, version] of Object.entries(head.versions)) tracks.holds(track, model, version);
     if (head.isElsewhere) tracks.failed(track);
     else tracks.full(track, head.retryAfterMs ?? fullRestMs);
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -1,4 +1,4 @@
-import type { CardsNews, Clock, ReplicaCard, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, Clock, ReadingNews, ReplicaCard, WeightsNews } from '@martenworks/envelope';
 
 const firstSuspicionMs = 400;
 const longestSuspicionMs = 4_000;
@@ -6,12 +6,14 @@
 const startTokensPerMs = 40;
 const slowestTokensPerMs = 5;
 const fastestTokensPerMs = 1_000;
-const heavyTokens = 1_000;
+export const heavyTokens = 1_000;
+const readingForgetMs = 2_500;
 
 export interface Track {
   card: ReplicaCard;
   running: number;
   pendingTokens: number;
+  othersTokens: number;
   suspectUntil: number;
   suspicionMs: number;
   fullUntil: number;
@@ -30,6 +32,7 @@
 export class ReplicaTracks {
   private readonly tracks = new Map<string, Track>();
   private readonly byPool = new Map<string, Track[]>();
+  private readonly readings = new Map<string, { readonly replica: string; readonly tokens: number }>();
   private tokensPerMs = startTokensPerMs;
 
   constructor(private readonly clock: Clock) {}
@@ -38,7 +41,7 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
       else held.card = newest(card, held.card);
     }
     for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
@@ -61,6 +64,25 @@
     if (version !== null) this.holds(track, model, version);
   };
 
+  /** What other fronts have replicas read; a note whose end never comes is forgotten. */
+  readonly takeReading = ({ id, replica, tokens }: ReadingNews): void => {
+    const held = this.readings.get(id);
+    if (held !== undefined) {
+      this.readings.delete(id);
+      const track = this.tracks.get(held.replica);
+      if (track !== undefined) track.othersTokens = Math.max(0, track.othersTokens - held.tokens);
+    }
+    const track = this.tracks.get(replica);
+    if (tokens <= 0 || track === undefined) return;
+    this.readings.set(id, { replica, tokens });
+    track.othersTokens += tokens;
+    this.clock.after(readingForgetMs, () => {
+      if (this.readings.has(id)) this.takeReading({ id, replica, tokens: 0, salt: null, part: null });
+    });
+  };
+
+  readonly addressOf = (id: string): string | null => this.tracks.get(id)?.card.address ?? null;
+
   readonly holds = (track: Track, model: string, version: number): void => {
     if ((track.card.weights[model] ?? 0) < version) track.card = { ...track.card, weights: { ...track.card.weights, [model]: version } };
   };
--- a/packages/throughpost/src/shelfBook.ts
+++ b/packages/throughpost/src/shelfBook.ts
@@ -1,11 +1,13 @@
 import type { Clock, ShelfNews } from '@martenworks/envelope';
 
 const trustOwnMs = 3_000;
+const readingMs = 2_500;
 
 interface Shelf {
   isHeard: boolean;
   readonly kept: Map<string, number>;
   readonly own: Map<string, number>;
+  readonly reading: Map<string, number>;
 }
 
 const labelOf = (salt: string, part: string): string => `${salt}\n${part}`;
@@ -19,7 +21,7 @@
   private readonly shelf = (address: string): Shelf => {
     const held = this.shelves.get(address);
     if (held !== undefined) return held;
-    const fresh: Shelf = { isHeard: false, kept: new Map(), own: new Map() };
+    const fresh: Shelf = { isHeard: false, kept: new Map(), own: new Map(), reading: new Map() };
     this.shelves.set(address, fresh);
     return fresh;
   };
@@ -45,6 +47,19 @@
   /** What this front saw itself: `address` was given the part just now. */
   readonly saw = (address: string, salt: string, part: string): void => void this.shelf(address).own.set(labelOf(salt, part), this.clock.now());
 
+  /** `address` is reading the part now: whoever comes there next finds it. */
+  readonly reads = (address: string, salt: string, part: string): void => void this.shelf(address).reading.set(labelOf(salt, part), this.clock.now());
+
+  readonly isReading = (address: string, salt: string, part: string): boolean => {
+    const shelf = this.shelves.get(address);
+    const label = labelOf(salt, part);
+    const at = shelf?.reading.get(label);
+    if (shelf === undefined || at === undefined) return false;
+    if (this.clock.now() - at <= readingMs) return true;
+    shelf.reading.delete(label);
+    return false;
+  };
+
   /** The address was found without the part: what the index says of it is wrong until told anew. */
   readonly missed = (address: string, salt: string, part: string): void => {
     const shelf = this.shelf(address);
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -120,13 +120,14 @@
       const { version, salt } = this.saltFor(track, question);
       const rank = homes.indexOf(track);
       const isKept = isTracked && salt !== null && keepsAnchor(track, salt);
-      const hasHolder = isTracked && !isKept && salt !== null && all.some((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
+      const isSoon = isTracked && !isKept && salt !== null && this.shelves.isReading(track.card.address, salt, anchor.id);
+      const hasHolder = isTracked && !isKept && !isSoon && salt !== null && all.some((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
       const anchorTokens = isTracked ? order.parts.slice(0, at + 1).reduce((sum, part) => sum + part.tokens, 0) : 0;
-      const readTokens = Math.max(0, order.tokensIn - (isKept || hasHolder ? anchorTokens : 0));
+      const readTokens = Math.max(0, order.tokensIn - (isKept || isSoon || hasHolder ? anchorTokens : 0));
       const crowdingMs = hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare + pullMs(anchorTokens) : 0;
-      const gainMs = rank === 0 ? homeGainMs + (isTracked && !isKept && !hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare : 0) : rank === 1 ? secondGainMs : 0;
+      const gainMs = rank === 0 ? homeGainMs + (isTracked && !isKept && !isSoon && !hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare : 0) : rank === 1 ? secondGainMs : 0;
       const costMs =
-        this.tracks.readMs(track.pendingTokens + readTokens) +
+        this.tracks.readMs(track.pendingTokens + track.othersTokens + readTokens) +
         track.running * runCostMs +
         crowdingMs -
         gainMs +
--- /dev/null
+++ b/packages/throughpost/test/parts.test.ts
@@ -0,0 +1,197 @@
+import { expect } from 'chai';
+import { SimWorld } from '@martenworks/proving';
+import type { CallerOrder, Customer, ReplicaCard, WayBook } from '@martenworks/envelope';
+import { BookDoor } from '@martenworks/waybill';
+import { EventCutter, ExtraBudget, ReplicaTracks, ShelfBook, WayPlacing, headerLists } from '@martenworks/throughpost';
+
+const bytes = (text: string): Uint8Array => Buffer.from(text, 'utf8');
+const text = (part: Uint8Array): string => Buffer.from(part).toString('utf8');
+
+describe('events of a stream', () => {
+  it('given a stream cut anywhere, when it is fed byte by byte, then whole events come out byte for byte, with their ids', () => {
+    const stream = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\nid:3\ndata: c\n\n';
+    const cutter = new EventCutter();
+    const events = [...stream].flatMap((letter) => cutter.take(bytes(letter)));
+    expect(events.map((event) => event.id)).to.deep.equal(['1', '2', '3']);
+    expect(events.map((event) => text(event.bytes)).join('')).to.equal(stream);
+    expect(cutter.left().length).to.equal(0);
+  });
+
+  it('given an event that broke off, when the stream ends, then it was not given out', () => {
+    const cutter = new EventCutter();
+    expect(cutter.take(bytes('id: 1\ndata: a\n\nid: 2\ndata: b')).map((event) => event.id)).to.deep.equal(['1']);
+    expect(text(cutter.left())).to.equal('id: 2\ndata: b');
+  });
+});
+
+describe('headers that concern one connection', () => {
+  it('given such headers and some that Connection names, when a list is passed on, then they are left out and the rest stays in order', () => {
+    const list = ['Host', 'a', 'Connection', 'close, X-One', 'X-One', '1', 'Try-Id', 'q', 'Transfer-Encoding', 'chunked', 'Accept', 'x', 'accept', 'y'];
+    expect(headerLists.endToEnd(list)).to.deep.equal(['Host', 'a', 'Try-Id', 'q', 'Accept', 'x', 'accept', 'y']);
+  });
+});
+
+describe('the budget of extra shots', () => {
+  const terms = { ratio: 0.2, windowMs: 10_000, slack: 58 };
+
+  it('given nine fronts that spend all they may in every window, when uneven load runs a minute, then no sliding window of all exceeds the bound', async () => {
+    const world = new SimWorld(5);
+    const { clock } = world.machine('10.0.0.1').ports();
+    const budgets = Array.from({ length: 9 }, () => new ExtraBudget(clock, terms, () => 9));
+    const firsts: number[] = [];
+    const extras: number[] = [];
+    for (let step = 0; step < 600; step += 1) {
+      await world.run(100);
+      budgets.forEach((budget, at) => {
+        for (let one = 0; one < at; one += 1) {
+          budget.first('p');
+          firsts.push(world.time);
+        }
+        while (budget.take('p')) extras.push(world.time);
+      });
+    }
+    const within = (times: readonly number[], end: number): number => times.filter((at) => at > end - terms.windowMs && at <= end).length;
+    for (let end = 10_000; end <= 60_000; end += 500) {
+      const requests = Math.max(within(firsts, end), within(firsts, end - 10_000), within(firsts, end - 5_000));
+      expect(within(extras, end)).to.be.at.most(requests * terms.ratio + terms.slack);
+    }
+    expect(extras.length).to.be.greaterThan(100);
+  });
+
+  it('given fronts that start anew one after another, when each spends at once, then a young front gets half of its slack only', () => {
+    const clock = new SimWorld(1).machine('10.0.0.1').ports().clock;
+    const budget = new ExtraBudget(clock, { ratio: 0.2, windowMs: 10_000, slack: 80 }, () => 10);
+    let spent = 0;
+    while (budget.take('p')) spent += 1;
+    expect(spent).to.equal(3);
+  });
+});
+
+const model = 'm';
+const card = (id: string, more: Partial<ReplicaCard> = {}): ReplicaCard => ({ id, pool: 'p', address: `10.2.0.${id.length}:${8_000 + Number(id.slice(1))}`, zone: 'a', slots: 12, isLeaving: false, weights: { [model]: 1 }, ...more });
+const customers: Customer[] = [{ name: 'shared', keyHashes: [], rank: null, isIsolated: false }, { name: 'walled', keyHashes: [], rank: null, isIsolated: true }];
+const book: WayBook = {
+  ways: [],
+  pools: [{ name: 'p', connectionLimit: null, engine: { slots: 12, cacheTokens: 140_000, tokenBytes: 163_840, linkMbps: 1_100_000, inFlight: 12, models: [model] } }],
+  stores: [{ name: 's', address: '10.9.0.1:9000', zone: 'a', cacheTokens: 2_000_000, linkMbps: 300_000, inFlight: 12 }],
+  customers,
+  limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
+};
+const long = (id: string): CallerOrder => ({ id: 'q', key: null, leftMs: null, model, tokensIn: 17_000, tokensOut: 17, parts: [{ id, tokens: 13_300 }, { id: 'own', tokens: 3_700 }] });
+const nobody: ReadonlySet<string> = new Set();
+
+const office = (count = 13) => {
+  const world = new SimWorld(3);
+  const { clock } = world.machine('10.0.0.1').ports();
+  const tracks = new ReplicaTracks(clock);
+  const shelves = new ShelfBook(clock);
+  const named = new Map<string, { version: number; at: number }>();
+  const placing = new WayPlacing(tracks, shelves, clock, (name) => {
+    const held = named.get(name);
+    return held === undefined ? null : { version: held.version, sinceMs: clock.now() - held.at };
+  }, 6_000);
+  tracks.take({ isWhole: true, put: Array.from({ length: count }, (_, at) => card(`r${at + 1}`)), gone: [] });
+  const view = new BookDoor().view(1, book);
+  const place = (order: CallerOrder, customer: Customer | null = null, avoided = nobody) => placing.place({ pool: 'p', order, customer, avoided }, view, 64);
+  return { world, tracks, shelves, named, place, clock };
+};
+
+describe('where a prompt goes', () => {
+  it('given fronts that never talk, when they place prompts of one anchor, then all choose one home, and many anchors spread', () => {
+    const [one, other] = [office(), office()];
+    const homes = Array.from({ length: 92 }, (_, at) => one.place(long(`manual-${at}`))?.track.card.id);
+    expect(homes).to.deep.equal(Array.from({ length: 92 }, (_, at) => other.place(long(`manual-${at}`))?.track.card.id));
+    const counts = new Map<string | undefined, number>();
+    for (const home of homes) counts.set(home, (counts.get(home) ?? 0) + 1);
+    expect(counts.size).to.be.greaterThan(10);
+    expect(Math.max(...counts.values())).to.be.lessThan(20);
+  });
+
+  it('given a home that reads long prompts, when its anchor is kept there, then a crowded home is left for one that pulls from it', () => {
+    const { tracks, shelves, place } = office();
+    const home = place(long('manual'));
+    if (home === null) throw new Error('no home');
+    shelves.take([{ address: home.track.card.address, isWhole: false, isHeard: true, news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }] }]);
+    expect(place(long('manual'))?.track).to.equal(home.track);
+    expect(place(long('manual'))?.isKept).to.equal(true);
+    tracks.began(home.track, 60_000);
+    const left = place(long('manual'));
+    expect(left?.track).to.not.equal(home.track);
+    expect(left?.holder).to.equal(home.track.card.address);
+  });
+
+  it('given parts kept under other weights or for an isolated tenant, when another prompt is placed, then they count for nothing', () => {
+    const { shelves, place, tracks } = office();
+    const holder = tracks.all()[4];
+    if (holder === undefined) throw new Error('no replica');
+    const kept = (salt: string) => shelves.take([{ address: holder.card.address, isWhole: false, isHeard: true, news: [{ isKept: true, salt, part: 'manual', tokens: 13_300 }] }]);
+    kept('m@0');
+    kept('m@1/walled');
+    expect(place(long('manual'), customers[0])?.isKept).to.equal(false);
+    expect(place(long('manual'), customers[0])?.salt).to.equal('m@1');
+    const walled = place(long('manual'), customers[1]);
+    expect(walled?.salt).to.equal('m@1/walled');
+    expect(walled?.isKept === true || walled?.holder === holder.card.address).to.equal(true);
+  });
+
+  it('given replicas that leave, rest or hold old weights for too long, when prompts are placed, then none of them is chosen', async () => {
+    const { tracks, named, place, clock, world } = office(3);
+    tracks.take({ isWhole: false, put: [card('r1', { isLeaving: true })], gone: [] });
+    tracks.takeWeights({ id: 'r2', model, version: null, forMs: 500 });
+    for (let at = 0; at < 50; at += 1) expect(place(long(`a${at}`))?.track.card.id).to.equal('r3');
+    tracks.takeWeights({ id: 'r2', model, version: 2, forMs: 0 });
+    named.set(model, { version: 2, at: clock.now() });
+    await world.run(6_500);
+    for (let at = 0; at < 50; at += 1) {
+      const placed = place(long(`a${at}`));
+      expect(placed?.track.card.id).to.equal('r2');
+      expect(placed?.version).to.equal(2);
+    }
+  });
+
+  it('given a leaving replica, when an older list says that it is ready, then it stays leaving, and weights never go back', () => {
+    const { tracks } = office(2);
+    tracks.take({ isWhole: false, put: [card('r1', { isLeaving: true, weights: { m: 3 } })], gone: [] });
+    tracks.take({ isWhole: true, put: [card('r1'), card('r2')], gone: [] });
+    const track = tracks.all().find((one) => one.card.id === 'r1');
+    expect(track?.card.isLeaving).to.equal(true);
+    expect(track?.card.weights).to.deep.equal({ m: 3 });
+  });
+
+  it('given a long prompt that another front has read at the home, when a second one of that anchor comes, then it goes there and waits rather than have it read twice', () => {
+    const { tracks, shelves, place } = office();
+    const home = place(long('manual'));
+    if (home === null) throw new Error('no home');
+    tracks.takeReading({ id: 'x', replica: home.track.card.id, tokens: 17_000, salt: 'm@1', part: 'manual' });
+    shelves.reads(home.track.card.address, 'm@1', 'manual');
+    expect(place(long('manual'))?.track).to.equal(home.track);
+    const short: CallerOrder = { ...long('s'), tokensIn: 400, parts: [{ id: 'greeting', tokens: 55 }, { id: 'session', tokens: 37 }, { id: 'own', tokens: 300 }] };
+    for (let at = 0; at < 40; at += 1) expect(place({ ...short, parts: [{ id: 'greeting', tokens: 55 }, { id: `session-${at}`, tokens: 37 }, { id: 'own', tokens: 300 }] })?.track).to.not.equal(home.track);
+    tracks.takeReading({ id: 'x', replica: home.track.card.id, tokens: 0, salt: null, part: null });
+    expect(home.track.othersTokens).to.equal(0);
+  });
+});
+
+describe('the front\'s index', () => {
+  it('given a part that is dropped, when the news comes, then it counts no more, also where this front saw it itself', () => {
+    const { shelves } = office();
+    const news = (isKept: boolean, tokens: number) => shelves.take([{ address: 'x', isWhole: false, isHeard: true, news: [{ isKept, salt: 's', part: 'p', tokens }] }]);
+    shelves.saw('x', 's', 'p');
+    expect(shelves.keeps('x', 's', 'p', 500)).to.equal(true);
+    news(false, 0);
+    expect(shelves.keeps('x', 's', 'p', 500)).to.equal(false);
+    news(true, 500);
+    expect(shelves.keeps('x', 's', 'p', 500)).to.equal(true);
+    news(false, 128);
+    expect(shelves.keeps('x', 's', 'p', 500)).to.equal(false);
+  });
+
+  it('given what this front saw itself, when no news ever tells of it, then it is trusted for a while only', async () => {
+    const { shelves, world } = office();
+    shelves.saw('x', 's', 'p');
+    await world.run(2_900);
+    expect(shelves.keeps('x', 's', 'p', 1)).to.equal(true);
+    await world.run(200);
+    expect(shelves.keeps('x', 's', 'p', 1)).to.equal(false);
+  });
+});
