--- /dev/null
+++ b/packages/proving/src/sim/storm/faultContext.ts
@@ -0,0 +1,125 @@
+import type { Grant, Judge, Told } from '../judge.js';
+import type { SimFleet } from '../simFleet.js';
+import type { SimWorld } from '../simWorld.js';
+import type { FaultKind } from './stormPlan.js';
+
+interface StormState {
+  readonly busy: Set<string>;
+  weights: number;
+  changes: number;
+  probes: number;
+  probedLane: string;
+  moves: number;
+}
+
+export type Injections = { readonly [K in FaultKind]?: () => Promise<void> | null };
+
+export const inForceMs = 2_000;
+
+export class FaultContext {
+  readonly world: SimWorld;
+  readonly late: Told[] = [];
+  readonly state: StormState = { busy: new Set(), weights: 1, changes: 0, probes: 0, probedLane: 'query', moves: 0 };
+
+  constructor(
+    readonly fleet: SimFleet,
+    readonly judge: Judge,
+  ) {
+    this.world = fleet.world;
+  }
+
+  readonly random = (): number => this.fleet.world.random();
+  readonly pick = (count: number): number => Math.floor(this.random() * count);
+  readonly wait = (delayMs: number): Promise<void> => new Promise((wake) => void this.fleet.world.plan(null, delayMs, wake));
+  readonly span = (low: number, high: number): number => low + this.random() * (high - low);
+
+  readonly claim = (what: string): boolean => {
+    if (this.state.busy.has(what)) return false;
+    this.state.busy.add(what);
+    return true;
+  };
+  readonly free = (what: string): void => void this.state.busy.delete(what);
+
+  readonly onReplica = (work: (name: string) => Promise<void>): Promise<void> | null => {
+    const names = [...this.fleet.replicaHosts.map((_, at) => this.fleet.replicaName(at)), 'app-1'];
+    const name = names[this.pick(names.length)] as string;
+    if (!this.claim(name)) return null;
+    return work(name).finally(() => this.free(name));
+  };
+
+  readonly onCounter = (work: (at: number) => Promise<void>): Promise<void> | null => {
+    const at = this.pick(this.fleet.plan.fronts);
+    if (!this.claim(`counter ${at}`)) return null;
+    return work(at).finally(() => this.free(`counter ${at}`));
+  };
+
+  readonly onPostmaster = (work: (at: number) => Promise<void>, needsCalm = false): Promise<void> | null => {
+    const at = this.pick(3);
+    if (needsCalm) {
+      if ([0, 1, 2].some((one) => this.state.busy.has(`postmaster ${one}`))) return null;
+      for (const one of [0, 1, 2]) this.claim(`postmaster ${one}`);
+      return work(at).finally(() => [0, 1, 2].forEach((one) => this.free(`postmaster ${one}`)));
+    }
+    if (!this.claim(`postmaster ${at}`)) return null;
+    return work(at).finally(() => this.free(`postmaster ${at}`));
+  };
+
+  readonly tellUntilTaken = async (tell: (at: number) => Promise<{ status: number }>): Promise<void> => {
+    for (let shot = 0; shot < 200; shot += 1) {
+      const told = await tell(this.pick(3));
+      if (told.status === 200) return;
+      await this.wait(200);
+    }
+    throw new Error('the platform was never heard');
+  };
+
+  readonly comeBack = async (name: string): Promise<void> => {
+    this.fleet.bootReplica(name);
+    await this.tellUntilTaken((at) => this.fleet.announce(name, at));
+  };
+
+  readonly layoutOf = async (): Promise<{ at: number; base: number }> => {
+    for (;;) {
+      const at = this.pick(3);
+      const held = await this.fleet.onPostmaster(at, 'GET', '/operator/layout');
+      if (held.status === 200) return { at, base: Number(held.body['generation']) };
+      await this.wait(200);
+    }
+  };
+
+  readonly change = async (part: Record<string, unknown>, at: number, base: number): Promise<boolean> => {
+    const id = `change-${(this.state.changes += 1)}`;
+    for (let shot = 0; ; shot += 1) {
+      const told = await this.fleet.onPostmaster(shot === 0 ? at : this.pick(3), 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"`, 'change-id': id });
+      if (told.status === 200) {
+        const generation = Number(told.body['generation']);
+        this.judge.acceptedIds.set(id, generation);
+        this.fleet.world.plan(null, inForceMs, () => this.checkInForce(id, generation));
+        return true;
+      }
+      if (told.status === 409 || told.status === 422) {
+        this.judge.refusedIds.add(id);
+        return false;
+      }
+      await this.wait(150);
+    }
+  };
+
+  readonly checkInForce = (id: string, generation: number): void => {
+    this.fleet.counters.forEach((counter, at) => {
+      if (counter === null || !counter.freshness.isFresh() || counter.book.generation() >= generation) return;
+      this.late.push({ rule: 'an accepted change is not in force', detail: `${id}: counter ${at + 1} serves under ${counter.book.generation()}, not ${generation}, after ${inForceMs} ms` });
+    });
+  };
+
+  readonly grant = async (key: string, tenant: string, entry: Record<string, unknown> | null, prefix = ''): Promise<Grant> => {
+    const grant = this.judge.grant(key, tenant);
+    await this.tellUntilTaken((at) => this.fleet.onPostmaster(at, 'POST', '/platform/clients', { tenant, key, ...(entry === null ? {} : { grant: entry }) }, { 'change-id': `grant-${prefix}${key}` }));
+    return grant;
+  };
+
+  readonly untilVoter = async (at: number, shots: number): Promise<void> => {
+    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1) await this.wait(100);
+    if (this.fleet.postmasters[at]?.decrees.isVoter() !== true) throw new Error('the empty postmaster was never swapped in');
+  };
+}
--- /dev/null
+++ b/packages/proving/src/sim/storm/stormPlan.ts
@@ -0,0 +1,92 @@
+import { plans } from '../../firms.js';
+import type { SimPlan } from '../simFleet.js';
+
+export const faultKinds = [
+  'replica crashes',
+  'replica vanishes',
+  'replica leaves',
+  'replica errs',
+  'replica cuts streams',
+  'replica omits the end',
+  'whole pool errs',
+  'whole pool dies',
+  'all machines die',
+  'a zone is lost',
+  'links between replicas slow',
+  'replica claims other weights',
+  'replica freezes',
+  'counter dies',
+  'counters die in a herd',
+  'counter freezes',
+  'counter is isolated',
+  'counter hears a minority',
+  'postmaster dies',
+  'postmasters die in a herd',
+  'postmaster loses its disk',
+  'postmaster freezes',
+  'postmaster is isolated',
+  'postmasters are cut apart',
+  'one-way cut',
+  'disk stalls',
+  'disk is full',
+  'disk fails to sync',
+  'clock jumps',
+  'layout changes',
+  'rival changes',
+  'many lanes',
+  'new weights',
+  'key is revoked',
+  'kv news is late',
+  'kv news is lost',
+  'disk is slow',
+  'postmaster dies having confirmed',
+  'postmaster returns empty elsewhere',
+  'postmaster is swapped for a stranger',
+  'replicas are replaced in turn',
+  'replica is cut from some counters',
+  'cache store is lost',
+  'new client with a new tenant',
+  'counter is told to stop',
+  'postmaster is told to stop',
+  'clock jumps over a freeze',
+  'layout is probed',
+] as const;
+
+export const finalKinds = ['counter lost for good', 'front of a zone lost for good', 'postmaster lost for good', 'replica lost for good', 'replica silent for good', 'none'] as const;
+export type FinalKind = (typeof finalKinds)[number];
+export type FaultKind = (typeof faultKinds)[number];
+
+export interface StormPlan {
+  readonly seed: number;
+  readonly kinds?: readonly FaultKind[];
+  readonly faults?: number;
+  readonly ratePerSecond?: number;
+  readonly spanMs?: number;
+  readonly fronts?: number;
+  readonly replicas?: number;
+  readonly longShare?: number;
+  readonly final?: FinalKind;
+  readonly breakage?: Partial<SimPlan>;
+}
+
+export const sizes = {
+  small: {},
+  stations: { fronts: 9, replicas: 13, ratePerSecond: 190, longShare: 0.06 },
+  sawmill: { fronts: 9, replicas: 8, ratePerSecond: 180, longShare: 0.06 },
+} as const satisfies Record<string, Partial<StormPlan>>;
+
+const isolationEvery = 3;
+
+export const stormLayout = (seed: number): Record<string, unknown> => {
+  const layout = plans.layout('weights-1');
+  const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
+  const isApart = seed % isolationEvery !== 0;
+  return {
+    ...layout,
+    pools: { main: { weights: 'weights-1', slots: 8, store: 'store-1' }, app: { weights: 'app-1', slots: 32 } },
+    tenants: {
+      ...Object.fromEntries(Object.entries(tenants).map(([name, tenant]) => [name, { ...tenant, isolated: isApart && tenant['isolated'] === true }])),
+      [plans.prober]: { tier: 'patient', lanes: ['query'] },
+    },
+  };
+};
--- a/packages/proving/src/stories/storms.ts
+++ b/packages/proving/src/stories/storms.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
-import { Storm, faultKinds, finalKinds, sizes } from '../sim/storm.js';
-import type { FinalKind } from '../sim/storm.js';
+import { Storm } from '../sim/storm/storm.js';
+import { faultKinds, finalKinds, sizes } from '../sim/storm/stormPlan.js';
+import type { FinalKind } from '../sim/storm/stormPlan.js';
 
 describe('storms', () => {
   it('given one seed, when its storm is run twice, then both runs are the same to the event', async () => {
--- a/packages/proving/src/trialsCommand.ts
+++ b/packages/proving/src/trialsCommand.ts
@@ -1,8 +1,10 @@
 import { availableParallelism } from 'node:os';
 import { parseArgs } from 'node:util';
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
-import { Storm, faultKinds, finalKinds, sizes } from './sim/storm.js';
-import type { FaultKind, FinalKind, StormPlan, StormReport } from './sim/storm.js';
+import { Storm } from './sim/storm/storm.js';
+import type { StormReport } from './sim/storm/storm.js';
+import { faultKinds, finalKinds, sizes } from './sim/storm/stormPlan.js';
+import type { FaultKind, FinalKind, StormPlan } from './sim/storm/stormPlan.js';
 
 const usage = `seeded storms over the in-memory fleet; every line of the never list is judged
 
