Move tests beside what they test, compiled apart from the product

Cause: all tests lay in proving's sources, far from the code they test and within what the product's build compiles.

--- a/packages/proving/src/stories/callers.ts
+++ b/packages/counter/test/callers.test.ts
@@ -1,9 +1,6 @@
 import { expect } from 'chai';
-import { plans, keyOf } from '../firms.js';
-import type { Ask } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
-import type { Told } from '../sim/simFleet.js';
+import { Judge, keyOf, plans, SimFleet } from '@martenworks/proving';
+import type { Ask, Told } from '@martenworks/proving';
 
 const bearer = (key: string): Record<string, string> => ({ authorization: `Bearer ${key}` });
 
--- a/packages/proving/src/stories/fairness.ts
+++ b/packages/counter/test/fairness.test.ts
@@ -1,8 +1,6 @@
 import { expect } from 'chai';
-import { plans, keyOf } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import type { Call } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
+import { Judge, keyOf, plans, SimFleet } from '@martenworks/proving';
+import type { Call } from '@martenworks/proving';
 
 const threeTiers = { first: { rank: 0, horizonMs: 5_000 }, second: { rank: 1, horizonMs: 5_000 }, third: { rank: 3, horizonMs: 5_000 } };
 
--- a/packages/proving/src/stories/gray.ts
+++ b/packages/counter/test/grayFailures.test.ts
@@ -1,7 +1,5 @@
 import { expect } from 'chai';
-import { kinds, plans } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
+import { Judge, kinds, plans, SimFleet } from '@martenworks/proving';
 
 describe('replicas in trouble', () => {
   it('given a replica that takes requests and answers nothing, when the other is sound, then counters soon send it no more but for one try each of those that had none out, and use it again afterwards', async () => {
--- a/packages/proving/src/stories/path.ts
+++ b/packages/counter/test/path.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
+import { Judge, SimFleet } from '@martenworks/proving';
 
 describe('the ordinary path', () => {
   it('given a whole fleet, when eight tenants ask for ten seconds, then every call is answered whole and no rule is broken', async () => {
--- a/packages/proving/src/stories/standing.ts
+++ b/packages/counter/test/standing.test.ts
@@ -1,8 +1,6 @@
 import { expect } from 'chai';
-import { keyOf, kinds, plans } from '../firms.js';
-import type { Ask } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
+import { Judge, keyOf, kinds, plans, SimFleet } from '@martenworks/proving';
+import type { Ask } from '@martenworks/proving';
 
 const layoutOf = (more: Record<string, unknown> = {}): Record<string, unknown> => ({
   ...plans.layout('weights-1'),
--- a/packages/proving/src/stories/ledger.ts
+++ b/packages/ledger/test/ledger.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { ledgers } from '@martenworks/ledger';
 import type { Opened } from '@martenworks/ledger';
-import { SimDisk } from '../sim/simDisk.js';
+import { SimDisk } from '@martenworks/proving';
 
 const live = (): boolean => true;
 
--- a/packages/proving/src/stories/holders.ts
+++ b/packages/pigeonhole/test/holders.test.ts
@@ -1,10 +1,7 @@
 import { expect } from 'chai';
 import { Pigeonhole } from '@martenworks/pigeonhole';
-import { keyOf, kinds, plans } from '../firms.js';
-import type { Ask } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
-import type { Run } from '../standIn.js';
+import { Judge, keyOf, kinds, plans, SimFleet } from '@martenworks/proving';
+import type { Ask, Run } from '@martenworks/proving';
 
 const manual = (name: string): string => `${name} `.repeat(3_000).slice(0, 12_000);
 
--- a/packages/proving/src/stories/control.ts
+++ b/packages/postmaster/test/control.test.ts
@@ -1,9 +1,7 @@
 import { expect } from 'chai';
 import { recovery } from '@martenworks/postmaster';
-import { keyOf, plans } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
-import type { Told } from '../sim/simFleet.js';
+import { Judge, keyOf, plans, SimFleet } from '@martenworks/proving';
+import type { Told } from '@martenworks/proving';
 
 const small = { fronts: 2, replicas: 3 };
 
--- a/packages/proving/src/stories/platform.ts
+++ b/packages/postmaster/test/platform.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SimFleet } from '../sim/simFleet.js';
+import { SimFleet } from '@martenworks/proving';
 
 interface Shown {
   readonly state: string;
--- a/packages/proving/src/stories/upkeep.ts
+++ b/packages/postmaster/test/upkeep.test.ts
@@ -2,11 +2,8 @@
 import { ledgers } from '@martenworks/ledger';
 import { decreeBooks } from '@martenworks/postmaster';
 import { wireRelease } from '@martenworks/mailcoach';
-import { keyOf, plans } from '../firms.js';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
-import { statePlaints } from '../sim/statePlaints.js';
-import type { SimDisk } from '../sim/simDisk.js';
+import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
+import type { SimDisk } from '@martenworks/proving';
 
 const sizeOf = (disk: SimDisk): number => [...disk.files.values()].reduce((sum, held) => sum + held.safe.length, 0);
 
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export { keyOf, kinds, plans } from './firms.js';
+export type { Ask } from './firms.js';
+export { Judge } from './sim/judge.js';
+export type { Call } from './sim/judge.js';
+export { SimDisk } from './sim/simDisk.js';
+export { SimFleet } from './sim/simFleet.js';
+export type { Told } from './sim/simFleet.js';
+export { SimWorld } from './sim/simWorld.js';
+export { statePlaints } from './sim/statePlaints.js';
+export { Storm } from './sim/storm/storm.js';
+export { faultKinds, finalKinds, sizes } from './sim/storm/stormPlan.js';
+export type { FaultKind, FinalKind, StormPlan } from './sim/storm/stormPlan.js';
+export type { Run } from './standIn.js';
--- a/packages/proving/src/stories/judge.ts
+++ b/packages/proving/test/judge.test.ts
@@ -2,8 +2,8 @@
 import { err, ok } from 'neverthrow';
 import type { Counter } from '@martenworks/counter';
 import type { Carriage, Disk, Ports } from '@martenworks/envelope';
-import { Storm } from '../sim/storm/storm.js';
-import type { FaultKind, StormPlan } from '../sim/storm/stormPlan.js';
+import { Storm } from '@martenworks/proving';
+import type { FaultKind, StormPlan } from '@martenworks/proving';
 
 type Open<T> = { -readonly [K in keyof T]: T[K] };
 const loosened = <T extends object>(held: T): Open<T> & Record<string, unknown> => held as Open<T> & Record<string, unknown>;
--- a/packages/proving/src/stories/storms.ts
+++ b/packages/proving/test/storms.test.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai';
-import { Storm } from '../sim/storm/storm.js';
-import { faultKinds, finalKinds, sizes } from '../sim/storm/stormPlan.js';
-import type { FinalKind } from '../sim/storm/stormPlan.js';
+import { faultKinds, finalKinds, sizes, Storm } from '@martenworks/proving';
+import type { FinalKind } from '@martenworks/proving';
 
 describe('storms', () => {
   it('given one seed, when its storm is run twice, then both runs are the same to the event', async () => {
--- a/packages/proving/src/stories/rounds.ts
+++ b/packages/roundsman/test/rounds.test.ts
@@ -1,8 +1,6 @@
 import { expect } from 'chai';
 import { LeaseBook, ring } from '@martenworks/roundsman';
-import { Judge } from '../sim/judge.js';
-import { SimFleet } from '../sim/simFleet.js';
-import { SimWorld } from '../sim/simWorld.js';
+import { Judge, SimFleet, SimWorld } from '@martenworks/proving';
 
 const kvHolders = (fleet: SimFleet, replica: string): number[] =>
   fleet.postmasters.flatMap((postmaster, at) => (postmaster !== null && !fleet.machineOf('postmaster', at).isFrozen && postmaster.duties.fenceOf(`kv/${replica}`) !== null ? [at] : []));
