Let listed known reds fail no run, and fail the run when the list is stale

Cause: a test known to fail could only be eased, taken out, or left to hide what fails anew. Change: KNOWN-RED.txt (may be absent) lists a full title, a cause and an issue, parted by tabs. Failures of just these are told as known red and counted neither as passed nor as failed; the last line stays 'N passed, N failed' under a line 'known red: K'. A listed test that passes or did not run, a title that no test has, a line of another form or a title listed twice counts as a failure each; broken hooks and workers are never excused. The logic is a pure function in knownRed.ts. The list is not there yet: nothing is known to be red.

--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,5 +1,7 @@
 export { keyOf, kinds, plans } from './firms.js';
 export type { Ask } from './firms.js';
+export { knownRed } from './knownRed.js';
+export type { TestResult } from './knownRed.js';
 export { Judge } from './sim/judge.js';
 export type { Call } from './sim/judge.js';
 export { SimDisk } from './sim/simDisk.js';
--- /dev/null
+++ b/packages/proving/src/knownRed.ts
@@ -0,0 +1,86 @@
+export interface TestResult {
+  readonly title: string;
+  readonly fault: string | null;
+  readonly isTest: boolean;
+}
+
+export interface KnownRed {
+  readonly title: string;
+  readonly cause: string;
+  readonly issue: string;
+}
+
+export interface Listing {
+  readonly entries: readonly KnownRed[];
+  readonly faults: readonly string[];
+}
+
+export interface Run {
+  readonly results: readonly TestResult[];
+  readonly declared: readonly string[];
+  readonly selected: readonly string[];
+}
+
+export interface Failure {
+  readonly title: string;
+  readonly fault: string;
+}
+
+export interface Verdict {
+  readonly passed: number;
+  readonly failures: readonly Failure[];
+  readonly knownReds: readonly KnownRed[];
+  readonly isGreen: boolean;
+}
+
+const listName = 'KNOWN-RED.txt';
+
+const parse = (text: string): Listing => {
+  const entries: KnownRed[] = [];
+  const faults: string[] = [];
+  for (const [at, line] of text.split(/\r?\n/).entries()) {
+    if (line.trim() === '' || line.startsWith('#')) continue;
+    const [title = '', cause = '', issue = '', ...rest] = line.split('\t').map((part) => part.trim());
+    if (title === '' || cause === '' || issue === '' || rest.length > 0) faults.push(`line ${at + 1} is not: title TAB cause TAB issue`);
+    else if (entries.some((entry) => entry.title === title)) faults.push(`line ${at + 1} lists a title again: ${title}`);
+    else entries.push({ title, cause, issue });
+  }
+  return { entries, faults };
+};
+
+const staleness = (entry: KnownRed, run: Run): string | null => {
+  if (!run.declared.includes(entry.title)) return 'listed, but no test has this title';
+  if (!run.selected.includes(entry.title)) return null;
+  const own = run.results.filter((result) => result.isTest && result.title === entry.title);
+  if (own.length === 0) return 'listed, but it did not run';
+  return own.some((result) => result.fault === null) ? 'listed, but it passes' : null;
+};
+
+const judge = (listing: Listing, run: Run): Verdict => {
+  const stale = listing.entries.flatMap((entry) => {
+    const fault = staleness(entry, run);
+    return fault === null ? [] : [{ title: entry.title, fault: `${listName}: ${fault}` }];
+  });
+  const listed = new Set(listing.entries.map((entry) => entry.title));
+  const staleTitles = new Set(stale.map((failure) => failure.title));
+  const isExcused = (result: TestResult): boolean => result.isTest && listed.has(result.title) && !staleTitles.has(result.title);
+  const counted = run.results.filter((result) => !isExcused(result));
+  const passed = counted.filter((result) => result.fault === null && !staleTitles.has(result.title)).length;
+  const failures = [
+    ...counted.flatMap(({ title, fault }) => (fault === null ? [] : [{ title, fault }])),
+    ...stale,
+    ...listing.faults.map((fault) => ({ title: listName, fault })),
+  ];
+  const knownReds = listing.entries.filter((entry) => run.results.some((result) => isExcused(result) && result.title === entry.title));
+  return { passed, failures, knownReds, isGreen: passed > 0 && failures.length === 0 };
+};
+
+const lines = ({ passed, failures, knownReds }: Verdict): string[] => [
+  ...failures.flatMap(({ title, fault }) => ['', title, fault]),
+  '',
+  ...knownReds.map(({ title, cause, issue }) => `known red ${title}: ${cause} (${issue})`),
+  `known red: ${knownReds.length}`,
+  `${passed} passed, ${failures.length} failed`,
+];
+
+export const knownRed = { parse, judge, lines };
