--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -12,6 +12,7 @@
 const crowdingShare = 0.6;
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
+const readTwiceMs = 800;
 
 export interface WayPlace {
   readonly track: Track;
@@ -113,6 +114,10 @@
       anyKept.set(label, held);
       return held;
     };
+    const isBeingRead = isTracked && all.some((track) => {
+      const { salt } = this.saltFor(track, question);
+      return salt !== null && !track.card.isLeaving && !this.tracks.isSuspect(track) && this.shelves.isReading(track.card.address, salt, anchor.id);
+    });
     let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean } | null = null;
     const offset = Math.floor(this.clock.now()) % open.length;
     for (let step = 0; step < open.length; step += 1) {
@@ -129,7 +134,8 @@
       const costMs =
         this.tracks.readMs(track.pendingTokens + track.othersTokens + readTokens) +
         track.running * runCostMs +
-        crowdingMs -
+        crowdingMs +
+        (isBeingRead && !isKept && !isSoon && !hasHolder ? readTwiceMs : 0) -
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
