--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'neverthrow';
-import { keys } from '@martenworks/envelope';
+import { Repeating, keys } from '@martenworks/envelope';
 import type { Customer, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { BookDoor } from '@martenworks/waybill';
@@ -22,6 +22,7 @@
 const lastDrainMs = 700;
 const drainStepMs = 50;
 const versionShare = 0.8;
+const tallyMs = 10_000;
 
 export class Tally {
   private readonly counts = new Map<string, number>();
@@ -46,6 +47,7 @@
   readonly tally = new Tally();
   readonly live = new Set<Passage>();
   private readonly placing: WayPlacing;
+  private readonly tallier: Repeating;
   private readonly bookDoor = new BookDoor();
   private readonly namedAt = new Map<string, Named>();
   private view: BookView | null = null;
@@ -78,6 +80,7 @@
     });
     this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
     this.placing = new WayPlacing(this.tracks, this.shelves, clock, this.namedSince, env.versionMs * versionShare);
+    this.tallier = new Repeating(clock, () => tallyMs, () => ports.log.info('tally', this.tally.all()));
     this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
@@ -189,6 +192,7 @@
   });
 
   readonly stop = (): void => {
+    this.tallier.stop();
     this.touch.stop();
     this.door.destroy();
   };
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -21,6 +21,13 @@
 const shortestComeBackMs = 80;
 const comeBackSpreadMs = 160;
 
+const placements = {
+  of: ({ anchor, isKept, isSoon, isHome, holder }: WayPlace): string => {
+    if (anchor === null || anchor.tokens < heavyTokens) return isHome ? 'placed_short_home' : 'placed_short_elsewhere';
+    return `placed_long_${isKept ? 'kept' : isSoon ? 'soon' : holder !== null ? 'pull' : 'read'}${isHome ? '_home' : ''}`;
+  },
+};
+
 type Stop = 'horizon' | 'silent' | 'gone' | 'caller left';
 
 type Ending =
@@ -181,6 +188,7 @@
       if (note !== null) this.front.touch.tellReading({ ...note, tokens: 0 });
     };
     this.shots += 1;
+    this.front.tally.add(placements.of(placed));
     if (this.shots === 1) this.front.budget.first(this.pool);
     tracks.began(track, placed.readTokens);
     let isOut = false;
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -22,6 +22,8 @@
   readonly store: string | null;
   readonly anchor: Part | null;
   readonly isKept: boolean;
+  readonly isSoon: boolean;
+  readonly isHome: boolean;
   readonly readTokens: number;
   readonly costMs: number;
 }
@@ -118,7 +120,7 @@
       const { salt } = this.saltFor(track, question);
       return salt !== null && !track.card.isLeaving && !this.tracks.isSuspect(track) && this.shelves.isReading(track.card.address, salt, anchor.id);
     });
-    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean } | null = null;
+    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean; isSoon: boolean; isHome: boolean } | null = null;
     const offset = Math.floor(this.clock.now()) % open.length;
     for (let step = 0; step < open.length; step += 1) {
       const track = open[(step + offset) % open.length] as Track;
@@ -139,7 +141,7 @@
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
-      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept };
+      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0 };
     }
     if (best === null) return null;
     const { track, salt } = best;
