--- a/packages/postmaster/src/shelfDesk.ts
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -6,7 +6,7 @@
 const paceMs = 400;
 const faultPauseMs = 250;
 const unheardMs = 1_500;
-const bundleMs = 60;
+const bundleMs = 150;
 
 const labelOf = ({ salt, part }: KeptNews): string => `${salt}\n${part}`;
 
@@ -21,7 +21,7 @@
   isStopped: boolean;
 }
 
-/** Follows what replicas and stores keep and tells it on in bundles; parts below 256 tokens are not worth telling. */
+/** Knows what replicas and stores keep. Each address is followed by one core node, which tells its fronts and the other core nodes in bundles; parts below 256 tokens are not worth telling. */
 export class ShelfDesk {
   private readonly shelves = new Map<string, Shelf>();
   private isBundling = false;
@@ -32,23 +32,42 @@
     private readonly random: Random,
     private readonly log: Log,
     private readonly tell: (news: readonly ShelfNews[]) => void,
+    private readonly relay: (news: readonly ShelfNews[]) => void,
   ) {}
 
-  readonly align = (addresses: ReadonlySet<string>): void => {
+  /** `isMine` says which addresses this node follows; the others it hears of from whoever does. */
+  readonly align = (addresses: ReadonlySet<string>, isMine: (address: string) => boolean): void => {
     for (const [address, shelf] of this.shelves) {
       if (addresses.has(address)) continue;
       shelf.isStopped = true;
       this.shelves.delete(address);
     }
     for (const address of addresses) {
-      if (this.shelves.has(address)) continue;
-      const shelf: Shelf = { kept: new Map(), fresh: [], epoch: '', since: 0, heardAt: this.clock.now(), isHeard: false, isCleared: false, isStopped: false };
+      const held = this.shelves.get(address);
+      const isMineNow = isMine(address);
+      if (held !== undefined && held.isStopped !== isMineNow) continue;
+      const shelf: Shelf = { kept: held?.kept ?? new Map<string, KeptNews>(), fresh: [], epoch: '', since: 0, heardAt: this.clock.now(), isHeard: held?.isHeard ?? false, isCleared: false, isStopped: !isMineNow };
+      if (held !== undefined) held.isStopped = true;
       this.shelves.set(address, shelf);
-      void this.follow(address, shelf);
+      if (isMineNow) void this.follow(address, shelf, held !== undefined);
     }
   };
 
-  private readonly follow = async (address: string, shelf: Shelf): Promise<void> => {
+  readonly takeRelayed = (bundle: readonly ShelfNews[]): void => {
+    const told = bundle.filter(({ address, isWhole, isHeard, news }) => {
+      const shelf = this.shelves.get(address);
+      if (shelf === undefined || !shelf.isStopped) return false;
+      shelf.isHeard = isHeard;
+      if (isWhole) shelf.kept.clear();
+      for (const one of news) this.note(shelf, one);
+      shelf.fresh.length = 0;
+      return true;
+    });
+    if (told.length > 0) this.tell(told);
+  };
+
+  private readonly follow = async (address: string, shelf: Shelf, isTakenOver: boolean): Promise<void> => {
+    let isFirst = isTakenOver;
     await pause.for(this.clock, this.random.fraction() * paceMs);
     while (!shelf.isStopped) {
       const askedAt = this.clock.now();
@@ -61,8 +80,9 @@
       }
       const { epoch, next, isLost, news } = page.value;
       const isReborn = shelf.epoch !== '' && shelf.epoch !== epoch;
-      if (isReborn || isLost) {
-        this.log.info('what is kept is known anew', { address, isReborn, isLost });
+      if (isReborn || isLost || isFirst) {
+        this.log.info('what is kept is known anew', { address, isReborn, isLost, isTakenOver: isFirst });
+        isFirst = false;
         shelf.kept.clear();
         shelf.fresh.length = 0;
         shelf.isCleared = true;
@@ -106,18 +126,23 @@
     this.isBundling = false;
     const bundle: ShelfNews[] = [];
     for (const [address, shelf] of this.shelves) {
+      if (shelf.isStopped) continue;
       if (!shelf.isCleared && shelf.fresh.length === 0 && this.toldHeard.get(address) === shelf.isHeard) continue;
       bundle.push({ address, isWhole: shelf.isCleared, isHeard: shelf.isHeard, news: shelf.fresh.splice(0) });
       shelf.isCleared = false;
       this.toldHeard.set(address, shelf.isHeard);
     }
     for (const address of this.toldHeard.keys()) if (!this.shelves.has(address)) this.toldHeard.delete(address);
-    if (bundle.length > 0) this.tell(bundle);
+    if (bundle.length === 0) return;
+    this.tell(bundle);
+    this.relay(bundle);
   };
 
   readonly whole = (): ShelfNews[] => [...this.shelves].map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
 
+  readonly followed = (): ShelfNews[] => [...this.shelves].filter(([, shelf]) => !shelf.isStopped && shelf.epoch !== '').map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
+
   readonly sizes = (): { address: string; parts: number; isHeard: boolean }[] => [...this.shelves].map(([address, shelf]) => ({ address, parts: shelf.kept.size, isHeard: shelf.isHeard }));
 
-  readonly stop = (): void => this.align(new Set());
+  readonly stop = (): void => this.align(new Set(), () => false);
 }
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -1,7 +1,8 @@
+import { createHash } from 'node:crypto';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, NetFault, Ports, StateHeld, Subscription } from '@martenworks/envelope';
+import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, NetFault, Ports, ReadingNews, ShelfNews, StateHeld, Subscription } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -18,6 +19,7 @@
 import { Membership } from './membership.js';
 import { Proposer } from './proposer.js';
 import type { Voters } from './proposer.js';
+import { ReadingRelay } from './readingRelay.js';
 import { ShelfDesk } from './shelfDesk.js';
 import { WayDesk } from './wayDesk.js';
 import { WayPush } from './wayPush.js';
@@ -39,6 +41,19 @@
 const fencesPerGeneration = 1_000;
 const weightsDuty = 'weights';
 
+const scores = {
+  held: new Map<string, string>(),
+  of: (address: string, voter: string): string => {
+    const label = `${address}\n${voter}`;
+    const held = scores.held.get(label);
+    if (held !== undefined) return held;
+    const score = createHash('sha1').update(label).digest('hex');
+    if (scores.held.size > 20_000) scores.held.clear();
+    scores.held.set(label, score);
+    return score;
+  },
+};
+
 export const wayPace = { patienceMs: 700, longestWaitMs: 400 };
 
 export class WayPostmaster {
@@ -49,6 +64,7 @@
   readonly push: WayPush;
   readonly cards: CardReader;
   readonly shelves: ShelfDesk;
+  readonly readings: ReadingRelay;
   readonly duties: Duties;
   readonly weights: WeightsDesk;
   private readonly founding: Founding;
@@ -97,7 +113,18 @@
         this.alignShelves();
       },
     );
-    this.shelves = new ShelfDesk(backEnds, clock, random, log, (news) => this.push.tellContent('shelves', news));
+    this.shelves = new ShelfDesk(
+      backEnds,
+      clock,
+      random,
+      log,
+      (news) => this.push.tellContent('shelves', news),
+      (news) => this.tellPostmasters('shelfRelay', news),
+    );
+    this.readings = new ReadingRelay(clock, (bundle) => {
+      this.push.tellContent('reading', bundle);
+      this.tellPostmasters('readingRelay', bundle);
+    });
     this.push = new WayPush(decrees, clock, this.cards.ageMs, (coach) => {
       coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
       coach.tell('shelves', this.shelves.whole());
@@ -154,7 +181,9 @@
     const book = this.decrees.agreed()?.ways?.book;
     if (book === undefined) return;
     const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
-    this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]));
+    const voters = this.reachableVoters();
+    const isMine = (address: string): boolean => !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.decrees.incarnation));
+    this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]), isMine);
   };
 
   private readonly stepFounding = (): void => {
@@ -171,6 +200,7 @@
 
   private readonly mind = async (): Promise<void> => {
     this.push.dropSilent();
+    this.alignShelves();
     const state = this.decrees.agreed();
     if (state === null) return;
     await Promise.all(
@@ -232,17 +262,18 @@
 
   private readonly handlers = (): Handlers => ({
     joined: (coach) => {
-      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+      if (coach.neighbour === null) return;
+      this.roster.heard(coach.neighbour);
+      if (coach.neighbour.role === 'postmaster') coach.tell('shelfRelay', this.shelves.followed());
     },
     left: (coach) => this.push.drop(coach),
     told: (coach, topic, body) => {
       if (topic === 'settled') void this.decrees.settle(body as Settled);
       else if (topic === 'subscribe') this.push.subscribe(coach, body as Subscription);
       else if (topic === 'ack') this.push.acked(coach, body as StateHeld);
-      else if (topic === 'reading') {
-        this.push.tellOthers(coach, 'reading', body);
-        this.tellPostmasters('readingRelay', body);
-      } else if (topic === 'readingRelay') this.push.tellContent('reading', body);
+      else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
+      else if (topic === 'reading') this.readings.take(body as ReadingNews);
+      else if (topic === 'readingRelay') this.push.tellContent('reading', body);
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
     asked: async (coach, topic, body) => {
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -92,10 +92,6 @@
     for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent) coach.tell(topic, body);
   };
 
-  readonly tellOthers = (sender: Coach, topic: string, body: unknown): void => {
-    for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent && coach !== sender) coach.tell(topic, body);
-  };
-
   readonly dropSilent = (): void => {
     const now = this.clock.now();
     for (const [coach, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) coach.close();
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -142,14 +142,14 @@
 
 const recoverUsage = `postrider recover --data DIR --member NAME,IP:PORT,INCARNATION --member ... --member ...
 
-For the day on which two of three postmasters lost their disks. Run it on the stopped third, naming all three members
+For the day on which most postmasters lost their disks. Run it on a stopped survivor, naming all members, an odd number
 (their incarnations are in GET /operator/status). Changes and claims that only the lost disks held are gone.
 `;
 
 const recover = async (args: string[]): Promise<number> => {
   const { values } = parseArgs({ args, options: { data: { type: 'string' }, member: { type: 'string', multiple: true }, help: { type: 'boolean', short: 'h' } } });
   const members = (values.member ?? []).map((text) => text.split(',')).map(([name = '', address = '', incarnation = '']) => ({ name, address, incarnation }));
-  if (values.help === true || values.data === undefined || members.length !== 3 || members.some((member) => member.incarnation === '')) {
+  if (values.help === true || values.data === undefined || members.length < 3 || members.length % 2 === 0 || members.some((member) => member.incarnation === '')) {
     (values.help === true ? process.stdout : process.stderr).write(recoverUsage);
     return values.help === true ? exitCodes.fine : exitCodes.badEnv;
   }
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -19,7 +19,7 @@
   readonly cards: (news: CardsNews) => void;
   readonly weights: (news: WeightsNews) => void;
   readonly shelves: (news: readonly ShelfNews[]) => void;
-  readonly reading: (news: ReadingNews) => void;
+  readonly reading: (news: readonly ReadingNews[]) => void;
   readonly isReady: () => boolean;
 }
 
@@ -72,7 +72,7 @@
       else if (topic === 'news') this.hearOf(coach, body as number);
       else if (topic === 'weights') this.ears.weights(body as WeightsNews);
       else if (coach !== this.content) return;
-      else if (topic === 'reading') this.ears.reading(body as ReadingNews);
+      else if (topic === 'reading') this.ears.reading(body as ReadingNews[]);
       else if (topic === 'cards') this.ears.cards(body as CardsNews);
       else if (topic === 'shelves') this.ears.shelves(body as ShelfNews[]);
     },
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow';
 import { Repeating, keys } from '@martenworks/envelope';
-import type { Customer, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
+import type { Customer, NetFault, Ports, ReadingNews, StateNews, ThroughWire } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { BookDoor } from '@martenworks/waybill';
 import type { BookView, WayView } from '@martenworks/waybill';
@@ -47,6 +47,7 @@
   readonly tally = new Tally();
   readonly live = new Set<Passage>();
   private readonly placing: WayPlacing;
+  private readonly label: string;
   private readonly tallier: Repeating;
   private readonly bookDoor = new BookDoor();
   private readonly namedAt = new Map<string, Named>();
@@ -61,6 +62,7 @@
     seeds: readonly string[],
   ) {
     const { clock, random } = ports;
+    this.label = `${random.token(4)}-`;
     this.tracks = new ReplicaTracks(clock);
     this.shelves = new ShelfBook(clock);
     this.touch = new CoreTouch(env, ports, random.token(8), seeds, {
@@ -71,11 +73,7 @@
       },
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
-      reading: (news) => {
-        this.tracks.takeReading(news);
-        const address = this.tracks.addressOf(news.replica);
-        if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
-      },
+      reading: (bundle) => bundle.forEach(this.takeReading),
       isReady: () => this.isReady(),
     });
     this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
@@ -84,6 +82,17 @@
     this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
+  private readonly takeReading = (news: ReadingNews): void => {
+    if (news.id.startsWith(this.label)) return;
+    this.tracks.takeReading(news);
+    const address = this.tracks.addressOf(news.replica);
+    if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
+  };
+
+  private readings = 0;
+
+  readonly readingId = (): string => `${this.label}${(this.readings += 1).toString(36)}`;
+
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
     for (const [model, version] of Object.entries(news.named)) if ((this.namedAt.get(model)?.version ?? 0) < version) this.namedAt.set(model, { version, at: now });
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -238,7 +238,7 @@
 
   private readonly noteReading = ({ track, readTokens, salt, anchor }: WayPlace): ReadingNews | null => {
     if (readTokens < heavyTokens) return null;
-    const note: ReadingNews = { id: this.front.ports.random.token(4), replica: track.card.id, tokens: readTokens, salt, part: anchor?.id ?? null };
+    const note: ReadingNews = { id: this.front.readingId(), replica: track.card.id, tokens: readTokens, salt, part: anchor?.id ?? null };
     this.front.touch.tellReading(note);
     if (salt !== null && anchor !== null) this.front.shelves.reads(track.card.address, salt, anchor.id);
     return note;
