Count a part as kept when most of its tokens are: memory goes by blocks

Change: 95 in 100 of a part count as all of it; homes weigh 60 ms, since half of the short prompts went elsewhere.

--- a/packages/throughpost/src/shelfBook.ts
+++ b/packages/throughpost/src/shelfBook.ts
@@ -2,6 +2,7 @@
 
 const trustOwnMs = 3_000;
 const readingMs = 2_500;
+const wholeShare = 0.95;
 
 interface Shelf {
   isHeard: boolean;
@@ -67,11 +68,12 @@
     shelf.kept.delete(labelOf(salt, part));
   };
 
+  /** Memory goes by blocks, so a part is rarely kept to its last token: most of it counts as all. */
   readonly keeps = (address: string, salt: string, part: string, tokens: number): boolean => {
     const shelf = this.shelves.get(address);
     if (shelf === undefined) return false;
     const label = labelOf(salt, part);
-    if ((shelf.kept.get(label) ?? 0) >= tokens) return true;
+    if ((shelf.kept.get(label) ?? 0) >= tokens * wholeShare) return true;
     const sawAt = shelf.own.get(label);
     if (sawAt === undefined) return false;
     if (this.clock.now() - sawAt <= trustOwnMs) return true;
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -7,8 +7,8 @@
 
 const trackedTokens = 256;
 const runCostMs = 4;
-const homeGainMs = 24;
-const secondGainMs = 8;
+const homeGainMs = 60;
+const secondGainMs = 20;
 const crowdingShare = 0.6;
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -186,6 +186,13 @@
     expect(shelves.keeps('x', 's', 'p', 500)).to.equal(false);
   });
 
+  it('given memory that goes by blocks of sixteen, when a part of 13,300 tokens is told as 13,296, then it counts as kept', () => {
+    const { shelves } = office();
+    shelves.take([{ address: 'x', isWhole: false, isHeard: true, news: [{ isKept: true, salt: 's', part: 'p', tokens: 13_296 }] }]);
+    expect(shelves.keeps('x', 's', 'p', 13_300)).to.equal(true);
+    expect(shelves.keeps('x', 's', 'p', 20_000)).to.equal(false);
+  });
+
   it('given what this front saw itself, when no news ever tells of it, then it is trusted for a while only', async () => {
     const { shelves, world } = office();
     shelves.saw('x', 's', 'p');
