Send a store only prompts with short ends; measure reading where nothing waits

Ruled out: a lost index (16 of 864 prompts were read although some address kept the anchor). Change: a prompt is stored on when its end is at most 0.35 of what may be shared; the reading rate is measured on replicas where nothing waited; leaving a home weighs 0.8 of a reading.

--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -190,6 +190,7 @@
     this.shots += 1;
     this.front.tally.add(placements.of(placed));
     if (this.shots === 1) this.front.budget.first(this.pool);
+    const isAlone = track.pendingTokens + track.othersTokens === 0 && !placed.isSoon;
     tracks.began(track, placed.readTokens);
     let isOut = false;
     const wasRun = this.mayHaveRun;
@@ -226,7 +227,7 @@
         void carried.then((late) => late.map((one) => this.discard(one)));
         return isOut ? { k: 'may have run', cause: `the replica was left: ${receipt}` } : { k: 'not run', isArrival: false, retryAfterMs: null };
       }
-      return await this.received(receipt, placed, { sentAt, isOut, wasRun, given, heardOf, whenStopped, abort: () => shot.abort() });
+      return await this.received(receipt, placed, { sentAt, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
     } finally {
       silence.cancel();
       given();
@@ -251,7 +252,7 @@
   private readonly received = async (
     receipt: Result<CarriageReceipt, NetFault>,
     placed: WayPlace,
-    shot: { sentAt: number; isOut: boolean; wasRun: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
+    shot: { sentAt: number; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
   ): Promise<Ending> => {
     const { tracks, wire, shelves, ports } = this.front;
     const { track } = placed;
@@ -296,7 +297,7 @@
       tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
         shelves.saw(track.card.address, placed.salt, placed.anchor.id);
-        if (placed.holder === null) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt);
+        if (shot.isAlone) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt - placed.pullMs);
       }
     });
     if (ending.k !== 'whole') {
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -9,7 +9,8 @@
 const runCostMs = 4;
 const homeGainMs = 60;
 const secondGainMs = 20;
-const crowdingShare = 0.6;
+const crowdingShare = 0.8;
+const uploadShare = 0.35;
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
 const readTwiceMs = 800;
@@ -25,6 +26,7 @@
   readonly isSoon: boolean;
   readonly isHome: boolean;
   readonly readTokens: number;
+  readonly pullMs: number;
   readonly costMs: number;
 }
 
@@ -52,6 +54,12 @@
   return { anchor: shareable[at] ?? null, at };
 };
 
+/** A store is sent a prompt's every part. One whose own end is long would fill the store with what nobody asks for again. */
+const isWorthStoring = (parts: readonly Part[], at: number): boolean => {
+  const sum = (some: readonly Part[]): number => some.reduce((total, part) => total + part.tokens, 0);
+  return sum(parts.slice(at + 1)) <= sum(parts.slice(0, at + 1)) * uploadShare;
+};
+
 const ranked = <T>(label: string, list: readonly T[], nameOf: (one: T) => string): T[] =>
   list
     .map((one) => ({ one, score: scores.of(label, nameOf(one)) }))
@@ -120,7 +128,7 @@
       const { salt } = this.saltFor(track, question);
       return salt !== null && !track.card.isLeaving && !this.tracks.isSuspect(track) && this.shelves.isReading(track.card.address, salt, anchor.id);
     });
-    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean; isSoon: boolean; isHome: boolean } | null = null;
+    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean; isSoon: boolean; isHome: boolean; pullMs: number } | null = null;
     const offset = Math.floor(this.clock.now()) % open.length;
     for (let step = 0; step < open.length; step += 1) {
       const track = open[(step + offset) % open.length] as Track;
@@ -141,7 +149,7 @@
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
-      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0 };
+      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0, pullMs: hasHolder ? pullMs(anchorTokens) : 0 };
     }
     if (best === null) return null;
     const { track, salt } = best;
@@ -151,6 +159,6 @@
     const near = holders.find((other) => other.card.zone === track.card.zone) ?? holders[0];
     const guess = homes.find((other) => other !== track && !this.tracks.isSuspect(other));
     const holder = near?.card.address ?? keeping?.address ?? (best.isKept ? null : (home?.address ?? (homes[0] === track ? null : (guess?.card.address ?? null))));
-    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor };
+    return { ...best, track, holder, store: keeping === null && isWorthStoring(order.parts, at) ? (home?.address ?? null) : null, anchor };
   };
 }
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -172,6 +172,25 @@
   });
 });
 
+describe('what a store is sent', () => {
+  it('given prompts of one manual with ends short and long, when they are placed, then only those whose end is short are sent on to the store', () => {
+    const { shelves, place } = office();
+    shelves.take([{ address: '10.9.0.1:9000', isWhole: false, isHeard: true, news: [] }]);
+    const withEnd = (tokens: number): CallerOrder => ({ ...long('manual'), tokensIn: 13_300 + tokens, parts: [{ id: 'manual', tokens: 13_300 }, { id: 'own', tokens }] });
+    expect(place(withEnd(1_000))?.store).to.equal('10.9.0.1:9000');
+    expect(place(withEnd(9_000))?.store).to.equal(null);
+    shelves.take([{ address: '10.9.0.1:9000', isWhole: false, isHeard: true, news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }] }]);
+    expect(place(withEnd(1_000))?.store).to.equal(null);
+    expect(place(withEnd(1_000))?.holder).to.equal('10.9.0.1:9000');
+  });
+
+  it('given a store that is not heard, when a prompt is placed, then it is neither named nor sent anything', () => {
+    const { place } = office();
+    expect(place(long('manual'))?.store).to.equal(null);
+    expect(place(long('manual'))?.holder).to.not.equal('10.9.0.1:9000');
+  });
+});
+
 describe('the front\'s index', () => {
   it('given a part that is dropped, when the news comes, then it counts no more, also where this front saw it itself', () => {
     const { shelves } = office();
