Send fronts what changed in the book of ways instead of the whole book

Cause: each change of a book with a thousand ways would go whole to every front (some 300 KB each at 7 Mbit/s). Change: patches of ways by name, used where the front holds the edition before and the patch is smaller; the whole book otherwise.

--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -1,11 +1,20 @@
 import type { Member } from './layout.js';
-import type { KeptNews, ReplicaCard, WayBook } from './ways.js';
+import type { KeptNews, ReplicaCard, Way, WayBook } from './ways.js';
 
-/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. */
+/** What changed from the edition `from` to the next: whole ways put and names taken away; the rest of a book is small and comes whole. */
+export interface BookPatch {
+  readonly from: number;
+  readonly put: readonly Way[];
+  readonly gone: readonly string[];
+  readonly rest: Omit<WayBook, 'ways'>;
+}
+
+/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition, or the one before it that `patch` builds on. */
 export interface StateNews {
   readonly generation: number;
   readonly edition: number;
   readonly book: WayBook | null;
+  readonly patch: BookPatch | null;
   readonly named: Record<string, number>;
   readonly members: readonly Member[];
 }
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -1,5 +1,6 @@
-import type { Agreed, Clock, FrontPing, FrontPong, StateHeld, StateNews, Subscription } from '@martenworks/envelope';
+import type { Agreed, BookPatch, Clock, FrontPing, FrontPong, StateHeld, StateNews, Subscription, WaysInForce } from '@martenworks/envelope';
 import type { Coach } from '@martenworks/mailcoach';
+import { patches } from '@martenworks/waybill';
 import type { Decrees } from './decrees.js';
 
 const silentMs = 4_000;
@@ -20,13 +21,11 @@
   readonly heardMsAgo: number;
 }
 
-const stateNews = (state: Agreed, held: StateHeld): StateNews => {
-  const edition = state.ways?.edition ?? 0;
-  return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, members: state.members };
-};
 
 export class WayPush {
   private readonly subscribers = new Map<Coach, Subscriber>();
+  private lastWays: WaysInForce | null = null;
+  private patch: BookPatch | null = null;
 
   constructor(
     private readonly decrees: Decrees,
@@ -34,9 +33,25 @@
     private readonly listAgeMs: () => number | null,
     private readonly greet: (coach: Coach) => void,
   ) {
+    this.lastWays = decrees.agreed()?.ways ?? null;
     decrees.watch(this.bring);
   }
 
+  private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
+    const edition = state.ways?.edition ?? 0;
+    const isPatched = this.patch !== null && this.lastWays?.edition === edition && this.patch.from === held.edition;
+    const book = held.edition === edition || isPatched ? null : (state.ways?.book ?? null);
+    return { generation: state.generation, edition, book, patch: isPatched ? this.patch : null, named: state.named, members: state.members };
+  };
+
+  private readonly noteEdition = (): void => {
+    const ways = this.decrees.agreed()?.ways ?? null;
+    if (ways === null || ways.edition === this.lastWays?.edition) return;
+    const patch = this.lastWays === null ? null : patches.between(this.lastWays.edition, this.lastWays.book, ways.book);
+    this.patch = patch !== null && patches.isSmaller(patch, ways.book) ? patch : null;
+    this.lastWays = ways;
+  };
+
   readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
     const wasContent = this.subscribers.get(coach)?.wantsContent === true;
     this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
@@ -47,6 +62,7 @@
   readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
 
   private readonly bring = (): void => {
+    this.noteEdition();
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
@@ -55,7 +71,7 @@
     const state = this.decrees.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
     if (!subscriber.wantsContent) return void coach.tell('news', state.generation);
-    const news = stateNews(state, subscriber);
+    const news = this.stateNews(state, subscriber);
     coach.tell('state', news);
     subscriber.generation = news.generation;
     subscriber.edition = news.edition;
@@ -63,7 +79,7 @@
 
   readonly stateFor = (held: StateHeld): StateNews | null => {
     const state = this.decrees.agreed();
-    return state === null ? null : stateNews(state, held);
+    return state === null ? null : this.stateNews(state, held);
   };
 
   readonly acked = (coach: Coach, { generation, edition }: StateHeld): void => {
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,5 +1,6 @@
 import { Repeating } from '@martenworks/envelope';
-import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WayBook, WeightsNews } from '@martenworks/envelope';
+import { patches } from '@martenworks/waybill';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -89,13 +90,21 @@
 
   private readonly take = (coach: Coach, news: StateNews): void => {
     if (this.held !== null && news.generation <= this.held.generation) return;
-    if (news.book === null && news.edition !== (this.held?.edition ?? 0)) return this.askState(coach, 0);
-    this.held = { ...news, book: news.book ?? this.held?.book ?? null };
+    const book = news.book ?? this.patched(news);
+    if (book === null && news.edition !== 0) return this.askState(coach, 0);
+    this.held = { ...news, book, patch: null };
     this.ears.state(this.held);
     coach.tell('ack', this.stateHeld());
     this.lines.align();
   };
 
+  private readonly patched = ({ edition, patch }: StateNews): WayBook | null => {
+    const { held } = this;
+    if (held === null || held.book === null) return null;
+    if (edition === held.edition) return held.book;
+    return patch !== null && patch.from === held.edition ? patches.apply(held.book, patch) : null;
+  };
+
   private readonly hearOf = (coach: Coach, generation: number): void => {
     if (generation <= (this.held?.generation ?? -1)) return;
     const waitMs = coach === this.content || this.content === null ? 0 : newsGraceMs;
--- a/packages/waybill/src/index.ts
+++ b/packages/waybill/src/index.ts
@@ -1,3 +1,4 @@
 export * from './books.js';
 export * from './match.js';
 export * from './salts.js';
+export * from './patches.js';
--- a/packages/waybill/test/books.test.ts
+++ b/packages/waybill/test/books.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { Way, WayBook } from '@martenworks/envelope';
-import { BookDoor, books, salts, shares } from '@martenworks/waybill';
+import { BookDoor, books, patches, salts, shares } from '@martenworks/waybill';
 
 const way = (more: Partial<Way> = {}): Way => ({ name: 'w', host: 'a.example', pathStart: '/x/', kind: 'stream', horizonMs: 1_000, targetMs: 300, rank: 0, shares: [{ pool: 'p', share: 1 }], shots: 1, isOpen: false, mayResume: false, gapMs: 250, ...more });
 
@@ -60,6 +60,18 @@
     expect(drawn.filter((pool) => pool === 'c').length).to.equal(100);
   });
 
+  it('given a book and the next one, when the patch between them is applied, then the next one is what is held, whatever was put, changed or taken away', () => {
+    const before = book({ ways: [way({ name: 'a', pathStart: '/a/' }), way({ name: 'b', pathStart: '/b/' }), way({ name: 'c', pathStart: '/c/' })] });
+    const after = book({ ways: [way({ name: 'b', pathStart: '/b/', horizonMs: 9 }), way({ name: 'c', pathStart: '/c/' }), way({ name: 'd', pathStart: '/d/' })], customers: [{ name: 'south', keyHashes: ['k9'], rank: 1, isIsolated: true }], limits: { headerBytes: 2, bodyBytes: 2, headerMs: 2, idleMs: 2 } });
+    const patch = patches.between(3, before, after);
+    expect(patch.put.map((one) => one.name)).to.deep.equal(['b', 'd']);
+    expect(patch.gone).to.deep.equal(['a']);
+    const held = patches.apply(before, patch);
+    expect({ ...held, ways: [...held.ways].sort((x, y) => (x.name < y.name ? -1 : 1)) }).to.deep.equal(after);
+    expect(patches.isSmaller(patch, after)).to.equal(false);
+    expect(patches.isSmaller(patches.between(3, after, after), after)).to.equal(true);
+  });
+
   it('given models, versions and tenants, when salts are made, then any two that must not share differ and the others are one', () => {
     const isolated = { name: 'n', keyHashes: [], rank: null, isIsolated: true };
     const shared = { name: 's', keyHashes: [], rank: null, isIsolated: false };
