--- a/packages/courier/src/carriage.ts
+++ b/packages/courier/src/carriage.ts
@@ -1,5 +1,5 @@
 import { Readable } from 'node:stream';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { err, ok } from 'neverthrow';
 import type { Carriage } from '@martenworks/envelope';
 
@@ -14,6 +14,14 @@
   return hasHeader(headers as string[], 'content-length') ? [...(headers as string[])] : [...(headers as string[]), 'content-length', String(size)];
 };
 
+const schemeEnd = 'http://'.length;
+
+/** The path stays as it is written: a URL object would rewrite some. */
+const placeOf = (url: string): { origin: string; path: string } => {
+  const at = url.indexOf('/', schemeEnd);
+  return at < 0 ? { origin: url, path: '/' } : { origin: url.slice(0, at), path: url.slice(at) };
+};
+
 /** Connections to one address at most, and milliseconds until a connection counts as not to be had. */
 export interface CarriageTerms {
   readonly connections: number;
@@ -42,8 +50,8 @@
           yield bytes as Uint8Array;
         };
         try {
-          const receipt = await request(url, {
-            dispatcher: agent,
+          const receipt = await agent.request({
+            ...placeOf(url),
             method: method as 'GET',
             headers: bytes === null ? (headers as Record<string, string>) : (withLength(headers, bytes.length) as Record<string, string>),
             body: bytes === null ? null : Readable.from(gated(), { objectMode: false }),
--- a/packages/franking/src/wayEnv.ts
+++ b/packages/franking/src/wayEnv.ts
@@ -1,45 +1,49 @@
-import { type } from 'arktype';
+import * as v from 'valibot';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Complaint } from './layoutCheck.js';
 
-const address = type(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/);
-const label = type(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/);
-const milliseconds = type('0 <= number <= 86400000');
+const address = v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 address and port'));
+const label = v.pipe(v.string(), v.regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/, 'must be a name'));
+const between = (low: number, high: number) => v.pipe(v.number(), v.minValue(low), v.maxValue(high));
+const milliseconds = between(0, 86_400_000);
 
-const shape = type({
+const shape = v.object({
   name: label,
   zone: label,
-  zones: type({ '[string]': 'string' }),
+  zones: v.record(v.string(), v.string()),
   coach: address,
   http: address,
-  'ready?': type('string | null'),
-  seeds: address.array().narrow((seeds, context) => seeds.length >= 1 || context.mustBe('at least one address')),
-  'data?': type('string | null'),
-  voters: '1 <= number.integer <= 99',
-  isFresh: 'boolean',
+  ready: v.optional(v.nullable(address), null),
+  seeds: v.pipe(v.array(address), v.minLength(1)),
+  data: v.optional(v.nullable(v.string()), null),
+  voters: v.pipe(between(1, 99), v.integer()),
+  isFresh: v.boolean(),
   drainMs: milliseconds,
   orderGapMs: milliseconds,
   versionMs: milliseconds,
-  'unheardMs?': type('0 <= number <= 86400000 | null'),
-  extraRatio: '0 <= number <= 10',
-  extraWindowMs: '100 <= number <= 600000',
-  extraSlack: '0 <= number <= 1000000',
-  listEveryMs: '50 <= number <= 600000',
-  listPerSecond: '0 < number <= 100000',
+  unheardMs: v.optional(v.nullable(milliseconds), null),
+  extraRatio: between(0, 10),
+  extraWindowMs: between(100, 600_000),
+  extraSlack: between(0, 1_000_000),
+  listEveryMs: between(50, 600_000),
+  listPerSecond: between(0.001, 100_000),
   listPatienceMs: milliseconds,
-  memoryMb: '16 <= number <= 1048576',
-  openFiles: '64 <= number <= 100000000',
-  'logs?': 'boolean',
+  memoryMb: between(16, 1_048_576),
+  openFiles: between(64, 100_000_000),
+  logs: v.optional(v.boolean(), true),
 });
 
 /** What a process of the opaque path is told: its place, its bounds (milliseconds unless the name says otherwise), its limits. */
-export type WayEnv = typeof shape.infer & { readonly ready: string | null; readonly data: string | null; readonly unheardMs: number | null; readonly logs: boolean };
+export type WayEnv = v.InferOutput<typeof shape>;
+
+export const complaints = {
+  of: (issues: readonly v.BaseIssue<unknown>[], at = ''): Complaint[] => issues.map((issue) => ({ path: `${at}/${(issue.path ?? []).map((step) => String(step.key)).join('/')}`, message: issue.message })),
+};
 
 export const wayEnvs = {
   check: (given: unknown): Result<WayEnv, Complaint[]> => {
-    const shaped = shape(given);
-    if (shaped instanceof type.errors) return err(shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message })));
-    return ok({ ...shaped, ready: shaped.ready ?? null, data: shaped.data ?? null, unheardMs: shaped.unheardMs ?? null, logs: shaped.logs ?? true });
+    const shaped = v.safeParse(shape, given);
+    return shaped.success ? ok(shaped.output) : err(complaints.of(shaped.issues));
   },
 };
