Weigh how much of what a replica was sent lately failed

Cause: a replica that fails a part of its requests and answers others looked well again at each answer. Change: an illness forgotten by half every four seconds is weighed in placing; never so that a pool is emptied.

--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -283,7 +283,7 @@
     if (!isSound || (isFailure && (this.reply !== null || (this.view.mayRepeat && this.arrivals < this.view.way.shots && this.front.budget.left(this.pool) > 0)))) {
       shot.abort();
       this.discard(receipt.value);
-      if (!isSound) tracks.failed(track);
+      tracks.failed(track);
       return { k: 'may have run', cause: isSound ? `the replica answered ${status}` : 'the answer is not this request\'s' };
     }
     if (!isSuccess && this.reply !== null) {
@@ -294,7 +294,8 @@
     for (const [model, version] of Object.entries(head.versions)) tracks.holds(track, model, version);
     const ending = await this.relay(status, list, body, isSuccess, shot, () => {
       shot.given();
-      tracks.answered(track);
+      if (isFailure) tracks.failed(track);
+      else tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
         shelves.saw(track.card.address, placed.salt, placed.anchor.id);
         if (shot.isAlone) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt - placed.pullMs);
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -2,6 +2,9 @@
 
 const firstSuspicionMs = 400;
 const longestSuspicionMs = 4_000;
+const illnessHalfMs = 4_000;
+const illnessBlend = 0.3;
+const healthBlend = 0.1;
 const blend = 0.2;
 const startTokensPerMs = 40;
 const slowestTokensPerMs = 5;
@@ -18,6 +21,8 @@
   suspicionMs: number;
   fullUntil: number;
   restUntil: number;
+  illness: number;
+  illAt: number;
   isGone: boolean;
   readonly whenGone: Set<() => void>;
 }
@@ -41,7 +46,7 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isGone: false, whenGone: new Set() });
       else held.card = newest(card, held.card);
     }
     for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
@@ -104,13 +109,24 @@
 
   readonly ended = (track: Track): void => void (track.running = Math.max(0, track.running - 1));
 
+  /** How much of what was sent there lately failed, 0 to 1, forgotten by half every four seconds: a replica may look well and fail a part of its requests. */
+  readonly illness = (track: Track): number => track.illness * 0.5 ** ((this.clock.now() - track.illAt) / illnessHalfMs);
+
+  private readonly feels = (track: Track, share: number, isIll: boolean): void => {
+    const held = this.illness(track);
+    track.illness = held + ((isIll ? 1 : 0) - held) * share;
+    track.illAt = this.clock.now();
+  };
+
   readonly answered = (track: Track): void => {
+    this.feels(track, healthBlend, false);
     track.suspectUntil = 0;
     track.suspicionMs = firstSuspicionMs;
   };
 
   readonly failed = (track: Track): void => {
     const now = this.clock.now();
+    this.feels(track, illnessBlend, true);
     if (track.suspectUntil > now) return;
     track.suspectUntil = now + track.suspicionMs;
     track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -14,6 +14,8 @@
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
 const readTwiceMs = 800;
+const illnessMs = 1_500;
+const leastIllness = 0.05;
 
 export interface WayPlace {
   readonly track: Track;
@@ -90,7 +92,12 @@
     return order.model === null || version === undefined ? { version: null, salt: null } : { version, salt: salts.of(order.model, version, customer) };
   };
 
-  /** Milliseconds of reading that a replica would have to do, by the index. */
+  private readonly illnessMs = (track: Track): number => {
+    const illness = this.tracks.illness(track);
+    return illness < leastIllness ? 0 : illness * illnessMs;
+  };
+
+  /** Tokens of the prompt's beginning that an address keeps, by the index. */
   private readonly keptTokens = (address: string, salt: string, parts: readonly Part[], upTo: number): number => {
     let kept = 0;
     for (let at = 0; at <= upTo; at += 1) {
@@ -148,6 +155,7 @@
         (isBeingRead && !isKept && !isSoon && !hasHolder ? readTwiceMs : 0) -
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
+        this.illnessMs(track) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
       if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0, pullMs: hasHolder ? pullMs(anchorTokens) : 0 };
     }
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -172,6 +172,27 @@
   });
 });
 
+describe('replicas that lie about their health', () => {
+  it('given one that fails a third of its requests, when prompts at home there come, then they go elsewhere, and come back once it has been well for a while', async () => {
+    const { tracks, place, world } = office();
+    const home = place(long('manual'));
+    if (home === null) throw new Error('no home');
+    for (let at = 0; at < 12; at += 1) {
+      if (at % 3 === 0) tracks.failed(home.track);
+      else tracks.answered(home.track);
+    }
+    expect(place(long('manual'))?.track).to.not.equal(home.track);
+    await world.run(25_000);
+    expect(place(long('manual'))?.track).to.equal(home.track);
+  });
+
+  it('given a pool in which every replica fails, when a prompt is placed, then the pool is not emptied by suspicion', () => {
+    const { tracks, place } = office();
+    for (const track of tracks.all()) for (let at = 0; at < 6; at += 1) tracks.failed(track);
+    expect(place(long('manual'))).to.not.equal(null);
+  });
+});
+
 describe('what a store is sent', () => {
   it('given prompts of one manual with ends short and long, when they are placed, then only those whose end is short are sent on to the store', () => {
     const { shelves, place } = office();
