Measure what each control duty costs as the fleet grows

Cause: the size expected in two years decides the design, and what each part costs there was not known. Change: npm run measure:capacity runs the product's own code with hollow peers over loopback (pings, pushes, ballots, claims, views, index, relays, rosters, leases, replica lists) at rising counts, fits a line by least squares, says where a curve is not one, and writes a table, JSON and a plot.

--- a/packages/counter/src/index.ts
+++ b/packages/counter/src/index.ts
@@ -6,3 +6,5 @@
 export * from './budget.js';
 export * from './freshness.js';
 export * from './claims.js';
+export * from './book.js';
+export * from './tracks.js';
--- /dev/null
+++ b/packages/proving/src/capacity/core.ts
@@ -0,0 +1,53 @@
+import type { Member, ReplicaRecord } from '@martenworks/envelope';
+import { coaches } from '@martenworks/mailcoach';
+import type { Handlers } from '@martenworks/mailcoach';
+import type { Pigeonhole } from '@martenworks/pigeonhole';
+import { PushDesk, decreeBooks } from '@martenworks/postmaster';
+import type { Decrees } from '@martenworks/postmaster';
+import { HollowPeers, Meter, rig } from './rig.js';
+
+export interface Core {
+  readonly address: string;
+  readonly meter: Meter;
+  readonly decrees: Decrees;
+  readonly push: PushDesk;
+  readonly close: () => Promise<void>;
+}
+
+export const asMember = (at: number): Member => ({ name: `postmaster-${at}`, address: `127.0.0.${at}:1`, incarnation: `incarnation-${String(at).padStart(5, '0')}` });
+
+export const openCore = async (tenantCount: number, records: readonly ReplicaRecord[], more: Partial<Handlers> = {}, shelves: () => ReturnType<Pigeonhole['checkpoint']> = () => []): Promise<Core> => {
+  const meter = new Meter();
+  const ports = rig.ports(meter);
+  const decrees = (await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
+  await decrees.adopt(rig.stateOf(tenantCount, 0, [asMember(1), asMember(2), asMember(3)]));
+  const standingClock = { ...ports.clock, now: () => 0 };
+  const push = new PushDesk(decrees, standingClock, () => records, shelves);
+  const address = await rig.freeAddress();
+  const handlers: Handlers = {
+    joined: () => {},
+    left: push.drop,
+    told: (coach, topic, body) => {
+      if (topic === 'subscribe') push.subscribe(coach, body === null ? (decrees.agreed()?.generation ?? -1) : (body as number));
+      else if (topic === 'ack') push.acked(coach, body as number);
+      else if (topic === 'heavyNews') push.heavyNews(coach, body as Parameters<PushDesk['heavyNews']>[1]);
+    },
+    asked: async (coach, topic, body) => (topic === 'ping' ? push.pong(coach, body as Parameters<PushDesk['pong']>[1]) : null),
+    ...more,
+  };
+  const listener = (await coaches.listen(ports.net, ports.clock, ports.log, () => rig.helloOf('postmaster', 1, address), address, handlers))._unsafeUnwrap();
+  const close = async (): Promise<void> => {
+    await listener.close();
+    await decrees.close();
+  };
+  return { address, meter, decrees, push, close };
+};
+
+export const withPeers = async <T>(work: (peers: HollowPeers) => Promise<T>): Promise<T> => {
+  const peers = new HollowPeers();
+  try {
+    return await work(peers);
+  } finally {
+    peers.stop();
+  }
+};
--- /dev/null
+++ b/packages/proving/src/capacity/table.ts
@@ -0,0 +1,44 @@
+import { fits } from './fit.js';
+import type { Point } from './fit.js';
+
+export interface Measured {
+  readonly run: string;
+  readonly what: string;
+  readonly unit: string;
+  readonly over: string;
+  readonly target: number;
+  readonly points: readonly Point[];
+}
+
+const figure = (value: number): string => {
+  if (!Number.isFinite(value)) return 'none';
+  if (value === 0) return '0';
+  const size = Math.abs(value);
+  if (size >= 1_000_000_000) return `${(value / 1_000_000_000).toPrecision(3)}G`;
+  if (size >= 1_000_000) return `${(value / 1_000_000).toPrecision(3)}M`;
+  if (size >= 10_000) return `${Math.round(value / 1_000)}k`;
+  if (size >= 1_000) return `${(value / 1_000).toPrecision(3)}k`;
+  if (size >= 100) return String(Math.round(value));
+  return String(Number(value.toPrecision(3)));
+};
+
+const row = (one: Measured): string => {
+  const found = fits.fit(one.points);
+  const told = fits.forecast(one.points, found, one.target);
+  const shape = found.shape === 'not a line' ? `not a line, x^${found.exponent.toFixed(2)} at the top` : found.shape;
+  const points = one.points.map((point) => `${figure(point.x)}: ${figure(fits.median(point.values))}`).join(', ');
+  const cells = [`\`${one.run}\``, `${one.what} (${one.unit})`, one.over, points, figure(found.slope), figure(found.intercept), found.r2.toFixed(3), `${Math.round(found.spread * 100)} %`, shape, `${figure(told.value)} at ${figure(one.target)}, ${told.how}`];
+  return `| ${cells.join(' | ')} |`;
+};
+
+const head = ['run', 'measured (unit)', 'over', 'medians', 'slope', 'intercept', 'r2', 'widest spread', 'shape', 'at the size'];
+
+const markdown = (all: readonly Measured[]): string => [`| ${head.join(' | ')} |`, `|${'---|'.repeat(head.length)}`, ...all.map(row)].join('\n');
+
+const asJson = (all: readonly Measured[]): unknown =>
+  all.map((one) => {
+    const found = fits.fit(one.points);
+    return { ...one, fit: found, forecast: fits.forecast(one.points, found, one.target) };
+  });
+
+export const tables = { figure, row, markdown, asJson };
--- /dev/null
+++ b/packages/proving/src/capacityCommand.ts
@@ -0,0 +1,73 @@
+import { fork } from 'node:child_process';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { cpus, totalmem } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { parseArgs } from 'node:util';
+import { plots } from './capacity/plot.js';
+import { probes } from './capacity/probes.js';
+import { tables } from './capacity/table.js';
+import type { Measured } from './capacity/table.js';
+
+const { values } = parseArgs({ options: { out: { type: 'string', default: 'docs/capacity' }, only: { type: 'string' }, help: { type: 'boolean', short: 'h' } } });
+const names = values.only === undefined ? Object.keys(probes) : values.only.split(',');
+if (values.help === true) {
+  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME (without it all: ${Object.keys(probes).join(', ')})\n`);
+  process.exit(0);
+}
+const unknown = names.filter((name) => probes[name] === undefined);
+if (unknown.length > 0) {
+  process.stderr.write(`--only: no such measurement: ${unknown.join(', ')}\nknown: ${Object.keys(probes).join(', ')}\n`);
+  process.exit(2);
+}
+
+const patienceMs = 90_000;
+const wholeMs = 350_000;
+const heapMegabytes = 4_500;
+
+interface Told {
+  readonly measured: readonly Measured[];
+  readonly peakBytes: number;
+}
+
+const run = (name: string, limitMs: number): Promise<Told | null> =>
+  new Promise((settle) => {
+    const child = fork(fileURLToPath(new URL('./capacity/probeRun.js', import.meta.url)), [name], { execArgv: ['--expose-gc', `--max-old-space-size=${heapMegabytes}`] });
+    let told: Told | null = null;
+    const late = setTimeout(() => child.kill('SIGKILL'), limitMs);
+    child.on('message', (message) => (told = message as Told));
+    child.on('exit', () => {
+      clearTimeout(late);
+      settle(told);
+    });
+  });
+
+const began = performance.now();
+const measured: Measured[] = [];
+const took: string[] = [];
+const missing: string[] = [];
+for (const name of names) {
+  const at = performance.now();
+  const left = wholeMs - (at - began);
+  const told = left <= 0 ? null : await run(name, Math.min(patienceMs, left));
+  if (told === null) missing.push(name);
+  else measured.push(...told.measured);
+  took.push(`${name} ${((performance.now() - at) / 1_000).toFixed(0)} s${told === null ? '' : `, ${Math.round(told.peakBytes / 2 ** 20)} MB at its peak`}`);
+  process.stdout.write(`${told === null ? 'FAILED ' : ''}${took[took.length - 1]}\n${(told?.measured ?? []).map((one) => `${tables.row(one)}\n`).join('')}`);
+}
+const machineLine = `${cpus().length} cores of ${cpus()[0]?.model ?? 'unknown make'}, ${Math.round(totalmem() / 2 ** 30)} GB, Node ${process.versions.node}`;
+const text = [
+  '# Measured slopes',
+  '',
+  `Written by \`npm run measure:capacity\` in ${((performance.now() - began) / 1_000).toFixed(0)} s on ${machineLine}. Read \`../CAPACITY.md\` for what follows from it.`,
+  `A run's name is its row. Spread: the widest (most - least) / median over one point's repeats. Time each: ${took.join('; ')}.`,
+  ...(missing.length === 0 ? [] : ['', `Not measured: ${missing.join(', ')}.`]),
+  '',
+  tables.markdown(measured),
+  '',
+].join('\n');
+mkdirSync(values.out, { recursive: true });
+writeFileSync(join(values.out, 'slopes.md'), text);
+writeFileSync(join(values.out, 'slopes.json'), `${JSON.stringify(tables.asJson(measured), null, 1)}\n`);
+writeFileSync(join(values.out, 'slopes.svg'), plots.svg(measured));
+process.exit(missing.length === 0 ? 0 : 1);
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,3 +1,8 @@
+export { fits } from './capacity/fit.js';
+export type { Point } from './capacity/fit.js';
+export { plots } from './capacity/plot.js';
+export { tables } from './capacity/table.js';
+export type { Measured } from './capacity/table.js';
 export { keyOf, kinds, plans } from './firms.js';
 export type { Ask } from './firms.js';
 export { knownRed } from './knownRed.js';
