Work out each control duty at the size that decides

Cause: slopes alone do not say which budget line a part meets or breaks at 400 nodes. Change: the capacity command multiplies its runs into lines of the budget (3 % of a core, 256 MB, 8 KB a second, 3 s in force, 16 MB a frame) and names the runs of each; runs of the users' platform's path (pushes, index news, list, rollout, placing) join those of the product's own wire.

--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -66,6 +66,8 @@
     const byTenants = series('pushes/core-cpu-by-tenants', 'core node: processor time to push one change, 100 fronts', 'ms', 'tenants', size.tenants);
     const bytes = series('pushes/bytes', 'one change to one front from one core node', 'bytes', 'tenants', size.tenants);
     const checkpoint = series('pushes/checkpoint-bytes', 'whole agreed state to a front that starts, 4,096 change ids kept', 'bytes', 'tenants', size.tenants);
+    const since = series('pushes/since-bytes', 'changes sent at once to a core node that lags, 3,100 tenants', 'bytes', 'changes behind', 71);
+    for (const behind of [1, 10, 30, 60]) since.add(behind, frames.pack({ f: 'reply', id: 1, body: { k: 'changes', settled: Array.from({ length: behind }, (_, at) => ({ generation: at, change: layoutChange(size.tenants, at, at) })) } }).length);
     let edition = 0;
     const measure = async (fronts: number, tenants: number, note: (ms: number, ackedMs: number, bytesEach: number) => void): Promise<void> => {
       const core = await openCore(tenants, []);
@@ -97,7 +99,7 @@
       });
       checkpoint.add(tenants, frames.pack({ f: 'tell', topic: 'checkpoint', body: rig.stateOf(tenants, 0, [asMember(1), asMember(2), asMember(3)]) }).length);
     }
-    return [byFronts, lateness, byTenants, bytes, checkpoint].map((one) => one.told());
+    return [byFronts, lateness, byTenants, bytes, checkpoint, since].map((one) => one.told());
   });
 
 const ballots = async (): Promise<Measured[]> => {
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -1,6 +1,6 @@
 import { ok } from 'neverthrow';
 import { logs, machine } from '@martenworks/envelope';
-import type { BackEnds, Change, Clock, KeptNews, Part, ReplicaCard, ShelfNews, WayBook } from '@martenworks/envelope';
+import type { BackEnds, Change, Clock, KeptNews, Part, ReadingNews, ReplicaCard, ShelfNews, WayBook } from '@martenworks/envelope';
 import { Unpacker, frames } from '@martenworks/mailcoach';
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/postmaster';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
@@ -43,6 +43,8 @@
     const bytes = series('way-push/content-bytes', 'one change to one front that it serves', 'bytes', 'customers', size.tenants);
     const bare = series('way-push/bare-cpu', 'core node: processor time to tell the bare generation to all others', 'ms', 'fronts', size.nodes);
     const bareBytes = series('way-push/bare-bytes', 'a bare generation to one front', 'bytes', 'fronts', size.nodes);
+    const reading = series('way-push/reading-cpu', 'core node: processor time to tell all it serves of one long prompt being read', 'us', 'fronts it serves', size.nodes / size.voters);
+    const readingBytes = series('way-push/reading-bytes', 'one such notice to one front', 'bytes', 'fronts it serves', size.nodes / size.voters);
     const holder: { push: WayPush | null } = { push: null };
     const measure = async (fronts: number, customers: number, wantsContent: boolean, note: (ms: number, bytesEach: number) => void, notePing: (us: number, bytesEach: number) => void): Promise<void> => {
       const core = await openCore(10, [], {
@@ -66,6 +68,15 @@
         await peers.ask({ verb: 'pings', count: 200, body });
         if (repeat > 0) notePing((rig.cpuUs() - began) / 200, (core.meter.sent - sent + core.meter.got - got) / 200);
       }
+      const news: ReadingNews = { id: 'request-0000000000000001', replica: 'replica-0001-1', tokens: 13_300, salt: `${modelOf(1)}@1`, part: rig.blockName(1) };
+      for (let repeat = 0; wantsContent && repeat < 4; repeat += 1) {
+        const [began, sent] = [rig.cpuUs(), core.meter.sent];
+        for (let one = 0; one < 20; one += 1) push.tellContent('reading', news);
+        await rig.pauseMs(20);
+        if (repeat === 0 || customers !== 1_000) continue;
+        reading.add(fronts, (rig.cpuUs() - began) / 20);
+        readingBytes.add(fronts, (core.meter.sent - sent) / 20 / fronts);
+      }
       const book = bookOf(customers);
       for (let repeat = 0; repeat < 4; repeat += 1) {
         const generation = (core.decrees.agreed()?.generation ?? 0) + 1;
@@ -97,7 +108,7 @@
     }
     for (const fronts of [10, 34, 67, 134]) await measure(fronts, 1_000, true, (ms) => content.add(fronts, ms), quiet);
     for (const customers of tenantCounts) await measure(10, customers, true, (_ms, bytesEach) => bytes.add(customers, bytesEach), quiet);
-    return [pingUs, pingBytes, content, bytes, bare, bareBytes].map((one) => one.told());
+    return [pingUs, pingBytes, content, bytes, bare, bareBytes, reading, readingBytes].map((one) => one.told());
   });
 
 const wayIndex = async (): Promise<Measured[]> => {
--- a/packages/proving/src/capacityCommand.ts
+++ b/packages/proving/src/capacityCommand.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
+import { models } from './capacity/model.js';
 import { plots } from './capacity/plot.js';
 import { probes } from './capacity/probes.js';
 import { tables } from './capacity/table.js';
@@ -65,6 +66,12 @@
   '',
   tables.markdown(measured),
   '',
+  '# Worked out at the size',
+  '',
+  'Each line is a product of the runs above, each taken at the size (measured there, on its line, or by its exponent at the top; the table above tells which).',
+  '',
+  models.markdown(measured),
+  '',
 ].join('\n');
 mkdirSync(values.out, { recursive: true });
 writeFileSync(join(values.out, 'slopes.md'), text);
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,5 +1,6 @@
 export { fits } from './capacity/fit.js';
 export type { Point } from './capacity/fit.js';
+export { lines as capacityLines, models } from './capacity/model.js';
 export { plots } from './capacity/plot.js';
 export { tables } from './capacity/table.js';
 export type { Measured } from './capacity/table.js';
--- a/packages/proving/test/capacity.test.ts
+++ b/packages/proving/test/capacity.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { fits, plots, tables } from '@martenworks/proving';
+import { capacityLines, fits, models, plots, tables } from '@martenworks/proving';
 import type { Measured, Point } from '@martenworks/proving';
 
 const points = (at: readonly number[], valueOf: (x: number) => number): Point[] => at.map((x) => ({ x, values: [valueOf(x)] }));
@@ -75,3 +75,23 @@
     expect(drawn).to.not.match(/NaN|undefined/);
   });
 });
+
+describe('the model of the size that decides', () => {
+  const named = [...new Set(capacityLines.flatMap((line) => [...line.from.matchAll(/`([a-z-]+\/[a-z-]+)`/g)].map((found) => found[1] as string)))];
+  const all = named.map((run) => measured({ run, target: 400, points: points([100, 200, 400], (x) => x) }));
+
+  it('given a run for each name that a line tells, when the lines are worked out, then none lacks a figure', () => {
+    expect(models.work(all).filter(({ value }) => !Number.isFinite(value))).to.deep.equal([]);
+  });
+
+  it('given a run that is missing, when the lines are worked out, then only the lines that name it lack a figure', () => {
+    const without = all.filter(({ run }) => run !== 'watch/beat-cpu');
+    const lacking = models.work(without).filter(({ value }) => !Number.isFinite(value)).map(({ id }) => id);
+    expect(lacking).to.deep.equal(capacityLines.filter(({ from }) => from.includes('watch/beat-cpu')).map(({ id }) => id));
+  });
+
+  it('given figures beside their budget, when the lines are worked out, then each says whether it meets or breaks it', () => {
+    const told = (ms: number): string | undefined => models.work([measured({ run: 'watch/beat-cpu', target: 400, points: points([400], () => ms) })]).find(({ id }) => id === 'N2')?.verdict;
+    expect([told(15), told(60)]).to.deep.equal(['meets 30', '**breaks** 30, 4 times']);
+  });
+});
