--- a/packages/proving/src/capacity/model.ts
+++ b/packages/proving/src/capacity/model.ts
@@ -36,6 +36,10 @@
 const chainEvents = size.events / traffic.blocksInAChain;
 const asksPerNode = requestsPerFront + (3 * size.requests * traffic.longShare) / size.nodes;
 const askBytes = 300;
+const patchBytes = 1_000;
+const digestBytes = 2 * (13 * 16 + 60);
+
+const ownerBytes = (of: Of): number => ((2 * chainEvents) / size.nodes) * of('way-index/bytes') + 2 * asksPerNode * askBytes;
 
 export const lines: readonly Line[] = [
   { id: 'F1', role: 'front', what: 'pings with loads, both ways', unit: 'B/s', line: 'wireBytes', from: '12 a second x (`pings/ask-bytes` + `pings/pong-bytes`)', value: (of) => traffic.corePings * (of('pings/ask-bytes') + of('pings/pong-bytes')) },
@@ -82,13 +86,15 @@
   { id: 'W13', role: 'weights rollout', what: 'steps while all replicas are behind', unit: 'cores', line: null, from: '17 a second x `way-weights/step-cpu`', value: (of) => of('way-weights/step-cpu') / 60 },
   { id: 'W14', role: 'weights rollout', what: 'notices of 1,000 replicas to 400 fronts, processor time', unit: 'ms', line: null, from: '2,000 x `replicas/news-cpu`', value: (of) => 2 * of('replicas/news-cpu') },
   { id: 'W15', role: 'replica list, users\' platform', what: 'readings', unit: 'cores', line: null, from: '1.25 a second x `way-list/reading-cpu`', value: (of) => (1.25 * of('way-list/reading-cpu')) / 1_000 },
-  { id: 'D1', role: 'designed: index owner', what: 'events of chains to two owners each, and asks', unit: 'B/s', line: 'wireBytes', from: '2 x 1,346 / 400 x `way-index/bytes` + 2 x 4.76 asks x 300', value: (of) => ((2 * chainEvents) / size.nodes) * of('way-index/bytes') + 2 * asksPerNode * askBytes },
+  { id: 'D1', role: 'designed: index owner', what: 'events of chains to two owners each, and asks', unit: 'B/s', line: 'wireBytes', from: '2 x 1,346 / 400 x `way-index/bytes` + 2 x 4.76 asks x 300', value: (of) => ownerBytes(of) },
   { id: 'D2', role: 'designed: index owner', what: 'events and asks', unit: 'ms/s', line: 'cpuMs', from: '6.7 x `way-index/front-cpu` + 2 x 4.76 x `way-push/ping-cpu`', value: (of) => (((2 * chainEvents) / size.nodes) * of('way-index/front-cpu') + 2 * asksPerNode * of('way-push/ping-cpu')) / 1_000 },
   { id: 'D3', role: 'designed: follower', what: 'a sixth of the events on one control machine', unit: 'cores', line: null, from: '`relays/follower-busy` at 46,667 a second', value: (of) => of('relays/follower-busy', size.events / size.controlMachines) },
-  { id: 'D4', role: 'designed: zone relay', what: 'freshness of 30 fronts, changes as patches of 1 KB', unit: 'B/s', line: 'wireBytes', from: '(2 x 2 x 31 + 4 x 3) x `way-push/ping-bytes` / 2 + 31 x 1,700 a day x 1 KB', value: (of) => ((2 * 31 + 12) * of('way-push/ping-bytes')) + 31 * traffic.changesASecond * 1_000 },
-  { id: 'D5', role: 'designed: core node', what: 'pings of 26 zone relays', unit: 'cores', line: null, from: '104 a second x `way-push/ping-cpu`', value: (of) => (26 * 4 * of('way-push/ping-cpu')) / 1e6 },
+  { id: 'D4', role: 'weighed: zone relay on a node', what: 'freshness of 31 fronts, changes as patches of 1 KB', unit: 'B/s', line: 'wireBytes', from: '(2 x 31 + 4 x 3) x `way-push/ping-bytes` + 31 x 1,700 a day x 1 KB', value: (of) => (2 * 31 + 12) * of('way-push/ping-bytes') + 31 * traffic.changesASecond * patchBytes },
+  { id: 'D5', role: 'designed: region relay on a control machine', what: 'pings of 67 fronts, twice a second, and their streams', unit: 'cores', line: null, from: '134 a second x `way-push/ping-cpu` + 67 x 31 tells a second x slope of `replicas/news-cpu`', value: (of) => (134 * of('way-push/ping-cpu') + (67 * 31 * of('replicas/news-cpu')) / size.nodes) / 1e6 },
   { id: 'D6', role: 'designed: watcher', what: 'a ring of 31 nodes, drawn again at each change only', unit: 'ms/s', line: 'cpuMs', from: '2 a second x `watch/beat-cpu` at 31', value: (of) => 2 * of('watch/beat-cpu', 31) },
-  { id: 'D7', role: 'designed: any node', what: 'digests of 13 zones each second, both ways', unit: 'B/s', line: 'wireBytes', from: '2 x 13 x 16 + 2 x frame heads', value: () => 2 * (13 * 16 + 60) },
+  { id: 'D7', role: 'designed: any node', what: 'digests of 13 zones each second, both ways', unit: 'B/s', line: 'wireBytes', from: '2 x (13 x 16 + 60)', value: () => digestBytes },
+  { id: 'D8', role: 'designed: front, all of it', what: 'owners and asks (D1), loads 700, freshness, patches, digests (D7), beats 840', unit: 'B/s', line: 'wireBytes', from: 'D1 + 700 + 2 x `way-push/ping-bytes` + 1,700 a day x 1 KB + D7 + 840', value: (of) => ownerBytes(of) + 700 + 2 * of('way-push/ping-bytes') + traffic.changesASecond * patchBytes + digestBytes + 840 },
+  { id: 'D9', role: 'designed: front, all of it', what: 'the same with 30 exceptions a second told', unit: 'B/s', line: 'wireBytes', from: 'D8 + 30 x `way-index/bytes`', value: (of) => ownerBytes(of) + 700 + 2 * of('way-push/ping-bytes') + traffic.changesASecond * patchBytes + digestBytes + 840 + 30 * of('way-index/bytes') },
 ];
 
 const verdictOf = (line: Line, value: number): string => {
--- a/packages/proving/src/capacityCommand.ts
+++ b/packages/proving/src/capacityCommand.ts
@@ -1,5 +1,5 @@
 import { fork } from 'node:child_process';
-import { mkdirSync, writeFileSync } from 'node:fs';
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { cpus, totalmem } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -10,10 +10,24 @@
 import { tables } from './capacity/table.js';
 import type { Measured } from './capacity/table.js';
 
-const { values } = parseArgs({ options: { out: { type: 'string', default: 'docs/capacity' }, only: { type: 'string' }, help: { type: 'boolean', short: 'h' } } });
+const { values } = parseArgs({ options: { out: { type: 'string', default: 'docs/capacity' }, only: { type: 'string' }, from: { type: 'string' }, help: { type: 'boolean', short: 'h' } } });
 const names = values.only === undefined ? Object.keys(probes) : values.only.split(',');
 if (values.help === true) {
-  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME (without it all: ${Object.keys(probes).join(', ')})\n`);
+  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME --from FILE, which works the lines of the size out again from a slopes.json (without it all: ${Object.keys(probes).join(', ')})\n`);
+  process.exit(0);
+}
+const sizePage = (held: readonly Measured[]): string =>
+  [
+    '# Worked out at the size',
+    '',
+    'Each line is a product of the runs in [`slopes.md`](slopes.md), each taken at the size (measured there, on its line, or by its exponent at the top; that table tells which).',
+    '',
+    models.markdown(held),
+    '',
+  ].join('\n');
+
+if (values.from !== undefined) {
+  writeFileSync(join(values.out, 'size.md'), sizePage(JSON.parse(readFileSync(values.from, 'utf8')) as Measured[]));
   process.exit(0);
 }
 const unknown = names.filter((name) => probes[name] === undefined);
@@ -66,15 +80,10 @@
   '',
   tables.markdown(measured),
   '',
-  '# Worked out at the size',
-  '',
-  'Each line is a product of the runs above, each taken at the size (measured there, on its line, or by its exponent at the top; the table above tells which).',
-  '',
-  models.markdown(measured),
-  '',
 ].join('\n');
 mkdirSync(values.out, { recursive: true });
 writeFileSync(join(values.out, 'slopes.md'), text);
 writeFileSync(join(values.out, 'slopes.json'), `${JSON.stringify(tables.asJson(measured), null, 1)}\n`);
+writeFileSync(join(values.out, 'size.md'), sizePage(measured));
 writeFileSync(join(values.out, 'slopes.svg'), plots.svg(measured));
 process.exit(missing.length === 0 ? 0 : 1);
