Take the capacity runs anew: memory held apart, starts that are cut off

Cause: memory of views and parts was read while the run before still lived; a front that is sent a large index is cut off in some runs, which made that run's slope false.

--- a/packages/proving/src/capacity/plot.ts
+++ b/packages/proving/src/capacity/plot.ts
@@ -22,7 +22,8 @@
   return [
     `<path d="M${left + margin.left},${top + margin.top}V${top + height - margin.bottom}H${left + width - margin.right}" class="axis"/>`,
     `<path d="M${line(lowX)}L${line(highX)}" class="${found.shape === 'not a line' ? 'bent' : 'fit'}"/>`,
-    ...one.points.flatMap(({ x, values }) => values.map((y) => `<circle cx="${across(x).toFixed(1)}" cy="${down(y).toFixed(1)}" r="2"/>`)),
+    `<path d="${one.points.map(({ x, values }) => `M${across(x).toFixed(1)},${down(Math.min(...values)).toFixed(1)}V${down(Math.max(...values)).toFixed(1)}`).join('')}" class="range"/>`,
+    ...one.points.map(({ x, values }) => `<circle cx="${across(x).toFixed(1)}" cy="${down(fits.median(values)).toFixed(1)}" r="2"/>`),
     text(left + 6, top + 14, 'start', one.run),
     text(left + 6, top + 26, 'start', `${one.unit}, ${found.shape}`),
     text(left + margin.left - 4, top + margin.top + 8, 'end', tables.figure(highY)),
@@ -34,7 +35,7 @@
 
 const svg = (all: readonly Measured[]): string => {
   const rows = Math.ceil(all.length / columns);
-  const style = 'text{font:9px sans-serif;fill:#222}.axis{fill:none;stroke:#888}.fit{stroke:#27c;stroke-width:1.2}.bent{stroke:#c42;stroke-dasharray:4 3}circle{fill:#222;fill-opacity:.55}';
+  const style = 'text{font:9px sans-serif;fill:#222}.axis{fill:none;stroke:#888}.range{stroke:#222;stroke-opacity:.4}.fit{stroke:#27c;stroke-width:1.2}.bent{stroke:#c42;stroke-dasharray:4 3}circle{fill:#222}';
   return `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 ${columns * width} ${rows * height}"><style>${style}</style><rect width="100%" height="100%" fill="#fff"/>\n${all.map(panel).join('\n')}\n</svg>\n`;
 };
 
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -235,6 +235,7 @@
   const viewIsolated = series('layout/view-isolated', 'the same with 1 in 100 tenants isolated', 'ms', 'tenants', size.tenants);
   const align = series('layout/replica-news', 'front: take one replica record, 3,100 tenants, 31 isolated', 'ms', 'replicas', size.replicas);
   const memory = series('layout/memory', 'front: memory of state and view', 'bytes', 'tenants', size.tenants);
+  const kept: Book[] = [];
   for (const tenants of tenantCounts) {
     for (const isolated of [0, Math.round(tenants * isolatedShare)]) {
       for (let repeat = 0; repeat < 3; repeat += 1) {
@@ -242,6 +243,7 @@
         const book = new Book(machine.clock, () => {});
         const state = structuredClone(rig.stateOf(tenants, isolated, []));
         book.takeCheckpoint(state);
+        kept.push(book);
         if (isolated === 0) memory.add(tenants, rig.heap() - empty);
         book.takeReplicas(rig.records(size.replicas));
         const changes = Array.from({ length: 3 }, (_, at): Change => ({ id: `view-${at}`, digest: '0', body: { kind: 'layout', layout: rig.layoutOf(tenants, isolated, at), base: 5_000 + at } }));
@@ -268,6 +270,7 @@
   const take = series('index/take', 'processor time of one event of one block', 'us', 'blocks', size.blocks);
   const overWire = series('index/memory-from-frames', 'one whole index filled from frames of 20 events: memory', 'bytes', 'blocks', size.blocks);
   const shelf = series('index/shelf-bytes', 'shelves of a whole index on the wire', 'bytes', 'blocks', size.blocks);
+  const shelfMs = series('index/shelf-cpu', 'core node: processor time to pack the shelves of a whole index, in one turn of its event loop', 'ms', 'blocks', size.blocks);
   const placing = series('index/place', 'placing one prompt of 266 blocks in one pool', 'us', 'replicas in the pool', size.replicas / poolCount);
   const beforeFrames = rig.heap();
   const framed = new Pigeonhole(3_600_000);
@@ -312,6 +315,7 @@
       }
       take.add(target, rig.timed(news.length, (at) => hole.take(news[at] as KvNews, 1)));
     }
+    for (let repeat = 0; target <= 1_000_000 && repeat < 3; repeat += 1) shelfMs.add(target, rig.timed(1, () => hole.checkpoint(1).forEach((one) => void frames.pack({ f: 'tell', topic: 'shelf', body: one }))) / 1_000);
     if (target <= 500_000) shelf.add(target, hole.checkpoint(1).reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0));
   }
   const chain = Array.from({ length: 266 }, (_, at) => rig.blockName(700_000_000 + at));
@@ -329,16 +333,16 @@
       if (repeat > 0) placing.add(replicas, us);
     }
   }
-  return [memory, overWire, take, shelf, placing].map((one) => one.told());
+  return [memory, overWire, take, shelf, shelfMs, placing].map((one) => one.told());
 };
 
 const joins = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const got = series('joins/bytes', 'sent to a front that starts, by each core node', 'bytes', 'blocks', size.blocks);
-    const cpu = series('joins/core-cpu', 'core node: processor time to send one front the index, in one turn of its event loop', 'ms', 'blocks', size.blocks);
+    const got = series('joins/arrived', 'of the index that a core node sends a front that starts, what arrives', 'share', 'blocks', 1_120_000);
+    const stays = series('joins/stays', 'a front that starts and is sent the index keeps its connection (1) or is cut off (0)', 'share', 'blocks', 1_120_000);
     const hole = new Pigeonhole(3_600_000);
     let held = 0;
-    for (const target of [28_000, 224_000, 560_000, 1_120_000]) {
+    for (const target of [28_000, 280_000, 560_000, 840_000, 1_120_000]) {
       const records = rig.records(Math.ceil(target / blocksPerReplica));
       hole.reconcile(records, () => 0);
       for (const record of records) {
@@ -346,11 +350,11 @@
         hole.take(rig.stored(record.name, 1, Array.from({ length: blocksPerReplica }, (_, at) => rig.blockName(held + at))), 0);
         held += blocksPerReplica;
       }
+      const bytes = hole.checkpoint(1).reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0);
       for (let repeat = 0; repeat < 2; repeat += 1) {
         const core = await openCore(10, records, {}, () => hole.checkpoint(1));
         await peers.ask({ verb: 'dial', address: core.address, from: 0, count: 1 });
         const before = await peers.ask({ verb: 'gauge' });
-        const began = rig.cpuUs();
         await peers.ask({ verb: 'tell', topic: 'subscribe' });
         for (let wait = 0, last = -1; wait < 40; wait += 1) {
           await rig.pauseMs(100);
@@ -359,13 +363,13 @@
           last = now['got'] as number;
         }
         const after = await peers.ask({ verb: 'gauge' });
-        cpu.add(target, (rig.cpuUs() - began) / 1_000);
-        got.add(target, (after['got'] as number) - (before['got'] as number));
+        got.add(target, ((after['got'] as number) - (before['got'] as number)) / bytes);
+        stays.add(target, (after['left'] as number) > (before['left'] as number) ? 0 : 1);
         await peers.ask({ verb: 'hangUp' });
         await core.close();
       }
     }
-    return [got, cpu].map((one) => one.told());
+    return [got, stays].map((one) => one.told());
   });
 
 const sse = (news: KvNews): string => `data: ${JSON.stringify({ incarnation: news.incarnation, seq: news.seq, kind: news.kind, tenant: news.tenant, blocks: news.blocks })}\n\n`;
@@ -489,16 +493,18 @@
     const known = series('gossip/known', 'nodes that a newcomer knows after one exchange', 'nodes', 'nodes', size.nodes);
     const memory = series('gossip/memory', 'any node: memory of its roster', 'bytes', 'nodes', size.nodes);
     const clock = machine.clock;
+    const kept: Roster[] = [];
     for (const nodes of nodeCounts) {
       const empty = rig.heap();
       const own = rig.helloOf('counter', 0, '10.0.0.0:7100');
       const roster = new Roster(clock, () => own);
       const hellos = Array.from({ length: nodes - 1 }, (_, at) => structuredClone(rig.helloOf('counter', at + 1, `10.0.${(at + 1) >> 8}.${(at + 1) & 255}:7100`)));
       for (const hello of hellos) roster.heard(hello);
+      kept.push(roster);
       memory.add(nodes, rig.heap() - empty);
       const ringNodes = () => roster.entries().map(({ hello }) => ({ name: hello.name, zone: hello.zone }));
       const watch = new Watch(clock, () => ({ name: own.name, zone: own.zone }), ringNodes);
-      for (let repeat = 0; repeat < 4; repeat += 1) {
+      for (let repeat = 0; repeat < 6; repeat += 1) {
         const beatMs = rig.timed(nodes > 100 ? 2 : 10, () => {
           watch.watchers();
           watch.suspects();
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -133,7 +133,7 @@
   const addresses = cards(50).map((card) => card.address);
   const pages = new Map<string, KeptNews[]>();
   let next = 0;
-  const told: ShelfNews[][] = [];
+  const bundles: ShelfNews[][] = [];
   const back = backEnds({
     keptNews: async (address) => {
       const news = pages.get(address) ?? [];
@@ -142,12 +142,22 @@
     },
   });
   const emptyDesk = rig.heap();
-  const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), (bundle) => void told.push([...bundle]));
+  const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), (bundle) => void bundles.push([...bundle]));
   desk.align(new Set(addresses));
-  const book = new ShelfBook(machine.clock);
   let held = 0;
-  let bookBytes = 0;
-  const unpacker = new Unpacker((message) => book.take((message as { body: ShelfNews[] }).body), () => {});
+  const told: { readonly frame: Uint8Array; readonly events: number }[] = [];
+  const takenBy = (target: number): void => {
+    const before = rig.heap();
+    const book = new ShelfBook(machine.clock);
+    const unpacker = new Unpacker((message) => book.take((message as { body: ShelfNews[] }).body), () => {});
+    for (const { frame, events } of told) {
+      const began = rig.cpuUs();
+      unpacker.take(frame);
+      if (events > 1_000) frontUs.add(target, (rig.cpuUs() - began) / events);
+    }
+    bookMemory.add(target, rig.heap() - before);
+    book.sizes();
+  };
   for (const target of [10_000, 50_000, 100_000, 200_000]) {
     while (held < target) {
       const count = Math.min(10_000, target - held);
@@ -157,25 +167,10 @@
       await rig.until(() => desk.sizes().reduce((sum, one) => sum + one.parts, 0) >= held, 5_000, 20);
       await rig.pauseMs(80);
       event.add(target, (rig.cpuUs() - began) / count);
-      for (const bundle of told.splice(0)) {
-        const frame = frames.pack({ f: 'tell', topic: 'shelves', body: bundle });
-        const frontBegan = rig.cpuUs();
-        unpacker.take(frame);
-        const events = bundle.reduce((sum, one) => sum + one.news.length, 0);
-        if (events > 1_000) frontUs.add(target, (rig.cpuUs() - frontBegan) / events);
-      }
+      for (const bundle of bundles.splice(0)) told.push({ frame: frames.pack({ f: 'tell', topic: 'shelves', body: bundle }), events: bundle.reduce((sum, one) => sum + one.news.length, 0) });
     }
-    const both = rig.heap() - emptyDesk;
-    const asTold = desk.whole();
-    const copy = new ShelfBook(machine.clock);
-    const before = rig.heap();
-    const whole = frames.pack({ f: 'tell', topic: 'shelves', body: asTold });
-    const second = new Unpacker((message) => copy.take((message as { body: ShelfNews[] }).body), () => {});
-    second.take(whole);
-    bookBytes = rig.heap() - before;
-    copy.sizes();
-    bookMemory.add(target, bookBytes);
-    deskMemory.add(target, both - bookBytes);
+    deskMemory.add(target, rig.heap() - emptyDesk);
+    takenBy(target);
   }
   desk.stop();
   for (const count of [1, 10, 100, 1_000]) bytes.add(count, frames.pack({ f: 'tell', topic: 'shelves', body: [{ address: addresses[0], isWhole: false, isHeard: true, news: Array.from({ length: count }, (_, at) => kept(at)) }] }).length / count);
@@ -257,7 +252,7 @@
     const way = new WayPlacing(tracks, shelves, machine.clock, () => ({ version: 1, sinceMs: 10_000 }), 8_000);
     const shown = new BookDoor().view(1, bookOf(10));
     const question: WayQuestion = { pool: modelOf(0), order: { id: 'order', key: null, leftMs: 6_000, model: modelOf(0), tokensIn: 17_020, tokensOut: 247, parts }, customer: null, avoided: new Set() };
-    for (let repeat = 0; repeat < 4; repeat += 1) {
+    for (let repeat = 0; repeat < 6; repeat += 1) {
       const us = rig.timed(50, () => void way.place(question, shown, 50));
       if (repeat > 0) placing.add(replicas, us);
     }
--- a/packages/proving/src/capacityCommand.ts
+++ b/packages/proving/src/capacityCommand.ts
@@ -13,7 +13,7 @@
 const { values } = parseArgs({ options: { out: { type: 'string', default: 'docs/capacity' }, only: { type: 'string' }, from: { type: 'string' }, help: { type: 'boolean', short: 'h' } } });
 const names = values.only === undefined ? Object.keys(probes) : values.only.split(',');
 if (values.help === true) {
-  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME --from FILE, which works the lines of the size out again from a slopes.json (without it all: ${Object.keys(probes).join(', ')})\n`);
+  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME --from FILE, which works the lines of the size out and plots again from a slopes.json (without it all: ${Object.keys(probes).join(', ')})\n`);
   process.exit(0);
 }
 const sizePage = (held: readonly Measured[]): string =>
@@ -27,7 +27,9 @@
   ].join('\n');
 
 if (values.from !== undefined) {
-  writeFileSync(join(values.out, 'size.md'), sizePage(JSON.parse(readFileSync(values.from, 'utf8')) as Measured[]));
+  const held = JSON.parse(readFileSync(values.from, 'utf8')) as Measured[];
+  writeFileSync(join(values.out, 'size.md'), sizePage(held));
+  writeFileSync(join(values.out, 'slopes.svg'), plots.svg(held));
   process.exit(0);
 }
 const unknown = names.filter((name) => probes[name] === undefined);
