--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -120,8 +120,8 @@
   const bytes = series('way-index/bytes', 'one event of a large part to one front', 'bytes', 'events in a bundle', 1_000);
   for (const replicas of replicaCounts) {
     const back = backEnds({ keptNews: async () => ok({ epoch: 'e', next: 0, isLost: false, news: [] }) });
-    const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), () => {});
-    desk.align(new Set(cards(replicas).map((card) => card.address)));
+    const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), () => {}, () => {});
+    desk.align(new Set(cards(replicas).map((card) => card.address)), () => true);
     await rig.pauseMs(500);
     for (let repeat = 0; repeat < 3; repeat += 1) {
       const [began, at] = [rig.cpuUs(), performance.now()];
@@ -142,8 +142,8 @@
     },
   });
   const emptyDesk = rig.heap();
-  const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), (bundle) => void bundles.push([...bundle]));
-  desk.align(new Set(addresses));
+  const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), (bundle) => void bundles.push([...bundle]), () => {});
+  desk.align(new Set(addresses), () => true);
   let held = 0;
   const told: { readonly frame: Uint8Array; readonly events: number }[] = [];
   const takenBy = (target: number): void => {
