Catch up by sixteen changes a reply

Cause: a reply held every change since; at 3,100 tenants 73 of them pass the frame limit of 16 MB, so a core node apart for an hour could not catch up (CAPACITY.md). Test failed first: a reply of 100 changes.

--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -48,6 +48,7 @@
 }
 
 const recentLimit = 256;
+const sinceLimit = 16;
 const segmentsBeforeCheckpoint = 4;
 
 export const ballots = {
@@ -207,7 +208,7 @@
     if (this.state === null) return { k: 'nothing' };
     if (generation >= this.state.generation) return { k: 'changes', settled: [] };
     const first = this.recent[0];
-    if (generation >= 0 && first !== undefined && first.generation <= generation + 1) return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation) };
+    if (generation >= 0 && first !== undefined && first.generation <= generation + 1) return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation).slice(0, sinceLimit) };
     return { k: 'checkpoint', agreed: this.state };
   };
 
--- /dev/null
+++ b/packages/postmaster/test/since.test.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai';
+import { SimWorld } from '@martenworks/proving';
+import { agreed } from '@martenworks/envelope';
+import type { Change } from '@martenworks/envelope';
+import { decreeBooks } from '@martenworks/postmaster';
+import type { Decrees } from '@martenworks/postmaster';
+
+const bookOf = async (world: SimWorld, host: string): Promise<Decrees> => {
+  const { disk, clock, random, log } = world.machine(host).ports();
+  let opened: Decrees | null = null;
+  void decreeBooks.open(disk, clock, random, log).then((outcome) => (opened = outcome._unsafeUnwrap()));
+  await world.until('the ledger', () => opened !== null);
+  return opened as unknown as Decrees;
+};
+
+const done = async <T>(world: SimWorld, work: Promise<T>): Promise<T> => {
+  let outcome: { value: T } | null = null;
+  void work.then((value) => (outcome = { value }));
+  await world.until('a call', () => outcome !== null);
+  return (outcome as unknown as { value: T }).value;
+};
+
+const named = (version: number): Change => ({ id: `weights/m/${version}`, digest: String(version), body: { kind: 'weights', model: 'm', version } });
+
+describe('catching up', () => {
+  it('given a core node that was apart for a hundred changes, when it asks for them, then no reply holds more than sixteen and a few replies bring it up to date', async () => {
+    const world = new SimWorld(7);
+    const [ahead, behind] = [await bookOf(world, '10.0.0.1'), await bookOf(world, '10.0.0.2')];
+    const founded = agreed.founded([{ name: 'a', address: '10.0.0.1:1', incarnation: ahead.incarnation }]);
+    await done(world, ahead.adopt(founded));
+    await done(world, behind.adopt(founded));
+    for (let version = 1; version <= 100; version += 1) await done(world, ahead.settle({ generation: version, change: named(version) }));
+    for (let round = 0; round < 7; round += 1) {
+      const since = ahead.since(behind.agreed()?.generation ?? -1);
+      if (since.k !== 'changes') throw new Error(since.k);
+      expect(since.settled.length).to.be.at.most(16);
+      for (const settled of since.settled) await done(world, behind.settle(settled));
+    }
+    expect(behind.agreed()).to.deep.equal(ahead.agreed());
+  });
+});
