Catch up by one checkpoint where more than sixteen changes were missed

The cut at sixteen changes a reply would have left a confirmed read behind; a checkpoint is about the size of one change and always brings its reader up to date.

--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -208,7 +208,8 @@
     if (this.state === null) return { k: 'nothing' };
     if (generation >= this.state.generation) return { k: 'changes', settled: [] };
     const first = this.recent[0];
-    if (generation >= 0 && first !== undefined && first.generation <= generation + 1) return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation).slice(0, sinceLimit) };
+    const isNear = this.state.generation - generation <= sinceLimit;
+    if (isNear && generation >= 0 && first !== undefined && first.generation <= generation + 1) return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation) };
     return { k: 'checkpoint', agreed: this.state };
   };
 
--- a/packages/postmaster/test/since.test.ts
+++ b/packages/postmaster/test/since.test.ts
@@ -23,19 +23,19 @@
 const named = (version: number): Change => ({ id: `weights/m/${version}`, digest: String(version), body: { kind: 'weights', model: 'm', version } });
 
 describe('catching up', () => {
-  it('given a core node that was apart for a hundred changes, when it asks for them, then no reply holds more than sixteen and a few replies bring it up to date', async () => {
-    const world = new SimWorld(7);
-    const [ahead, behind] = [await bookOf(world, '10.0.0.1'), await bookOf(world, '10.0.0.2')];
-    const founded = agreed.founded([{ name: 'a', address: '10.0.0.1:1', incarnation: ahead.incarnation }]);
-    await done(world, ahead.adopt(founded));
-    await done(world, behind.adopt(founded));
-    for (let version = 1; version <= 100; version += 1) await done(world, ahead.settle({ generation: version, change: named(version) }));
-    for (let round = 0; round < 7; round += 1) {
+  it('given a core node that was apart, when it asks for what it missed, then a few changes come as changes, many as one checkpoint, and one reply always brings it up to date', async () => {
+    for (const missed of [1, 16, 17, 100]) {
+      const world = new SimWorld(7);
+      const [ahead, behind] = [await bookOf(world, '10.0.0.1'), await bookOf(world, '10.0.0.2')];
+      const founded = agreed.founded([{ name: 'a', address: '10.0.0.1:1', incarnation: ahead.incarnation }]);
+      await done(world, ahead.adopt(founded));
+      await done(world, behind.adopt(founded));
+      for (let version = 1; version <= missed; version += 1) await done(world, ahead.settle({ generation: version, change: named(version) }));
       const since = ahead.since(behind.agreed()?.generation ?? -1);
-      if (since.k !== 'changes') throw new Error(since.k);
-      expect(since.settled.length).to.be.at.most(16);
-      for (const settled of since.settled) await done(world, behind.settle(settled));
+      expect(since.k).to.equal(missed > 16 ? 'checkpoint' : 'changes');
+      if (since.k === 'checkpoint') await done(world, behind.adopt(since.agreed));
+      if (since.k === 'changes') for (const settled of since.settled) await done(world, behind.settle(settled));
+      expect(behind.agreed()).to.deep.equal(ahead.agreed());
     }
-    expect(behind.agreed()).to.deep.equal(ahead.agreed());
   });
 });
