Let the story runner find the compiled stories of packages under platform/

The runner takes dist/test/*.test.js of each package there after the stories it ran before, whose order stays. The simulated world is exported, so that such packages run on it.

--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { SimWorld } from './sim/simWorld.js';
+export type { SimMachine } from './sim/simWorld.js';
--- a/packages/proving/src/runStories.ts
+++ b/packages/proving/src/runStories.ts
@@ -1,6 +1,6 @@
-import { readdirSync } from 'node:fs';
+import { existsSync, readdirSync } from 'node:fs';
 import { availableParallelism } from 'node:os';
-import { dirname, join } from 'node:path';
+import { basename, dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
 import Mocha from 'mocha';
@@ -18,6 +18,13 @@
 }
 
 const folder = join(dirname(fileURLToPath(import.meta.url)), 'stories');
+const platform = join(dirname(fileURLToPath(import.meta.url)), '../../../platform');
+
+const storyFiles = (): string[] => {
+  const inFolder = (at: string, ending: string): string[] => (existsSync(at) ? readdirSync(at).sort().filter((file) => file.endsWith(ending)).map((file) => join(at, file)) : []);
+  const platformFiles = existsSync(platform) ? readdirSync(platform).sort().flatMap((name) => inFolder(join(platform, name, 'dist/test'), '.test.js')) : [];
+  return [...inFolder(folder, '.js'), ...platformFiles];
+};
 
 const keepPart = (suite: Mocha.Suite, part: Part, counter: { seen: number }): void => {
   suite.tests = suite.tests.filter(() => (counter.seen += 1) % part.parts === part.at);
@@ -26,7 +33,7 @@
 
 const tell = async (part: Part): Promise<void> => {
   const mocha = new Mocha({ timeout: 900_000, forbidOnly: true, reporter: class {} as never });
-  for (const file of readdirSync(folder).sort()) if (file.endsWith('.js') && file.includes(part.wanted)) mocha.addFile(join(folder, file));
+  for (const file of storyFiles()) if (basename(file).includes(part.wanted)) mocha.addFile(file);
   await mocha.loadFilesAsync();
   keepPart(mocha.suite, part, { seen: 0 });
   const runner = mocha.run(() => parentPort?.postMessage(null));
