--- a/packages/throughpost/src/index.ts
+++ b/packages/throughpost/src/index.ts
@@ -1,5 +1,6 @@
 export * from './call.js';
 export * from './callDoor.js';
+export * from './webCall.js';
 export * from './front.js';
 export * from './coreTouch.js';
 export * from './shelfBook.js';
--- /dev/null
+++ b/packages/throughpost/src/webCall.ts
@@ -0,0 +1,99 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { WebHandler } from '@martenworks/envelope';
+import type { BodyFault, Call, Reply } from './call.js';
+
+const bodiless = new Set([101, 103, 204, 205, 304]);
+
+const flat = (headers: Headers): string[] => [...headers].flat();
+
+const pairsOf = (list: readonly string[]): [string, string][] => list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
+
+const bodyOf = async (request: Request, limitBytes: number): Promise<Result<Uint8Array, BodyFault>> => {
+  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err('too large');
+  try {
+    const bytes = new Uint8Array(await request.arrayBuffer());
+    return bytes.length > limitBytes ? err('too large') : ok(bytes);
+  } catch {
+    return err('gone');
+  }
+};
+
+/** One call that came as a `Request`. What `answer` is told becomes the `Response`; a cut answer is a body that breaks. */
+class WebCall implements Call {
+  readonly method: string;
+  readonly target: string;
+  readonly host: string;
+  readonly headers: readonly string[];
+  readonly headerBytes: number;
+  readonly response: Promise<Response>;
+  private settle: (response: Response) => void = () => {};
+  private readonly leavers: (() => void)[] = [];
+  private isOver = false;
+  private wake: () => void = () => {};
+
+  constructor(private readonly request: Request) {
+    const { pathname, search, host } = new URL(request.url);
+    this.method = request.method;
+    this.target = `${pathname}${search}`;
+    this.headers = flat(request.headers);
+    this.host = request.headers.get('host') ?? host;
+    this.headerBytes = this.headers.reduce((sum, text) => sum + text.length + 2, 0) + this.target.length;
+    this.response = new Promise((settle) => (this.settle = settle));
+    request.signal.addEventListener('abort', this.left, { once: true });
+  }
+
+  private readonly left = (): void => {
+    if (this.isOver) return;
+    this.over();
+    for (const verb of this.leavers.splice(0)) verb();
+  };
+
+  private readonly over = (): void => {
+    this.isOver = true;
+    this.request.signal.removeEventListener('abort', this.left);
+    this.wake();
+  };
+
+  readonly body = (limitBytes: number): Promise<Result<Uint8Array, BodyFault>> => bodyOf(this.request, limitBytes);
+
+  readonly whenGone = (verb: () => void): void => {
+    if (this.request.signal.aborted) return verb();
+    this.leavers.push(verb);
+  };
+
+  readonly answer = (status: number, headers: readonly string[], isLast: boolean): Reply => {
+    const list = pairsOf(isLast ? [...headers, 'Connection', 'close'] : headers);
+    let pipe: ReadableStreamDefaultController<Uint8Array> | null = null;
+    const stream = new ReadableStream<Uint8Array>({ start: (controller) => void (pipe = controller), pull: () => this.wake(), cancel: this.left });
+    const act = (verb: (open: ReadableStreamDefaultController<Uint8Array>) => void): void => {
+      if (pipe !== null && !this.isOver) verb(pipe);
+    };
+    this.settle(new Response(bodiless.has(status) ? null : stream, { status, headers: list }));
+    return {
+      write: async (bytes) => {
+        act((open) => open.enqueue(bytes));
+        if (!this.isOver && (pipe?.desiredSize ?? 1) <= 0) await new Promise<void>((wake) => (this.wake = wake));
+      },
+      end: () => act((open) => {
+        this.over();
+        open.close();
+      }),
+      cut: () => act((open) => {
+        this.over();
+        open.error(Object.assign(new Error('the answer was cut'), { code: 'ECONNRESET' }));
+      }),
+    };
+  };
+}
+
+export const webCalls = {
+  /** Answers a `Request` by whoever receives calls: a front without its own server. */
+  handler: (receive: (call: Call) => Promise<void>): WebHandler => (request) => {
+    const call = new WebCall(request);
+    return new Promise((settle, fail) => {
+      void call.response.then(settle);
+      receive(call).catch(fail);
+    });
+  },
+};
