Tell a front since when weights are named, so that a restart forgets nothing

Cause: a front counted the time in which replicas may still run old weights from when it heard of the new ones.

Change: StateNews carries namedMsAgo, by the teller's own clock; the front counts from there.

--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -1,12 +1,13 @@
 import type { Member } from './layout.js';
 import type { KeptNews, ReplicaCard, WayBook } from './ways.js';
 
-/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. */
+/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. `namedMsAgo` tells since when the teller knows each named version. */
 export interface StateNews {
   readonly generation: number;
   readonly edition: number;
   readonly book: WayBook | null;
   readonly named: Record<string, number>;
+  readonly namedMsAgo: Record<string, number>;
   readonly members: readonly Member[];
 }
 
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -20,13 +20,14 @@
   readonly heardMsAgo: number;
 }
 
-const stateNews = (state: Agreed, held: StateHeld): StateNews => {
-  const edition = state.ways?.edition ?? 0;
-  return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, members: state.members };
-};
+interface Named {
+  readonly version: number;
+  readonly at: number;
+}
 
 export class WayPush {
   private readonly subscribers = new Map<Coach, Subscriber>();
+  private readonly named = new Map<string, Named>();
 
   constructor(
     private readonly decrees: Decrees,
@@ -34,9 +35,22 @@
     private readonly listAgeMs: () => number | null,
     private readonly greet: (coach: Coach) => void,
   ) {
+    this.noteNamed();
     decrees.watch(this.bring);
   }
 
+  private readonly noteNamed = (): void => {
+    const at = this.clock.now();
+    for (const [model, version] of Object.entries(this.decrees.agreed()?.named ?? {})) if ((this.named.get(model)?.version ?? 0) < version) this.named.set(model, { version, at });
+  };
+
+  private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
+    const edition = state.ways?.edition ?? 0;
+    const now = this.clock.now();
+    const namedMsAgo = Object.fromEntries([...this.named].map(([model, { at }]) => [model, Math.round(now - at)]));
+    return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, namedMsAgo, members: state.members };
+  };
+
   readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
     const wasContent = this.subscribers.get(coach)?.wantsContent === true;
     this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
@@ -47,6 +61,7 @@
   readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
 
   private readonly bring = (): void => {
+    this.noteNamed();
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
@@ -55,7 +70,7 @@
     const state = this.decrees.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
     if (!subscriber.wantsContent) return void coach.tell('news', state.generation);
-    const news = stateNews(state, subscriber);
+    const news = this.stateNews(state, subscriber);
     coach.tell('state', news);
     subscriber.generation = news.generation;
     subscriber.edition = news.edition;
@@ -63,7 +78,7 @@
 
   readonly stateFor = (held: StateHeld): StateNews | null => {
     const state = this.decrees.agreed();
-    return state === null ? null : stateNews(state, held);
+    return state === null ? null : this.stateNews(state, held);
   };
 
   readonly acked = (coach: Coach, { generation, edition }: StateHeld): void => {
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -83,7 +83,7 @@
 
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
-    for (const [model, version] of Object.entries(news.named)) if ((this.namedAt.get(model)?.version ?? 0) < version) this.namedAt.set(model, { version, at: now });
+    for (const [model, version] of Object.entries(news.named)) if ((this.namedAt.get(model)?.version ?? 0) < version) this.namedAt.set(model, { version, at: now - (news.namedMsAgo[model] ?? 0) });
     if (news.book === null || this.view?.edition === news.edition) return;
     this.view = this.bookDoor.view(news.edition, news.book);
     this.door.limit(news.book.limits);
