Remember how many fronts share the budget of further shots

Cause: a front counted the fronts by the core nodes it hears at the moment.

Change: the most that was told within two windows of the budget counts. The share of a pool's connections follows the same number, so it grows back two windows after a front has gone for good.

--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -12,6 +12,7 @@
 const askPatienceMs = 700;
 const newsGraceMs = 120;
 const staleListFactor = 3;
+const frontsHoldFactor = 2;
 const dialPace = { patienceMs: 700, longestWaitMs: 400 };
 
 export interface TouchEars {
@@ -38,6 +39,7 @@
   private content: Coach | null = null;
   private held: StateNews | null = null;
   private lastHeardAt: number;
+  private told = { fronts: 1, at: 0 };
 
   constructor(
     private readonly env: WayEnv,
@@ -146,6 +148,7 @@
         if (pong === null) return;
         this.lastHeardAt = this.ports.clock.now();
         this.heard.set(coach, { at: this.lastHeardAt, pong });
+        this.noteFronts(pong.fronts);
         this.hearOf(coach, pong.generation);
       });
     }
@@ -155,7 +158,14 @@
 
   readonly state = (): StateNews | null => this.held;
 
-  readonly fronts = (): number => Math.max(1, ...[...this.heard.values()].map(({ pong }) => pong.fronts));
+  private readonly noteFronts = (fronts: number): void => {
+    const now = this.ports.clock.now();
+    const isOver = now - this.told.at > this.env.extraWindowMs * frontsHoldFactor;
+    if (fronts >= this.told.fronts || isOver) this.told = { fronts: Math.max(1, fronts), at: now };
+  };
+
+  /** How many fronts there are, by the most that was told within two windows of the budget: one that hears nobody, or only core nodes just started, is not alone for that. */
+  readonly fronts = (): number => this.told.fronts;
 
   readonly unheardMs = (): number => this.ports.clock.now() - this.lastHeardAt;
 
