Read a replica's events from their start once its epoch has changed

Cause: a core node that met a new epoch went on from the number it had read to in the old one, unless the new one was shorter; the events up to there were never read, and the parts they tell of stayed unknown until dropped.

Change: the first page under a new epoch is asked again from 0.

--- a/packages/postmaster/src/shelfDesk.ts
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -67,7 +67,7 @@
         shelf.fresh.length = 0;
         shelf.isCleared = true;
       }
-      if (isReborn && shelf.since > next) {
+      if (isReborn && shelf.since > 0) {
         Object.assign(shelf, { epoch, since: 0, heardAt: this.clock.now(), isHeard: true });
         this.plan();
         continue;
