Tell fronts the list of replicas only once it was read

Cause: a core node just started greeted fronts with its whole list before it had read one. Where the platform's list didn't answer at that time, fronts took every replica for gone, broke off all streams and refused requests.

Change: the greeting waits for the first reading, which is told whole, so that what has gone meanwhile is dropped then.

--- a/packages/postmaster/src/cardReader.ts
+++ b/packages/postmaster/src/cardReader.ts
@@ -18,7 +18,7 @@
   return { ...told, weights, isLeaving: told.isLeaving || held.isLeaving };
 };
 
-/** Reads the list of replicas again and again and tells what changed. A replica's id is one life of it: leaving and its weights' versions never go back within it. */
+/** Reads the list of replicas again and again and tells what changed, the first time all of it. A replica's id is one life of it: leaving and its weights' versions never go back within it. */
 export class CardReader {
   private cards = new Map<string, ReplicaCard>();
   private readAt: number | null = null;
@@ -51,12 +51,13 @@
   };
 
   private readonly take = (told: readonly ReplicaCard[]): void => {
+    const isWhole = this.readAt === null;
     this.readAt = this.clock.now();
     const next = new Map(told.map((card) => [card.id, newer(card, this.cards.get(card.id))]));
     const put = [...next.values()].filter((card) => JSON.stringify(card) !== JSON.stringify(this.cards.get(card.id)));
     const gone = [...this.cards.keys()].filter((id) => !next.has(id));
     this.cards = next;
-    if (put.length > 0 || gone.length > 0) this.tell({ isWhole: false, put, gone });
+    if (isWhole || put.length > 0 || gone.length > 0) this.tell({ isWhole, put, gone });
   };
 
   readonly holds = (id: string, model: string, version: number): void => {
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -99,7 +99,7 @@
     );
     this.shelves = new ShelfDesk(backEnds, clock, random, log, (news) => this.push.tellContent('shelves', news));
     this.push = new WayPush(decrees, clock, this.cards.ageMs, (coach) => {
-      coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
+      if (this.cards.ageMs() !== null) coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
       coach.tell('shelves', this.shelves.whole());
     });
     this.weights = new WeightsDesk(
