Take a replica for gone once two readings of the list in a row lack it

Cause: the list comes in pages by place. When an entry before others goes between two calls of one reading, a later one moves to a page that was read already, is missed, and was told as gone; fronts broke off its streams.

Change: what one reading lacks is kept; what the next one lacks too is gone. A replica that really went is told one reading later (0.8 s).

--- a/packages/postmaster/src/cardReader.ts
+++ b/packages/postmaster/src/cardReader.ts
@@ -18,9 +18,10 @@
   return { ...told, weights, isLeaving: told.isLeaving || held.isLeaving };
 };
 
-/** Reads the list of replicas again and again and tells what changed, the first time all of it. A replica's id is one life of it: leaving and its weights' versions never go back within it. */
+/** Reads the list of replicas again and again and tells what changed, the first time all of it. Pages shift while they are read, so a replica is gone once two readings in a row lack it. A replica's id is one life of it: leaving and its weights' versions never go back within it. */
 export class CardReader {
   private cards = new Map<string, ReplicaCard>();
+  private missing = new Set<string>();
   private readAt: number | null = null;
   private isStopped = false;
 
@@ -54,6 +55,10 @@
     const isWhole = this.readAt === null;
     this.readAt = this.clock.now();
     const next = new Map(told.map((card) => [card.id, newer(card, this.cards.get(card.id))]));
+    const absent = [...this.cards.values()].filter(({ id }) => !next.has(id));
+    const missed = absent.filter(({ id }) => !this.missing.has(id));
+    for (const card of missed) next.set(card.id, card);
+    this.missing = new Set(missed.map(({ id }) => id));
     const put = [...next.values()].filter((card) => JSON.stringify(card) !== JSON.stringify(this.cards.get(card.id)));
     const gone = [...this.cards.keys()].filter((id) => !next.has(id));
     this.cards = next;
