Doubt what another core node's whole list lacks before taking it for gone

Cause: a front that turns to another core node is told that node's whole list. One that had read the platform's list less lately lacked a replica that had just come; the front took it for gone and broke off its streams.

Change: what a whole list lacks is doubted and goes after 4 s unless told of again; gone by name goes at once as before.

--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -8,6 +8,7 @@
 const fastestTokensPerMs = 1_000;
 export const heavyTokens = 1_000;
 const readingForgetMs = 2_500;
+const doubtMs = 4_000;
 
 export interface Track {
   card: ReplicaCard;
@@ -19,6 +20,7 @@
   fullUntil: number;
   restUntil: number;
   isGone: boolean;
+  doubtedAt: number | null;
   readonly whenGone: Set<() => void>;
 }
 
@@ -41,14 +43,31 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
-      else held.card = newest(card, held.card);
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, doubtedAt: null, whenGone: new Set() });
+      else Object.assign(held, { card: newest(card, held.card), doubtedAt: null });
     }
-    for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
+    for (const id of gone) this.remove(id);
+    if (isWhole) for (const track of this.tracks.values()) if (!told.has(track.card.id)) this.doubt(track);
+    this.group();
+  };
+
+  private readonly group = (): void => {
     this.byPool.clear();
     for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
   };
 
+  /** A whole list may come from a core node that has read it less lately than the one before: what it lacks is gone only if it is not told of again. */
+  private readonly doubt = (track: Track): void => {
+    if (track.doubtedAt !== null) return;
+    const at = this.clock.now();
+    track.doubtedAt = at;
+    this.clock.after(doubtMs, () => {
+      if (track.doubtedAt !== at || track.isGone) return;
+      this.remove(track.card.id);
+      this.group();
+    });
+  };
+
   private readonly remove = (id: string): void => {
     const track = this.tracks.get(id);
     if (track === undefined) return;
