Count the time of old weights from the first naming that made them old

Cause: a front asked only since when the newest weights are named. Weights named while others were still on their way began the count anew, also for replicas two versions behind (rule VERSION); and the holder of the duty brought replicas to them in the list's order, so that one stayed behind while others were loaded twice.

Change: core nodes tell the ages of the latest eight named versions of a model; a front sends nothing to weights that any of them made old longer ago than allowed. The oldest weights are brought on first.

--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -1,13 +1,18 @@
 import type { Member } from './layout.js';
 import type { KeptNews, ReplicaCard, WayBook } from './ways.js';
 
-/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. `namedMsAgo` tells since when the teller knows each named version. */
+export interface NamedAge {
+  readonly version: number;
+  readonly msAgo: number;
+}
+
+/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition. `namedAges` tells since when the teller knows the latest named versions of each model, the newest last. */
 export interface StateNews {
   readonly generation: number;
   readonly edition: number;
   readonly book: WayBook | null;
   readonly named: Record<string, number>;
-  readonly namedMsAgo: Record<string, number>;
+  readonly namedAges: Record<string, readonly NamedAge[]>;
   readonly members: readonly Member[];
 }
 
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -3,6 +3,7 @@
 import type { Decrees } from './decrees.js';
 
 const silentMs = 4_000;
+const agesKept = 8;
 
 interface Subscriber {
   generation: number;
@@ -27,7 +28,7 @@
 
 export class WayPush {
   private readonly subscribers = new Map<Coach, Subscriber>();
-  private readonly named = new Map<string, Named>();
+  private readonly named = new Map<string, readonly Named[]>();
 
   constructor(
     private readonly decrees: Decrees,
@@ -41,14 +42,17 @@
 
   private readonly noteNamed = (): void => {
     const at = this.clock.now();
-    for (const [model, version] of Object.entries(this.decrees.agreed()?.named ?? {})) if ((this.named.get(model)?.version ?? 0) < version) this.named.set(model, { version, at });
+    for (const [model, version] of Object.entries(this.decrees.agreed()?.named ?? {})) {
+      const held = this.named.get(model) ?? [];
+      if ((held.at(-1)?.version ?? 0) < version) this.named.set(model, [...held, { version, at }].slice(-agesKept));
+    }
   };
 
   private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
     const edition = state.ways?.edition ?? 0;
     const now = this.clock.now();
-    const namedMsAgo = Object.fromEntries([...this.named].map(([model, { at }]) => [model, Math.round(now - at)]));
-    return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, namedMsAgo, members: state.members };
+    const namedAges = Object.fromEntries([...this.named].map(([model, list]) => [model, list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) }))]));
+    return { generation: state.generation, edition, book: held.edition === edition ? null : (state.ways?.book ?? null), named: state.named, namedAges, members: state.members };
   };
 
   readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
--- a/packages/postmaster/src/weightsDesk.ts
+++ b/packages/postmaster/src/weightsDesk.ts
@@ -15,7 +15,7 @@
   readonly version: number;
 }
 
-/** Brings the replicas to the weights that were named, some at a time, under the lease of one holder. The fronts are told before each order, so that they send nothing there while it is under way. */
+/** Brings the replicas to the weights that were named, some at a time and the oldest weights first, under the lease of one holder. The fronts are told before each order, so that they send nothing there while it is under way. */
 export class WeightsDesk {
   private readonly underWay = new Map<string, string>();
   private readonly restUntil = new Map<string, number>();
@@ -44,7 +44,7 @@
         return isBehind && !this.underWay.has(card.id) && (this.restUntil.get(card.id) ?? 0) <= now ? [{ card, model, version }] : [];
       }),
     );
-    return { waiting, poolSizes };
+    return { waiting: waiting.sort((a, b) => (a.card.weights[a.model] ?? 0) - (b.card.weights[b.model] ?? 0)), poolSizes };
   };
 
   readonly step = (): void => {
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -22,6 +22,7 @@
 const lastDrainMs = 700;
 const drainStepMs = 50;
 const versionShare = 0.8;
+const agesKept = 8;
 
 export class Tally {
   private readonly counts = new Map<string, number>();
@@ -47,7 +48,7 @@
   readonly live = new Set<Passage>();
   private readonly placing: WayPlacing;
   private readonly bookDoor = new BookDoor();
-  private readonly namedAt = new Map<string, Named>();
+  private readonly namedAt = new Map<string, readonly Named[]>();
   private view: BookView | null = null;
   private hasCards = false;
   isClosing = false;
@@ -83,7 +84,11 @@
 
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
-    for (const [model, version] of Object.entries(news.named)) if ((this.namedAt.get(model)?.version ?? 0) < version) this.namedAt.set(model, { version, at: now - (news.namedMsAgo[model] ?? 0) });
+    for (const [model, ages] of Object.entries(news.namedAges)) {
+      const held = this.namedAt.get(model) ?? [];
+      const fresh = ages.filter(({ version }) => !held.some((one) => one.version === version)).map(({ version, msAgo }) => ({ version, at: now - msAgo }));
+      this.namedAt.set(model, [...held, ...fresh].sort((a, b) => a.version - b.version).slice(-agesKept));
+    }
     if (news.book === null || this.view?.edition === news.edition) return;
     this.view = this.bookDoor.view(news.edition, news.book);
     this.door.limit(news.book.limits);
@@ -91,8 +96,9 @@
   };
 
   private readonly namedSince = (model: string): NamedSince | null => {
-    const named = this.namedAt.get(model);
-    return named === undefined ? null : { version: named.version, sinceMs: this.ports.clock.now() - named.at };
+    const now = this.ports.clock.now();
+    const [newest, ...earlier] = (this.namedAt.get(model) ?? []).map(({ version, at }) => ({ version, sinceMs: now - at })).reverse();
+    return newest === undefined ? null : { ...newest, earlier };
   };
 
   readonly isReady = (): boolean => !this.isClosing && this.view !== null && this.hasCards && !this.isUnheard();
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -35,6 +35,7 @@
 export interface NamedSince {
   readonly version: number;
   readonly sinceMs: number;
+  readonly earlier?: readonly NamedSince[];
 }
 
 const scores = {
@@ -71,7 +72,7 @@
     const version = track.card.weights[model];
     if (version === undefined) return view.pool(track.card.pool)?.engine === null;
     const named = this.named(model);
-    return named === null || version >= named.version || named.sinceMs < this.oldWeightsForMs;
+    return named === null || [named, ...(named.earlier ?? [])].every((one) => version >= one.version || one.sinceMs < this.oldWeightsForMs);
   };
 
   private readonly saltFor = (track: Track, { order, customer }: WayQuestion): { version: number | null; salt: string | null } => {
