--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow';
-import { keys } from '@martenworks/envelope';
-import type { Customer, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
+import { Repeating, keys } from '@martenworks/envelope';
+import type { Customer, NetFault, Ports, ReadingNews, StateNews, ThroughWire } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { BookDoor } from '@martenworks/waybill';
 import type { BookView, WayView } from '@martenworks/waybill';
@@ -23,6 +23,7 @@
 const drainStepMs = 50;
 const versionShare = 0.8;
 const agesKept = 8;
+const tallyMs = 10_000;
 
 export class Tally {
   private readonly counts = new Map<string, number>();
@@ -47,6 +48,8 @@
   readonly tally = new Tally();
   readonly live = new Set<Passage>();
   private readonly placing: WayPlacing;
+  private readonly label: string;
+  private readonly tallier: Repeating;
   private readonly bookDoor = new BookDoor();
   private readonly namedAt = new Map<string, readonly Named[]>();
   private view: BookView | null = null;
@@ -60,6 +63,7 @@
     seeds: readonly string[],
   ) {
     const { clock, random } = ports;
+    this.label = `${random.token(4)}-`;
     this.tracks = new ReplicaTracks(clock);
     this.shelves = new ShelfBook(clock);
     this.touch = new CoreTouch(env, ports, random.token(8), seeds, {
@@ -70,18 +74,26 @@
       },
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
-      reading: (news) => {
-        this.tracks.takeReading(news);
-        const address = this.tracks.addressOf(news.replica);
-        if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
-      },
+      reading: (bundle) => bundle.forEach(this.takeReading),
       isReady: () => this.isReady(),
     });
     this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
     this.placing = new WayPlacing(this.tracks, this.shelves, clock, this.namedSince, env.versionMs * versionShare);
+    this.tallier = new Repeating(clock, () => tallyMs, () => ports.log.info('tally', this.tally.all()));
     this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
+  private readonly takeReading = (news: ReadingNews): void => {
+    if (news.id.startsWith(this.label)) return;
+    this.tracks.takeReading(news);
+    const address = this.tracks.addressOf(news.replica);
+    if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
+  };
+
+  private readings = 0;
+
+  readonly readingId = (): string => `${this.label}${(this.readings += 1).toString(36)}`;
+
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
     for (const [model, ages] of Object.entries(news.namedAges)) {
@@ -195,6 +207,7 @@
   });
 
   readonly stop = (): void => {
+    this.tallier.stop();
     this.touch.stop();
     this.door.destroy();
   };
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -7,11 +7,12 @@
 
 const trackedTokens = 256;
 const runCostMs = 4;
-const homeGainMs = 24;
-const secondGainMs = 8;
+const homeGainMs = 60;
+const secondGainMs = 20;
 const crowdingShare = 0.6;
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
+const readTwiceMs = 800;
 
 export interface WayPlace {
   readonly track: Track;
@@ -21,6 +22,8 @@
   readonly store: string | null;
   readonly anchor: Part | null;
   readonly isKept: boolean;
+  readonly isSoon: boolean;
+  readonly isHome: boolean;
   readonly readTokens: number;
   readonly costMs: number;
 }
@@ -114,7 +117,11 @@
       anyKept.set(label, held);
       return held;
     };
-    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean } | null = null;
+    const isBeingRead = isTracked && all.some((track) => {
+      const { salt } = this.saltFor(track, question);
+      return salt !== null && !track.card.isLeaving && !this.tracks.isSuspect(track) && this.shelves.isReading(track.card.address, salt, anchor.id);
+    });
+    let best: { track: Track; costMs: number; readTokens: number; version: number | null; salt: string | null; isKept: boolean; isSoon: boolean; isHome: boolean } | null = null;
     const offset = Math.floor(this.clock.now()) % open.length;
     for (let step = 0; step < open.length; step += 1) {
       const track = open[(step + offset) % open.length] as Track;
@@ -130,11 +137,12 @@
       const costMs =
         this.tracks.readMs(track.pendingTokens + track.othersTokens + readTokens) +
         track.running * runCostMs +
-        crowdingMs -
+        crowdingMs +
+        (isBeingRead && !isKept && !isSoon && !hasHolder ? readTwiceMs : 0) -
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
-      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept };
+      if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0 };
     }
     if (best === null) return null;
     const { track, salt } = best;
