Settle what may have been accepted before a configuration is read back

Cause: a read-back asked a majority only for what they had settled. Where the node that acknowledged a change was lost at once, the others held it as accepted only; until one of them settled it (150 ms and more) they answered with the older one, which rule CONFIG forbids.

Change: a read-back goes through a round of its own that proposes nothing: it finishes what a majority accepted, and answers once none of it is left.

--- a/packages/postmaster/src/proposer.ts
+++ b/packages/postmaster/src/proposer.ts
@@ -59,6 +59,20 @@
       await this.round(state, null);
     });
 
+  /** Settles what a majority may have accepted. True once none of them holds more: the state agreed here is then as new as any that was acknowledged before. */
+  readonly confirm = (patienceMs: number): Promise<boolean> =>
+    this.owner.run(async () => {
+      const until = this.clock.now() + patienceMs;
+      for (let shot = 0; shot === 0 || this.clock.now() < until; shot += 1) {
+        const state = this.decrees.agreed();
+        if (state === null) return false;
+        const outcome = await this.round(state, null);
+        if (outcome.k === 'nothing to settle') return true;
+        if (outcome.k !== 'settled') await pause.for(this.clock, backoffMs * (0.5 + this.random.fraction()));
+      }
+      return false;
+    });
+
   readonly depth = (): number => this.owner.depth();
 
   private readonly push = async (check: Check, changeId: string, digest: string, horizonAt: number): Promise<Result<Applied, ProposeFault>> => {
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -26,6 +26,7 @@
 import { WeightsDesk } from './weightsDesk.js';
 
 const votePatienceMs = 800;
+const confirmPatienceMs = 700;
 const foundingMs = 150;
 const upkeepMs = 300;
 const settleAfterMs = 150;
@@ -321,16 +322,8 @@
     syncedFrom: (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation),
   });
 
-  /** The newest agreed state, read against a majority: null where no majority was heard. */
-  readonly confirmed = async (): Promise<Agreed | null> => {
-    const state = this.decrees.agreed();
-    if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
-    const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
-    for (const since of told) if (since !== null) await this.proposer.learn(since);
-    const heard = told.filter((since) => since !== null).length + (this.decrees.isVoter() ? 1 : 0);
-    return heard > state.members.length / 2 ? this.decrees.agreed() : null;
-  };
+  /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
+  readonly confirmed = async (): Promise<Agreed | null> => ((await this.proposer.confirm(confirmPatienceMs)) ? this.decrees.agreed() : null);
 
   readonly isReady = (): boolean => {
     const state = this.decrees.agreed();
