--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -9,13 +9,19 @@
   readonly rest: Omit<WayBook, 'ways'>;
 }
 
-/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition, or the one before it that `patch` builds on. */
+export interface NamedAge {
+  readonly version: number;
+  readonly msAgo: number;
+}
+
+/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition, or the one before it that `patch` builds on. `namedAges` tells since when the teller knows the latest named versions of each model, the newest last. */
 export interface StateNews {
   readonly generation: number;
   readonly edition: number;
   readonly book: WayBook | null;
   readonly patch: BookPatch | null;
   readonly named: Record<string, number>;
+  readonly namedAges: Record<string, readonly NamedAge[]>;
   readonly members: readonly Member[];
 }
 
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -4,6 +4,7 @@
 import type { Decrees } from './decrees.js';
 
 const silentMs = 4_000;
+const agesKept = 8;
 
 interface Subscriber {
   generation: number;
@@ -21,9 +22,14 @@
   readonly heardMsAgo: number;
 }
 
+interface Named {
+  readonly version: number;
+  readonly at: number;
+}
 
 export class WayPush {
   private readonly subscribers = new Map<Coach, Subscriber>();
+  private readonly named = new Map<string, readonly Named[]>();
   private lastWays: WaysInForce | null = null;
   private patch: BookPatch | null = null;
 
@@ -34,14 +40,16 @@
     private readonly greet: (coach: Coach) => void,
   ) {
     this.lastWays = decrees.agreed()?.ways ?? null;
+    this.noteNamed();
     decrees.watch(this.bring);
   }
 
-  private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
-    const edition = state.ways?.edition ?? 0;
-    const isPatched = this.patch !== null && this.lastWays?.edition === edition && this.patch.from === held.edition;
-    const book = held.edition === edition || isPatched ? null : (state.ways?.book ?? null);
-    return { generation: state.generation, edition, book, patch: isPatched ? this.patch : null, named: state.named, members: state.members };
+  private readonly noteNamed = (): void => {
+    const at = this.clock.now();
+    for (const [model, version] of Object.entries(this.decrees.agreed()?.named ?? {})) {
+      const held = this.named.get(model) ?? [];
+      if ((held.at(-1)?.version ?? 0) < version) this.named.set(model, [...held, { version, at }].slice(-agesKept));
+    }
   };
 
   private readonly noteEdition = (): void => {
@@ -52,6 +60,15 @@
     this.lastWays = ways;
   };
 
+  private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
+    const edition = state.ways?.edition ?? 0;
+    const now = this.clock.now();
+    const namedAges = Object.fromEntries([...this.named].map(([model, list]) => [model, list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) }))]));
+    const isPatched = this.patch !== null && this.lastWays?.edition === edition && this.patch.from === held.edition;
+    const book = held.edition === edition || isPatched ? null : (state.ways?.book ?? null);
+    return { generation: state.generation, edition, book, patch: isPatched ? this.patch : null, named: state.named, namedAges, members: state.members };
+  };
+
   readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
     const wasContent = this.subscribers.get(coach)?.wantsContent === true;
     this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
@@ -63,6 +80,7 @@
 
   private readonly bring = (): void => {
     this.noteEdition();
+    this.noteNamed();
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -14,6 +14,7 @@
 export { SimFleet } from './sim/simFleet.js';
 export type { Told } from './sim/simFleet.js';
 export { SimWorld } from './sim/simWorld.js';
+export type { SimMachine } from './sim/simWorld.js';
 export { statePlaints } from './sim/statePlaints.js';
 export { Storm } from './sim/storm/storm.js';
 export { faultKinds, finalKinds, sizes } from './sim/storm/stormPlan.js';
