Leave no live stream for a pause; tell nobody "not run" by a replica's own status

A replica's own 503, 429 or 408 without Not-Run reached callers as a promise. Three empty core nodes that do not start for the first time could found a second fleet. Ruled out: the configuration change beside it (nothing it touched), the shed itself (places were truly gone). Change: a stream is left after five of its longest pauses, none while this front drains; first events are waited for as long as the pool is slow as a whole; 502 in place of promises the replica did not make; founding needs one first start, kept with the identity.

--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -33,7 +33,7 @@
 }
 
 type LedgerRecord =
-  | { readonly t: 'identity'; readonly incarnation: string }
+  | { readonly t: 'identity'; readonly incarnation: string; readonly isFresh?: boolean }
   | { readonly t: 'vow'; readonly members: readonly Member[] }
   | { readonly t: 'adopted'; readonly agreed: Agreed }
   | { readonly t: 'promised'; readonly slot: number; readonly ballot: Ballot }
@@ -42,6 +42,7 @@
 
 interface DecreesCheckpoint {
   readonly incarnation: string;
+  readonly isFresh?: boolean;
   readonly vow: readonly Member[] | null;
   readonly agreed: Agreed | null;
   readonly live: Live;
@@ -64,6 +65,7 @@
   private vowed: readonly Member[] | null = null;
   private acceptedAt = 0;
   incarnation = '';
+  isFresh = true;
 
   constructor(
     private readonly ledger: Ledger,
@@ -74,6 +76,7 @@
   readonly replay = (checkpoint: DecreesCheckpoint | null, records: readonly LedgerRecord[]): void => {
     if (checkpoint !== null) {
       this.incarnation = checkpoint.incarnation;
+      this.isFresh = checkpoint.isFresh ?? true;
       this.vowed = checkpoint.vow;
       this.state = checkpoint.agreed === null ? null : agreedState.filled(checkpoint.agreed);
       this.live = checkpoint.live;
@@ -86,6 +89,7 @@
     switch (record.t) {
       case 'identity':
         this.incarnation = record.incarnation;
+        this.isFresh = record.isFresh ?? true;
         return;
       case 'vow':
         this.vowed = record.members;
@@ -128,10 +132,10 @@
     return written;
   };
 
-  private readonly capture = (): DecreesCheckpoint => ({ incarnation: this.incarnation, vow: this.vowed, agreed: this.state, live: this.live });
+  private readonly capture = (): DecreesCheckpoint => ({ incarnation: this.incarnation, isFresh: this.isFresh, vow: this.vowed, agreed: this.state, live: this.live });
 
-  readonly identify = (random: Random): Promise<Result<void, LedgerFault>> =>
-    this.owner.run(async () => (this.incarnation === '' ? this.keep({ t: 'identity', incarnation: random.token(8) }) : ok(undefined)));
+  readonly identify = (random: Random, isFresh: boolean): Promise<Result<void, LedgerFault>> =>
+    this.owner.run(async () => (this.incarnation === '' ? this.keep({ t: 'identity', incarnation: random.token(8), isFresh }) : ok(undefined)));
 
   readonly agreed = (): Agreed | null => this.state;
 
@@ -219,14 +223,14 @@
 }
 
 export const decreeBooks = {
-  open: async (disk: Disk, clock: Clock, random: Random, log: Log): Promise<Result<Decrees, LedgerFault>> => {
+  open: async (disk: Disk, clock: Clock, random: Random, log: Log, isFresh = true): Promise<Result<Decrees, LedgerFault>> => {
     const opened = await ledgers.open(disk, 'decrees');
     if (opened.isErr()) return err(opened.error);
     const { ledger, checkpoint, records, cutBytes } = opened.value;
     if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'decrees', cutBytes });
     const decrees = new Decrees(ledger, clock, log);
     decrees.replay(checkpoint as DecreesCheckpoint | null, records as LedgerRecord[]);
-    const identified = await decrees.identify(random);
+    const identified = await decrees.identify(random, isFresh);
     return identified.isErr() ? err(identified.error) : ok(decrees);
   },
 };
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -55,7 +55,7 @@
     const texts = vows.map((vow) => JSON.stringify(vow));
     const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > this.coreSize / 2);
     if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
-    if (texts.some((text) => text !== JSON.stringify(members))) return;
+    if (texts.some((text) => text !== JSON.stringify(members)) || !this.decrees.isFresh) return;
     await this.collect(members, reached);
   };
 
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -365,7 +365,7 @@
 
 export const wayPostmasters = {
   start: async (env: WayEnv, ports: Ports, backEnds: BackEnds, seeds: readonly string[]): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
-    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log);
+    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
     if (decrees.isErr()) return err(decrees.error);
     const terms: LeaseTerms = { leaseMs, marginMs: leaseMarginMs, gapMs: env.orderGapMs, floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration };
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -12,7 +12,9 @@
 const patienceShare = 0.7;
 const patienceFactor = 3;
 const patienceSlackMs = 60;
-const silenceGaps = 2;
+const silenceGaps = 5;
+const silenceShare = 0.6;
+const typicalFactor = 4;
 const waitShare = 0.2;
 const waitStepMs = 15;
 const usualGapMs = 1_000;
@@ -36,6 +38,9 @@
   | { readonly k: 'not run'; readonly isArrival: boolean; readonly retryAfterMs: number | null }
   | { readonly k: 'may have run'; readonly cause: string };
 
+/** To a caller these promise that a request has not run and never will (RFC 9110 leaves it open; the callers' wire does not). */
+const promises = new Set([408, 421, 429, 503]);
+
 const statuses = { badGateway: 502, unavailable: 503, lateGateway: 504 } as const;
 
 /** One caller's request on its way: placed, sent, answered once. `mayHaveRun` turns true as the body leaves and back only where a replica says that it didn't run. */
@@ -165,18 +170,20 @@
     this.quit.signal.addEventListener('abort', quitted, { once: true });
     track.whenGone.add(gone);
     const sentAt = ports.clock.now();
-    const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs);
+    const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs, tracks.typicalFirstMs(this.pool) * typicalFactor);
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
+    const mayStillLeave = (): boolean => mayLeave && !this.front.isClosing && this.front.budget.left(this.pool) > 0;
     let silence = ports.clock.after(mayLeave ? firstPatienceMs : firstPatienceMs * 2, () => {
       tracks.failed(track);
-      if (mayLeave && this.front.budget.left(this.pool) > 0) stopShot('silent');
+      tracks.firstSeen(this.pool, firstPatienceMs);
+      if (mayStillLeave()) stopShot('silent');
     });
-    const gapMs = (way.gapMs ?? usualGapMs) * silenceGaps;
+    const gapMs = Math.min((way.gapMs ?? usualGapMs) * silenceGaps, Math.max(this.left() * silenceShare, way.gapMs ?? usualGapMs));
     const heardOf = (): void => {
       silence.cancel();
       silence = ports.clock.after(gapMs, () => {
         tracks.failed(track);
-        if (way.mayResume && this.front.budget.left(this.pool) > 0) stopShot('silent');
+        if (way.mayResume && mayStillLeave()) stopShot('silent');
       });
     };
     let isPending = true;
@@ -291,9 +298,16 @@
       this.discard(receipt.value);
       return { k: 'may have run', cause: `the replica answered ${status} to a resumption` };
     }
+    if (promises.has(status)) {
+      shot.abort();
+      this.discard(receipt.value);
+      tracks.failed(track);
+      return { k: 'may have run', cause: `the replica answered ${status} and did not say that it had not run it` };
+    }
     for (const [model, version] of Object.entries(head.versions)) tracks.holds(track, model, version);
     const ending = await this.relay(status, list, body, isSuccess, shot, () => {
       shot.given();
+      if (isSuccess) tracks.firstSeen(this.pool, ports.clock.now() - shot.sentAt);
       if (isFailure) tracks.failed(track);
       else tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -5,6 +5,7 @@
 const illnessHalfMs = 4_000;
 const illnessBlend = 0.3;
 const healthBlend = 0.1;
+const typicalBlend = 0.05;
 const blend = 0.2;
 const startTokensPerMs = 40;
 const slowestTokensPerMs = 5;
@@ -159,5 +160,15 @@
     this.tokensPerMs += (seen - this.tokensPerMs) * blend;
   };
 
+  private readonly firsts = new Map<string, number>();
+
+  /** Milliseconds until first events in this pool lately, long prompts and waits included: where all are slow, none is to be left for its slowness. */
+  readonly firstSeen = (pool: string, spentMs: number): void => {
+    const held = this.firsts.get(pool) ?? 0;
+    this.firsts.set(pool, held + (spentMs - held) * typicalBlend);
+  };
+
+  readonly typicalFirstMs = (pool: string): number => this.firsts.get(pool) ?? 0;
+
   readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
 }
