--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -26,6 +26,7 @@
 import { WeightsDesk } from './weightsDesk.js';
 
 const votePatienceMs = 800;
+const confirmPatienceMs = 700;
 const foundingMs = 150;
 const upkeepMs = 300;
 const settleAfterMs = 150;
@@ -126,7 +127,7 @@
       this.tellPostmasters('readingRelay', bundle);
     });
     this.push = new WayPush(decrees, clock, this.cards.ageMs, (coach) => {
-      coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
+      if (this.cards.ageMs() !== null) coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
       coach.tell('shelves', this.shelves.whole());
     });
     this.weights = new WeightsDesk(
@@ -321,16 +322,8 @@
     syncedFrom: (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation),
   });
 
-  /** The newest agreed state, read against a majority: null where no majority was heard. */
-  readonly confirmed = async (): Promise<Agreed | null> => {
-    const state = this.decrees.agreed();
-    if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
-    const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
-    for (const since of told) if (since !== null) await this.proposer.learn(since);
-    const heard = told.filter((since) => since !== null).length + (this.decrees.isVoter() ? 1 : 0);
-    return heard > state.members.length / 2 ? this.decrees.agreed() : null;
-  };
+  /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
+  readonly confirmed = async (): Promise<Agreed | null> => ((await this.proposer.confirm(confirmPatienceMs)) ? this.decrees.agreed() : null);
 
   readonly isReady = (): boolean => {
     const state = this.decrees.agreed();
@@ -372,7 +365,7 @@
 
 export const wayPostmasters = {
   start: async (env: WayEnv, ports: Ports, backEnds: BackEnds, seeds: readonly string[]): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
-    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log);
+    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
     if (decrees.isErr()) return err(decrees.error);
     const terms: LeaseTerms = { leaseMs, marginMs: leaseMarginMs, gapMs: env.orderGapMs, floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration };
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -1,3 +1,9 @@
+export { fits } from './capacity/fit.js';
+export type { Point } from './capacity/fit.js';
+export { lines as capacityLines, models } from './capacity/model.js';
+export { plots } from './capacity/plot.js';
+export { tables } from './capacity/table.js';
+export type { Measured } from './capacity/table.js';
 export { keyOf, kinds, plans } from './firms.js';
 export type { Ask } from './firms.js';
 export { knownRed } from './knownRed.js';
@@ -8,6 +14,7 @@
 export { SimFleet } from './sim/simFleet.js';
 export type { Told } from './sim/simFleet.js';
 export { SimWorld } from './sim/simWorld.js';
+export type { SimMachine } from './sim/simWorld.js';
 export { statePlaints } from './sim/statePlaints.js';
 export { Storm } from './sim/storm/storm.js';
 export { faultKinds, finalKinds, sizes } from './sim/storm/stormPlan.js';
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,5 +1,6 @@
 import { Repeating } from '@martenworks/envelope';
-import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WayBook, WeightsNews } from '@martenworks/envelope';
+import { patches } from '@martenworks/waybill';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -12,6 +13,7 @@
 const askPatienceMs = 700;
 const newsGraceMs = 120;
 const staleListFactor = 3;
+const frontsHoldFactor = 2;
 const dialPace = { patienceMs: 700, longestWaitMs: 400 };
 
 export interface TouchEars {
@@ -38,6 +40,7 @@
   private content: Coach | null = null;
   private held: StateNews | null = null;
   private lastHeardAt: number;
+  private told = { fronts: 1, at: 0 };
 
   constructor(
     private readonly env: WayEnv,
@@ -89,13 +92,21 @@
 
   private readonly take = (coach: Coach, news: StateNews): void => {
     if (this.held !== null && news.generation <= this.held.generation) return;
-    if (news.book === null && news.edition !== (this.held?.edition ?? 0)) return this.askState(coach, 0);
-    this.held = { ...news, book: news.book ?? this.held?.book ?? null };
+    const book = news.book ?? this.patched(news);
+    if (book === null && news.edition !== 0) return this.askState(coach, 0);
+    this.held = { ...news, book, patch: null };
     this.ears.state(this.held);
     coach.tell('ack', this.stateHeld());
     this.lines.align();
   };
 
+  private readonly patched = ({ edition, patch }: StateNews): WayBook | null => {
+    const { held } = this;
+    if (held === null || held.book === null) return null;
+    if (edition === held.edition) return held.book;
+    return patch !== null && patch.from === held.edition ? patches.apply(held.book, patch) : null;
+  };
+
   private readonly hearOf = (coach: Coach, generation: number): void => {
     if (generation <= (this.held?.generation ?? -1)) return;
     const waitMs = coach === this.content || this.content === null ? 0 : newsGraceMs;
@@ -146,6 +157,7 @@
         if (pong === null) return;
         this.lastHeardAt = this.ports.clock.now();
         this.heard.set(coach, { at: this.lastHeardAt, pong });
+        this.noteFronts(pong.fronts);
         this.hearOf(coach, pong.generation);
       });
     }
@@ -155,7 +167,14 @@
 
   readonly state = (): StateNews | null => this.held;
 
-  readonly fronts = (): number => Math.max(1, ...[...this.heard.values()].map(({ pong }) => pong.fronts));
+  private readonly noteFronts = (fronts: number): void => {
+    const now = this.ports.clock.now();
+    const isOver = now - this.told.at > this.env.extraWindowMs * frontsHoldFactor;
+    if (fronts >= this.told.fronts || isOver) this.told = { fronts: Math.max(1, fronts), at: now };
+  };
+
+  /** How many fronts there are, by the most that was told within two windows of the budget: one that hears nobody, or only core nodes just started, is not alone for that. */
+  readonly fronts = (): number => this.told.fronts;
 
   readonly unheardMs = (): number => this.ports.clock.now() - this.lastHeardAt;
 
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -2,12 +2,17 @@
 
 const firstSuspicionMs = 400;
 const longestSuspicionMs = 4_000;
+const illnessHalfMs = 4_000;
+const illnessBlend = 0.3;
+const healthBlend = 0.1;
+const typicalBlend = 0.05;
 const blend = 0.2;
 const startTokensPerMs = 40;
 const slowestTokensPerMs = 5;
 const fastestTokensPerMs = 1_000;
 export const heavyTokens = 1_000;
 const readingForgetMs = 2_500;
+const doubtMs = 4_000;
 
 export interface Track {
   card: ReplicaCard;
@@ -18,7 +23,10 @@
   suspicionMs: number;
   fullUntil: number;
   restUntil: number;
+  illness: number;
+  illAt: number;
   isGone: boolean;
+  doubtedAt: number | null;
   readonly whenGone: Set<() => void>;
 }
 
@@ -41,14 +49,31 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
-      else held.card = newest(card, held.card);
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isGone: false, doubtedAt: null, whenGone: new Set() });
+      else Object.assign(held, { card: newest(card, held.card), doubtedAt: null });
     }
-    for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
+    for (const id of gone) this.remove(id);
+    if (isWhole) for (const track of this.tracks.values()) if (!told.has(track.card.id)) this.doubt(track);
+    this.group();
+  };
+
+  private readonly group = (): void => {
     this.byPool.clear();
     for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
   };
 
+  /** A whole list may come from a core node that has read it less lately than the one before: what it lacks is gone only if it is not told of again. */
+  private readonly doubt = (track: Track): void => {
+    if (track.doubtedAt !== null) return;
+    const at = this.clock.now();
+    track.doubtedAt = at;
+    this.clock.after(doubtMs, () => {
+      if (track.doubtedAt !== at || track.isGone) return;
+      this.remove(track.card.id);
+      this.group();
+    });
+  };
+
   private readonly remove = (id: string): void => {
     const track = this.tracks.get(id);
     if (track === undefined) return;
@@ -104,13 +129,24 @@
 
   readonly ended = (track: Track): void => void (track.running = Math.max(0, track.running - 1));
 
+  /** How much of what was sent there lately failed, 0 to 1, forgotten by half every four seconds: a replica may look well and fail a part of its requests. */
+  readonly illness = (track: Track): number => track.illness * 0.5 ** ((this.clock.now() - track.illAt) / illnessHalfMs);
+
+  private readonly feels = (track: Track, share: number, isIll: boolean): void => {
+    const held = this.illness(track);
+    track.illness = held + ((isIll ? 1 : 0) - held) * share;
+    track.illAt = this.clock.now();
+  };
+
   readonly answered = (track: Track): void => {
+    this.feels(track, healthBlend, false);
     track.suspectUntil = 0;
     track.suspicionMs = firstSuspicionMs;
   };
 
   readonly failed = (track: Track): void => {
     const now = this.clock.now();
+    this.feels(track, illnessBlend, true);
     if (track.suspectUntil > now) return;
     track.suspectUntil = now + track.suspicionMs;
     track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
@@ -124,5 +160,15 @@
     this.tokensPerMs += (seen - this.tokensPerMs) * blend;
   };
 
+  private readonly firsts = new Map<string, number>();
+
+  /** Milliseconds until first events in this pool lately, long prompts and waits included: where all are slow, none is to be left for its slowness. */
+  readonly firstSeen = (pool: string, spentMs: number): void => {
+    const held = this.firsts.get(pool) ?? 0;
+    this.firsts.set(pool, held + (spentMs - held) * typicalBlend);
+  };
+
+  readonly typicalFirstMs = (pool: string): number => this.firsts.get(pool) ?? 0;
+
   readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
 }
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -14,6 +14,8 @@
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
 const readTwiceMs = 800;
+const illnessMs = 1_500;
+const leastIllness = 0.05;
 
 export interface WayPlace {
   readonly track: Track;
@@ -40,6 +42,7 @@
 export interface NamedSince {
   readonly version: number;
   readonly sinceMs: number;
+  readonly earlier?: readonly NamedSince[];
 }
 
 const scores = {
@@ -82,7 +85,7 @@
     const version = track.card.weights[model];
     if (version === undefined) return view.pool(track.card.pool)?.engine === null;
     const named = this.named(model);
-    return named === null || version >= named.version || named.sinceMs < this.oldWeightsForMs;
+    return named === null || [named, ...(named.earlier ?? [])].every((one) => version >= one.version || one.sinceMs < this.oldWeightsForMs);
   };
 
   private readonly saltFor = (track: Track, { order, customer }: WayQuestion): { version: number | null; salt: string | null } => {
@@ -90,7 +93,12 @@
     return order.model === null || version === undefined ? { version: null, salt: null } : { version, salt: salts.of(order.model, version, customer) };
   };
 
-  /** Milliseconds of reading that a replica would have to do, by the index. */
+  private readonly illnessMs = (track: Track): number => {
+    const illness = this.tracks.illness(track);
+    return illness < leastIllness ? 0 : illness * illnessMs;
+  };
+
+  /** Tokens of the prompt's beginning that an address keeps, by the index. */
   private readonly keptTokens = (address: string, salt: string, parts: readonly Part[], upTo: number): number => {
     let kept = 0;
     for (let at = 0; at <= upTo; at += 1) {
@@ -148,6 +156,7 @@
         (isBeingRead && !isKept && !isSoon && !hasHolder ? readTwiceMs : 0) -
         gainMs +
         (this.tracks.isSuspect(track) ? suspicionMs : 0) +
+        this.illnessMs(track) +
         (named !== null && version !== null && version < named.version ? oldWeightsMs : 0);
       if (best === null || costMs < best.costMs) best = { track, costMs, readTokens, version, salt, isKept, isSoon, isHome: rank === 0, pullMs: hasHolder ? pullMs(anchorTokens) : 0 };
     }
