Notice that an address dropped a kept prompt, and stop going there for it

Cause: the index believed events alone. A replica or store that dropped a part without telling, or whose drop was lost, kept its entry for good, and a new life at an address kept the former one's entries until its events told a new epoch.

Ruled out: asking addresses for what they hold (holds the replica's work up and is priced), canary requests (a second run of what may run once), matched lengths in replies (there are none).

Change: a front compares the time to an answer's first piece with what the index promised. Two late answers within ten seconds, the second sent after the first was answered, drop the entry at the front, at its core node and, relayed once a zone, at the others; fresh events bring it back. Falling again within a minute bars it for 15 s and longer. Other fronts' strikes count as the first, never as the second. No shot is added, held back or repeated for it. Another replica id at an address empties its entries at once unless a new epoch did so before, and entries of an address that is not heard count for eight seconds more.

Also: a prompt that begins with a short part counted as kept everywhere, and a new epoch's first events were skipped where the former one had as many.

Conclusion: a wrong entry costs a few readings. An evenly slow replica without samples of its own can still look forgetful; each such drop costs one pull.

--- a/packages/envelope/src/index.ts
+++ b/packages/envelope/src/index.ts
@@ -11,3 +11,4 @@
 export * from './ways.js';
 export * from './backEnds.js';
 export * from './wayNews.js';
+export * from './lives.js';
--- a/packages/envelope/src/wayNews.ts
+++ b/packages/envelope/src/wayNews.ts
@@ -38,6 +38,7 @@
   readonly address: string;
   readonly isWhole: boolean;
   readonly isHeard: boolean;
+  readonly epoch?: string;
   readonly news: readonly KeptNews[];
 }
 
@@ -60,3 +61,12 @@
   readonly salt: string | null;
   readonly part: string | null;
 }
+
+/** Parts that a front's answers speak against at an address where the index has them: one strike, or decided that they are gone. With `barMs` the address does not count as keeping them for that long, whatever its events tell. */
+export interface MissedNews {
+  readonly address: string;
+  readonly salt: string;
+  readonly parts: readonly string[];
+  readonly isDecided: boolean;
+  readonly barMs: number | null;
+}
--- a/packages/franking/src/wayEnv.ts
+++ b/packages/franking/src/wayEnv.ts
@@ -31,15 +31,16 @@
   memoryMb: '16 <= number <= 1048576',
   openFiles: '64 <= number <= 100000000',
   'logs?': 'boolean',
+  'watchesStale?': 'boolean',
 });
 
 /** What a process of the opaque path is told: its place, its bounds (milliseconds unless the name says otherwise), its limits. */
-export type WayEnv = typeof shape.infer & { readonly ready: string | null; readonly data: string | null; readonly unheardMs: number | null; readonly logs: boolean };
+export type WayEnv = typeof shape.infer & { readonly ready: string | null; readonly data: string | null; readonly unheardMs: number | null; readonly logs: boolean; readonly watchesStale: boolean };
 
 export const wayEnvs = {
   check: (given: unknown): Result<WayEnv, Complaint[]> => {
     const shaped = shape(given);
     if (shaped instanceof type.errors) return err(shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message })));
-    return ok({ ...shaped, ready: shaped.ready ?? null, data: shaped.data ?? null, unheardMs: shaped.unheardMs ?? null, logs: shaped.logs ?? true });
+    return ok({ ...shaped, ready: shaped.ready ?? null, data: shaped.data ?? null, unheardMs: shaped.unheardMs ?? null, logs: shaped.logs ?? true, watchesStale: shaped.watchesStale ?? true });
   },
 };
--- a/packages/postmaster/src/index.ts
+++ b/packages/postmaster/src/index.ts
@@ -8,3 +8,4 @@
 export * from './wayPostmaster.js';
 export * from './wayDesk.js';
 export type { ProposeFault, Applied } from './proposer.js';
+export * from './shelfDesk.js';
--- a/packages/postmaster/src/shelfDesk.ts
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -1,5 +1,5 @@
-import { pause } from '@martenworks/envelope';
-import type { BackEnds, Clock, KeptNews, Log, Random, ShelfNews } from '@martenworks/envelope';
+import { LifePairs, pause } from '@martenworks/envelope';
+import type { BackEnds, Clock, KeptNews, Log, MissedNews, Random, ShelfNews } from '@martenworks/envelope';
 
 const leastTokens = 256;
 const holdMs = 1_000;
@@ -7,12 +7,16 @@
 const faultPauseMs = 250;
 const unheardMs = 1_500;
 const bundleMs = 60;
+const doubtMs = 60_000;
 
-const labelOf = ({ salt, part }: KeptNews): string => `${salt}\n${part}`;
+const labelOf = ({ salt, part }: { salt: string; part: string }): string => `${salt}\n${part}`;
 
 interface Shelf {
   readonly kept: Map<string, KeptNews>;
   readonly fresh: KeptNews[];
+  readonly doubted: Map<string, number>;
+  readonly pairs: LifePairs;
+  ids: ReadonlySet<string>;
   epoch: string;
   since: number;
   heardAt: number;
@@ -24,6 +28,7 @@
 /** Follows what replicas and stores keep and tells it on in bundles; parts below 256 tokens are not worth telling. */
 export class ShelfDesk {
   private readonly shelves = new Map<string, Shelf>();
+  private readonly counts = { missed: 0, lives: 0, falseAlarms: 0 };
   private isBundling = false;
 
   constructor(
@@ -34,6 +39,40 @@
     private readonly tell: (news: readonly ShelfNews[]) => void,
   ) {}
 
+  /** The address now has these replicas, by the list, which shows a crashed one for a while. Where its events have not told a new epoch yet, what the one before kept is forgotten at once. */
+  readonly lives = (address: string, ids: ReadonlySet<string>): void => {
+    const shelf = this.shelves.get(address);
+    if (shelf === undefined) return;
+    const isBorn = shelf.ids.size > 0 && [...ids].some((id) => !shelf.ids.has(id));
+    shelf.ids = ids;
+    if (!isBorn || !shelf.pairs.isFirstById()) return;
+    this.counts.lives += 1;
+    this.clear(shelf);
+    this.plan();
+  };
+
+  /** A front's answers showed that these parts are gone: they come back by fresh events only. */
+  readonly missed = ({ address, salt, parts, isDecided }: MissedNews): void => {
+    const shelf = this.shelves.get(address);
+    if (shelf === undefined || !isDecided) return;
+    for (const part of parts) {
+      const label = labelOf({ salt, part });
+      if (!shelf.kept.delete(label)) continue;
+      this.counts.missed += 1;
+      shelf.doubted.set(label, this.clock.now());
+      shelf.fresh.splice(0, shelf.fresh.length, ...shelf.fresh.filter((news) => labelOf(news) !== label));
+      shelf.fresh.push({ isKept: false, salt, part, tokens: 0 });
+      this.plan();
+    }
+  };
+
+  private readonly clear = (shelf: Shelf): void => {
+    shelf.kept.clear();
+    shelf.doubted.clear();
+    shelf.fresh.length = 0;
+    shelf.isCleared = true;
+  };
+
   readonly align = (addresses: ReadonlySet<string>): void => {
     for (const [address, shelf] of this.shelves) {
       if (addresses.has(address)) continue;
@@ -42,7 +81,7 @@
     }
     for (const address of addresses) {
       if (this.shelves.has(address)) continue;
-      const shelf: Shelf = { kept: new Map(), fresh: [], epoch: '', since: 0, heardAt: this.clock.now(), isHeard: false, isCleared: false, isStopped: false };
+      const shelf: Shelf = { kept: new Map(), fresh: [], doubted: new Map(), pairs: new LifePairs(this.clock), ids: new Set(), epoch: '', since: 0, heardAt: this.clock.now(), isHeard: false, isCleared: false, isStopped: false };
       this.shelves.set(address, shelf);
       void this.follow(address, shelf);
     }
@@ -63,11 +102,10 @@
       const isReborn = shelf.epoch !== '' && shelf.epoch !== epoch;
       if (isReborn || isLost) {
         this.log.info('what is kept is known anew', { address, isReborn, isLost });
-        shelf.kept.clear();
-        shelf.fresh.length = 0;
-        shelf.isCleared = true;
+        if (isReborn) shelf.pairs.isFirstByEpoch();
+        this.clear(shelf);
       }
-      if (isReborn && shelf.since > next) {
+      if (isReborn && shelf.since > 0) {
         Object.assign(shelf, { epoch, since: 0, heardAt: this.clock.now(), isHeard: true });
         this.plan();
         continue;
@@ -83,6 +121,9 @@
 
   private readonly note = (shelf: Shelf, news: KeptNews): void => {
     const label = labelOf(news);
+    const doubtedAt = shelf.doubted.get(label);
+    shelf.doubted.delete(label);
+    if (doubtedAt !== undefined && !news.isKept && this.clock.now() - doubtedAt <= doubtMs) this.counts.falseAlarms += 1;
     if (news.tokens >= leastTokens) shelf.kept.set(label, news);
     else if (!shelf.kept.delete(label)) return;
     shelf.fresh.push(news);
@@ -107,7 +148,7 @@
     const bundle: ShelfNews[] = [];
     for (const [address, shelf] of this.shelves) {
       if (!shelf.isCleared && shelf.fresh.length === 0 && this.toldHeard.get(address) === shelf.isHeard) continue;
-      bundle.push({ address, isWhole: shelf.isCleared, isHeard: shelf.isHeard, news: shelf.fresh.splice(0) });
+      bundle.push({ address, isWhole: shelf.isCleared, isHeard: shelf.isHeard, epoch: shelf.epoch, news: shelf.fresh.splice(0) });
       shelf.isCleared = false;
       this.toldHeard.set(address, shelf.isHeard);
     }
@@ -115,9 +156,11 @@
     if (bundle.length > 0) this.tell(bundle);
   };
 
-  readonly whole = (): ShelfNews[] => [...this.shelves].map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
+  readonly whole = (): ShelfNews[] => [...this.shelves].map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, epoch: shelf.epoch, news: [...shelf.kept.values()] }));
 
   readonly sizes = (): { address: string; parts: number; isHeard: boolean }[] => [...this.shelves].map(([address, shelf]) => ({ address, parts: shelf.kept.size, isHeard: shelf.isHeard }));
 
+  readonly stale = (): Record<string, number> => ({ ...this.counts });
+
   readonly stop = (): void => this.align(new Set());
 }
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, NetFault, Ports, StateHeld, Subscription } from '@martenworks/envelope';
+import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, MissedNews, NetFault, Ports, StateHeld, Subscription } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -155,6 +155,10 @@
     if (book === undefined) return;
     const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
     this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]));
+    if (!this.env.watchesStale) return;
+    const lives = new Map<string, Set<string>>();
+    for (const { address, id } of this.cards.all()) lives.set(address, (lives.get(address) ?? new Set()).add(id));
+    for (const [address, ids] of lives) this.shelves.lives(address, ids);
   };
 
   private readonly stepFounding = (): void => {
@@ -242,6 +246,13 @@
       else if (topic === 'reading') {
         this.push.tellOthers(coach, 'reading', body);
         this.tellPostmasters('readingRelay', body);
+      } else if (topic === 'missed') {
+        this.shelves.missed(body as MissedNews);
+        this.push.tellOthers(coach, 'missed', body);
+        this.tellPostmasters('missedRelay', body);
+      } else if (topic === 'missedRelay') {
+        this.shelves.missed(body as MissedNews);
+        this.push.tellContent('missed', body);
       } else if (topic === 'readingRelay') this.push.tellContent('reading', body);
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
@@ -324,6 +335,7 @@
       replicas: this.cards.all(),
       listAgeMs: this.cards.ageMs(),
       shelves: this.shelves.sizes(),
+      stale: { isOn: this.env.watchesStale, ...this.shelves.stale() },
     };
   };
 
--- /dev/null
+++ b/packages/postmaster/test/staleIndex.test.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai';
+import { err, ok } from 'neverthrow';
+import type { BackEnds, KeptNews, KeptPage, ShelfNews } from '@martenworks/envelope';
+import { ShelfDesk } from '@martenworks/postmaster';
+import { SimWorld } from '@martenworks/proving';
+
+const address = '10.2.0.1:8080';
+const news = (part: string, tokens = 1_000): KeptNews => ({ isKept: tokens > 0, salt: 's', part, tokens });
+const missed = (part: string) => ({ address, salt: 's', parts: [part], isDecided: true, barMs: null });
+
+class Teller {
+  epoch = 1;
+  isSilent = false;
+  events: KeptNews[] = [];
+
+  readonly page = (since: number): KeptPage => ({ epoch: String(this.epoch), next: this.events.length, isLost: since > this.events.length, news: this.events.slice(since) });
+}
+
+const office = async () => {
+  const world = new SimWorld(3);
+  const { clock, random, log } = world.machine('10.0.0.1').ports();
+  const teller = new Teller();
+  const told: ShelfNews[] = [];
+  const keptNews: BackEnds['keptNews'] = (_, since) =>
+    new Promise((settle) => void clock.after(200, () => settle(teller.isSilent ? err({ kind: 'back', code: 'ETIMEDOUT' }) : ok(teller.page(since)))));
+  const desk = new ShelfDesk({ keptNews } as Partial<BackEnds> as BackEnds, clock, random, log, (bundle) => void told.push(...bundle));
+  desk.align(new Set([address]));
+  const parts = (): string[] => desk.whole().flatMap((shelf) => shelf.news.map(({ part }) => part)).sort();
+  await world.run(1_000);
+  return { world, desk, teller, told, parts };
+};
+
+describe('what the core knows of kept parts', () => {
+  it('given a part that a front found gone, when it is told, then it is dropped and told on once, and comes back by a fresh event only', async () => {
+    const { world, desk, teller, told, parts } = await office();
+    teller.events.push(news('a'), news('b'));
+    await world.run(1_500);
+    expect(parts()).to.deep.equal(['a', 'b']);
+    told.length = 0;
+    desk.missed(missed('a'));
+    desk.missed(missed('a'));
+    await world.run(1_500);
+    expect(parts()).to.deep.equal(['b']);
+    expect(told.flatMap((one) => one.news)).to.deep.equal([{ isKept: false, salt: 's', part: 'a', tokens: 0 }]);
+    teller.events.push(news('a'));
+    await world.run(1_500);
+    expect(parts()).to.deep.equal(['a', 'b']);
+    expect(desk.stale()).to.deep.include({ missed: 1, falseAlarms: 0 });
+  });
+
+  it('given a part that a front found gone, when its drop is told only then, then it counts as a false alarm', async () => {
+    const { world, desk, teller } = await office();
+    teller.events.push(news('a'));
+    await world.run(1_500);
+    desk.missed(missed('a'));
+    teller.events.push(news('a', 0));
+    await world.run(1_500);
+    expect(desk.stale()).to.deep.include({ missed: 1, falseAlarms: 1 });
+  });
+
+  it('given another replica at the address, when the list shows it before its events do, then what the former one kept is forgotten at once, and the epoch that follows forgets nothing more', async () => {
+    const { world, desk, teller, parts } = await office();
+    desk.lives(address, new Set(['i-1']));
+    teller.events.push(news('a'));
+    await world.run(1_500);
+    teller.isSilent = true;
+    desk.lives(address, new Set(['i-1', 'i-2']));
+    expect(parts()).to.deep.equal([]);
+    Object.assign(teller, { epoch: 2, events: [news('b')], isSilent: false });
+    await world.run(2_500);
+    desk.lives(address, new Set(['i-2']));
+    expect(parts()).to.deep.equal(['b']);
+    expect(desk.stale()).to.deep.include({ lives: 1 });
+  });
+
+  it('given a new epoch with more events than were heard of the former, when it is told, then all its events are read from the first', async () => {
+    const { world, teller, parts } = await office();
+    teller.events.push(news('a'), news('b'));
+    await world.run(1_500);
+    Object.assign(teller, { epoch: 2, events: [news('c'), news('d'), news('e')] });
+    await world.run(2_500);
+    expect(parts()).to.deep.equal(['c', 'd', 'e']);
+  });
+});
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,5 +1,5 @@
 import { Repeating } from '@martenworks/envelope';
-import type { CardsNews, FrontPong, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, FrontPong, MissedNews, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WeightsNews } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -20,6 +20,7 @@
   readonly weights: (news: WeightsNews) => void;
   readonly shelves: (news: readonly ShelfNews[]) => void;
   readonly reading: (news: ReadingNews) => void;
+  readonly missed: (news: MissedNews) => void;
   readonly isReady: () => boolean;
 }
 
@@ -73,6 +74,7 @@
       else if (topic === 'weights') this.ears.weights(body as WeightsNews);
       else if (coach !== this.content) return;
       else if (topic === 'reading') this.ears.reading(body as ReadingNews);
+      else if (topic === 'missed') this.ears.missed(body as MissedNews);
       else if (topic === 'cards') this.ears.cards(body as CardsNews);
       else if (topic === 'shelves') this.ears.shelves(body as ShelfNews[]);
     },
@@ -151,6 +153,8 @@
     }
   };
 
+  readonly tellMissed = (news: MissedNews): void => void this.content?.tell('missed', news);
+
   readonly tellReading = (news: ReadingNews): void => void this.content?.tell('reading', news);
 
   readonly state = (): StateNews | null => this.held;
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow';
 import { Repeating, keys } from '@martenworks/envelope';
-import type { Customer, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
+import type { Customer, MissedNews, NetFault, Ports, StateNews, ThroughWire } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import { BookDoor } from '@martenworks/waybill';
 import type { BookView, WayView } from '@martenworks/waybill';
@@ -12,6 +12,8 @@
 import { Passage } from './passage.js';
 import { ReplicaTracks } from './replicaTracks.js';
 import { ShelfBook } from './shelfBook.js';
+import { StaleWatch } from './staleWatch.js';
+import type { AnswerTiming } from './staleWatch.js';
 import { WayPlacing } from './wayPlacing.js';
 import type { NamedSince, WayPlace, WayQuestion } from './wayPlacing.js';
 
@@ -41,6 +43,7 @@
 export class Front {
   readonly tracks: ReplicaTracks;
   readonly shelves: ShelfBook;
+  readonly stale: StaleWatch;
   readonly budget: ExtraBudget;
   readonly touch: CoreTouch;
   readonly door: CallDoor;
@@ -63,11 +66,15 @@
     const { clock, random } = ports;
     this.tracks = new ReplicaTracks(clock);
     this.shelves = new ShelfBook(clock);
+    this.stale = new StaleWatch(clock);
     this.touch = new CoreTouch(env, ports, random.token(8), seeds, {
       state: this.takeState,
       cards: (news) => {
         this.hasCards = true;
-        this.tracks.take(news);
+        const { born, left } = this.tracks.take(news);
+        if (!env.watchesStale) return;
+        for (const address of born) this.shelves.bornAt(address);
+        for (const address of left) if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
       },
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
@@ -76,6 +83,13 @@
         const address = this.tracks.addressOf(news.replica);
         if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
       },
+      missed: (news) => {
+        if (!env.watchesStale) return;
+        this.stale.hear(news);
+        if (!news.isDecided) return;
+        this.tally.add('stale_told');
+        this.drop(news);
+      },
       isReady: () => this.isReady(),
     });
     this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
@@ -162,6 +176,29 @@
     await new Passage(this, call, again.view, order.value, again.customer, body.value, pool).run();
   };
 
+  private readonly drop = ({ address, salt, parts, barMs }: MissedNews): void => {
+    for (const part of parts) {
+      this.shelves.missed(address, salt, part);
+      if (barMs !== null) this.shelves.bar(address, salt, part, barMs);
+    }
+  };
+
+  /** An answer's first piece against what the index said of the prompt; true where it speaks against it. */
+  readonly compare = (timing: AnswerTiming, spentMs: number): boolean => {
+    if (!this.env.watchesStale) return false;
+    const { address, salt, parts, pullMs, tokens } = timing.claim;
+    const decision = this.stale.take(timing, spentMs);
+    if (decision.k === 'none') return false;
+    this.tally.add(pullMs === null ? 'stale_strikes' : 'stale_pull_strikes');
+    const news: MissedNews = { address, salt, parts, isDecided: decision.k === 'drop', barMs: decision.k === 'drop' ? decision.barMs : null };
+    this.touch.tellMissed(news);
+    if (decision.k === 'strike') return true;
+    this.tally.add(decision.barMs === null ? 'stale_drops' : 'stale_bars');
+    this.ports.log.info('kept parts are gone', { address, salt, parts, tokens, isPull: pullMs !== null, spentMs: Math.round(spentMs), barMs: decision.barMs });
+    this.drop(news);
+    return true;
+  };
+
   readonly open = (): Promise<Result<void, NetFault>> => this.door.open(this.env.http);
 
   /** Takes no new connections after a while, finishes what runs, within `drainMs`. */
@@ -189,6 +226,7 @@
     touch: this.touch.status(),
     replicas: this.tracks.all().map(({ card, running, pendingTokens }) => ({ id: card.id, pool: card.pool, isLeaving: card.isLeaving, weights: card.weights, running, pendingTokens })),
     shelves: this.shelves.sizes(),
+    stale: { isOn: this.env.watchesStale, ...this.stale.status() },
   });
 
   readonly stop = (): void => {
--- a/packages/throughpost/src/index.ts
+++ b/packages/throughpost/src/index.ts
@@ -7,3 +7,4 @@
 export * from './wayPlacing.js';
 export * from './extraBudget.js';
 export * from './events.js';
+export * from './staleWatch.js';
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -165,6 +165,9 @@
     this.quit.signal.addEventListener('abort', quitted, { once: true });
     track.whenGone.add(gone);
     const sentAt = ports.clock.now();
+    const notedBefore = track.notedTokens - track.pendingTokens - track.othersTokens;
+    const aheadTokens = (): number => track.notedTokens - notedBefore - placed.readTokens;
+    const isIdle = track.running < card.slots && this.lastId === null && !tracks.isSuspect(track);
     const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs);
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
     let silence = ports.clock.after(mayLeave ? firstPatienceMs : firstPatienceMs * 2, () => {
@@ -226,7 +229,7 @@
         void carried.then((late) => late.map((one) => this.discard(one)));
         return isOut ? { k: 'may have run', cause: `the replica was left: ${receipt}` } : { k: 'not run', isArrival: false, retryAfterMs: null };
       }
-      return await this.received(receipt, placed, { sentAt, isOut, wasRun, given, heardOf, whenStopped, abort: () => shot.abort() });
+      return await this.received(receipt, placed, { sentAt, aheadTokens, isIdle, isOut, wasRun, given, heardOf, whenStopped, abort: () => shot.abort() });
     } finally {
       silence.cancel();
       given();
@@ -251,7 +254,7 @@
   private readonly received = async (
     receipt: Result<CarriageReceipt, NetFault>,
     placed: WayPlace,
-    shot: { sentAt: number; isOut: boolean; wasRun: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
+    shot: { sentAt: number; aheadTokens: () => number; isIdle: boolean; isOut: boolean; wasRun: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
   ): Promise<Ending> => {
     const { tracks, wire, shelves, ports } = this.front;
     const { track } = placed;
@@ -296,7 +299,10 @@
       tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
         shelves.saw(track.card.address, placed.salt, placed.anchor.id);
-        if (placed.holder === null) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt);
+        const spentMs = ports.clock.now() - shot.sentAt;
+        const isLate = shot.isIdle && this.isStale(placed, shot, spentMs);
+        if (placed.holder === null && !isLate) tracks.measured(placed.readTokens, spentMs);
+        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || (placed.holder === null && placed.claim?.pullMs === null && tracks.readingRate(track) !== null))) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
       }
     });
     if (ending.k !== 'whole') {
@@ -306,6 +312,12 @@
     return ending;
   };
 
+  private readonly isStale = ({ claim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
+    if (claim === null) return false;
+    const restTokens = Math.max(0, this.order.tokensIn - claim.tokens);
+    return this.front.compare({ claim, restTokens, aheadTokens: aheadTokens(), tokensPerMs: this.front.tracks.readingRate(track), isHeard: this.front.shelves.isHeard(claim.address), sentAt }, spentMs);
+  };
+
   private readonly drain = async (receipt: CarriageReceipt): Promise<void> => {
     try {
       for await (const bytes of receipt.body) if (bytes.length > 65_536) return;
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -9,6 +9,11 @@
 export const heavyTokens = 1_000;
 const readingForgetMs = 2_500;
 
+const mostSamples = 9;
+const mostPoolSamples = 31;
+const leastSamples = 3;
+const quickShare = 0.75;
+
 export interface Track {
   card: ReplicaCard;
   running: number;
@@ -20,6 +25,8 @@
   restUntil: number;
   isGone: boolean;
   readonly whenGone: Set<() => void>;
+  readonly samples: number[];
+  notedTokens: number;
 }
 
 const newest = (told: ReplicaCard, held: ReplicaCard): ReplicaCard => {
@@ -33,20 +40,33 @@
   private readonly tracks = new Map<string, Track>();
   private readonly byPool = new Map<string, Track[]>();
   private readonly readings = new Map<string, { readonly replica: string; readonly tokens: number }>();
+  private readonly poolSamples = new Map<string, number[]>();
   private tokensPerMs = startTokensPerMs;
 
   constructor(private readonly clock: Clock) {}
 
-  readonly take = ({ isWhole, put, gone }: CardsNews): void => {
+  /** Tells at which addresses another life came, and which have none any more. */
+  readonly take = ({ isWhole, put, gone }: CardsNews): { born: string[]; left: string[] } => {
+    const before = this.lives();
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set() });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set(), samples: [], notedTokens: 0 });
       else held.card = newest(card, held.card);
     }
     for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
     this.byPool.clear();
     for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
+    const after = this.lives();
+    const former = [...before];
+    const isBorn = ([address, ids]: [string, ReadonlySet<string>]): boolean => [...(after.get(address) ?? [])].some((id) => !ids.has(id));
+    return { born: former.filter(isBorn).map(([address]) => address), left: former.flatMap(([address]) => (after.has(address) ? [] : [address])) };
+  };
+
+  private readonly lives = (): Map<string, Set<string>> => {
+    const found = new Map<string, Set<string>>();
+    for (const { card } of this.tracks.values()) found.set(card.address, (found.get(card.address) ?? new Set()).add(card.id));
+    return found;
   };
 
   private readonly remove = (id: string): void => {
@@ -76,6 +96,7 @@
     if (tokens <= 0 || track === undefined) return;
     this.readings.set(id, { replica, tokens });
     track.othersTokens += tokens;
+    track.notedTokens += tokens;
     this.clock.after(readingForgetMs, () => {
       if (this.readings.has(id)) this.takeReading({ id, replica, tokens: 0, salt: null, part: null });
     });
@@ -98,6 +119,7 @@
   readonly began = (track: Track, tokens: number): void => {
     track.running += 1;
     track.pendingTokens += tokens;
+    track.notedTokens += tokens;
   };
 
   readonly given = (track: Track, tokens: number): void => void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
@@ -124,5 +146,23 @@
     this.tokensPerMs += (seen - this.tokensPerMs) * blend;
   };
 
+  /** Like `measured`, but of a prompt that met an idle replica and was read whole: what late answers are held against. */
+  readonly sampled = (track: Track, tokens: number, spentMs: number): void => {
+    if (tokens < heavyTokens || spentMs <= 0) return;
+    const { pool } = track.card;
+    const held = this.poolSamples.get(pool) ?? [];
+    this.poolSamples.set(pool, held);
+    for (const [samples, most] of [[track.samples, mostSamples], [held, mostPoolSamples]] as const) {
+      samples.push(tokens / spentMs);
+      if (samples.length > most) samples.shift();
+    }
+  };
+
+  /** Tokens that the replica reads in a millisecond: by the quicker of its own samples, else of its pool's, since a wait that this front doesn't see only slows them; null while too few are there. */
+  readonly readingRate = (track: Track): number | null => {
+    const samples = track.samples.length >= leastSamples ? track.samples : (this.poolSamples.get(track.card.pool) ?? []);
+    return samples.length < leastSamples ? null : ([...samples].sort((a, b) => a - b)[Math.floor(samples.length * quickShare)] as number);
+  };
+
   readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
 }
--- a/packages/throughpost/src/shelfBook.ts
+++ b/packages/throughpost/src/shelfBook.ts
@@ -1,13 +1,19 @@
+import { LifePairs } from '@martenworks/envelope';
 import type { Clock, ShelfNews } from '@martenworks/envelope';
 
 const trustOwnMs = 3_000;
 const readingMs = 2_500;
+const trustUnheardMs = 8_000;
 
 interface Shelf {
   isHeard: boolean;
+  unheardAt: number | null;
+  epoch: string;
+  readonly pairs: LifePairs;
   readonly kept: Map<string, number>;
   readonly own: Map<string, number>;
   readonly reading: Map<string, number>;
+  readonly barred: Map<string, number>;
 }
 
 const labelOf = (salt: string, part: string): string => `${salt}\n${part}`;
@@ -21,15 +27,20 @@
   private readonly shelf = (address: string): Shelf => {
     const held = this.shelves.get(address);
     if (held !== undefined) return held;
-    const fresh: Shelf = { isHeard: false, kept: new Map(), own: new Map(), reading: new Map() };
+    const fresh: Shelf = { isHeard: false, unheardAt: null, epoch: '', pairs: new LifePairs(this.clock), kept: new Map(), own: new Map(), reading: new Map(), barred: new Map() };
     this.shelves.set(address, fresh);
     return fresh;
   };
 
   readonly take = (bundle: readonly ShelfNews[]): void => {
-    for (const { address, isWhole, isHeard, news } of bundle) {
+    for (const { address, isWhole, isHeard, epoch, news } of bundle) {
       const shelf = this.shelf(address);
+      shelf.unheardAt = isHeard ? null : (shelf.unheardAt ?? this.clock.now());
       shelf.isHeard = isHeard;
+      if (epoch !== undefined && epoch !== '' && epoch !== shelf.epoch) {
+        if (shelf.epoch !== '') shelf.pairs.isFirstByEpoch();
+        shelf.epoch = epoch;
+      }
       if (isWhole) shelf.kept.clear();
       for (const { isKept, salt, part, tokens } of news) {
         const label = labelOf(salt, part);
@@ -40,6 +51,31 @@
     }
   };
 
+  /** Another replica has the address: nothing that the one before kept is there, unless its events told so before. */
+  readonly bornAt = (address: string): void => {
+    const shelf = this.shelves.get(address);
+    if (shelf === undefined) return;
+    if (shelf.pairs.isFirstById()) shelf.kept.clear();
+    shelf.own.clear();
+    shelf.reading.clear();
+    shelf.barred.clear();
+  };
+
+  readonly leftAt = (address: string): void => void this.shelves.delete(address);
+
+  /** Whatever is told, the address does not count as keeping the part for a while. */
+  readonly bar = (address: string, salt: string, part: string, forMs: number): void => void this.shelf(address).barred.set(labelOf(salt, part), this.clock.now() + forMs);
+
+  readonly isBarred = (address: string, salt: string, part: string): boolean => {
+    const barred = this.shelves.get(address)?.barred;
+    const label = labelOf(salt, part);
+    const until = barred?.get(label);
+    if (until === undefined) return false;
+    if (until > this.clock.now()) return true;
+    barred?.delete(label);
+    return false;
+  };
+
   readonly keepOnly = (addresses: ReadonlySet<string>): void => {
     for (const address of this.shelves.keys()) if (!addresses.has(address)) this.shelves.delete(address);
   };
@@ -54,7 +90,7 @@
     const shelf = this.shelves.get(address);
     const label = labelOf(salt, part);
     const at = shelf?.reading.get(label);
-    if (shelf === undefined || at === undefined) return false;
+    if (shelf === undefined || at === undefined || this.isBarred(address, salt, part)) return false;
     if (this.clock.now() - at <= readingMs) return true;
     shelf.reading.delete(label);
     return false;
@@ -71,7 +107,9 @@
     const shelf = this.shelves.get(address);
     if (shelf === undefined) return false;
     const label = labelOf(salt, part);
-    if ((shelf.kept.get(label) ?? 0) >= tokens) return true;
+    if (this.isBarred(address, salt, part)) return false;
+    const isTrusted = shelf.unheardAt === null || this.clock.now() - shelf.unheardAt <= trustUnheardMs;
+    if (isTrusted && (shelf.kept.get(label) ?? 0) >= tokens) return true;
     const sawAt = shelf.own.get(label);
     if (sawAt === undefined) return false;
     if (this.clock.now() - sawAt <= trustOwnMs) return true;
@@ -81,5 +119,5 @@
 
   readonly isHeard = (address: string): boolean => this.shelves.get(address)?.isHeard === true;
 
-  readonly sizes = (): { address: string; parts: number }[] => [...this.shelves].map(([address, { kept }]) => ({ address, parts: kept.size }));
+  readonly sizes = (): { address: string; parts: number; isHeard: boolean; barred: number }[] => [...this.shelves].map(([address, { kept, isHeard, barred }]) => ({ address, parts: kept.size, isHeard, barred: barred.size }));
 }
--- /dev/null
+++ b/packages/throughpost/src/staleWatch.ts
@@ -0,0 +1,119 @@
+import type { Clock, MissedNews } from '@martenworks/envelope';
+
+const missingShare = 0.6;
+const foundShare = 0.4;
+const slackMs = 40;
+const leastReadMs = 100;
+const troubleFactor = 2.5;
+const troubleSlackMs = 300;
+const strikeWindowMs = 10_000;
+const strikesHeard = 2;
+const strikesUnheard = 1;
+const forgetMs = 60_000;
+const firstBarMs = 15_000;
+const longestBarMs = 120_000;
+const mostLabels = 2_000;
+
+/** What the index said as a prompt was placed: `address` keeps these parts. `pullMs` is the time to hand them over, null where the replica itself keeps them. */
+export interface KeptClaim {
+  readonly address: string;
+  readonly salt: string;
+  readonly parts: readonly string[];
+  readonly tokens: number;
+  readonly pullMs: number | null;
+}
+
+/** What an answer's first piece is measured against; `aheadTokens` were pending at the replica as the prompt was sent or came there before the answer. */
+export interface AnswerTiming {
+  readonly claim: KeptClaim;
+  readonly restTokens: number;
+  readonly aheadTokens: number;
+  readonly tokensPerMs: number | null;
+  readonly isHeard: boolean;
+  readonly sentAt: number;
+}
+
+export type Verdict = 'missing' | 'found' | 'unclear';
+
+export type Decision = { readonly k: 'none' } | { readonly k: 'strike' } | { readonly k: 'drop'; readonly barMs: number | null };
+
+interface Suspicion {
+  strikes: number;
+  notedAt: number;
+  drops: number;
+}
+
+const labelOf = ({ address, salt, parts }: Pick<KeptClaim, 'address' | 'salt' | 'parts'>): string => `${address}\n${salt}\n${parts.at(-1) ?? ''}`;
+
+/** Tells from the time to the first piece whether the parts that the index promised had to be read after all. */
+export const answerTimings = {
+  judge: ({ claim, restTokens, aheadTokens, tokensPerMs }: AnswerTiming, spentMs: number): Verdict => {
+    if (tokensPerMs === null) return 'unclear';
+    const partsMs = claim.tokens / tokensPerMs;
+    const restMs = restTokens / tokensPerMs;
+    const aheadMs = aheadTokens / tokensPerMs;
+    const pullMs = claim.pullMs ?? 0;
+    if (partsMs < leastReadMs || pullMs * 2 > partsMs * foundShare) return 'unclear';
+    if (spentMs < restMs + partsMs * foundShare) return 'found';
+    if (spentMs > (restMs + aheadMs + partsMs) * troubleFactor + troubleSlackMs) return 'unclear';
+    return spentMs >= restMs + aheadMs + pullMs + partsMs * missingShare + slackMs ? 'missing' : 'unclear';
+  },
+};
+
+/** Gathers strikes against what the index says of an address. Queueing explains a single late answer, so an entry falls at the second strike within ten seconds, each by a request sent after the one before was answered; an answer in time clears it. Where the address's events are not heard, one strike is enough. An entry that falls again within a minute is barred for a while, longer each time. */
+export class StaleWatch {
+  private readonly suspicions = new Map<string, Suspicion>();
+  private readonly counts = { strikes: 0, found: 0, drops: 0, bars: 0 };
+
+  constructor(private readonly clock: Clock) {}
+
+  readonly take = (timing: AnswerTiming, spentMs: number): Decision => {
+    const verdict = answerTimings.judge(timing, spentMs);
+    if (verdict === 'unclear') return { k: 'none' };
+    const now = this.clock.now();
+    const label = labelOf(timing.claim);
+    if (verdict === 'found') {
+      this.counts.found += 1;
+      const held = this.suspicions.get(label);
+      if (held !== undefined) held.strikes = 0;
+      return { k: 'none' };
+    }
+    const suspicion = this.suspicion(label, now);
+    if (timing.sentAt < suspicion.notedAt) return { k: 'none' };
+    suspicion.strikes = (now - suspicion.notedAt <= strikeWindowMs ? suspicion.strikes : 0) + 1;
+    suspicion.notedAt = now;
+    this.counts.strikes += 1;
+    if (suspicion.strikes < (timing.isHeard ? strikesHeard : strikesUnheard)) return { k: 'strike' };
+    suspicion.drops += 1;
+    suspicion.strikes = strikesHeard - 1;
+    this.counts.drops += 1;
+    if (suspicion.drops === 1) return { k: 'drop', barMs: null };
+    this.counts.bars += 1;
+    return { k: 'drop', barMs: Math.min(longestBarMs, firstBarMs * 2 ** (suspicion.drops - 2)) };
+  };
+
+  /** What another front saw: its strike makes one's own the second, which alone decides; what it decided is done already. */
+  readonly hear = (news: MissedNews): void => {
+    const now = this.clock.now();
+    const suspicion = this.suspicion(labelOf(news), now);
+    suspicion.strikes = strikesHeard - 1;
+    suspicion.notedAt = now;
+    if (news.isDecided) suspicion.drops += 1;
+  };
+
+  private readonly suspicion = (label: string, now: number): Suspicion => {
+    const held = this.suspicions.get(label);
+    if (held !== undefined && now - held.notedAt <= forgetMs) return held;
+    this.forget(now);
+    const fresh: Suspicion = { strikes: 0, notedAt: -Infinity, drops: 0 };
+    this.suspicions.set(label, fresh);
+    return fresh;
+  };
+
+  private readonly forget = (now: number): void => {
+    if (this.suspicions.size <= mostLabels) return;
+    for (const [label, { notedAt }] of this.suspicions) if (now - notedAt > forgetMs || this.suspicions.size > mostLabels) this.suspicions.delete(label);
+  };
+
+  readonly status = (): Record<string, number> => ({ ...this.counts, suspected: [...this.suspicions.values()].filter(({ strikes }) => strikes > 0).length });
+}
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -4,6 +4,7 @@
 import type { BookView } from '@martenworks/waybill';
 import type { ReplicaTracks, Track } from './replicaTracks.js';
 import type { ShelfBook } from './shelfBook.js';
+import type { KeptClaim } from './staleWatch.js';
 
 const trackedTokens = 256;
 const runCostMs = 4;
@@ -26,6 +27,8 @@
   readonly isHome: boolean;
   readonly readTokens: number;
   readonly costMs: number;
+  readonly claim: KeptClaim | null;
+  readonly readsAll: boolean;
 }
 
 export interface WayQuestion {
@@ -52,6 +55,8 @@
   return { anchor: shareable[at] ?? null, at };
 };
 
+const promptTokens = (parts: readonly Part[]): number => parts.reduce((sum, part) => sum + part.tokens, 0);
+
 const ranked = <T>(label: string, list: readonly T[], nameOf: (one: T) => string): T[] =>
   list
     .map((one) => ({ one, score: scores.of(label, nameOf(one)) }))
@@ -83,14 +88,18 @@
   };
 
   /** Milliseconds of reading that a replica would have to do, by the index. */
-  private readonly keptTokens = (address: string, salt: string, parts: readonly Part[], upTo: number): number => {
-    let kept = 0;
-    for (let at = 0; at <= upTo; at += 1) {
-      const part = parts[at] as Part;
-      if (part.tokens >= trackedTokens && !this.shelves.keeps(address, salt, part.id, part.tokens)) break;
-      kept += part.tokens;
-    }
-    return kept;
+  private readonly keptTokens = (address: string, salt: string, parts: readonly Part[], upTo: number): number => promptTokens(this.keptParts(address, salt, parts, upTo));
+
+  private readonly keptParts = (address: string, salt: string, parts: readonly Part[], upTo: number): readonly Part[] => {
+    const missing = parts.slice(0, upTo + 1).findIndex((part) => part.tokens >= trackedTokens && !this.shelves.keeps(address, salt, part.id, part.tokens));
+    const kept = parts.slice(0, missing < 0 ? upTo + 1 : missing);
+    return kept.some((part) => part.tokens >= trackedTokens) ? kept : [];
+  };
+
+  private readonly claimOf = (address: string, salt: string, parts: readonly Part[], upTo: number, pullMs: ((tokens: number) => number) | null): KeptClaim | null => {
+    const kept = this.keptParts(address, salt, parts, upTo);
+    const tokens = promptTokens(kept);
+    return tokens === 0 ? null : { address, salt, parts: kept.filter((part) => part.tokens >= trackedTokens).map((part) => part.id), tokens, pullMs: pullMs === null ? null : pullMs(tokens) };
   };
 
   private readonly storeFor = (anchor: Part, salt: string, stores: readonly WayStore[]): { keeping: WayStore | null; home: WayStore | null } => {
@@ -105,7 +114,11 @@
     if (open.length === 0) return null;
     const { anchor, at } = anchorOf(order.parts);
     const isTracked = anchor !== null && anchor.tokens >= trackedTokens;
-    const homes = anchor === null ? [] : ranked(`${anchor.id}${question.customer?.isIsolated === true ? question.customer.name : ''}`, all.filter((track) => !track.card.isLeaving), (track) => track.card.id);
+    const isBarred = (track: Track): boolean => {
+      const { salt } = this.saltFor(track, question);
+      return anchor !== null && salt !== null && this.shelves.isBarred(track.card.address, salt, anchor.id);
+    };
+    const homes = anchor === null ? [] : ranked(`${anchor.id}${question.customer?.isIsolated === true ? question.customer.name : ''}`, all.filter((track) => !track.card.isLeaving && !isBarred(track)), (track) => track.card.id);
     const named = order.model === null ? null : this.named(order.model);
     const engine = view.pool(pool)?.engine ?? null;
     const pullMs = (tokens: number): number => (engine === null || !(engine.linkMbps > 0) ? 0 : (tokens * engine.tokenBytes * 8) / (engine.linkMbps * 1_000));
@@ -145,12 +158,15 @@
     }
     if (best === null) return null;
     const { track, salt } = best;
-    if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor };
+    if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor, claim: null, readsAll: true };
     const { keeping, home } = this.storeFor(anchor, salt, view.book.stores);
     const holders = best.isKept ? [] : all.filter((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
     const near = holders.find((other) => other.card.zone === track.card.zone) ?? holders[0];
     const guess = homes.find((other) => other !== track && !this.tracks.isSuspect(other));
     const holder = near?.card.address ?? keeping?.address ?? (best.isKept ? null : (home?.address ?? (homes[0] === track ? null : (guess?.card.address ?? null))));
-    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor };
+    const source = best.isSoon ? undefined : (near?.card.address ?? keeping?.address);
+    const claim = best.isKept ? this.claimOf(track.card.address, salt, order.parts, at, null) : source === undefined ? null : this.claimOf(source, salt, order.parts, at, pullMs);
+    const readsAll = claim === null && !best.isSoon && (holder === null || holder === home?.address);
+    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor, claim, readsAll };
   };
 }
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -158,6 +158,12 @@
     expect(track?.card.weights).to.deep.equal({ m: 3 });
   });
 
+  it('given a short part before the long one, when nobody keeps the long one, then no replica counts as keeping it', () => {
+    const { place } = office();
+    const prompt: CallerOrder = { ...long('q'), parts: [{ id: 'greeting', tokens: 55 }, { id: 'manual', tokens: 13_300 }, { id: 'own', tokens: 3_645 }] };
+    expect(place(prompt)?.isKept).to.equal(false);
+  });
+
   it('given a long prompt that another front has read at the home, when a second one of that anchor comes, then it goes there and waits rather than have it read twice', () => {
     const { tracks, shelves, place } = office();
     const home = place(long('manual'));
