Doubt an address that forgets several parts; strike the store beside the home

Cause: live runs showed each part of a forgetful replica learnt by itself, a store's wrong entry kept from falling since the home was named as keeping, and fronts without reading samples that never judged. Change: two entries of an address fallen within half a minute make one strike enough for the next; a late answer speaks against the store named beside the home too; a holder is dropped but not barred; kept prompts are reading samples.

--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -73,7 +73,10 @@
         this.hasCards = true;
         const { born, left } = this.tracks.take(news);
         if (!env.watchesStale) return;
-        for (const address of born) this.shelves.bornAt(address);
+        for (const address of born) {
+          this.shelves.bornAt(address);
+          this.stale.bornAt(address);
+        }
         for (const address of left) if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
       },
       weights: this.tracks.takeWeights,
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -7,6 +7,7 @@
 import { EventCutter } from './events.js';
 import type { Front } from './front.js';
 import { heavyTokens } from './replicaTracks.js';
+import type { KeptClaim } from './staleWatch.js';
 import type { WayPlace } from './wayPlacing.js';
 
 const patienceShare = 0.7;
@@ -165,8 +166,8 @@
     this.quit.signal.addEventListener('abort', quitted, { once: true });
     track.whenGone.add(gone);
     const sentAt = ports.clock.now();
-    const notedBefore = track.notedTokens - track.pendingTokens - track.othersTokens;
-    const aheadTokens = (): number => track.notedTokens - notedBefore - placed.readTokens;
+    const pendingBefore = track.pendingTokens + track.othersTokens;
+    const aheadTokens = (): number => Math.max(0, pendingBefore + tracks.cameWith(track, sentAt) - placed.readTokens);
     const isIdle = track.running < card.slots && this.lastId === null && !tracks.isSuspect(track);
     const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs);
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
@@ -302,7 +303,7 @@
         const spentMs = ports.clock.now() - shot.sentAt;
         const isLate = shot.isIdle && this.isStale(placed, shot, spentMs);
         if (placed.holder === null && !isLate) tracks.measured(placed.readTokens, spentMs);
-        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || (placed.holder === null && placed.claim?.pullMs === null && tracks.readingRate(track) !== null))) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
+        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || placed.claim?.pullMs === null)) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
       }
     });
     if (ending.k !== 'whole') {
@@ -312,10 +313,15 @@
     return ending;
   };
 
-  private readonly isStale = ({ claim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
-    if (claim === null) return false;
-    const restTokens = Math.max(0, this.order.tokensIn - claim.tokens);
-    return this.front.compare({ claim, restTokens, aheadTokens: aheadTokens(), tokensPerMs: this.front.tracks.readingRate(track), isHeard: this.front.shelves.isHeard(claim.address), sentAt }, spentMs);
+  private readonly isStale = ({ claim, secondClaim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
+    const { tracks, shelves } = this.front;
+    const isLate = (one: KeptClaim | null): boolean => {
+      if (one === null) return false;
+      const restTokens = Math.max(0, this.order.tokensIn - one.tokens);
+      return this.front.compare({ claim: one, restTokens, aheadTokens: aheadTokens(), tokensPerMs: tracks.readingRate(track), isHeard: shelves.isHeard(one.address), sentAt }, spentMs);
+    };
+    const [isFirstLate, isSecondLate] = [isLate(claim), isLate(secondClaim)];
+    return isFirstLate || isSecondLate;
   };
 
   private readonly drain = async (receipt: CarriageReceipt): Promise<void> => {
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -12,6 +12,9 @@
 const mostSamples = 9;
 const mostPoolSamples = 31;
 const leastSamples = 3;
+const mostNotes = 64;
+const notesMs = 10_000;
+const noteTravelMs = 150;
 const quickShare = 0.75;
 
 export interface Track {
@@ -26,7 +29,7 @@
   isGone: boolean;
   readonly whenGone: Set<() => void>;
   readonly samples: number[];
-  notedTokens: number;
+  readonly notes: { readonly at: number; readonly tokens: number }[];
 }
 
 const newest = (told: ReplicaCard, held: ReplicaCard): ReplicaCard => {
@@ -51,7 +54,7 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set(), samples: [], notedTokens: 0 });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, isGone: false, whenGone: new Set(), samples: [], notes: [] });
       else held.card = newest(card, held.card);
     }
     for (const id of isWhole ? [...this.tracks.keys()].filter((id) => !told.has(id)) : gone) this.remove(id);
@@ -96,12 +99,21 @@
     if (tokens <= 0 || track === undefined) return;
     this.readings.set(id, { replica, tokens });
     track.othersTokens += tokens;
-    track.notedTokens += tokens;
+    this.note(track, tokens);
     this.clock.after(readingForgetMs, () => {
       if (this.readings.has(id)) this.takeReading({ id, replica, tokens: 0, salt: null, part: null });
     });
   };
 
+  private readonly note = ({ notes }: Track, tokens: number): void => {
+    const at = this.clock.now();
+    notes.push({ at, tokens });
+    while (notes.length > mostNotes || at - (notes[0]?.at ?? at) > notesMs) notes.shift();
+  };
+
+  /** Tokens that came to the replica just after `sentAt`; other fronts' notes travel for a while, so some of them were there before. */
+  readonly cameWith = ({ notes }: Track, sentAt: number): number => notes.reduce((sum, { at, tokens }) => (at >= sentAt && at <= sentAt + noteTravelMs ? sum + tokens : sum), 0);
+
   readonly addressOf = (id: string): string | null => this.tracks.get(id)?.card.address ?? null;
 
   readonly holds = (track: Track, model: string, version: number): void => {
@@ -119,7 +131,7 @@
   readonly began = (track: Track, tokens: number): void => {
     track.running += 1;
     track.pendingTokens += tokens;
-    track.notedTokens += tokens;
+    this.note(track, tokens);
   };
 
   readonly given = (track: Track, tokens: number): void => void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
@@ -158,7 +170,7 @@
     }
   };
 
-  /** Tokens that the replica reads in a millisecond: by the quicker of its own samples, else of its pool's, since a wait that this front doesn't see only slows them; null while too few are there. */
+  /** Tokens that the replica reads in a millisecond: by the quicker of its own samples, else of its pool's, since what this front doesn't see (a wait, a part that was not kept) only slows them, and too slow a rate speaks against nobody; null while too few are there. */
   readonly readingRate = (track: Track): number | null => {
     const samples = track.samples.length >= leastSamples ? track.samples : (this.poolSamples.get(track.card.pool) ?? []);
     return samples.length < leastSamples ? null : ([...samples].sort((a, b) => a - b)[Math.floor(samples.length * quickShare)] as number);
--- a/packages/throughpost/src/staleWatch.ts
+++ b/packages/throughpost/src/staleWatch.ts
@@ -13,6 +13,8 @@
 const firstBarMs = 15_000;
 const longestBarMs = 120_000;
 const mostLabels = 2_000;
+const doubtMs = 30_000;
+const doubtedLabels = 2;
 
 /** What the index said as a prompt was placed: `address` keeps these parts. `pullMs` is the time to hand them over, null where the replica itself keeps them. */
 export interface KeptClaim {
@@ -23,7 +25,7 @@
   readonly pullMs: number | null;
 }
 
-/** What an answer's first piece is measured against; `aheadTokens` were pending at the replica as the prompt was sent or came there before the answer. */
+/** What an answer's first piece is measured against; `aheadTokens` were pending at the replica as the prompt was sent or came there with it. */
 export interface AnswerTiming {
   readonly claim: KeptClaim;
   readonly restTokens: number;
@@ -60,9 +62,10 @@
   },
 };
 
-/** Gathers strikes against what the index says of an address. Queueing explains a single late answer, so an entry falls at the second strike within ten seconds, each by a request sent after the one before was answered; an answer in time clears it. Where the address's events are not heard, one strike is enough. An entry that falls again within a minute is barred for a while, longer each time. */
+/** Gathers strikes against what the index says of an address. Queueing explains a single late answer, so an entry falls at the second strike within ten seconds, each by a request sent after the one before was answered; an answer in time clears it. Where the address's events are not heard, one strike is enough. An entry that falls again within a minute is barred for a while, longer each time, where it kept the parts for itself (one that only hands over may be filled anew). Once two entries of an address fell within half a minute, one strike fells and bars the next. */
 export class StaleWatch {
   private readonly suspicions = new Map<string, Suspicion>();
+  private readonly fallen = new Map<string, Map<string, number>>();
   private readonly counts = { strikes: 0, found: 0, drops: 0, bars: 0 };
 
   constructor(private readonly clock: Clock) {}
@@ -83,11 +86,13 @@
     suspicion.strikes = (now - suspicion.notedAt <= strikeWindowMs ? suspicion.strikes : 0) + 1;
     suspicion.notedAt = now;
     this.counts.strikes += 1;
-    if (suspicion.strikes < (timing.isHeard ? strikesHeard : strikesUnheard)) return { k: 'strike' };
-    suspicion.drops += 1;
+    const isDoubted = this.isDoubted(timing.claim.address, label);
+    if (suspicion.strikes < (timing.isHeard && !isDoubted ? strikesHeard : strikesUnheard)) return { k: 'strike' };
+    this.fell(timing.claim.address, label);
+    suspicion.drops += isDoubted && suspicion.drops === 0 ? 2 : 1;
     suspicion.strikes = strikesHeard - 1;
     this.counts.drops += 1;
-    if (suspicion.drops === 1) return { k: 'drop', barMs: null };
+    if (suspicion.drops === 1 || timing.claim.pullMs !== null) return { k: 'drop', barMs: null };
     this.counts.bars += 1;
     return { k: 'drop', barMs: Math.min(longestBarMs, firstBarMs * 2 ** (suspicion.drops - 2)) };
   };
@@ -98,7 +103,28 @@
     const suspicion = this.suspicion(labelOf(news), now);
     suspicion.strikes = strikesHeard - 1;
     suspicion.notedAt = now;
-    if (news.isDecided) suspicion.drops += 1;
+    if (!news.isDecided) return;
+    suspicion.drops += 1;
+    this.fell(news.address, labelOf(news));
+  };
+
+  /** Two other entries of the address fell a short while ago: it forgets as such. */
+  private readonly isDoubted = (address: string, label: string): boolean => {
+    const now = this.clock.now();
+    return [...(this.fallen.get(address) ?? [])].filter(([other, at]) => other !== label && now - at <= doubtMs).length >= doubtedLabels;
+  };
+
+  private readonly fell = (address: string, label: string): void => {
+    const now = this.clock.now();
+    const held = this.fallen.get(address) ?? new Map<string, number>();
+    this.fallen.set(address, held.set(label, now));
+    for (const [other, at] of held) if (now - at > doubtMs) held.delete(other);
+  };
+
+  /** Another replica has the address. */
+  readonly bornAt = (address: string): void => {
+    this.fallen.delete(address);
+    for (const label of this.suspicions.keys()) if (label.startsWith(`${address}\n`)) this.suspicions.delete(label);
   };
 
   private readonly suspicion = (label: string, now: number): Suspicion => {
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -28,6 +28,7 @@
   readonly readTokens: number;
   readonly costMs: number;
   readonly claim: KeptClaim | null;
+  readonly secondClaim: KeptClaim | null;
   readonly readsAll: boolean;
 }
 
@@ -158,7 +159,7 @@
     }
     if (best === null) return null;
     const { track, salt } = best;
-    if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor, claim: null, readsAll: true };
+    if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor, claim: null, secondClaim: null, readsAll: true };
     const { keeping, home } = this.storeFor(anchor, salt, view.book.stores);
     const holders = best.isKept ? [] : all.filter((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
     const near = holders.find((other) => other.card.zone === track.card.zone) ?? holders[0];
@@ -166,7 +167,8 @@
     const holder = near?.card.address ?? keeping?.address ?? (best.isKept ? null : (home?.address ?? (homes[0] === track ? null : (guess?.card.address ?? null))));
     const source = best.isSoon ? undefined : (near?.card.address ?? keeping?.address);
     const claim = best.isKept ? this.claimOf(track.card.address, salt, order.parts, at, null) : source === undefined ? null : this.claimOf(source, salt, order.parts, at, pullMs);
+    const secondClaim = best.isKept && keeping !== null && holder === keeping.address ? this.claimOf(keeping.address, salt, order.parts, at, pullMs) : null;
     const readsAll = claim === null && !best.isSoon && (holder === null || holder === home?.address);
-    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor, claim, readsAll };
+    return { ...best, track, holder, store: keeping === null ? (home?.address ?? null) : null, anchor, claim, secondClaim, readsAll };
   };
 }
--- a/packages/throughpost/test/staleIndex.test.ts
+++ b/packages/throughpost/test/staleIndex.test.ts
@@ -76,6 +76,18 @@
     expect((await late({ isHeard: false })).k).to.equal('drop');
   });
 
+  it('given an address of which two entries fell, when a third is late once, then it is barred, and no more once another replica has the address', async () => {
+    const { watch, late, world } = office();
+    const of = (name: string) => late({ claim: { address, salt, parts: [name], tokens, pullMs: null } });
+    for (const name of ['a', 'a', 'b', 'b']) await of(name);
+    expect(await of('c')).to.deep.equal({ k: 'drop', barMs: 15_000 });
+    await world.run(31_000);
+    expect((await of('d')).k).to.equal('strike');
+    for (const name of ['a', 'a', 'b', 'b']) await of(name);
+    watch.bornAt(address);
+    expect((await of('e')).k).to.equal('strike');
+  });
+
   it('given strikes of other fronts, when they are heard, then they alone decide nothing and an own one does', async () => {
     const { watch, late } = office();
     const news = { address, salt, parts: [part], isDecided: false, barMs: null };
