--- a/packages/franking/src/wayEnv.ts
+++ b/packages/franking/src/wayEnv.ts
@@ -32,6 +32,7 @@
   memoryMb: between(16, 1_048_576),
   openFiles: between(64, 100_000_000),
   logs: v.optional(v.boolean(), true),
+  watchesStale: v.optional(v.boolean(), true),
 });
 
 /** What a process of the opaque path is told: its place, its bounds (milliseconds unless the name says otherwise), its limits. */
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -7,6 +7,7 @@
 import { EventCutter } from './events.js';
 import type { Front } from './front.js';
 import { heavyTokens } from './replicaTracks.js';
+import type { KeptClaim } from './staleWatch.js';
 import type { WayPlace } from './wayPlacing.js';
 
 const patienceShare = 0.7;
@@ -170,6 +171,9 @@
     this.quit.signal.addEventListener('abort', quitted, { once: true });
     track.whenGone.add(gone);
     const sentAt = ports.clock.now();
+    const pendingBefore = track.pendingTokens + track.othersTokens;
+    const aheadTokens = (): number => Math.max(0, pendingBefore + tracks.cameWith(track, sentAt) - placed.readTokens);
+    const isIdle = track.running < card.slots && this.lastId === null && !tracks.isSuspect(track);
     const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs, tracks.typicalFirstMs(this.pool) * typicalFactor);
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
     const mayStillLeave = (): boolean => mayLeave && !this.front.isClosing && this.front.budget.left(this.pool) > 0;
@@ -234,7 +238,7 @@
         void carried.then((late) => late.map((one) => this.discard(one)));
         return isOut ? { k: 'may have run', cause: `the replica was left: ${receipt}` } : { k: 'not run', isArrival: false, retryAfterMs: null };
       }
-      return await this.received(receipt, placed, { sentAt, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
+      return await this.received(receipt, placed, { sentAt, aheadTokens, isIdle, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
     } finally {
       silence.cancel();
       given();
@@ -259,7 +263,7 @@
   private readonly received = async (
     receipt: Result<CarriageReceipt, NetFault>,
     placed: WayPlace,
-    shot: { sentAt: number; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
+    shot: { sentAt: number; aheadTokens: () => number; isIdle: boolean; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
   ): Promise<Ending> => {
     const { tracks, wire, shelves, ports } = this.front;
     const { track } = placed;
@@ -312,7 +316,10 @@
       else tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
         shelves.saw(track.card.address, placed.salt, placed.anchor.id);
-        if (shot.isAlone) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt - placed.pullMs);
+        const spentMs = ports.clock.now() - shot.sentAt;
+        const isLate = shot.isIdle && this.isStale(placed, shot, spentMs);
+        if (shot.isAlone && !isLate) tracks.measured(placed.readTokens, spentMs - placed.pullMs);
+        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || placed.claim?.pullMs === null)) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
       }
     });
     if (ending.k !== 'whole') {
@@ -322,6 +329,17 @@
     return ending;
   };
 
+  private readonly isStale = ({ claim, secondClaim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
+    const { tracks, shelves } = this.front;
+    const isLate = (one: KeptClaim | null): boolean => {
+      if (one === null) return false;
+      const restTokens = Math.max(0, this.order.tokensIn - one.tokens);
+      return this.front.compare({ claim: one, restTokens, aheadTokens: aheadTokens(), tokensPerMs: tracks.readingRate(track), isHeard: shelves.isHeard(one.address), sentAt }, spentMs);
+    };
+    const [isFirstLate, isSecondLate] = [isLate(claim), isLate(secondClaim)];
+    return isFirstLate || isSecondLate;
+  };
+
   private readonly drain = async (receipt: CarriageReceipt): Promise<void> => {
     try {
       for await (const bytes of receipt.body) if (bytes.length > 65_536) return;
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -14,6 +14,14 @@
 const readingForgetMs = 2_500;
 const doubtMs = 4_000;
 
+const mostSamples = 9;
+const mostPoolSamples = 31;
+const leastSamples = 3;
+const mostNotes = 64;
+const notesMs = 10_000;
+const noteTravelMs = 150;
+const quickShare = 0.75;
+
 export interface Track {
   card: ReplicaCard;
   running: number;
@@ -28,6 +36,8 @@
   isGone: boolean;
   doubtedAt: number | null;
   readonly whenGone: Set<() => void>;
+  readonly samples: number[];
+  readonly notes: { readonly at: number; readonly tokens: number }[];
 }
 
 const newest = (told: ReplicaCard, held: ReplicaCard): ReplicaCard => {
@@ -41,20 +51,27 @@
   private readonly tracks = new Map<string, Track>();
   private readonly byPool = new Map<string, Track[]>();
   private readonly readings = new Map<string, { readonly replica: string; readonly tokens: number }>();
+  private readonly poolSamples = new Map<string, number[]>();
   private tokensPerMs = startTokensPerMs;
 
   constructor(private readonly clock: Clock) {}
 
-  readonly take = ({ isWhole, put, gone }: CardsNews): void => {
+  /** Tells at which addresses another life came, and which have none any more. */
+  readonly take = ({ isWhole, put, gone }: CardsNews): { born: string[]; left: string[] } => {
+    const before = this.lives();
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isGone: false, doubtedAt: null, whenGone: new Set() });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isGone: false, doubtedAt: null, whenGone: new Set(), samples: [], notes: [] });
       else Object.assign(held, { card: newest(card, held.card), doubtedAt: null });
     }
     for (const id of gone) this.remove(id);
     if (isWhole) for (const track of this.tracks.values()) if (!told.has(track.card.id)) this.doubt(track);
     this.group();
+    const after = this.lives();
+    const former = [...before];
+    const isBorn = ([address, ids]: [string, ReadonlySet<string>]): boolean => [...(after.get(address) ?? [])].some((id) => !ids.has(id));
+    return { born: former.filter(isBorn).map(([address]) => address), left: former.flatMap(([address]) => (after.has(address) ? [] : [address])) };
   };
 
   private readonly group = (): void => {
@@ -62,6 +79,12 @@
     for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
   };
 
+  private readonly lives = (): Map<string, Set<string>> => {
+    const found = new Map<string, Set<string>>();
+    for (const { card } of this.tracks.values()) found.set(card.address, (found.get(card.address) ?? new Set()).add(card.id));
+    return found;
+  };
+
   /** A whole list may come from a core node that has read it less lately than the one before: what it lacks is gone only if it is not told of again. */
   private readonly doubt = (track: Track): void => {
     if (track.doubtedAt !== null) return;
@@ -101,11 +124,21 @@
     if (tokens <= 0 || track === undefined) return;
     this.readings.set(id, { replica, tokens });
     track.othersTokens += tokens;
+    this.note(track, tokens);
     this.clock.after(readingForgetMs, () => {
       if (this.readings.has(id)) this.takeReading({ id, replica, tokens: 0, salt: null, part: null });
     });
   };
 
+  private readonly note = ({ notes }: Track, tokens: number): void => {
+    const at = this.clock.now();
+    notes.push({ at, tokens });
+    while (notes.length > mostNotes || at - (notes[0]?.at ?? at) > notesMs) notes.shift();
+  };
+
+  /** Tokens that came to the replica just after `sentAt`; other fronts' notes travel for a while, so some of them were there before. */
+  readonly cameWith = ({ notes }: Track, sentAt: number): number => notes.reduce((sum, { at, tokens }) => (at >= sentAt && at <= sentAt + noteTravelMs ? sum + tokens : sum), 0);
+
   readonly addressOf = (id: string): string | null => this.tracks.get(id)?.card.address ?? null;
 
   readonly holds = (track: Track, model: string, version: number): void => {
@@ -123,6 +156,7 @@
   readonly began = (track: Track, tokens: number): void => {
     track.running += 1;
     track.pendingTokens += tokens;
+    this.note(track, tokens);
   };
 
   readonly given = (track: Track, tokens: number): void => void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
@@ -170,5 +204,23 @@
 
   readonly typicalFirstMs = (pool: string): number => this.firsts.get(pool) ?? 0;
 
+  /** Like `measured`, but of a prompt that met an idle replica and was read whole: what late answers are held against. */
+  readonly sampled = (track: Track, tokens: number, spentMs: number): void => {
+    if (tokens < heavyTokens || spentMs <= 0) return;
+    const { pool } = track.card;
+    const held = this.poolSamples.get(pool) ?? [];
+    this.poolSamples.set(pool, held);
+    for (const [samples, most] of [[track.samples, mostSamples], [held, mostPoolSamples]] as const) {
+      samples.push(tokens / spentMs);
+      if (samples.length > most) samples.shift();
+    }
+  };
+
+  /** Tokens that the replica reads in a millisecond: by the quicker of its own samples, else of its pool's, since what this front doesn't see (a wait, a part that was not kept) only slows them, and too slow a rate speaks against nobody; null while too few are there. */
+  readonly readingRate = (track: Track): number | null => {
+    const samples = track.samples.length >= leastSamples ? track.samples : (this.poolSamples.get(track.card.pool) ?? []);
+    return samples.length < leastSamples ? null : ([...samples].sort((a, b) => a - b)[Math.floor(samples.length * quickShare)] as number);
+  };
+
   readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
 }
