Ask before every shot whether key, holder, walls and way still stand; keep a slow pool calm

Change: standing is read anew before every shot and as the body leaves; the rate follows quick answers; silence makes suspect, not ill; a slow holder is named, a broken one not.

--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -156,10 +156,12 @@
     return { view, customer };
   };
 
-  readonly isStanding = (call: Call, view: WayView, customer: Customer | null): boolean => {
-    const now = this.view?.match(call.host, this.pathOf(call.target));
-    if (now === null || now === undefined || now.way.name !== view.way.name) return false;
-    return customer === null || (this.view?.book.customers ?? []).some((held) => held.name === customer.name && held.keyHashes.some((hash) => customer.keyHashes.includes(hash)));
+  /** Whether what a request was admitted by still holds: its way, the key it came with, that key's holder and what the holder may share. */
+  readonly isStanding = (call: Call, view: WayView, customer: Customer | null, key: string | null): boolean => {
+    const now = this.standingOf(call, key);
+    if ('status' in now || now.view.way.name !== view.way.name) return false;
+    if (now.customer?.name !== customer?.name || now.customer?.isIsolated !== customer?.isIsolated) return false;
+    return (now.view.mayRepeat || !view.mayRepeat) && (now.view.way.mayResume || !view.way.mayResume);
   };
 
   readonly deny = (call: Call, status: number, message: string, comeBackMs: number | null, isLast = false): void => {
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -118,7 +118,7 @@
     for (;;) {
       if (this.quit.signal.aborted) return this.quitCause === 'caller left' ? this.leave() : this.giveUp('the time is over');
       if (this.arrivals >= way.shots) return this.giveUp('no further replica may be asked');
-      if (this.arrivals > 0 && !this.front.isStanding(this.call, this.view, this.customer)) return this.giveUp('the way or the key was taken back');
+      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key)) return this.giveUp('the way or the key was taken back');
       const placed = await this.placed();
       if (placed === null) return this.giveUp('no replica takes it now');
       if (this.arrivals > 0 && !this.front.budget.take(this.pool)) return this.giveUp('no further shot is left');
@@ -178,7 +178,7 @@
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
     const mayStillLeave = (): boolean => mayLeave && !this.front.isClosing && this.front.budget.left(this.pool) > 0;
     let silence = ports.clock.after(mayLeave ? firstPatienceMs : firstPatienceMs * 2, () => {
-      tracks.failed(track);
+      tracks.slow(track);
       tracks.firstSeen(this.pool, firstPatienceMs);
       if (mayStillLeave()) stopShot('silent');
     });
@@ -186,7 +186,7 @@
     const heardOf = (): void => {
       silence.cancel();
       silence = ports.clock.after(gapMs, () => {
-        tracks.failed(track);
+        tracks.slow(track);
         if (way.mayResume && mayStillLeave()) stopShot('silent');
       });
     };
@@ -207,6 +207,7 @@
     const wasRun = this.mayHaveRun;
     const gate = (): boolean => {
       if (stopped !== null || track.card.isLeaving || track.isGone || tracks.isResting(track)) return false;
+      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key)) return false;
       isOut = true;
       this.mayHaveRun = true;
       return true;
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -6,9 +6,10 @@
 const illnessBlend = 0.3;
 const healthBlend = 0.1;
 const typicalBlend = 0.05;
-const blend = 0.2;
+const quickerBlend = 0.3;
+const slowerBlend = 0.01;
 const startTokensPerMs = 40;
-const slowestTokensPerMs = 5;
+const slowestTokensPerMs = 10;
 const fastestTokensPerMs = 1_000;
 export const heavyTokens = 1_000;
 const readingForgetMs = 2_500;
@@ -33,6 +34,7 @@
   restUntil: number;
   illness: number;
   illAt: number;
+  isBroken: boolean;
   isGone: boolean;
   doubtedAt: number | null;
   readonly whenGone: Set<() => void>;
@@ -62,7 +64,7 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isGone: false, doubtedAt: null, whenGone: new Set(), samples: [], notes: [] });
+      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isBroken: false, isGone: false, doubtedAt: null, whenGone: new Set(), samples: [], notes: [] });
       else Object.assign(held, { card: newest(card, held.card), doubtedAt: null });
     }
     for (const id of gone) this.remove(id);
@@ -174,13 +176,26 @@
 
   readonly answered = (track: Track): void => {
     this.feels(track, healthBlend, false);
+    track.isBroken = false;
     track.suspectUntil = 0;
     track.suspicionMs = firstSuspicionMs;
   };
 
+  /** It was silent for longer than it should be: avoided for a while, without being held ill. */
+  readonly slow = (track: Track): void => this.suspect(track);
+
   readonly failed = (track: Track): void => {
-    const now = this.clock.now();
     this.feels(track, illnessBlend, true);
+    track.isBroken = true;
+    this.suspect(track);
+  };
+
+  /** Whether it may hand over what it keeps: one that is only slow may, one whose last word was a failure costs its receiver some hundred milliseconds if it is dead. */
+  readonly mayHandOver = (track: Track): boolean => !track.isGone && !(track.isBroken && this.isSuspect(track));
+
+
+  private readonly suspect = (track: Track): void => {
+    const now = this.clock.now();
     if (track.suspectUntil > now) return;
     track.suspectUntil = now + track.suspicionMs;
     track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
@@ -188,10 +203,11 @@
 
   readonly full = (track: Track, forMs: number): void => void (track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs));
 
+  /** The reading rate follows quick answers at once and slow ones hardly: what a front does not see can only make an answer slower, and in a crowded pool every answer is slow. */
   readonly measured = (tokens: number, spentMs: number): void => {
     if (tokens < heavyTokens || spentMs <= 0) return;
     const seen = Math.min(fastestTokensPerMs, Math.max(slowestTokensPerMs, tokens / spentMs));
-    this.tokensPerMs += (seen - this.tokensPerMs) * blend;
+    this.tokensPerMs += (seen - this.tokensPerMs) * (seen > this.tokensPerMs ? quickerBlend : slowerBlend);
   };
 
   private readonly firsts = new Map<string, number>();
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -15,7 +15,7 @@
 const oldWeightsMs = 15;
 const suspicionMs = 2_000;
 const readTwiceMs = 800;
-const illnessMs = 1_500;
+const illnessMs = 800;
 const leastIllness = 0.05;
 
 export interface WayPlace {
@@ -158,7 +158,7 @@
       const rank = homes.indexOf(track);
       const isKept = isTracked && salt !== null && keepsAnchor(track, salt);
       const isSoon = isTracked && !isKept && salt !== null && this.shelves.isReading(track.card.address, salt, anchor.id);
-      const hasHolder = isTracked && !isKept && !isSoon && salt !== null && all.some((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
+      const hasHolder = isTracked && !isKept && !isSoon && salt !== null && all.some((other) => other !== track && this.tracks.mayHandOver(other) && keepsAnchor(other, salt));
       const anchorTokens = isTracked ? order.parts.slice(0, at + 1).reduce((sum, part) => sum + part.tokens, 0) : 0;
       const readTokens = Math.max(0, order.tokensIn - (isKept || isSoon || hasHolder ? anchorTokens : 0));
       const crowdingMs = hasHolder ? this.tracks.readMs(anchorTokens) * crowdingShare + pullMs(anchorTokens) : 0;
@@ -178,8 +178,8 @@
     const { track, salt } = best;
     if (!isTracked || salt === null) return { ...best, track, holder: null, store: null, anchor, claim: null, secondClaim: null, readsAll: true };
     const { keeping, home } = this.storeFor(anchor, salt, view.book.stores);
-    const holders = best.isKept ? [] : all.filter((other) => other !== track && !this.tracks.isSuspect(other) && keepsAnchor(other, salt));
-    const near = holders.find((other) => other.card.zone === track.card.zone) ?? holders[0];
+    const holders = best.isKept ? [] : all.filter((other) => other !== track && this.tracks.mayHandOver(other) && keepsAnchor(other, salt)).sort((a, b) => Number(this.tracks.isSuspect(a)) - Number(this.tracks.isSuspect(b)));
+    const near = holders.find((other) => other.card.zone === track.card.zone && !this.tracks.isSuspect(other)) ?? holders[0];
     const guess = homes.find((other) => other !== track && !this.tracks.isSuspect(other));
     const holder = near?.card.address ?? keeping?.address ?? (best.isKept ? null : (home?.address ?? (homes[0] === track ? null : (guess?.card.address ?? null))));
     const source = best.isSoon ? undefined : (near?.card.address ?? keeping?.address);
