--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -2,7 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, NetFault, Ports, ReadingNews, ShelfNews, StateHeld, Subscription } from '@martenworks/envelope';
+import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, MissedNews, NetFault, Ports, ReadingNews, ShelfNews, StateHeld, Subscription } from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -185,6 +185,10 @@
     const voters = this.reachableVoters();
     const isMine = (address: string): boolean => !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.decrees.incarnation));
     this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]), isMine);
+    if (!this.env.watchesStale) return;
+    const lives = new Map<string, Set<string>>();
+    for (const { address, id } of this.cards.all()) lives.set(address, (lives.get(address) ?? new Set()).add(id));
+    for (const [address, ids] of lives) this.shelves.lives(address, ids);
   };
 
   private readonly stepFounding = (): void => {
@@ -275,6 +279,14 @@
       else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
       else if (topic === 'reading') this.readings.take(body as ReadingNews);
       else if (topic === 'readingRelay') this.push.tellContent('reading', body);
+      else if (topic === 'missed') {
+        this.shelves.missed(body as MissedNews);
+        this.push.tellOthers(coach, 'missed', body);
+        this.tellPostmasters('missedRelay', body);
+      } else if (topic === 'missedRelay') {
+        this.shelves.missed(body as MissedNews);
+        this.push.tellContent('missed', body);
+      }
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
     asked: async (coach, topic, body) => {
@@ -348,6 +360,7 @@
       replicas: this.cards.all(),
       listAgeMs: this.cards.ageMs(),
       shelves: this.shelves.sizes(),
+      stale: { isOn: this.env.watchesStale, ...this.shelves.stale() },
     };
   };
 
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -7,6 +7,7 @@
 import { EventCutter } from './events.js';
 import type { Front } from './front.js';
 import { heavyTokens } from './replicaTracks.js';
+import type { KeptClaim } from './staleWatch.js';
 import type { WayPlace } from './wayPlacing.js';
 
 const patienceShare = 0.7;
@@ -117,7 +118,7 @@
     for (;;) {
       if (this.quit.signal.aborted) return this.quitCause === 'caller left' ? this.leave() : this.giveUp('the time is over');
       if (this.arrivals >= way.shots) return this.giveUp('no further replica may be asked');
-      if (this.arrivals > 0 && !this.front.isStanding(this.call, this.view, this.customer)) return this.giveUp('the way or the key was taken back');
+      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key)) return this.giveUp('the way or the key was taken back');
       const placed = await this.placed();
       if (placed === null) return this.giveUp('no replica takes it now');
       if (this.arrivals > 0 && !this.front.budget.take(this.pool)) return this.giveUp('no further shot is left');
@@ -170,11 +171,14 @@
     this.quit.signal.addEventListener('abort', quitted, { once: true });
     track.whenGone.add(gone);
     const sentAt = ports.clock.now();
+    const pendingBefore = track.pendingTokens + track.othersTokens;
+    const aheadTokens = (): number => Math.max(0, pendingBefore + tracks.cameWith(track, sentAt) - placed.readTokens);
+    const isIdle = track.running < card.slots && this.lastId === null && !tracks.isSuspect(track);
     const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs, tracks.typicalFirstMs(this.pool) * typicalFactor);
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
     const mayStillLeave = (): boolean => mayLeave && !this.front.isClosing && this.front.budget.left(this.pool) > 0;
     let silence = ports.clock.after(mayLeave ? firstPatienceMs : firstPatienceMs * 2, () => {
-      tracks.failed(track);
+      tracks.slow(track);
       tracks.firstSeen(this.pool, firstPatienceMs);
       if (mayStillLeave()) stopShot('silent');
     });
@@ -182,7 +186,7 @@
     const heardOf = (): void => {
       silence.cancel();
       silence = ports.clock.after(gapMs, () => {
-        tracks.failed(track);
+        tracks.slow(track);
         if (way.mayResume && mayStillLeave()) stopShot('silent');
       });
     };
@@ -203,6 +207,7 @@
     const wasRun = this.mayHaveRun;
     const gate = (): boolean => {
       if (stopped !== null || track.card.isLeaving || track.isGone || tracks.isResting(track)) return false;
+      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key)) return false;
       isOut = true;
       this.mayHaveRun = true;
       return true;
@@ -234,7 +239,7 @@
         void carried.then((late) => late.map((one) => this.discard(one)));
         return isOut ? { k: 'may have run', cause: `the replica was left: ${receipt}` } : { k: 'not run', isArrival: false, retryAfterMs: null };
       }
-      return await this.received(receipt, placed, { sentAt, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
+      return await this.received(receipt, placed, { sentAt, aheadTokens, isIdle, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
     } finally {
       silence.cancel();
       given();
@@ -259,7 +264,7 @@
   private readonly received = async (
     receipt: Result<CarriageReceipt, NetFault>,
     placed: WayPlace,
-    shot: { sentAt: number; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
+    shot: { sentAt: number; aheadTokens: () => number; isIdle: boolean; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
   ): Promise<Ending> => {
     const { tracks, wire, shelves, ports } = this.front;
     const { track } = placed;
@@ -312,7 +317,10 @@
       else tracks.answered(track);
       if (isSuccess && placed.anchor !== null && placed.salt !== null) {
         shelves.saw(track.card.address, placed.salt, placed.anchor.id);
-        if (shot.isAlone) tracks.measured(placed.readTokens, ports.clock.now() - shot.sentAt - placed.pullMs);
+        const spentMs = ports.clock.now() - shot.sentAt;
+        const isLate = shot.isIdle && this.isStale(placed, shot, spentMs);
+        if (shot.isAlone && !isLate) tracks.measured(placed.readTokens, spentMs - placed.pullMs);
+        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || placed.claim?.pullMs === null)) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
       }
     });
     if (ending.k !== 'whole') {
@@ -322,6 +330,17 @@
     return ending;
   };
 
+  private readonly isStale = ({ claim, secondClaim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
+    const { tracks, shelves } = this.front;
+    const isLate = (one: KeptClaim | null): boolean => {
+      if (one === null) return false;
+      const restTokens = Math.max(0, this.order.tokensIn - one.tokens);
+      return this.front.compare({ claim: one, restTokens, aheadTokens: aheadTokens(), tokensPerMs: tracks.readingRate(track), isHeard: shelves.isHeard(one.address), sentAt }, spentMs);
+    };
+    const [isFirstLate, isSecondLate] = [isLate(claim), isLate(secondClaim)];
+    return isFirstLate || isSecondLate;
+  };
+
   private readonly drain = async (receipt: CarriageReceipt): Promise<void> => {
     try {
       for await (const bytes of receipt.body) if (bytes.length > 65_536) return;
