--- a/packages/counter/src/admit.ts
+++ b/packages/counter/src/admit.ts
@@ -17,7 +17,8 @@
     if (parcel.isEnded) return;
     if (this.isDraining) return this.denying.refuse(parcel, 'draining', 'this counter is closing');
     const view = this.bench.book.view();
-    if (view === null || !this.bench.freshness.isFresh()) return this.denying.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
+    if (view === null || !this.bench.freshness.isFresh())
+      return this.denying.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
     if (parcel.order.key === null) return this.denying.refuse(parcel, 'unknown_key', 'no bearer key was given');
     parcel.keyHash = keys.hash(parcel.order.key);
     const tenant = standings.holderOf(view, parcel.keyHash);
--- a/packages/counter/src/book.ts
+++ b/packages/counter/src/book.ts
@@ -33,7 +33,8 @@
     this.changed();
   };
 
-  private readonly eraOf = (record: ReplicaRecord): number => (record.kind === 'store' ? this.state?.storeSince[record.name] : this.state?.weightsSince[record.pool]) ?? 0;
+  private readonly eraOf = (record: ReplicaRecord): number =>
+    (record.kind === 'store' ? this.state?.storeSince[record.name] : this.state?.weightsSince[record.pool]) ?? 0;
 
   private readonly reindex = (): void => {
     this.index.reconcile(this.held.values(), this.eraOf);
@@ -66,14 +67,23 @@
   };
 
   readonly inPool = (poolName: string): ReplicaRecord[] =>
-    this.records().filter((record) => record.pool === poolName && record.kind === 'replica' && record.state === 'ready' && record.born <= this.generation());
+    this.records().filter(
+      (record) =>
+        record.pool === poolName &&
+        record.kind === 'replica' &&
+        record.state === 'ready' &&
+        record.born <= this.generation(),
+    );
 
   readonly holdersIn = (poolName: string, store: string | null): ReplicaRecord[] => {
     const { state } = this;
     if (state === null) return [];
     const isStoreShared = agreedState.servesIsolated(state.layout, poolName);
-    const isOfPool = (record: ReplicaRecord): boolean => (record.kind === 'replica' ? record.pool === poolName : record.name === store && !isStoreShared);
-    return this.records().filter((record) => record.state === 'ready' && isOfPool(record) && record.born >= this.eraOf(record));
+    const isOfPool = (record: ReplicaRecord): boolean =>
+      record.kind === 'replica' ? record.pool === poolName : record.name === store && !isStoreShared;
+    return this.records().filter(
+      (record) => record.state === 'ready' && isOfPool(record) && record.born >= this.eraOf(record),
+    );
   };
 
   readonly sidesWanted = (): SideClaim[] => this.quarters.wanted(this.clock.now());
--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -23,7 +23,10 @@
   });
 
 const streamReply = (counter: Counter, receipt: StreamReceipt): Response => {
-  const cut = (cause: string): Uint8Array => encoder.encode(`event: error\ndata: ${JSON.stringify(errorBody(deny.of('cut_stream', 'unknown', cause), receipt.requestId))}\n\n`);
+  const cut = (cause: string): Uint8Array =>
+    encoder.encode(
+      `event: error\ndata: ${JSON.stringify(errorBody(deny.of('cut_stream', 'unknown', cause), receipt.requestId))}\n\n`,
+    );
   let isCut = false;
   const body = new ReadableStream<Uint8Array>(
     {
@@ -49,18 +52,23 @@
     },
     { highWaterMark: 0 },
   );
-  return new Response(body, { status: 200, headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': receipt.requestId } });
+  return new Response(body, {
+    status: 200,
+    headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': receipt.requestId },
+  });
 };
 
 const wholeReply = async (c: Context, path: CompletionPath, receipt: StreamReceipt): Promise<Response> => {
   const datas: string[] = [];
   let size = 0;
   for await (const piece of receipt.pieces) {
-    if (piece.kind === 'done') return c.json(backWire.assemble(path, datas), 200, { 'x-request-id': receipt.requestId });
+    if (piece.kind === 'done')
+      return c.json(backWire.assemble(path, datas), 200, { 'x-request-id': receipt.requestId });
     if (piece.kind !== 'piece') return denyReply(c, deny.of('cut_stream', 'unknown', piece.cause), receipt.requestId);
     datas.push(piece.data);
     size += piece.data.length;
-    if (size > wholeLimit) return denyReply(c, deny.of('cut_stream', 'unknown', 'the receipt is too large to hold'), receipt.requestId);
+    if (size > wholeLimit)
+      return denyReply(c, deny.of('cut_stream', 'unknown', 'the receipt is too large to hold'), receipt.requestId);
   }
   return denyReply(c, deny.of('cut_stream', 'unknown', 'the stream was cut'), receipt.requestId);
 };
@@ -89,7 +97,8 @@
       } catch {
         return denyReply(c, deny.of('bad_request', 'no', 'the body is not JSON'), requestId);
       }
-      if (body === null || typeof body !== 'object' || Array.isArray(body)) return denyReply(c, deny.of('bad_request', 'no', 'the body must be an object'), requestId);
+      if (body === null || typeof body !== 'object' || Array.isArray(body))
+        return denyReply(c, deny.of('bad_request', 'no', 'the body must be an object'), requestId);
       const fields = body as Record<string, unknown>;
       const receipt = await counter.serve({
         requestId,
@@ -103,13 +112,18 @@
       if (receipt.kind === 'deny') return denyReply(c, receipt, requestId);
       return fields['stream'] === true ? streamReply(counter, receipt) : wholeReply(c, path, receipt);
     };
-  const limited = bodyLimit({ maxSize: counter.env.bodyLimitBytes, onError: (c) => denyReply(c, deny.of('too_large', 'no', 'the body is over the limit'), requestIdOf(c, counter)) });
+  const limited = bodyLimit({
+    maxSize: counter.env.bodyLimitBytes,
+    onError: (c) => denyReply(c, deny.of('too_large', 'no', 'the body is over the limit'), requestIdOf(c, counter)),
+  });
   app.post('/v1/completions', limited, completion('/v1/completions'));
   app.post('/v1/chat/completions', limited, completion('/v1/chat/completions'));
   app.get('/healthz', (c) => c.json({ status: 'ok' }));
   app.get('/readyz', (c) => {
     const isReady = counter.freshness.isFresh() && !counter.stages.isDraining;
-    return isReady ? c.json({ status: 'ready', generation: counter.book.generation() }) : c.json({ status: 'not ready', voices: counter.freshness.voiceCount() }, 503, { 'retry-after': '1' });
+    return isReady
+      ? c.json({ status: 'ready', generation: counter.book.generation() })
+      : c.json({ status: 'not ready', voices: counter.freshness.voiceCount() }, 503, { 'retry-after': '1' });
   });
   app.notFound((c) => denyReply(c, deny.of('no_such_page', 'no', 'no such path or method'), requestIdOf(c, counter)));
   app.onError((cause, c) => {
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -25,7 +25,11 @@
   | { readonly k: 'reused' }
   | { readonly k: 'no majority' };
 
-export type ShelfState = { readonly k: 'running' } | { readonly k: 'done'; readonly datas: readonly string[] } | { readonly k: 'unknown' } | { readonly k: 'not run' };
+export type ShelfState =
+  | { readonly k: 'running' }
+  | { readonly k: 'done'; readonly datas: readonly string[] }
+  | { readonly k: 'unknown' }
+  | { readonly k: 'not run' };
 
 interface Shelved {
   state: ShelfState;
@@ -93,7 +97,10 @@
       for (const member of members) {
         const coach = this.lines().to(member.incarnation);
         if (coach === undefined) tally(null);
-        else void coach.ask(topic, body, votePatienceMs).then((receipt) => tally(receipt.isOk() ? (receipt.value as ClaimVote | null) : null));
+        else
+          void coach
+            .ask(topic, body, votePatienceMs)
+            .then((receipt) => tally(receipt.isOk() ? (receipt.value as ClaimVote | null) : null));
       }
     });
   };
@@ -102,7 +109,12 @@
 
   readonly take = async (key: string, digest: string, requestId: string): Promise<ClaimOutcome> => {
     const { clock, random } = this.ports;
-    const own: Claimant = { id: `${this.own().incarnation}/${requestId}/${random.token(4)}`, counter: this.own().incarnation, address: this.own().address, digest };
+    const own: Claimant = {
+      id: `${this.own().incarnation}/${requestId}/${random.token(4)}`,
+      counter: this.own().incarnation,
+      address: this.own().address,
+      digest,
+    };
     this.shelf.began(own.id);
     const outcome = await this.settle(key, own, clock.now() + 4_000);
     if (outcome.k !== 'claimed') this.shelf.ended(own.id, { k: 'not run' });
@@ -125,7 +137,12 @@
       if (!this.isMajority(promises.granted)) continue;
       let highest: ClaimAccepted | null = null;
       for (const { isGranted, state } of promises.states) {
-        if (isGranted && state.accepted !== null && (highest === null || claimBallots.compare(state.accepted.ballot, highest.ballot) > 0)) highest = state.accepted;
+        if (
+          isGranted &&
+          state.accepted !== null &&
+          (highest === null || claimBallots.compare(state.accepted.ballot, highest.ballot) > 0)
+        )
+          highest = state.accepted;
       }
       const claimant: Claimant = highest?.claimant ?? own;
       const accepts = await this.poll('claimAccept', { key, turn, ballot, claimant });
@@ -145,10 +162,18 @@
   private readonly inquire = async (claimant: Claimant): Promise<ShelfState> => {
     if (claimant.counter === this.own().incarnation) return this.shelf.stateOf(claimant.id);
     const { net, clock, log } = this.ports;
-    const dialed = await coaches.dial(net, clock, log, this.own(), claimant.address, { told: () => {}, asked: async () => null, joined: () => {}, left: () => {} });
+    const dialed = await coaches.dial(net, clock, log, this.own(), claimant.address, {
+      told: () => {},
+      asked: async () => null,
+      joined: () => {},
+      left: () => {},
+    });
     if (dialed.isErr()) return { k: 'unknown' };
     const coach = dialed.value;
-    const receipt = coach.neighbour?.incarnation === claimant.counter ? await coach.ask('claimState', claimant.id, askPatienceMs) : null;
+    const receipt =
+      coach.neighbour?.incarnation === claimant.counter
+        ? await coach.ask('claimState', claimant.id, askPatienceMs)
+        : null;
     coach.close();
     return receipt?.isOk() === true ? (receipt.value as ShelfState) : { k: 'unknown' };
   };
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,7 +1,20 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating, pause } from '@martenworks/envelope';
-import type { Agreed, Change, KvNews, Listener, LoadReport, Loads, NetFault, Pong, Ports, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
+import type {
+  Agreed,
+  Change,
+  KvNews,
+  Listener,
+  LoadReport,
+  Loads,
+  NetFault,
+  Pong,
+  Ports,
+  ReplicaRecord,
+  SideClaim,
+  SideStanding,
+} from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import { coaches, hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
@@ -47,10 +60,36 @@
     this.book = new Book(clock, () => this.changed());
     this.freshness = new Freshness(clock, () => this.book.agreed()?.members ?? [], this.book.generation);
     this.tracks = new Tracks(clock, this.tellHeavy);
-    this.claims = new Claims(ports, this.hello, () => this.book.agreed()?.members ?? [], () => this.lines);
-    this.stages = new Stages({ env, ports, book: this.book, tracks: this.tracks, freshness: this.freshness, tally: this.tally, claims: this.claims });
-    this.rounds = new Rounds(ports, this.hello, this.roster, () => this.lines, () => {});
-    this.lines = new Lines(ports, this.hello, env.seeds, this.roster, () => [...(this.book.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()], this.handlers(this.joinPostmaster));
+    this.claims = new Claims(
+      ports,
+      this.hello,
+      () => this.book.agreed()?.members ?? [],
+      () => this.lines,
+    );
+    this.stages = new Stages({
+      env,
+      ports,
+      book: this.book,
+      tracks: this.tracks,
+      freshness: this.freshness,
+      tally: this.tally,
+      claims: this.claims,
+    });
+    this.rounds = new Rounds(
+      ports,
+      this.hello,
+      this.roster,
+      () => this.lines,
+      () => {},
+    );
+    this.lines = new Lines(
+      ports,
+      this.hello,
+      env.seeds,
+      this.roster,
+      () => [...(this.book.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()],
+      this.handlers(this.joinPostmaster),
+    );
     this.pinger = new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.pingAll);
   }
 
@@ -58,7 +97,14 @@
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
-    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coachListen, this.handlers(() => {}));
+    const opened = await coaches.listen(
+      net,
+      clock,
+      log,
+      this.hello,
+      this.env.coachListen,
+      this.handlers(() => {}),
+    );
     if (opened.isErr()) return err(opened.error);
     this.listener = opened.value;
     return ok(undefined);
@@ -93,18 +139,30 @@
         for (const one of standings) told.set(one.replica, [...(told.get(one.replica) ?? []), one]);
         const known = [...told.values()].filter((some) => some.length >= majority);
         if (known.length < claims.length && open > 0) return;
-        settle(known.map((some) => ({ ...(some[0] as SideStanding), sides: [...new Set(some.flatMap((one) => one.sides))], ageMs: some.map((one) => one.ageMs).sort((a, b) => b - a)[majority - 1] as number })));
+        settle(
+          known.map((some) => ({
+            ...(some[0] as SideStanding),
+            sides: [...new Set(some.flatMap((one) => one.sides))],
+            ageMs: some.map((one) => one.ageMs).sort((a, b) => b - a)[majority - 1] as number,
+          })),
+        );
       };
       if (members.length === 0) settle([]);
       for (const member of members) {
         const coach = this.lines.to(member.incarnation);
         if (coach === undefined) tally([]);
-        else void coach.ask('admitSides', claims, admitPatienceMs).then((receipt) => tally(receipt.isOk() ? ((receipt.value as SideStanding[] | null) ?? []) : []));
+        else
+          void coach
+            .ask('admitSides', claims, admitPatienceMs)
+            .then((receipt) => tally(receipt.isOk() ? ((receipt.value as SideStanding[] | null) ?? []) : []));
       }
     });
   };
 
-  private readonly report = (): LoadReport => ({ replicas: this.tracks.report(), pools: this.stages.placing.demands() });
+  private readonly report = (): LoadReport => ({
+    replicas: this.tracks.report(),
+    pools: this.stages.placing.demands(),
+  });
 
   private readonly tellHeavy = (): void => {
     const report = this.report();
@@ -181,7 +239,8 @@
     },
   });
 
-  readonly serve = (order: Order): Promise<Receipt> => new Promise((settle) => this.stages.enter(new Parcel(order, this.ports.clock.now(), settle)));
+  readonly serve = (order: Order): Promise<Receipt> =>
+    new Promise((settle) => this.stages.enter(new Parcel(order, this.ports.clock.now(), settle)));
 
   readonly drain = async (): Promise<void> => {
     this.stages.drain();
@@ -194,7 +253,8 @@
     this.pinger.stop();
     this.rounds.stop();
     this.lines.stop();
-    for (const parcel of [...this.stages.live]) this.stages.denying.refuse(parcel, 'draining', 'this counter is closing');
+    for (const parcel of [...this.stages.live])
+      this.stages.denying.refuse(parcel, 'draining', 'this counter is closing');
     await this.listener?.close();
     await this.ports.carriage.close();
   };
--- a/packages/counter/src/denying.ts
+++ b/packages/counter/src/denying.ts
@@ -19,7 +19,10 @@
   private readonly retryAfter = (code: DenyCode, parcel: Parcel): number | undefined => {
     if (code !== 'no_capacity' && code !== 'horizon_passed') return undefined;
     if (parcel.comeBackSeconds !== null) return Math.min(largestRetryAfterSeconds, Math.max(1, parcel.comeBackSeconds));
-    return Math.min(largestRetryAfterSeconds, Math.max(1, Math.ceil(this.lines().forecastMs(parcel) / 1_000 + this.bench.ports.random.fraction())));
+    return Math.min(
+      largestRetryAfterSeconds,
+      Math.max(1, Math.ceil(this.lines().forecastMs(parcel) / 1_000 + this.bench.ports.random.fraction())),
+    );
   };
 
   readonly refuse = (parcel: Parcel, code: DenyCode, detail: string): void => {
@@ -30,7 +33,14 @@
     const denied: Deny = deny.of(code, ran, detail, this.retryAfter(code, parcel));
     if (!parcel.isAnswered) {
       tally.add(`denied_${code}`);
-      ports.log.info('denied', { requestId: parcel.order.requestId, tenant: parcel.tenant?.name ?? null, code, ran, detail, retryAfterSeconds: denied.retryAfterSeconds });
+      ports.log.info('denied', {
+        requestId: parcel.order.requestId,
+        tenant: parcel.tenant?.name ?? null,
+        code,
+        ran,
+        detail,
+        retryAfterSeconds: denied.retryAfterSeconds,
+      });
     }
     if (parcel.isRelaying) parcel.cut(detail);
     else parcel.denies(denied);
--- a/packages/counter/src/freshness.ts
+++ b/packages/counter/src/freshness.ts
@@ -43,7 +43,8 @@
     return voice.pendingSince === null || now - voice.pendingSince <= pendingMs;
   };
 
-  readonly voiceCount = (): number => this.members().filter((member) => this.isVoiceFresh(this.voices.get(member.incarnation))).length;
+  readonly voiceCount = (): number =>
+    this.members().filter((member) => this.isVoiceFresh(this.voices.get(member.incarnation))).length;
 
   readonly isFresh = (): boolean => {
     const members = this.members();
--- a/packages/counter/src/layoutView.ts
+++ b/packages/counter/src/layoutView.ts
@@ -37,17 +37,34 @@
     const lanes = new Map<string, LaneView>();
     for (const [name, lane] of Object.entries(layout.lanes)) {
       const pool = layout.pools[lane.pool];
-      if (pool !== undefined) lanes.set(name, { index: this.laneNames.indexOf(name), name, poolName: lane.pool, pool, repeat: lane.repeat });
+      if (pool !== undefined)
+        lanes.set(name, { index: this.laneNames.indexOf(name), name, poolName: lane.pool, pool, repeat: lane.repeat });
     }
     const tenants = new Map<string, TenantView>();
     for (const [name, tenant] of Object.entries(layout.tenants)) {
       const tier = layout.tiers[tenant.tier];
       if (tier === undefined) continue;
       const granted = new Set(tenant.lanes.map((lane) => this.laneNames.indexOf(lane)));
-      tenants.set(name, { index: this.tenantNames.indexOf(name), name, tenant, tierName: tenant.tier, tier, lanes: granted });
+      tenants.set(name, {
+        index: this.tenantNames.indexOf(name),
+        name,
+        tenant,
+        tierName: tenant.tier,
+        tier,
+        lanes: granted,
+      });
     }
     const ranks = [...new Set(Object.values(layout.tiers).map((tier) => tier.rank))].sort((a, b) => b - a);
-    const urgencyOf = (rank: number): number => (ranks.length < 2 ? 0 : Math.max(0, ranks.indexOf(rank)) / (ranks.length - 1));
-    return { urgencyOf, generation: agreed.generation, layoutGeneration: agreed.layoutGeneration, lanes, tenants, pools: new Map(Object.entries(layout.pools)), keys: agreed.keys };
+    const urgencyOf = (rank: number): number =>
+      ranks.length < 2 ? 0 : Math.max(0, ranks.indexOf(rank)) / (ranks.length - 1);
+    return {
+      urgencyOf,
+      generation: agreed.generation,
+      layoutGeneration: agreed.layoutGeneration,
+      lanes,
+      tenants,
+      pools: new Map(Object.entries(layout.pools)),
+      keys: agreed.keys,
+    };
   };
 }
--- a/packages/counter/src/match.ts
+++ b/packages/counter/src/match.ts
@@ -28,7 +28,8 @@
     if (typeof laneName !== 'string') return this.denying.refuse(parcel, 'bad_request', 'model must name a lane');
     const lane = view.lanes.get(laneName);
     if (lane === undefined) return this.denying.refuse(parcel, 'unknown_lane', 'no such lane');
-    if (!tenant.lanes.has(lane.index)) return this.denying.refuse(parcel, 'lane_not_granted', 'the key\'s holder may not use this lane');
+    if (!tenant.lanes.has(lane.index))
+      return this.denying.refuse(parcel, 'lane_not_granted', "the key's holder may not use this lane");
     const prompt = backWire.promptOf(parcel.order.path, parcel.order.body);
     if (prompt === null) return this.denying.refuse(parcel, 'bad_request', 'the prompt must be text');
     if (!this.isWithinRate(parcel)) return this.denying.refuse(parcel, 'over_share', 'the tenant is over its rate');
@@ -39,9 +40,13 @@
     parcel.blocks = prompts.blocks(prompt);
     const horizonMs = Math.min(longestHorizonMs, parcel.order.horizonMs ?? tenant.tier.horizonMs);
     parcel.horizonAt = parcel.arrivedAt + horizonMs;
-    const clockEvent = this.bench.ports.clock.after(Math.max(0, parcel.horizonAt - this.bench.ports.clock.now()), () => {
-      if (!parcel.isAnswered) this.denying.refuse(parcel, 'horizon_passed', 'the horizon passed before a first piece came');
-    });
+    const clockEvent = this.bench.ports.clock.after(
+      Math.max(0, parcel.horizonAt - this.bench.ports.clock.now()),
+      () => {
+        if (!parcel.isAnswered)
+          this.denying.refuse(parcel, 'horizon_passed', 'the horizon passed before a first piece came');
+      },
+    );
     parcel.whenEnded(clockEvent.cancel);
     if (parcel.order.idempotencyKey === null) this.next(parcel);
     else void this.claimThenQueue(parcel, parcel.order.idempotencyKey);
@@ -50,7 +55,11 @@
   private readonly claimThenQueue = async (parcel: Parcel, idempotencyKey: string): Promise<void> => {
     const { order, tenant } = parcel;
     const key = digests.of([tenant?.name, idempotencyKey]);
-    const outcome = await this.bench.claims.take(key, digests.of([order.path, { ...order.body, stream: null }]), order.requestId);
+    const outcome = await this.bench.claims.take(
+      key,
+      digests.of([order.path, { ...order.body, stream: null }]),
+      order.requestId,
+    );
     this.bench.tally.add(`claims_${outcome.k.replace(' ', '_')}`);
     if (outcome.k === 'claimed') {
       parcel.claim = outcome.claim;
@@ -69,7 +78,11 @@
         return this.denying.refuse(parcel, 'in_progress', 'this Idempotency-Key is being run');
       case 'unknown':
         parcel.mayHaveRun = true;
-        return this.denying.refuse(parcel, 'outcome_unknown', 'this Idempotency-Key was claimed, and what came of it is not known');
+        return this.denying.refuse(
+          parcel,
+          'outcome_unknown',
+          'this Idempotency-Key was claimed, and what came of it is not known',
+        );
       case 'reused':
         return this.denying.refuse(parcel, 'key_reused', 'this Idempotency-Key was used for another request');
       case 'no majority':
@@ -87,7 +100,10 @@
     if (tenant === null || tenant.tenant.ratePerSecond === null) return true;
     const perSecond = tenant.tenant.ratePerSecond / this.bench.env.fronts;
     const held = this.rates.get(tenant.index);
-    const rate = held !== undefined && held.perSecond === perSecond ? held : new RateShare(perSecond, this.bench.ports.clock.now());
+    const rate =
+      held !== undefined && held.perSecond === perSecond
+        ? held
+        : new RateShare(perSecond, this.bench.ports.clock.now());
     this.rates.set(tenant.index, rate);
     return rate.take(this.bench.ports.clock.now());
   };
--- a/packages/counter/src/operatorPages.ts
+++ b/packages/counter/src/operatorPages.ts
@@ -21,10 +21,17 @@
     }),
   );
   app.post('/why', bodyLimit({ maxSize: counter.env.bodyLimitBytes }), async (c) => {
-    const asked = (await c.req.json().catch(() => null)) as { lane?: unknown; tenant?: unknown; prompt?: unknown } | null;
-    if (typeof asked?.lane !== 'string' || typeof asked.tenant !== 'string' || typeof asked.prompt !== 'string') return c.json({ detail: 'lane, tenant and prompt must be text' }, 400);
+    const asked = (await c.req.json().catch(() => null)) as {
+      lane?: unknown;
+      tenant?: unknown;
+      prompt?: unknown;
+    } | null;
+    if (typeof asked?.lane !== 'string' || typeof asked.tenant !== 'string' || typeof asked.prompt !== 'string')
+      return c.json({ detail: 'lane, tenant and prompt must be text' }, 400);
     const lines = counter.stages.placing.why(asked.lane, asked.tenant, asked.prompt);
-    return lines === null ? c.json({ detail: 'no such lane or tenant' }, 404) : c.json({ counter: counter.env.name, candidates: lines });
+    return lines === null
+      ? c.json({ detail: 'no such lane or tenant' }, 404)
+      : c.json({ counter: counter.env.name, candidates: lines });
   });
   app.get('/metrics', (c) => {
     const lines = [
--- a/packages/counter/src/placing.ts
+++ b/packages/counter/src/placing.ts
@@ -68,12 +68,15 @@
     if (!this.isStanding(parcel)) return;
     const { lane, tenant } = parcel;
     if (lane === null || tenant === null) return;
-    if (this.bench.book.inPool(lane.poolName).length === 0) return this.denying.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
+    if (this.bench.book.inPool(lane.poolName).length === 0)
+      return this.denying.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
     const queue = this.queueOf(lane.poolName);
     const ofTier = queue.byTier.get(tenant.tierName) ?? 0;
-    if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.bench.env.queueLimit))) return this.denying.refuse(parcel, 'over_share', 'the tier\'s share of the queue is taken');
+    if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.bench.env.queueLimit)))
+      return this.denying.refuse(parcel, 'over_share', "the tier's share of the queue is taken");
     const now = this.bench.ports.clock.now();
-    if (queue.tray.forecastMs(tenant.name, now) > (parcel.horizonAt - now) * forecastSafety) return this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
+    if (queue.tray.forecastMs(tenant.name, now) > (parcel.horizonAt - now) * forecastSafety)
+      return this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
     parcel.waits();
     queue.byTier.set(tenant.tierName, ofTier + 1);
     const displaced = queue.tray.put(tenant.name, tenant.tier.rank, parcel, now);
@@ -106,14 +109,20 @@
   readonly sweep = (): void => {
     if (this.bench.freshness.isFresh()) return;
     for (const queue of this.queues.values()) {
-      for (const parcel of queue.tray.items()) this.denying.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters while the request waited');
+      for (const parcel of queue.tray.items())
+        this.denying.refuse(
+          parcel,
+          'not_fresh',
+          'this counter lost touch with the postmasters while the request waited',
+        );
     }
   };
 
   readonly pumpAll = (): void => {
     const now = this.bench.ports.clock.now();
     for (const queue of this.queues.values()) {
-      for (const parcel of queue.tray.hopeless(now, (one) => one.horizonAt)) this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
+      for (const parcel of queue.tray.hopeless(now, (one) => one.horizonAt))
+        this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
     }
     for (const poolName of this.queues.keys()) this.pump(poolName);
   };
@@ -131,7 +140,9 @@
     if (pool === undefined) return null;
     const scope = scopes.of(parcel);
     const now = this.bench.ports.clock.now();
-    const ready = this.bench.book.inPool(lane.poolName).filter((record) => !parcel.avoided.has(record.name) && this.bench.book.quarters.mayRun(record, scope, now));
+    const ready = this.bench.book
+      .inPool(lane.poolName)
+      .filter((record) => !parcel.avoided.has(record.name) && this.bench.book.quarters.mayRun(record, scope, now));
     const sound = ready.filter((record) => !this.bench.tracks.isSuspect(record.name));
     const headroom = 1 + urgentHeadroom * view.urgencyOf(tenant.tier.rank);
     const free = this.freeOf(sound.length > 0 ? sound : ready, lane.poolName, pool.slots, headroom);
@@ -140,8 +151,14 @@
       blocks: parcel.blocks,
       promptTokens: parcel.promptTokens,
       isolatedTenant: scope,
-      candidates: free.map((record) => ({ record, running: this.bench.tracks.running(record.name), pendingTokens: this.bench.tracks.pendingTokens(record.name) })),
-      holders: this.bench.book.holdersIn(lane.poolName, pool.store).filter((record) => this.bench.book.quarters.mayName(record, scope)),
+      candidates: free.map((record) => ({
+        record,
+        running: this.bench.tracks.running(record.name),
+        pendingTokens: this.bench.tracks.pendingTokens(record.name),
+      })),
+      holders: this.bench.book
+        .holdersIn(lane.poolName, pool.store)
+        .filter((record) => this.bench.book.quarters.mayName(record, scope)),
       now,
       zone: this.bench.env.zone,
       useIndex: this.bench.env.index,
@@ -150,7 +167,12 @@
     };
   };
 
-  private readonly freeOf = (records: readonly ReplicaRecord[], poolName: string, poolSlots: number, headroom: number): ReplicaRecord[] => {
+  private readonly freeOf = (
+    records: readonly ReplicaRecord[],
+    poolName: string,
+    poolSlots: number,
+    headroom: number,
+  ): ReplicaRecord[] => {
     const slotsOf = (record: ReplicaRecord): number => Math.floor((record.slots ?? poolSlots) * headroom);
     const free = records.filter((record) => this.bench.tracks.running(record.name) < slotsOf(record));
     const [contenders, calmRunning] = this.contention[poolName] ?? [0, 0];
@@ -164,7 +186,13 @@
 
   readonly demands = (): PoolDemands =>
     Object.fromEntries(
-      [...this.queues].map(([poolName, queue]) => [poolName, [queue.tray.size(), this.bench.book.inPool(poolName).reduce((sum, record) => sum + this.bench.tracks.own(record.name), 0)] as const]),
+      [...this.queues].map(([poolName, queue]) => [
+        poolName,
+        [
+          queue.tray.size(),
+          this.bench.book.inPool(poolName).reduce((sum, record) => sum + this.bench.tracks.own(record.name), 0),
+        ] as const,
+      ]),
     );
 
   readonly pump = (poolName: string): void => {
@@ -176,7 +204,11 @@
     const placed = this.placement(parcel);
     if (placed === null) {
       if (this.bench.book.inPool(poolName).some((record) => !parcel.avoided.has(record.name))) return false;
-      this.denying.refuse(parcel, parcel.shots > 0 && parcel.comeBackSeconds === null ? 'replica_failed' : 'no_capacity', 'the pool has no ready replica left for this request');
+      this.denying.refuse(
+        parcel,
+        parcel.shots > 0 && parcel.comeBackSeconds === null ? 'replica_failed' : 'no_capacity',
+        'the pool has no ready replica left for this request',
+      );
       return true;
     }
     queue.tray.grant(parcel, this.bench.ports.clock.now());
@@ -190,7 +222,15 @@
     const lane = view?.lanes.get(laneName);
     const tenant = view?.tenants.get(tenantName);
     if (view === null || lane === undefined || tenant === undefined) return null;
-    const order = { requestId: 'why', key: null, path: '/v1/completions' as const, body: {}, horizonMs: null, idempotencyKey: null, signal: new AbortController().signal };
+    const order = {
+      requestId: 'why',
+      key: null,
+      path: '/v1/completions' as const,
+      body: {},
+      horizonMs: null,
+      idempotencyKey: null,
+      signal: new AbortController().signal,
+    };
     const parcel = new Parcel(order, this.bench.ports.clock.now(), () => {});
     Object.assign(parcel, { tenant, lane, blocks: prompts.blocks(prompt), promptTokens: prompts.tokens(prompt) });
     const question = this.question(parcel);
@@ -201,7 +241,12 @@
       .filter((record) => record.pool === lane.poolName)
       .map((record) => {
         const found = weighed.find((one) => one.record.name === record.name);
-        const kept = this.bench.book.index.kept(record.name, parcel.blocks, scopes.of(parcel), this.bench.ports.clock.now());
+        const kept = this.bench.book.index.kept(
+          record.name,
+          parcel.blocks,
+          scopes.of(parcel),
+          this.bench.ports.clock.now(),
+        );
         return {
           replica: record.name,
           state: record.state,
@@ -218,13 +263,21 @@
   };
 
   readonly depths = (): Record<string, { waiting: number; byTier: Record<string, number> }> =>
-    Object.fromEntries([...this.queues].map(([poolName, queue]) => [poolName, { waiting: queue.tray.size(), byTier: Object.fromEntries(queue.byTier) }]));
+    Object.fromEntries(
+      [...this.queues].map(([poolName, queue]) => [
+        poolName,
+        { waiting: queue.tray.size(), byTier: Object.fromEntries(queue.byTier) },
+      ]),
+    );
 
   readonly renew = (parcel: Parcel): void => {
     const { lane, tenant } = parcel;
     if (lane === null || tenant === null) return;
     const isMoved = standings.of(this.bench.book.view(), parcel).match(
-      (next) => next.lane.poolName !== lane.poolName || next.tenant.tierName !== tenant.tierName || next.tenant.tier.rank !== tenant.tier.rank,
+      (next) =>
+        next.lane.poolName !== lane.poolName ||
+        next.tenant.tierName !== tenant.tierName ||
+        next.tenant.tier.rank !== tenant.tier.rank,
       () => false,
     );
     const isWaiting = isMoved && this.unqueue(parcel);
--- a/packages/counter/src/relaying.ts
+++ b/packages/counter/src/relaying.ts
@@ -15,15 +15,38 @@
     }
   };
 
-  private readonly nextPiece = (parcel: Parcel, rest: AsyncGenerator<Piece>, stopped: Promise<Piece>): Promise<Piece> => {
+  private readonly nextPiece = (
+    parcel: Parcel,
+    rest: AsyncGenerator<Piece>,
+    stopped: Promise<Piece>,
+  ): Promise<Piece> => {
     if (parcel.cutCause !== null) return Promise.resolve({ kind: 'cut', cause: parcel.cutCause });
-    const next = rest.next().then((step): Piece => (step.done === true ? { kind: 'cut', cause: 'the stream ended without its end marker' } : step.value));
-    return pause.within<Piece>(this.bench.ports.clock, this.bench.env.stallMs, Promise.race([next, stopped]), () => ({ kind: 'cut', cause: 'the replica fell silent' }));
+    const next = rest
+      .next()
+      .then(
+        (step): Piece =>
+          step.done === true ? { kind: 'cut', cause: 'the stream ended without its end marker' } : step.value,
+      );
+    return pause.within<Piece>(this.bench.ports.clock, this.bench.env.stallMs, Promise.race([next, stopped]), () => ({
+      kind: 'cut',
+      cause: 'the replica fell silent',
+    }));
   };
 
-  readonly relay = async function* (this: Relaying, parcel: Parcel, replica: string, first: Piece, rest: AsyncGenerator<Piece>, release: () => void): AsyncGenerator<Piece> {
+  readonly relay = async function* (
+    this: Relaying,
+    parcel: Parcel,
+    replica: string,
+    first: Piece,
+    rest: AsyncGenerator<Piece>,
+    release: () => void,
+  ): AsyncGenerator<Piece> {
     const stopped = new Promise<Piece>((settle) => {
-      parcel.quit.signal.addEventListener('abort', () => settle({ kind: 'cut', cause: parcel.cutCause ?? 'the stream was given up' }), { once: true });
+      parcel.quit.signal.addEventListener(
+        'abort',
+        () => settle({ kind: 'cut', cause: parcel.cutCause ?? 'the stream was given up' }),
+        { once: true },
+      );
     });
     const keep = (piece: Piece): void => {
       if (parcel.claim !== null && piece.kind === 'piece') parcel.keptDatas.push(piece.data);
--- a/packages/counter/src/sending.ts
+++ b/packages/counter/src/sending.ts
@@ -37,7 +37,8 @@
     return budget;
   };
 
-  readonly budgetsLeft = (): Record<string, number> => Object.fromEntries([...this.budgets].map(([poolName, budget]) => [poolName, budget.left()]));
+  readonly budgetsLeft = (): Record<string, number> =>
+    Object.fromEntries([...this.budgets].map(([poolName, budget]) => [poolName, budget.left()]));
 
   private readonly isSendable = (parcel: Parcel, placed: Placement, shot: Standing, weights: string): boolean => {
     const { book, freshness, ports } = this.bench;
@@ -46,22 +47,33 @@
     if (view === null || standing.isErr() || parcel.isEnded) return false;
     const { lane, tenant } = standing.value;
     const now = ports.clock.now();
-    const isAsPlaced = lane.poolName === shot.lane.poolName && tenant.tenant.isolated === shot.tenant.tenant.isolated && view.pools.get(lane.poolName)?.weights === weights;
+    const isAsPlaced =
+      lane.poolName === shot.lane.poolName &&
+      tenant.tenant.isolated === shot.tenant.tenant.isolated &&
+      view.pools.get(lane.poolName)?.weights === weights;
     if (!isAsPlaced || !freshness.isFresh() || now >= parcel.horizonAt) return false;
     const scope = scopes.ofTenant(tenant);
-    const isThere = (wanted: ReplicaRecord, among: readonly ReplicaRecord[]): boolean => among.some((record) => record.name === wanted.name && record.incarnation === wanted.incarnation);
-    if (!isThere(placed.record, book.inPool(lane.poolName)) || !book.quarters.mayRun(placed.record, scope, now)) return false;
+    const isThere = (wanted: ReplicaRecord, among: readonly ReplicaRecord[]): boolean =>
+      among.some((record) => record.name === wanted.name && record.incarnation === wanted.incarnation);
+    if (!isThere(placed.record, book.inPool(lane.poolName)) || !book.quarters.mayRun(placed.record, scope, now))
+      return false;
     const { holder } = placed;
     if (holder === null) return true;
     const held = book.record(holder.name);
-    return held !== undefined && isThere(holder, book.holdersIn(lane.poolName, view.pools.get(lane.poolName)?.store ?? null)) && book.quarters.mayName(held, scope);
+    return (
+      held !== undefined &&
+      isThere(holder, book.holdersIn(lane.poolName, view.pools.get(lane.poolName)?.store ?? null)) &&
+      book.quarters.mayName(held, scope)
+    );
   };
 
   private readonly again = (parcel: Parcel, code: DenyCode, detail: string): void => {
     if (parcel.isEnded || !this.placing().isStanding(parcel) || parcel.lane === null) return;
     const mayRepeat = !parcel.mayHaveRun || !parcel.isOnce;
-    if (!mayRepeat || this.isDraining() || parcel.extraShots >= extraShotLimit) return this.denying.refuse(parcel, code, detail);
-    if (!this.budgetOf(parcel.lane.poolName).take()) return this.denying.refuse(parcel, code, `${detail}; no extra shot is left`);
+    if (!mayRepeat || this.isDraining() || parcel.extraShots >= extraShotLimit)
+      return this.denying.refuse(parcel, code, detail);
+    if (!this.budgetOf(parcel.lane.poolName).take())
+      return this.denying.refuse(parcel, code, `${detail}; no extra shot is left`);
     parcel.extraShots += 1;
     this.bench.tally.add('shots_extra');
     this.placing().queue(parcel);
@@ -110,7 +122,8 @@
     const withdrawn = (): void => {
       comeBack();
       if (parcel.isEnded) return;
-      if (!freshness.isFresh()) return this.denying.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
+      if (!freshness.isFresh())
+        return this.denying.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
       this.placing().queue(parcel);
     };
     const failed = (code: DenyCode, detail: string): void => {
@@ -118,7 +131,13 @@
       tracks.failed(replica);
       comeBack();
       parcel.avoided.add(replica);
-      ports.log.warn('a shot failed', { requestId: order.requestId, replica, detail, shot: parcel.shots, mayHaveRun: parcel.mayHaveRun });
+      ports.log.warn('a shot failed', {
+        requestId: order.requestId,
+        replica,
+        detail,
+        shot: parcel.shots,
+        mayHaveRun: parcel.mayHaveRun,
+      });
       this.again(parcel, code, detail);
     };
     const turnedAway = ({ status, cause, retryAfterSeconds }: ShotFault): void => {
@@ -126,7 +145,8 @@
         comeBack();
         return this.denying.refuse(parcel, 'bad_request', `the replica turned it away: ${cause}`);
       }
-      if (status === null || !busyStatuses.has(status) || retryAfterSeconds === null) return failed('replica_failed', cause);
+      if (status === null || !busyStatuses.has(status) || retryAfterSeconds === null)
+        return failed('replica_failed', cause);
       tracks.rests(replica, retryAfterSeconds * 1_000);
       parcel.comeBackSeconds = retryAfterSeconds;
       comeBack();
@@ -178,12 +198,18 @@
     isFirstPieceIn = true;
     tally.add(`first_pieces_tier_${tenant.tierName}`);
     const firstAt = ports.clock.now();
-    if (placed.holder !== null) this.placing().pulls.seen(placed.holder.name, replica, firstAt - sentAt - placed.costMs - pullSlackMs);
+    if (placed.holder !== null)
+      this.placing().pulls.seen(placed.holder.name, replica, firstAt - sentAt - placed.costMs - pullSlackMs);
     this.logWhenEnded(parcel, placed, { lane, tenant }, firstAt);
     parcel.relays(this.relaying.relay(parcel, replica, first.value, receipt.value as AsyncGenerator<Piece>, release));
   };
 
-  private readonly logWhenEnded = (parcel: Parcel, placed: Placement, { lane, tenant }: Standing, firstAt: number): void => {
+  private readonly logWhenEnded = (
+    parcel: Parcel,
+    placed: Placement,
+    { lane, tenant }: Standing,
+    firstAt: number,
+  ): void => {
     const { ports } = this.bench;
     parcel.whenEnded(() =>
       ports.log.info('request', {
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -24,7 +24,13 @@
     const crowded = (parcel: Parcel): void => this.denying.refuse(parcel, 'no_capacity', 'the stage is full');
     this.denying = new Denying(bench, () => this.placing);
     this.relaying = new Relaying(bench);
-    this.sending = new Sending(bench, this.denying, this.relaying, () => this.placing, () => this.admit.isDraining);
+    this.sending = new Sending(
+      bench,
+      this.denying,
+      this.relaying,
+      () => this.placing,
+      () => this.admit.isDraining,
+    );
     this.placing = new Placing(bench, this.denying, (parcel, placed) => void this.sending.send(parcel, placed));
     this.match = new Match(bench, this.denying, (parcel) => this.placing.queue(parcel), this.relaying.replay);
     const matching = new Stage(bench.env.queueLimit, arrival, this.match.work, crowded);
@@ -63,6 +69,7 @@
     const { shotOn } = parcel;
     parcel.isOnce ||= isOnceNow;
     const record = shotOn === null ? undefined : this.bench.book.record(shotOn.replica);
-    if (shotOn !== null && record !== undefined && (record.incarnation > shotOn.incarnation || record.state === 'gone')) shotOn.lost();
+    if (shotOn !== null && record !== undefined && (record.incarnation > shotOn.incarnation || record.state === 'gone'))
+      shotOn.lost();
   };
 }
--- a/packages/counter/src/standing.ts
+++ b/packages/counter/src/standing.ts
@@ -18,13 +18,15 @@
 
 export const standings = {
   holderOf,
-  isKeyHeld: (view: LayoutView, parcel: Parcel): boolean => holderOf(view, parcel.keyHash)?.name === parcel.tenant?.name,
+  isKeyHeld: (view: LayoutView, parcel: Parcel): boolean =>
+    holderOf(view, parcel.keyHash)?.name === parcel.tenant?.name,
   of: (view: LayoutView | null, parcel: Parcel): Result<Standing, Fall> => {
     const tenant = holderOf(view, parcel.keyHash);
-    if (view === null || tenant === undefined || tenant.name !== parcel.tenant?.name) return err(['key_revoked', 'the key was revoked']);
+    if (view === null || tenant === undefined || tenant.name !== parcel.tenant?.name)
+      return err(['key_revoked', 'the key was revoked']);
     const lane = view.lanes.get(parcel.laneName);
     if (lane === undefined) return err(['unknown_lane', 'the lane was taken away']);
-    if (!tenant.lanes.has(lane.index)) return err(['lane_not_granted', 'the lane was taken from the key\'s holder']);
+    if (!tenant.lanes.has(lane.index)) return err(['lane_not_granted', "the lane was taken from the key's holder"]);
     return ok({ lane, tenant });
   },
 };
--- a/packages/counter/src/tally.ts
+++ b/packages/counter/src/tally.ts
@@ -5,5 +5,6 @@
 
   readonly read = (name: string): number => this.counts.get(name) ?? 0;
 
-  readonly lines = (): string[] => [...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)).map(([name, count]) => `${name} ${count}`);
+  readonly lines = (): string[] =>
+    [...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)).map(([name, count]) => `${name} ${count}`);
 }
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -32,7 +32,10 @@
   readonly seen = (holder: string, receiver: string, excessMs: number): void => {
     for (const link of [holder, `${holder}>${receiver}`]) {
       const before = this.excess(link);
-      this.held.set(link, { excessMs: before + (Math.max(0, excessMs) - before) * pullBlend, seenAt: this.clock.now() });
+      this.held.set(link, {
+        excessMs: before + (Math.max(0, excessMs) - before) * pullBlend,
+        seenAt: this.clock.now(),
+      });
     }
   };
 
@@ -41,7 +44,8 @@
     return pull === undefined ? 0 : pull.excessMs * 0.5 ** ((this.clock.now() - pull.seenAt) / pullForgetMs);
   };
 
-  readonly excessMs = (holder: string, receiver: string): number => Math.max(this.excess(`${holder}>${receiver}`), this.excess(holder) / 2);
+  readonly excessMs = (holder: string, receiver: string): number =>
+    Math.max(this.excess(`${holder}>${receiver}`), this.excess(holder) / 2);
 }
 
 export class Tracks {
@@ -57,7 +61,15 @@
   private readonly of = (replica: string): Track => {
     const held = this.held.get(replica);
     if (held !== undefined) return held;
-    const track: Track = { running: 0, pendingTokens: 0, others: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, unanswered: new Map() };
+    const track: Track = {
+      running: 0,
+      pendingTokens: 0,
+      others: 0,
+      othersTokens: 0,
+      suspectUntil: 0,
+      suspicionMs: firstSuspicionMs,
+      unanswered: new Map(),
+    };
     this.held.set(replica, track);
     return track;
   };
@@ -125,8 +137,17 @@
   };
 
   readonly report = (): Loads =>
-    Object.fromEntries([...this.held].filter(([, track]) => track.running > 0).map(([replica, track]) => [replica, [track.running, Math.round(track.pendingTokens)] as const]));
+    Object.fromEntries(
+      [...this.held]
+        .filter(([, track]) => track.running > 0)
+        .map(([replica, track]) => [replica, [track.running, Math.round(track.pendingTokens)] as const]),
+    );
 
   readonly all = (): { replica: string; running: number; others: number; isSuspect: boolean }[] =>
-    [...this.held].map(([replica, track]) => ({ replica, running: track.running, others: track.others, isSuspect: this.isSuspect(replica) }));
+    [...this.held].map(([replica, track]) => ({
+      replica,
+      running: track.running,
+      others: track.others,
+      isSuspect: this.isSuspect(replica),
+    }));
 }
--- a/packages/counter/test/callers.test.ts
+++ b/packages/counter/test/callers.test.ts
@@ -4,19 +4,39 @@
 
 const bearer = (key: string): Record<string, string> => ({ authorization: `Bearer ${key}` });
 
-const raised = async (more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<{ fleet: SimFleet; judge: Judge }> => {
+const raised = async (
+  more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {},
+): Promise<{ fleet: SimFleet; judge: Judge }> => {
   const fleet = new SimFleet({ seed: 3, fronts: 2, replicas: 3, ...more });
   await fleet.up();
   return { fleet, judge: new Judge(fleet) };
 };
 
-const ask = (fleet: SimFleet, kind: Ask['kind'], tenant: string, tail = 'one'): Ask => ({ ...plans.ask(fleet.world.random, 1), kind, tenant, key: keyOf(tenant), prompt: `${'prefix '.repeat(100)}${tail}`, maxTokens: 8 });
+const ask = (fleet: SimFleet, kind: Ask['kind'], tenant: string, tail = 'one'): Ask => ({
+  ...plans.ask(fleet.world.random, 1),
+  kind,
+  tenant,
+  key: keyOf(tenant),
+  prompt: `${'prefix '.repeat(100)}${tail}`,
+  maxTokens: 8,
+});
 
-const post = (fleet: SimFleet, body: unknown, headers: Record<string, string>, path = '/v1/completions'): Promise<Told> => fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101${path}`, 'POST', body, headers));
+const post = (
+  fleet: SimFleet,
+  body: unknown,
+  headers: Record<string, string>,
+  path = '/v1/completions',
+): Promise<Told> => fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101${path}`, 'POST', body, headers));
 
 describe('callers', () => {
   it('given each wrong request, when it is sent, then its status, type and ran are told at once', async () => {
-    const { fleet } = await raised({ counterEnv: { bodyLimitBytes: 4_096 }, layout: { ...plans.layout('weights-1'), lanes: { ...(plans.layout('weights-1')['lanes'] as object), secret: { pool: 'main', repeat: 'freely' } } } });
+    const { fleet } = await raised({
+      counterEnv: { bodyLimitBytes: 4_096 },
+      layout: {
+        ...plans.layout('weights-1'),
+        lanes: { ...(plans.layout('weights-1')['lanes'] as object), secret: { pool: 'main', repeat: 'freely' } },
+      },
+    });
     const good = { model: 'query', prompt: 'hello', max_tokens: 4 };
     const key = bearer(keyOf('north'));
     const cases: [string, unknown, Record<string, string>, number, string][] = [
@@ -39,22 +59,33 @@
     const whole = await post(fleet, good, key);
     expect(whole.status).to.equal(200);
     expect((whole.body['choices'] as { text: string }[])[0]?.text.length).to.be.greaterThan(10);
-    const chat = await post(fleet, { model: 'query', messages: [{ role: 'user', content: 'hello' }], max_tokens: 4 }, key, '/v1/chat/completions');
+    const chat = await post(
+      fleet,
+      { model: 'query', messages: [{ role: 'user', content: 'hello' }], max_tokens: 4 },
+      key,
+      '/v1/chat/completions',
+    );
     expect((chat.body['choices'] as { message: { role: string } }[])[0]?.message.role).to.equal('assistant');
   });
 
   it('given a tenant over its rate, when it asks on, then it gets 429 with Retry-After and its neighbours do not', async () => {
     const layout = plans.layout('weights-1');
     const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
-    const { fleet, judge } = await raised({ layout: { ...layout, tenants: { ...tenants, north: { ...tenants['north'], ratePerSecond: 4 } } } });
+    const { fleet, judge } = await raised({
+      layout: { ...layout, tenants: { ...tenants, north: { ...tenants['north'], ratePerSecond: 4 } } },
+    });
     for (let at = 0; at < 20; at += 1) {
       judge.send(ask(fleet, 'query', 'north', `n${at}`), 0);
       judge.send(ask(fleet, 'query', 'south', `s${at}`), 0);
     }
     await fleet.world.run(5_000);
     const north = judge.calls.filter((call) => call.ask.tenant === 'north');
-    expect(north.filter((call) => call.status === 429 && call.ran === 'no' && call.retryAfter !== null).length).to.equal(16);
-    expect(judge.calls.filter((call) => call.ask.tenant === 'south').every((call) => call.verdict === 'whole')).to.equal(true);
+    expect(
+      north.filter((call) => call.status === 429 && call.ran === 'no' && call.retryAfter !== null).length,
+    ).to.equal(16);
+    expect(
+      judge.calls.filter((call) => call.ask.tenant === 'south').every((call) => call.verdict === 'whole'),
+    ).to.equal(true);
     expect(judge.complaints()).to.deep.equal([]);
   });
 
@@ -63,20 +94,38 @@
     const { fleet, judge } = await raised({
       counterEnv: { queueLimit: 20 },
       standIn: { decodeMs: 100 },
-      layout: { ...layout, tiers: { prompt: { rank: 0 }, steady: { rank: 1, share: 0.1 }, patient: { rank: 3 } }, pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } },
+      layout: {
+        ...layout,
+        tiers: { prompt: { rank: 0 }, steady: { rank: 1, share: 0.1 }, patient: { rank: 3 } },
+        pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } },
+      },
     });
     for (let at = 0; at < 12; at += 1) judge.send(ask(fleet, 'query', 'harbor', `h${at}`), 0);
     for (let at = 0; at < 8; at += 1) judge.send(ask(fleet, 'query', 'north', `n${at}`), 0);
     await fleet.world.run(20_000);
     const harbor = judge.calls.filter((call) => call.ask.tenant === 'harbor');
-    expect(harbor.filter((call) => call.code === 'over_share' && call.status === 429 && call.ran === 'no' && call.retryAfter !== null).length).to.be.greaterThan(4);
-    expect(judge.calls.filter((call) => call.ask.tenant === 'north').every((call) => call.verdict === 'whole')).to.equal(true);
+    expect(
+      harbor.filter(
+        (call) => call.code === 'over_share' && call.status === 429 && call.ran === 'no' && call.retryAfter !== null,
+      ).length,
+    ).to.be.greaterThan(4);
+    expect(
+      judge.calls.filter((call) => call.ask.tenant === 'north').every((call) => call.verdict === 'whole'),
+    ).to.equal(true);
   });
 
   it('given a caller that leaves mid-stream or in the queue, when it has left, then its run is cancelled or never begun', async () => {
-    const { fleet, judge } = await raised({ standIn: { decodeMs: 50 }, layout: { ...plans.layout('weights-1'), pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } } });
+    const { fleet, judge } = await raised({
+      standIn: { decodeMs: 50 },
+      layout: {
+        ...plans.layout('weights-1'),
+        pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } },
+      },
+    });
     const quits = Array.from({ length: 12 }, () => new AbortController());
-    const calls = quits.map((quit, at) => judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 200 }, 0, { signal: quit.signal }));
+    const calls = quits.map((quit, at) =>
+      judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 200 }, 0, { signal: quit.signal }),
+    );
     await fleet.world.run(1_000);
     const before = judge.runs().length;
     expect(before).to.be.greaterThan(0).and.lessThan(calls.length);
@@ -94,14 +143,17 @@
     const { fleet } = await raised();
     const quit = new AbortController();
     const receipt = await fleet.finish(
-      fleet.world.machine('10.9.0.1').carriage().carry({
-        method: 'POST',
-        url: `http://${fleet.counterHosts[0]}:7101/v1/completions`,
-        headers: { 'content-type': 'application/json', ...bearer(keyOf('north')) },
-        body: JSON.stringify({ model: 'query', prompt: 'hello', max_tokens: 2_000, stream: true }),
-        signal: quit.signal,
-        gate: () => true,
-      }),
+      fleet.world
+        .machine('10.9.0.1')
+        .carriage()
+        .carry({
+          method: 'POST',
+          url: `http://${fleet.counterHosts[0]}:7101/v1/completions`,
+          headers: { 'content-type': 'application/json', ...bearer(keyOf('north')) },
+          body: JSON.stringify({ model: 'query', prompt: 'hello', max_tokens: 2_000, stream: true }),
+          signal: quit.signal,
+          gate: () => true,
+        }),
     );
     const body = receipt._unsafeUnwrap().body[Symbol.asyncIterator]();
     await fleet.finish(body.next());
@@ -120,7 +172,12 @@
     const whole = judge.send(ask(fleet, 'query', 'north'), 0, { whole: true });
     await fleet.world.run(2_000);
     expect([streamed.verdict, streamed.ran, streamed.text.split(' ').length]).to.deep.equal(['cut', 'unknown', 4]);
-    expect([whole.verdict, whole.status, whole.code, whole.ran]).to.deep.equal(['denied', 502, 'cut_stream', 'unknown']);
+    expect([whole.verdict, whole.status, whole.code, whole.ran]).to.deep.equal([
+      'denied',
+      502,
+      'cut_stream',
+      'unknown',
+    ]);
     expect(judge.complaints()).to.deep.equal([]);
   });
 
@@ -134,29 +191,62 @@
   });
 
   it('given requests that wait in a counter, when it loses the postmasters, then each is denied within two seconds, not at its horizon', async () => {
-    const { fleet, judge } = await raised({ standIn: { decodeMs: 400 }, layout: { ...plans.layout('weights-1'), pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } } });
-    const calls = Array.from({ length: 14 }, (_, at) => judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 20 }, 0, { horizonMs: 60_000 }));
+    const { fleet, judge } = await raised({
+      standIn: { decodeMs: 400 },
+      layout: {
+        ...plans.layout('weights-1'),
+        pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } },
+      },
+    });
+    const calls = Array.from({ length: 14 }, (_, at) =>
+      judge.send({ ...ask(fleet, 'query', 'north', `n${at}`), maxTokens: 20 }, 0, { horizonMs: 60_000 }),
+    );
     await fleet.world.run(500);
     for (const host of fleet.postmasterHosts) fleet.world.cutBoth(fleet.counterHosts[0] as string, host);
     await fleet.world.run(2_100);
     const waiting = calls.filter((call) => call.verdict === 'denied');
-    expect(waiting.length).to.equal(calls.length - judge.runs().length).and.greaterThan(8);
+    expect(waiting.length)
+      .to.equal(calls.length - judge.runs().length)
+      .and.greaterThan(8);
     for (const call of waiting) expect([call.code, call.ran, call.retryAfter]).to.deep.equal(['not_fresh', 'no', '1']);
     await fleet.world.run(20_000);
     expect(judge.complaints()).to.deep.equal([]);
   });
 
-  it('given a tenant that is made isolated, when its requests wait, then they run as the isolated tenant\'s', async () => {
-    const { fleet, judge } = await raised({ standIn: { decodeMs: 100 }, layout: { ...plans.layout('weights-1'), tenants: { north: { tier: 'prompt', lanes: ['query'] }, south: { tier: 'prompt', lanes: ['query'] } }, pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } } }, tenants: ['north', 'south'] });
+  it("given a tenant that is made isolated, when its requests wait, then they run as the isolated tenant's", async () => {
+    const { fleet, judge } = await raised({
+      standIn: { decodeMs: 100 },
+      layout: {
+        ...plans.layout('weights-1'),
+        tenants: { north: { tier: 'prompt', lanes: ['query'] }, south: { tier: 'prompt', lanes: ['query'] } },
+        pools: { main: { weights: 'weights-1', slots: 1 }, app: { weights: 'app-1' } },
+      },
+      tenants: ['north', 'south'],
+    });
     for (let at = 0; at < 14; at += 1) judge.send(ask(fleet, 'query', 'north', `n${at}`), 0, { horizonMs: 60_000 });
     await fleet.world.run(200);
-    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { north: { isolated: true } } }, { 'if-match': '"1"' }));
+    const put = await fleet.finish(
+      fleet.onPostmaster(
+        0,
+        'PATCH',
+        '/operator/layout',
+        { tenants: { north: { isolated: true } } },
+        { 'if-match': '"1"' },
+      ),
+    );
     expect(put.status).to.equal(200);
     await fleet.world.run(500);
     const before = judge.runs().length;
     await fleet.world.run(40_000);
     expect(judge.runs().length).to.be.greaterThan(before);
-    expect(judge.runs().slice().sort((a, b) => a.startedAt - b.startedAt).slice(before).every((run) => run.isIsolated)).to.equal(true);
+    expect(
+      judge
+        .runs()
+        .slice()
+        .sort((a, b) => a.startedAt - b.startedAt)
+        .slice(before)
+        .every((run) => run.isIsolated),
+    ).to.equal(true);
   });
 
   it('given the same Idempotency-Key at two counters at once and again later, when all are answered, then one run served them all', async () => {
--- a/packages/counter/test/fairness.test.ts
+++ b/packages/counter/test/fairness.test.ts
@@ -2,17 +2,38 @@
 import { Judge, keyOf, plans, SimFleet } from '@martenworks/proving';
 import type { Call } from '@martenworks/proving';
 
-const threeTiers = { first: { rank: 0, horizonMs: 5_000 }, second: { rank: 1, horizonMs: 5_000 }, third: { rank: 3, horizonMs: 5_000 } };
+const threeTiers = {
+  first: { rank: 0, horizonMs: 5_000 },
+  second: { rank: 1, horizonMs: 5_000 },
+  third: { rank: 3, horizonMs: 5_000 },
+};
 
 const layoutOf = (tierOf: Record<string, string>): Record<string, unknown> => ({
   tiers: Object.keys(tierOf).length > 0 ? threeTiers : { second: threeTiers.second },
   pools: { main: { weights: 'weights-1', slots: 4 }, app: { weights: 'app-1' } },
-  lanes: { confirm: { pool: 'main', repeat: 'once' }, query: { pool: 'main', repeat: 'freely' }, diagnose: { pool: 'main', repeat: 'freely' }, book: { pool: 'app', repeat: 'once' } },
-  tenants: Object.fromEntries(plans.tenantNames.map((name) => [name, { tier: tierOf[name] ?? 'second', lanes: ['confirm', 'query', 'diagnose', 'book'] }])),
+  lanes: {
+    confirm: { pool: 'main', repeat: 'once' },
+    query: { pool: 'main', repeat: 'freely' },
+    diagnose: { pool: 'main', repeat: 'freely' },
+    book: { pool: 'app', repeat: 'once' },
+  },
+  tenants: Object.fromEntries(
+    plans.tenantNames.map((name) => [
+      name,
+      { tier: tierOf[name] ?? 'second', lanes: ['confirm', 'query', 'diagnose', 'book'] },
+    ]),
+  ),
 });
 
 const raised = async (tierOf: Record<string, string>): Promise<{ fleet: SimFleet; judge: Judge }> => {
-  const fleet = new SimFleet({ seed: 5, fronts: 3, replicas: 3, layout: layoutOf(tierOf), standIn: { decodeMs: 20, slots: 4 }, counterEnv: { queueLimit: 256 } });
+  const fleet = new SimFleet({
+    seed: 5,
+    fronts: 3,
+    replicas: 3,
+    layout: layoutOf(tierOf),
+    standIn: { decodeMs: 20, slots: 4 },
+    counterEnv: { queueLimit: 256 },
+  });
   await fleet.up();
   return { fleet, judge: new Judge(fleet) };
 };
@@ -23,15 +44,29 @@
   const go = (): void => {
     if (fleet.world.time >= end) return;
     count += 1;
-    judge.send({ ...plans.ask(fleet.world.random, 1), kind: 'query', tenant, key: keyOf(tenant), prompt: `${tenant} ${count}`, maxTokens: 8 }, count % 3);
+    judge.send(
+      {
+        ...plans.ask(fleet.world.random, 1),
+        kind: 'query',
+        tenant,
+        key: keyOf(tenant),
+        prompt: `${tenant} ${count}`,
+        maxTokens: 8,
+      },
+      count % 3,
+    );
     fleet.world.plan(null, (-Math.log(1 - fleet.world.random()) * 1000) / ratePerSecond, go);
   };
   go();
 };
 
-const share = (calls: readonly Call[]): number => calls.filter((call) => call.verdict === 'whole').length / calls.length;
+const share = (calls: readonly Call[]): number =>
+  calls.filter((call) => call.verdict === 'whole').length / calls.length;
 const quantile = (calls: readonly Call[], part: number): number => {
-  const waits = calls.filter((call) => call.verdict === 'whole').map((call) => call.firstAt - call.sentAt).sort((a, b) => a - b);
+  const waits = calls
+    .filter((call) => call.verdict === 'whole')
+    .map((call) => call.firstAt - call.sentAt)
+    .sort((a, b) => a - b);
   return waits[Math.floor(waits.length * part)] ?? Number.POSITIVE_INFINITY;
 };
 
@@ -44,15 +79,21 @@
     await fleet.world.run(35_000);
     const of = (tenant: string): Call[] => judge.calls.filter((call) => call.ask.tenant === tenant);
     const [first, second, third] = [of('north'), of('south'), of('east')];
-    const seen = { shares: [first, second, third].map(share), p95: [first, second, third].map((calls) => quantile(calls, 0.95)) };
+    const seen = {
+      shares: [first, second, third].map(share),
+      p95: [first, second, third].map((calls) => quantile(calls, 0.95)),
+    };
     expect(seen.shares[0], JSON.stringify(seen)).to.be.greaterThan(0.99);
     expect(seen.p95[0], JSON.stringify(seen)).to.be.lessThan(1_000);
     expect(seen.shares[1], JSON.stringify(seen)).to.be.greaterThan(seen.shares[2] ?? 1);
     expect(seen.shares[2], JSON.stringify(seen)).to.be.greaterThan(0.01);
     const denied = judge.calls.filter((call) => call.verdict === 'denied');
     expect(denied.length).to.be.greaterThan(500);
-    expect(denied.every((call) => (call.ran === 'no' || call.code === 'horizon_passed') && Number(call.retryAfter) >= 1)).to.equal(true);
-    const later = (waitMs: number): number => denied.filter((call) => call.endedAt - call.sentAt > waitMs).length / denied.length;
+    expect(
+      denied.every((call) => (call.ran === 'no' || call.code === 'horizon_passed') && Number(call.retryAfter) >= 1),
+    ).to.equal(true);
+    const later = (waitMs: number): number =>
+      denied.filter((call) => call.endedAt - call.sentAt > waitMs).length / denied.length;
     expect(later(1_500), 'share of denials told after more than 1.5 s').to.be.lessThan(0.1);
     expect(later(4_900), 'share of denials that waited out the horizon').to.be.lessThan(0.04);
     expect(judge.complaints()).to.deep.equal([]);
--- a/packages/counter/test/grayFailures.test.ts
+++ b/packages/counter/test/grayFailures.test.ts
@@ -3,7 +3,16 @@
 
 describe('replicas in trouble', () => {
   it('given a replica that takes requests and answers nothing, when the other is sound, then counters soon send it no more but for one try each of those that had none out, and use it again afterwards', async () => {
-    const fleet = new SimFleet({ seed: 21, fronts: 4, replicas: 2, layout: { ...plans.layout('weights-1'), tenants: Object.fromEntries(plans.tenantNames.map((name) => [name, { tier: 'prompt', lanes: [...kinds] }])), pools: { main: { weights: 'weights-1', slots: 64 }, app: { weights: 'app-1', slots: 64 } } } });
+    const fleet = new SimFleet({
+      seed: 21,
+      fronts: 4,
+      replicas: 2,
+      layout: {
+        ...plans.layout('weights-1'),
+        tenants: Object.fromEntries(plans.tenantNames.map((name) => [name, { tier: 'prompt', lanes: [...kinds] }])),
+        pools: { main: { weights: 'weights-1', slots: 64 }, app: { weights: 'app-1', slots: 64 } },
+      },
+    });
     await fleet.up();
     const judge = new Judge(fleet);
     judge.traffic(120, 20_000, 0);
@@ -15,9 +24,14 @@
     machine.thaw();
     const thawedAt = fleet.world.time;
     await fleet.world.run(30_000);
-    const held = judge.calls.filter((call) => call.sentAt > frozenAt && call.sentAt < thawedAt - 1_000 && call.endedAt > thawedAt);
+    const held = judge.calls.filter(
+      (call) => call.sentAt > frozenAt && call.sentAt < thawedAt - 1_000 && call.endedAt > thawedAt,
+    );
     expect(held.filter((call) => call.sentAt < frozenAt + 2_500).length).to.be.greaterThan(0);
-    for (const host of fleet.counterHosts) expect(held.filter((call) => call.sentAt > frozenAt + 2_500 && call.host === host).length, host).to.be.lessThan(2);
+    for (const host of fleet.counterHosts)
+      expect(held.filter((call) => call.sentAt > frozenAt + 2_500 && call.host === host).length, host).to.be.lessThan(
+        2,
+      );
     expect(judge.runs().some((run) => run.replica === 'replica-1' && run.startedAt > thawedAt + 2_000)).to.equal(true);
     expect(judge.complaints()).to.deep.equal([]);
   });
@@ -30,12 +44,14 @@
     await fleet.world.run(1_600);
     for (const name of ['replica-1', 'replica-2', 'replica-3']) fleet.world.machine(fleet.hostOfReplica(name)).vanish();
     await fleet.world.run(500);
-    for (const name of ['replica-1', 'replica-2', 'replica-3']) await fleet.finish(fleet.onPostmaster(0, 'DELETE', `/platform/replicas/${name}`));
+    for (const name of ['replica-1', 'replica-2', 'replica-3'])
+      await fleet.finish(fleet.onPostmaster(0, 'DELETE', `/platform/replicas/${name}`));
     const toldAt = fleet.world.time;
     await fleet.world.run(20_000);
     const open = judge.calls.filter((call) => call.ask.kind !== 'book' && call.endedAt > toldAt - 400);
     expect(open.length).to.be.greaterThan(3);
-    for (const call of open) expect(call.endedAt - toldAt, `${call.requestId} ${call.verdict} ${call.code}`).to.be.lessThan(500);
+    for (const call of open)
+      expect(call.endedAt - toldAt, `${call.requestId} ${call.verdict} ${call.code}`).to.be.lessThan(500);
     expect(judge.complaints()).to.deep.equal([]);
   });
 });
--- a/packages/counter/test/path.test.ts
+++ b/packages/counter/test/path.test.ts
@@ -19,20 +19,29 @@
       const fleet = new SimFleet({ seed, fronts: 9, replicas: 8 });
       await fleet.up();
       await fleet.world.run(500);
-      expect(fleet.counters.map((counter) => counter?.freshness.voiceCount()), `seed ${seed}`).to.deep.equal(Array.from({ length: 9 }, () => 3));
+      expect(
+        fleet.counters.map((counter) => counter?.freshness.voiceCount()),
+        `seed ${seed}`,
+      ).to.deep.equal(Array.from({ length: 9 }, () => 3));
     }
   });
 
-  it('given eight replicas that keep nothing yet, when short and long prompts come at the users\' rate, then the short ones do not wait behind the long ones', async () => {
+  it("given eight replicas that keep nothing yet, when short and long prompts come at the users' rate, then the short ones do not wait behind the long ones", async () => {
     for (const seed of [4, 5]) {
       const fleet = new SimFleet({ seed, fronts: 9, replicas: 8 });
       await fleet.up();
       const judge = new Judge(fleet);
       judge.traffic(180, 5_000);
       await fleet.world.run(20_000);
-      const waits = judge.calls.filter((call) => call.ask.kind !== 'diagnose' && call.ask.tier === 'prompt').map((call) => call.firstAt - call.sentAt).sort((a, b) => a - b);
+      const waits = judge.calls
+        .filter((call) => call.ask.kind !== 'diagnose' && call.ask.tier === 'prompt')
+        .map((call) => call.firstAt - call.sentAt)
+        .sort((a, b) => a - b);
       expect(waits[Math.floor(waits.length * 0.95)], `seed ${seed}`).to.be.lessThan(100);
-      const longs = judge.calls.filter((call) => call.ask.kind === 'diagnose').map((call) => call.firstAt - call.sentAt).sort((a, b) => a - b);
+      const longs = judge.calls
+        .filter((call) => call.ask.kind === 'diagnose')
+        .map((call) => call.firstAt - call.sentAt)
+        .sort((a, b) => a - b);
       expect(longs[Math.floor(longs.length * 0.95)], `seed ${seed}`).to.be.lessThan(2_500);
       expect(judge.tally()).to.deep.equal({ whole: judge.calls.length });
     }
--- a/packages/counter/test/standing.test.ts
+++ b/packages/counter/test/standing.test.ts
@@ -8,16 +8,34 @@
   ...more,
 });
 
-const raised = async (more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<{ fleet: SimFleet; judge: Judge }> => {
-  const fleet = new SimFleet({ seed: 61, fronts: 1, replicas: 2, tenants: ['north', 'south'], layout: layoutOf(), ...more });
+const raised = async (
+  more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {},
+): Promise<{ fleet: SimFleet; judge: Judge }> => {
+  const fleet = new SimFleet({
+    seed: 61,
+    fronts: 1,
+    replicas: 2,
+    tenants: ['north', 'south'],
+    layout: layoutOf(),
+    ...more,
+  });
   await fleet.up();
   return { fleet, judge: new Judge(fleet) };
 };
 
-const ask = (kind: Ask['kind'], tenant: string, prompt = 'is a pack ready?'): Ask => ({ kind, tenant, key: keyOf(tenant), prompt, maxTokens: 8, tier: 'prompt' });
+const ask = (kind: Ask['kind'], tenant: string, prompt = 'is a pack ready?'): Ask => ({
+  kind,
+  tenant,
+  key: keyOf(tenant),
+  prompt,
+  maxTokens: 8,
+  tier: 'prompt',
+});
 
 const change = async (fleet: SimFleet, part: Record<string, unknown>, base = 1): Promise<void> => {
-  const told = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"` }));
+  const told = await fleet.finish(
+    fleet.onPostmaster(0, 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"` }),
+  );
   expect(told.status).to.equal(200);
 };
 
@@ -42,7 +60,7 @@
     expect([call.verdict, call.ran]).to.deep.equal(['denied', 'unknown']);
   });
 
-  it('given a shot that is out, when its tenant is made isolated and the shot then fails, then the next one runs as the isolated tenant\'s', async () => {
+  it("given a shot that is out, when its tenant is made isolated and the shot then fails, then the next one runs as the isolated tenant's", async () => {
     const { fleet, judge } = await raised({ replicas: 4, standIn: { decodeMs: 1_500 } });
     judge.traffic(40, 500, 0);
     await fleet.world.run(9_000);
@@ -52,20 +70,28 @@
     await fleet.world.run(500);
     fleet.killReplica(judge.runs().find((one) => one.requestId === call.requestId)?.replica ?? '');
     await fleet.world.run(40_000);
-    const own = judge.runs().filter((one) => one.requestId === call.requestId).sort((a, b) => a.startedAt - b.startedAt);
+    const own = judge
+      .runs()
+      .filter((one) => one.requestId === call.requestId)
+      .sort((a, b) => a.startedAt - b.startedAt);
     expect(own.map((run) => run.isIsolated)).to.deep.equal([false, true]);
   });
 
   it('given a request that waits, when its tenant loses the lane, then it is denied at once and never runs', async () => {
     const { fleet, judge } = await raised({ standIn: { decodeMs: 200 }, layout: oneSlot });
-    const calls = Array.from({ length: 8 }, (_, at) => judge.send(ask('query', 'north', `n${at}`), 0, { horizonMs: 60_000 }));
+    const calls = Array.from({ length: 8 }, (_, at) =>
+      judge.send(ask('query', 'north', `n${at}`), 0, { horizonMs: 60_000 }),
+    );
     await fleet.world.run(300);
     const running = judge.runs().length;
     await change(fleet, { tenants: { north: { lanes: ['confirm'] } } });
     await fleet.world.run(500);
     const denied = calls.filter((call) => call.verdict === 'denied');
-    expect(denied.length).to.equal(calls.length - running).and.greaterThan(2);
-    for (const call of denied) expect([call.status, call.code, call.ran]).to.deep.equal([403, 'lane_not_granted', 'no']);
+    expect(denied.length)
+      .to.equal(calls.length - running)
+      .and.greaterThan(2);
+    for (const call of denied)
+      expect([call.status, call.code, call.ran]).to.deep.equal([403, 'lane_not_granted', 'no']);
     await fleet.world.run(20_000);
     expect(judge.runs().length).to.equal(running);
   });
@@ -80,11 +106,25 @@
     await fleet.world.run(30_000);
     expect([lost.verdict, lost.code, lost.ran]).to.deep.equal(['denied', 'lane_not_granted', 'no']);
     expect(judge.runs().filter((run) => run.requestId === lost.requestId).length).to.equal(0);
-    expect(judge.runs().filter((run) => run.requestId === apart.requestId).map((run) => run.isIsolated)).to.deep.equal([true]);
+    expect(
+      judge
+        .runs()
+        .filter((run) => run.requestId === apart.requestId)
+        .map((run) => run.isIsolated),
+    ).to.deep.equal([true]);
     const again = judge.send(ask('confirm', 'north'), 0, { horizonMs: 60_000 });
     await fleet.world.run(100);
     const placed = fleet.replicaHosts.map((_, at) => fleet.replicaName(at));
-    for (const name of placed) expect((await fleet.finish(fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name, address: `${fleet.hostOfReplica(name)}:8000`, pool: 'main', incarnation: 2 }]))).status).to.equal(200);
+    for (const name of placed)
+      expect(
+        (
+          await fleet.finish(
+            fleet.onPostmaster(0, 'POST', '/platform/replicas', [
+              { name, address: `${fleet.hostOfReplica(name)}:8000`, pool: 'main', incarnation: 2 },
+            ]),
+          )
+        ).status,
+      ).to.equal(200);
     const before = fleet.world.time;
     await fleet.world.run(30_000);
     const own = judge.runs().filter((run) => run.requestId === again.requestId);
@@ -115,7 +155,8 @@
     const call = judge.send(ask('query', 'north'), 0);
     const once = judge.send(ask('confirm', 'north'), 0);
     await fleet.world.run(1_000);
-    for (const one of [call, once]) expect([one.status, one.code, one.ran, one.retryAfter]).to.deep.equal([503, 'no_capacity', 'unknown', '7']);
+    for (const one of [call, once])
+      expect([one.status, one.code, one.ran, one.retryAfter]).to.deep.equal([503, 'no_capacity', 'unknown', '7']);
     const visits = fleet.stays.flatMap(({ standIn }) => standIn.visits.map((visit) => visit.requestId));
     expect(visits.filter((id) => id === call.requestId).length).to.be.within(2, 3);
     expect(visits.filter((id) => id === once.requestId).length).to.equal(1);
@@ -129,33 +170,71 @@
     const call = judge.send(ask('query', 'north'), 0);
     await fleet.world.run(2_000);
     expect(call.code).to.equal('replica_failed');
-    expect(fleet.stays.flatMap(({ standIn }) => standIn.visits).filter((visit) => visit.requestId === call.requestId).length).to.equal(3);
+    expect(
+      fleet.stays.flatMap(({ standIn }) => standIn.visits).filter((visit) => visit.requestId === call.requestId).length,
+    ).to.equal(3);
   });
 });
 
 describe('what outsiders may see and tell', () => {
-  it('given the callers\' address, when an operators\' page is asked for there, then it is 404, and the operators\' own address tells it', async () => {
+  it("given the callers' address, when an operators' page is asked for there, then it is 404, and the operators' own address tells it", async () => {
     const { fleet } = await raised();
-    for (const [method, path] of [['GET', '/status'], ['GET', '/metrics'], ['POST', '/why']] as const) {
-      expect((await fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101${path}`, method, method === 'POST' ? {} : undefined))).status, path).to.equal(404);
+    for (const [method, path] of [
+      ['GET', '/status'],
+      ['GET', '/metrics'],
+      ['POST', '/why'],
+    ] as const) {
+      expect(
+        (
+          await fleet.finish(
+            fleet.call(`http://${fleet.counterHosts[0]}:7101${path}`, method, method === 'POST' ? {} : undefined),
+          )
+        ).status,
+        path,
+      ).to.equal(404);
     }
-    expect((await fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101/healthz`, 'GET'))).status).to.equal(200);
-    for (const path of ['/status', '/metrics']) expect((await fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7102${path}`, 'GET'))).status, path).to.equal(200);
+    expect((await fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7101/healthz`, 'GET'))).status).to.equal(
+      200,
+    );
+    for (const path of ['/status', '/metrics'])
+      expect(
+        (await fleet.finish(fleet.call(`http://${fleet.counterHosts[0]}:7102${path}`, 'GET'))).status,
+        path,
+      ).to.equal(200);
   });
 
   it('given a replica that is told under another pool, when its incarnation stays, then that is rejected with its path; without one it is a new incarnation', async () => {
     const { fleet } = await raised();
-    const tell = (more: Record<string, unknown>) => fleet.finish(fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name: 'replica-1', address: `${fleet.replicaHosts[0]}:8000`, pool: 'app', ...more }]));
+    const tell = (more: Record<string, unknown>) =>
+      fleet.finish(
+        fleet.onPostmaster(0, 'POST', '/platform/replicas', [
+          { name: 'replica-1', address: `${fleet.replicaHosts[0]}:8000`, pool: 'app', ...more },
+        ]),
+      );
     const stays = await tell({ incarnation: 1 });
     expect([stays.status, (stays.body['complaints'] as { path: string }[])?.[0]?.path]).to.deep.equal([422, '/0/pool']);
     const moves = await tell({});
-    expect([moves.status, (moves.body['replicas'] as { incarnation: number; pool: string }[])[0]]).to.deep.include.members([200]);
+    expect([
+      moves.status,
+      (moves.body['replicas'] as { incarnation: number; pool: string }[])[0],
+    ]).to.deep.include.members([200]);
     expect((moves.body['replicas'] as { incarnation: number }[])[0]?.incarnation).to.equal(2);
   });
 
   it('given two pools of other weights, when one change names one store for both, then it is rejected with its path', async () => {
     const { fleet } = await raised();
-    const told = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { pools: { main: { store: 'store-1' }, app: { store: 'store-1' } } }, { 'if-match': '"1"' }));
-    expect([told.status, (told.body['complaints'] as { path: string }[])?.map((one) => one.path)]).to.deep.equal([422, ['/pools/app/store']]);
+    const told = await fleet.finish(
+      fleet.onPostmaster(
+        0,
+        'PATCH',
+        '/operator/layout',
+        { pools: { main: { store: 'store-1' }, app: { store: 'store-1' } } },
+        { 'if-match': '"1"' },
+      ),
+    );
+    expect([told.status, (told.body['complaints'] as { path: string }[])?.map((one) => one.path)]).to.deep.equal([
+      422,
+      ['/pools/app/store'],
+    ]);
   });
 });
--- a/packages/courier/src/backWire.ts
+++ b/packages/courier/src/backWire.ts
@@ -19,7 +19,11 @@
   readonly gate: () => boolean;
 }
 
-export type Piece = { readonly kind: 'piece'; readonly data: string } | { readonly kind: 'done' } | { readonly kind: 'cut'; readonly cause: string } | { readonly kind: 'wrong'; readonly cause: string };
+export type Piece =
+  | { readonly kind: 'piece'; readonly data: string }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'cut'; readonly cause: string }
+  | { readonly kind: 'wrong'; readonly cause: string };
 
 export interface ShotFault {
   readonly kind: 'shot';
@@ -78,7 +82,8 @@
       if (chunk.error !== undefined) return yield { kind: 'cut', cause: 'the replica reported an error mid-stream' };
       if (chunk.model !== weights) return yield { kind: 'wrong', cause: `the replica ran ${String(chunk.model)}` };
       if (runId === undefined) runId = chunk.id;
-      if (typeof runId !== 'string' || chunk.id !== runId) return yield { kind: 'cut', cause: 'the run id changed within the stream' };
+      if (typeof runId !== 'string' || chunk.id !== runId)
+        return yield { kind: 'cut', cause: 'the run id changed within the stream' };
       if (chunk.choices?.some((choice) => typeof choice.finish_reason === 'string') === true) isFinished = true;
       yield { kind: 'piece', data };
     }
@@ -114,7 +119,10 @@
     for (const choice of (chunk['choices'] as ChoiceShape[] | undefined) ?? []) {
       const index = choice.index ?? 0;
       const held = texts.get(index) ?? { text: '', finish: null };
-      texts.set(index, { text: held.text + (choice.text ?? choice.delta?.content ?? ''), finish: choice.finish_reason ?? held.finish });
+      texts.set(index, {
+        text: held.text + (choice.text ?? choice.delta?.content ?? ''),
+        finish: choice.finish_reason ?? held.finish,
+      });
     }
   }
   const first = chunks[0] ?? {};
@@ -125,7 +133,11 @@
     object: isChat ? 'chat.completion' : 'text_completion',
     created: first['created'],
     model: first['model'],
-    choices: [...texts].map(([index, { text, finish }]) => ({ index, ...(isChat ? { message: { role: 'assistant', content: text } } : { text }), finish_reason: finish })),
+    choices: [...texts].map(([index, { text, finish }]) => ({
+      index,
+      ...(isChat ? { message: { role: 'assistant', content: text } } : { text }),
+      finish_reason: finish,
+    })),
     ...(usage === undefined ? {} : { usage }),
   };
 };
@@ -149,10 +161,23 @@
       signal: shot.signal,
       gate: shot.gate,
     });
-    if (receipt.isErr()) return err({ kind: 'shot', isUnsent: receipt.error.isUnsent, status: null, cause: receipt.error.code, ...noRetry });
+    if (receipt.isErr())
+      return err({
+        kind: 'shot',
+        isUnsent: receipt.error.isUnsent,
+        status: null,
+        cause: receipt.error.code,
+        ...noRetry,
+      });
     if (receipt.value.status !== 200) {
       await drainQuietly(receipt.value);
-      return err({ kind: 'shot', isUnsent: false, status: receipt.value.status, cause: `status ${receipt.value.status}`, retryAfterSeconds: retryAfterIn(receipt.value) });
+      return err({
+        kind: 'shot',
+        isUnsent: false,
+        status: receipt.value.status,
+        cause: `status ${receipt.value.status}`,
+        retryAfterSeconds: retryAfterIn(receipt.value),
+      });
     }
     if (!(receipt.value.header('content-type') ?? '').startsWith('text/event-stream')) {
       await drainQuietly(receipt.value);
--- a/packages/courier/src/carriage.ts
+++ b/packages/courier/src/carriage.ts
@@ -3,15 +3,32 @@
 import { err, ok } from 'neverthrow';
 import type { Carriage } from '@martenworks/envelope';
 
-const headerList = (raw: unknown): readonly string[] => (Array.isArray(raw) ? raw.map(String) : Object.entries((raw ?? {}) as Record<string, string | string[]>).flatMap(([name, value]) => (Array.isArray(value) ? value.flatMap((one) => [name, one]) : [name, value])));
+const headerList = (raw: unknown): readonly string[] =>
+  Array.isArray(raw)
+    ? raw.map(String)
+    : Object.entries((raw ?? {}) as Record<string, string | string[]>).flatMap(([name, value]) =>
+        Array.isArray(value) ? value.flatMap((one) => [name, one]) : [name, value],
+      );
 
-const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+const unsentCodes = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
 
-const hasHeader = (headers: readonly string[], wanted: string): boolean => headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === wanted);
+const hasHeader = (headers: readonly string[], wanted: string): boolean =>
+  headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === wanted);
 
-const withLength = (headers: Record<string, string> | readonly string[], size: number): Record<string, string> | string[] => {
+const withLength = (
+  headers: Record<string, string> | readonly string[],
+  size: number,
+): Record<string, string> | string[] => {
   if (!Array.isArray(headers)) return { ...(headers as Record<string, string>), 'content-length': String(size) };
-  return hasHeader(headers as string[], 'content-length') ? [...(headers as string[])] : [...(headers as string[]), 'content-length', String(size)];
+  return hasHeader(headers as string[], 'content-length')
+    ? [...(headers as string[])]
+    : [...(headers as string[]), 'content-length', String(size)];
 };
 
 const schemeEnd = 'http://'.length;
@@ -53,7 +70,10 @@
           const receipt = await agent.request({
             ...placeOf(url),
             method: method as 'GET',
-            headers: bytes === null ? (headers as Record<string, string>) : (withLength(headers, bytes.length) as Record<string, string>),
+            headers:
+              bytes === null
+                ? (headers as Record<string, string>)
+                : (withLength(headers, bytes.length) as Record<string, string>),
             body: bytes === null ? null : Readable.from(gated(), { objectMode: false }),
             signal,
           });
--- a/packages/courier/src/kvFollow.ts
+++ b/packages/courier/src/kvFollow.ts
@@ -12,7 +12,8 @@
     return null;
   }
   const { incarnation, seq, kind, tenant, blocks } = told;
-  if (!Number.isInteger(incarnation) || !Number.isInteger(seq) || typeof kind !== 'string' || !newsKinds.has(kind)) return null;
+  if (!Number.isInteger(incarnation) || !Number.isInteger(seq) || typeof kind !== 'string' || !newsKinds.has(kind))
+    return null;
   return {
     replica,
     incarnation: incarnation as number,
@@ -28,7 +29,16 @@
 }
 
 export const kvFollow = {
-  follow: (carriage: Carriage, clock: Clock, random: Random, log: Log, replica: string, address: string, after: () => number, take: (news: KvNews) => void): Follower => {
+  follow: (
+    carriage: Carriage,
+    clock: Clock,
+    random: Random,
+    log: Log,
+    replica: string,
+    address: string,
+    after: () => number,
+    take: (news: KvNews) => void,
+  ): Follower => {
     const quit = new AbortController();
     const run = async (): Promise<void> => {
       let waitMs = 100;
--- a/packages/courier/test/carriage.test.ts
+++ b/packages/courier/test/carriage.test.ts
@@ -6,10 +6,14 @@
 import type { CarriageReceipt, NetFault } from '@martenworks/envelope';
 import type { Result } from 'neverthrow';
 
-const opened = (handle: (request: IncomingMessage, response: ServerResponse) => void): Promise<{ server: Server; url: string }> =>
+const opened = (
+  handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<{ server: Server; url: string }> =>
   new Promise((settle) => {
     const server = createServer(handle);
-    server.listen(0, '127.0.0.1', () => settle({ server, url: `http://127.0.0.1:${(server.address() as AddressInfo).port}/` }));
+    server.listen(0, '127.0.0.1', () =>
+      settle({ server, url: `http://127.0.0.1:${(server.address() as AddressInfo).port}/` }),
+    );
   });
 
 const closed = (server: Server): Promise<void> =>
@@ -26,7 +30,14 @@
 
 const carriage = carriages.real(null);
 const carry = (url: string, gate: () => boolean = () => true): Promise<Result<CarriageReceipt, NetFault>> =>
-  carriage.carry({ method: 'POST', url, headers: { 'content-type': 'text/plain' }, body: 'a body', signal: new AbortController().signal, gate });
+  carriage.carry({
+    method: 'POST',
+    url,
+    headers: { 'content-type': 'text/plain' },
+    body: 'a body',
+    signal: new AbortController().signal,
+    gate,
+  });
 
 describe('the carriage to back ends, over real sockets', () => {
   after(() => carriage.close());
--- a/packages/envelope/src/backEnds.ts
+++ b/packages/envelope/src/backEnds.ts
@@ -79,7 +79,12 @@
 export interface ThroughWire {
   readonly order: (headers: readonly string[]) => Result<CallerOrder, string>;
   readonly shotHeaders: (headers: readonly string[], shot: ShotPlan) => string[];
-  readonly receiptHead: (status: number, headers: readonly string[], orderId: string, model: string | null) => ReceiptHead;
+  readonly receiptHead: (
+    status: number,
+    headers: readonly string[],
+    orderId: string,
+    model: string | null,
+  ) => ReceiptHead;
   readonly denialBody: (message: string) => string;
 }
 
--- a/packages/envelope/src/claim.ts
+++ b/packages/envelope/src/claim.ts
@@ -18,7 +18,9 @@
   readonly accepted: ClaimAccepted | null;
 }
 
-export type ClaimVote = { readonly k: 'state'; readonly isGranted: boolean; readonly state: ClaimState } | { readonly k: 'mute' };
+export type ClaimVote =
+  | { readonly k: 'state'; readonly isGranted: boolean; readonly state: ClaimState }
+  | { readonly k: 'mute' };
 
 export interface ClaimPage {
   readonly entries: readonly (readonly [key: string, state: ClaimState])[];
--- a/packages/envelope/src/layout.ts
+++ b/packages/envelope/src/layout.ts
@@ -101,7 +101,10 @@
 
 const rememberChange = (agreed: Agreed, change: Change, generation: number): Agreed['changeIds'] => {
   const entries = Object.entries(agreed.changeIds);
-  const kept = entries.length < keptChangeIds ? entries : entries.sort((a, b) => a[1].generation - b[1].generation).slice(entries.length - keptChangeIds + 1);
+  const kept =
+    entries.length < keptChangeIds
+      ? entries
+      : entries.sort((a, b) => a[1].generation - b[1].generation).slice(entries.length - keptChangeIds + 1);
   return { ...Object.fromEntries(kept), [change.id]: { generation, digest: change.digest } };
 };
 
@@ -117,13 +120,18 @@
 });
 
 const servesIsolated = (layout: Layout, pool: string): boolean =>
-  Object.values(layout.tenants).some((tenant) => tenant.isolated && tenant.lanes.some((lane) => layout.lanes[lane]?.pool === pool));
+  Object.values(layout.tenants).some(
+    (tenant) => tenant.isolated && tenant.lanes.some((lane) => layout.lanes[lane]?.pool === pool),
+  );
 
 const storeUses = (layout: Layout): Map<string, { weights: string; isMixed: boolean }> => {
   const uses = new Map<string, { weights: string; isMixed: boolean }>();
   for (const [name, pool] of Object.entries(layout.pools)) {
     if (pool.store === null) continue;
-    uses.set(pool.store, { weights: pool.weights, isMixed: uses.get(pool.store)?.isMixed === true || servesIsolated(layout, name) });
+    uses.set(pool.store, {
+      weights: pool.weights,
+      isMixed: uses.get(pool.store)?.isMixed === true || servesIsolated(layout, name),
+    });
   }
   return uses;
 };
@@ -167,11 +175,19 @@
     switch (body.kind) {
       case 'layout':
         return body.base === state.layoutGeneration
-          ? { ...next, layout: body.layout, layoutGeneration: generation, weightsSince: weightsSince(state, body.layout, generation), storeSince: storeSince(state, body.layout, generation) }
+          ? {
+              ...next,
+              layout: body.layout,
+              layoutGeneration: generation,
+              weightsSince: weightsSince(state, body.layout, generation),
+              storeSince: storeSince(state, body.layout, generation),
+            }
           : next;
       case 'grant': {
         const isTenantNew = body.tenant !== null && state.layout.tenants[body.grant.tenant] === undefined;
-        const layout = isTenantNew ? { ...state.layout, tenants: { ...state.layout.tenants, [body.grant.tenant]: body.tenant } } : state.layout;
+        const layout = isTenantNew
+          ? { ...state.layout, tenants: { ...state.layout.tenants, [body.grant.tenant]: body.tenant } }
+          : state.layout;
         return {
           ...next,
           layout: layout as Layout,
@@ -181,13 +197,23 @@
         };
       }
       case 'revoke':
-        return { ...next, keys: Object.fromEntries(Object.entries(state.keys).filter(([hash]) => hash !== body.keyHash)) };
+        return {
+          ...next,
+          keys: Object.fromEntries(Object.entries(state.keys).filter(([hash]) => hash !== body.keyHash)),
+        };
       case 'swap':
-        return { ...next, members: state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member)) };
+        return {
+          ...next,
+          members: state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member)),
+        };
       case 'ways':
-        return body.base === (state.ways?.edition ?? 0) && body.ways.edition > body.base ? { ...next, ways: body.ways } : next;
+        return body.base === (state.ways?.edition ?? 0) && body.ways.edition > body.base
+          ? { ...next, ways: body.ways }
+          : next;
       case 'weights':
-        return body.version > (state.named[body.model] ?? 0) ? { ...next, named: { ...state.named, [body.model]: body.version } } : next;
+        return body.version > (state.named[body.model] ?? 0)
+          ? { ...next, named: { ...state.named, [body.model]: body.version } }
+          : next;
     }
   },
   isVoid: (state: Agreed, change: Change): boolean =>
@@ -206,7 +232,10 @@
 const unknownSide = '*unknown*';
 
 export const replicas = {
-  filled: (record: ReplicaRecord): ReplicaRecord => ({ ...record, sides: (record.sides as readonly string[] | undefined) ?? [unknownSide] }),
+  filled: (record: ReplicaRecord): ReplicaRecord => ({
+    ...record,
+    sides: (record.sides as readonly string[] | undefined) ?? [unknownSide],
+  }),
   merge: (held: ReplicaRecord | undefined, told: ReplicaRecord): ReplicaRecord => {
     if (held === undefined) return told;
     const ahead = isAhead(told, held) ? told : held;
--- a/packages/envelope/src/machine.ts
+++ b/packages/envelope/src/machine.ts
@@ -17,7 +17,11 @@
 
 const codeOf = (cause: unknown): string => (cause as { code?: string } | null)?.code ?? 'UNKNOWN';
 
-const diskFault = (cause: unknown): DiskFault => ({ kind: 'disk', code: codeOf(cause), detail: String((cause as Error | null)?.message ?? cause) });
+const diskFault = (cause: unknown): DiskFault => ({
+  kind: 'disk',
+  code: codeOf(cause),
+  detail: String((cause as Error | null)?.message ?? cause),
+});
 
 const onDisk = async <T>(work: () => Promise<T>): Promise<Result<T, DiskFault>> => {
   try {
@@ -146,7 +150,9 @@
             for (const socket of sockets) socket.destroy();
           }),
       };
-      server.once('error', (cause) => settle(err({ kind: 'net', code: codeOf(cause), isUnsent: true } satisfies NetFault)));
+      server.once('error', (cause) =>
+        settle(err({ kind: 'net', code: codeOf(cause), isUnsent: true } satisfies NetFault)),
+      );
       server.listen(port, host, () => settle(ok(listener)));
     }),
 });
@@ -166,7 +172,8 @@
 };
 
 const noDisk = (): Disk => {
-  const refuse = async <T>(): Promise<Result<T, DiskFault>> => err({ kind: 'disk', code: 'NODATA', detail: 'this node has no data folder' });
+  const refuse = async <T>(): Promise<Result<T, DiskFault>> =>
+    err({ kind: 'disk', code: 'NODATA', detail: 'this node has no data folder' });
   return { list: refuse, read: refuse, open: refuse, replace: refuse, truncate: refuse, remove: refuse };
 };
 
--- a/packages/envelope/src/outcome.ts
+++ b/packages/envelope/src/outcome.ts
@@ -53,7 +53,19 @@
   readonly retryAfterSeconds: number | null;
 }
 
-const comesBack = new Set<DenyCode>(['over_share', 'no_capacity', 'not_fresh', 'draining', 'horizon_passed', 'replica_failed', 'cut_stream', 'wrong_weights', 'in_progress', 'outcome_unknown', 'no_claim']);
+const comesBack = new Set<DenyCode>([
+  'over_share',
+  'no_capacity',
+  'not_fresh',
+  'draining',
+  'horizon_passed',
+  'replica_failed',
+  'cut_stream',
+  'wrong_weights',
+  'in_progress',
+  'outcome_unknown',
+  'no_claim',
+]);
 
 export const deny = {
   of: (code: DenyCode, ran: Ran, detail: string, retryAfterSeconds?: number): Deny => ({
--- a/packages/envelope/src/prompt.ts
+++ b/packages/envelope/src/prompt.ts
@@ -9,7 +9,11 @@
     const hashes: string[] = [];
     let parent = '';
     for (let begin = 0; begin + blockBytes <= bytes.length; begin += blockBytes) {
-      parent = createHash('sha256').update(parent).update(bytes.subarray(begin, begin + blockBytes)).digest('hex').slice(0, 24);
+      parent = createHash('sha256')
+        .update(parent)
+        .update(bytes.subarray(begin, begin + blockBytes))
+        .digest('hex')
+        .slice(0, 24);
       hashes.push(parent);
     }
     return hashes;
--- a/packages/franking/src/env.ts
+++ b/packages/franking/src/env.ts
@@ -31,7 +31,9 @@
   return found.slice(1, 5).every((part) => Number(part) <= 255) && Number(found[5]) >= 1 && Number(found[5]) <= 65535;
 };
 
-const address = type('string').narrow((text, context) => isAddress(text) || context.mustBe('an IPv4 address and port, such as 10.0.0.1:7100'));
+const address = type('string').narrow(
+  (text, context) => isAddress(text) || context.mustBe('an IPv4 address and port, such as 10.0.0.1:7100'),
+);
 const label = type(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/);
 
 const envShape = type({
@@ -62,12 +64,12 @@
 };
 
 export const envFields = {
-  name: { form: forms.text, help: 'this node\'s name, unlike any other node\'s' },
+  name: { form: forms.text, help: "this node's name, unlike any other node's" },
   zone: { form: forms.text, help: 'the zone this machine stands in' },
-  coach: { form: forms.text, help: 'IP:PORT for the fleet\'s own connections' },
+  coach: { form: forms.text, help: "IP:PORT for the fleet's own connections" },
   coachListen: { form: forms.text, help: 'IP:PORT to listen on where others dial another (coach)' },
   http: { form: forms.text, help: 'IP:PORT for HTTP (callers, or operators and platform)' },
-  operators: { form: forms.text, help: 'IP:PORT for operators\' pages, on a private network (counter only; none)' },
+  operators: { form: forms.text, help: "IP:PORT for operators' pages, on a private network (counter only; none)" },
   seeds: { form: forms.list, help: 'three IP:PORT of other nodes, parted by commas' },
   data: { form: forms.text, help: 'data folder (postmaster only)' },
   fronts: { form: forms.count, help: 'how many counters share the extra allowance (9)' },
@@ -81,17 +83,33 @@
 } as const;
 
 export const envs = {
-  check: (role: Role, fromFile: Record<string, unknown>, fromFlags: Record<string, string>): Result<Env, Complaint[]> => {
+  check: (
+    role: Role,
+    fromFile: Record<string, unknown>,
+    fromFlags: Record<string, string>,
+  ): Result<Env, Complaint[]> => {
     const flagged = Object.fromEntries(
-      Object.entries(fromFlags).map(([key, raw]) => [key, (envFields as Record<string, { form: (raw: string) => unknown }>)[key]?.form(raw) ?? raw]),
+      Object.entries(fromFlags).map(([key, raw]) => [
+        key,
+        (envFields as Record<string, { form: (raw: string) => unknown }>)[key]?.form(raw) ?? raw,
+      ]),
     );
     const shaped = envShape({ ...fromFile, ...flagged });
-    const faults: Complaint[] = shaped instanceof type.errors ? shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message })) : [];
+    const faults: Complaint[] =
+      shaped instanceof type.errors
+        ? shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message }))
+        : [];
     const data = (flagged['data'] ?? fromFile['data']) as unknown;
-    if (role === 'postmaster' && data === undefined) faults.push({ path: '/data', message: 'a postmaster needs a data folder' });
+    if (role === 'postmaster' && data === undefined)
+      faults.push({ path: '/data', message: 'a postmaster needs a data folder' });
     const operators = (flagged['operators'] ?? fromFile['operators']) as unknown;
-    if (role === 'postmaster' && operators !== undefined) faults.push({ path: '/operators', message: 'is for counters; a postmaster\'s http is the operators\' already' });
-    if (operators !== undefined && [flagged['http'] ?? fromFile['http'], flagged['coach'] ?? fromFile['coach']].includes(operators)) faults.push({ path: '/operators', message: 'must be another address than http and coach' });
+    if (role === 'postmaster' && operators !== undefined)
+      faults.push({ path: '/operators', message: "is for counters; a postmaster's http is the operators' already" });
+    if (
+      operators !== undefined &&
+      [flagged['http'] ?? fromFile['http'], flagged['coach'] ?? fromFile['coach']].includes(operators)
+    )
+      faults.push({ path: '/operators', message: 'must be another address than http and coach' });
     if (shaped instanceof type.errors || faults.length > 0) return err(faults);
     return ok({
       role,
--- a/packages/franking/src/layoutCheck.ts
+++ b/packages/franking/src/layoutCheck.ts
@@ -59,7 +59,12 @@
 });
 
 const filled = (given: typeof layoutShape.infer): Layout => ({
-  tiers: Object.fromEntries(Object.entries(given.tiers).map(([key, one]) => [key, { rank: one.rank, share: one.share ?? 1, horizonMs: one.horizonMs ?? 30_000 }])),
+  tiers: Object.fromEntries(
+    Object.entries(given.tiers).map(([key, one]) => [
+      key,
+      { rank: one.rank, share: one.share ?? 1, horizonMs: one.horizonMs ?? 30_000 },
+    ]),
+  ),
   pools: Object.fromEntries(
     Object.entries(given.pools).map(([key, one]) => [
       key,
@@ -86,7 +91,9 @@
   ...(['tiers', 'pools', 'lanes', 'tenants'] as const).flatMap((at) => named(layout[at], at)),
   ...Object.entries(layout.pools).flatMap(([key, one]) => {
     const first = Object.entries(layout.pools).find(([, other]) => one.store !== null && other.store === one.store);
-    return first === undefined || first[1].weights === one.weights ? [] : [{ path: `/pools/${key}/store`, message: `is the store of pool ${first[0]} too, which has other weights` }];
+    return first === undefined || first[1].weights === one.weights
+      ? []
+      : [{ path: `/pools/${key}/store`, message: `is the store of pool ${first[0]} too, which has other weights` }];
   }),
   ...Object.entries(layout.lanes)
     .filter(([, one]) => !Object.hasOwn(layout.pools, one.pool))
@@ -95,13 +102,18 @@
     .filter(([, one]) => !Object.hasOwn(layout.tiers, one.tier))
     .map(([key, one]) => ({ path: `/tenants/${key}/tier`, message: `names the absent tier ${one.tier}` })),
   ...Object.entries(layout.tenants).flatMap(([key, one]) =>
-    one.lanes.flatMap((laneName, at) => (Object.hasOwn(layout.lanes, laneName) ? [] : [{ path: `/tenants/${key}/lanes/${at}`, message: `names the absent lane ${laneName}` }])),
+    one.lanes.flatMap((laneName, at) =>
+      Object.hasOwn(layout.lanes, laneName)
+        ? []
+        : [{ path: `/tenants/${key}/lanes/${at}`, message: `names the absent lane ${laneName}` }],
+    ),
   ),
 ];
 
 const merged = (held: unknown, part: unknown): unknown => {
   if (part === null || typeof part !== 'object' || Array.isArray(part)) return part;
-  const base = held !== null && typeof held === 'object' && !Array.isArray(held) ? (held as Record<string, unknown>) : {};
+  const base =
+    held !== null && typeof held === 'object' && !Array.isArray(held) ? (held as Record<string, unknown>) : {};
   const next: Record<string, unknown> = { ...base };
   for (const [key, value] of Object.entries(part)) {
     if (value === null) delete next[key];
--- a/packages/franking/src/wayEnv.ts
+++ b/packages/franking/src/wayEnv.ts
@@ -39,7 +39,11 @@
 export type WayEnv = v.InferOutput<typeof shape>;
 
 export const complaints = {
-  of: (issues: readonly v.BaseIssue<unknown>[], at = ''): Complaint[] => issues.map((issue) => ({ path: `${at}/${(issue.path ?? []).map((step) => String(step.key)).join('/')}`, message: issue.message })),
+  of: (issues: readonly v.BaseIssue<unknown>[], at = ''): Complaint[] =>
+    issues.map((issue) => ({
+      path: `${at}/${(issue.path ?? []).map((step) => String(step.key)).join('/')}`,
+      message: issue.message,
+    })),
 };
 
 export const wayEnvs = {
--- a/packages/franking/test/env.test.ts
+++ b/packages/franking/test/env.test.ts
@@ -2,7 +2,13 @@
 import { envs } from '@martenworks/franking';
 import type { Role } from '@martenworks/franking';
 
-const sound = { name: 'n-1', zone: 'a', coach: '10.0.0.1:7100', http: '10.0.0.1:7101', seeds: ['10.0.0.1:7100', '10.0.0.2:7100', '10.0.0.3:7100'] };
+const sound = {
+  name: 'n-1',
+  zone: 'a',
+  coach: '10.0.0.1:7100',
+  http: '10.0.0.1:7101',
+  seeds: ['10.0.0.1:7100', '10.0.0.2:7100', '10.0.0.3:7100'],
+};
 
 const pathsOf = (role: Role, more: Record<string, unknown>): string[] =>
   envs.check(role, { ...sound, ...more }, {}).match(
@@ -25,6 +31,7 @@
       ['postmaster', { data: 'd', operators: '10.0.0.1:7102' }, ['/operators']],
       ['postmaster', { data: 'd' }, []],
     ];
-    for (const [role, more, paths] of cases) expect(pathsOf(role, more), JSON.stringify([role, more])).to.deep.equal(paths);
+    for (const [role, more, paths] of cases)
+      expect(pathsOf(role, more), JSON.stringify([role, more])).to.deep.equal(paths);
   });
 });
--- a/packages/inspector/src/index.ts
+++ b/packages/inspector/src/index.ts
@@ -18,7 +18,15 @@
 export const runInspector = async (args: string[]): Promise<number> => {
   let parsed;
   try {
-    parsed = parseArgs({ args, allowPositionals: true, options: { at: { type: 'string' }, json: { type: 'boolean', default: false }, help: { type: 'boolean', short: 'h' } } });
+    parsed = parseArgs({
+      args,
+      allowPositionals: true,
+      options: {
+        at: { type: 'string' },
+        json: { type: 'boolean', default: false },
+        help: { type: 'boolean', short: 'h' },
+      },
+    });
   } catch (cause) {
     process.stderr.write(`${String((cause as Error).message)}\n`);
     return codes.usage;
@@ -35,7 +43,8 @@
   }
   const answer = async (words: readonly string[]): Promise<number> => {
     const outcome = await query(askOverHttp, addresses, words);
-    if (outcome.rows.length > 0 || outcome.code === codes.fine) process.stdout.write(values.json ? print.json(outcome.rows) : print.table(outcome.rows));
+    if (outcome.rows.length > 0 || outcome.code === codes.fine)
+      process.stdout.write(values.json ? print.json(outcome.rows) : print.table(outcome.rows));
     if (outcome.note !== null) process.stderr.write(`${outcome.note}\n`);
     return outcome.code;
   };
@@ -43,7 +52,10 @@
   const lines = createInterface({ input: process.stdin, output: process.stdout, prompt: 'fleet> ' });
   lines.prompt();
   for await (const line of lines) {
-    const words = line.trim().split(/\s+/).filter((word) => word !== '');
+    const words = line
+      .trim()
+      .split(/\s+/)
+      .filter((word) => word !== '');
     if (words[0] === 'quit' || words[0] === 'exit') break;
     if (words.length > 0) await answer(words);
     lines.prompt();
--- a/packages/inspector/src/print.ts
+++ b/packages/inspector/src/print.ts
@@ -1,6 +1,7 @@
 import type { Row } from './reader.js';
 
-const cell = (value: unknown): string => (value === null || value === undefined ? '-' : typeof value === 'object' ? JSON.stringify(value) : String(value));
+const cell = (value: unknown): string =>
+  value === null || value === undefined ? '-' : typeof value === 'object' ? JSON.stringify(value) : String(value);
 
 export const print = {
   table: (rows: readonly Row[]): string => {
@@ -8,7 +9,15 @@
     const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
     const lines = [columns, ...rows.map((row) => columns.map((column) => cell(row[column])))];
     const widths = columns.map((_, at) => Math.max(...lines.map((line) => (line[at] ?? '').length)));
-    return `${lines.map((line) => line.map((text, at) => text.padEnd(widths[at] ?? 0)).join('  ').trimEnd()).join('\n')}\n`;
+    return `${lines
+      .map((line) =>
+        line
+          .map((text, at) => text.padEnd(widths[at] ?? 0))
+          .join('  ')
+          .trimEnd(),
+      )
+      .join('\n')}\n`;
   },
-  json: (rows: readonly Row[]): string => `${rows.map((row) => JSON.stringify(row)).join('\n')}${rows.length > 0 ? '\n' : ''}`,
+  json: (rows: readonly Row[]): string =>
+    `${rows.map((row) => JSON.stringify(row)).join('\n')}${rows.length > 0 ? '\n' : ''}`,
 };
--- a/packages/inspector/src/queries.ts
+++ b/packages/inspector/src/queries.ts
@@ -12,46 +12,143 @@
 
 const list = (value: unknown): Row[] => (Array.isArray(value) ? (value as Row[]) : []);
 const table = (value: unknown): [string, Row][] => Object.entries((value ?? {}) as Record<string, Row>);
-const down = (seen: Seen): string[] => [...seen.postmasters, ...seen.counters].filter(([, status]) => status === null).map(([name]) => name);
+const down = (seen: Seen): string[] =>
+  [...seen.postmasters, ...seen.counters].filter(([, status]) => status === null).map(([name]) => name);
 
-const live = (nodes: ReadonlyMap<string, Row | null>): [string, Row][] => [...nodes].flatMap(([name, status]) => (status === null ? [] : [[name, status] as [string, Row]]));
+const live = (nodes: ReadonlyMap<string, Row | null>): [string, Row][] =>
+  [...nodes].flatMap(([name, status]) => (status === null ? [] : [[name, status] as [string, Row]]));
 
-const newest = (seen: Seen): Row => live(seen.postmasters).map(([, status]) => status).sort((a, b) => Number(b['generation'] ?? -1) - Number(a['generation'] ?? -1))[0] ?? {};
+const newest = (seen: Seen): Row =>
+  live(seen.postmasters)
+    .map(([, status]) => status)
+    .sort((a, b) => Number(b['generation'] ?? -1) - Number(a['generation'] ?? -1))[0] ?? {};
 
 const nodes = (seen: Seen): Row[] => [
-  ...[...seen.postmasters].map(([name, status]) => ({ node: name, role: 'postmaster', zone: status?.['zone'] ?? '', state: status === null ? 'unreachable' : status['voter'] === true ? 'voter' : 'no vote', generation: status?.['generation'] ?? null, detail: status === null ? '' : `reaches ${String(status['reachable'])} members` })),
-  ...[...seen.counters].map(([name, status]) => ({ node: name, role: 'counter', zone: status?.['zone'] ?? '', state: status === null ? 'unreachable' : status['fresh'] === true ? 'fresh' : 'not fresh', generation: status?.['generation'] ?? null, detail: status === null ? '' : `${String(status['live'])} live, ${String(status['voices'])} voices` })),
+  ...[...seen.postmasters].map(([name, status]) => ({
+    node: name,
+    role: 'postmaster',
+    zone: status?.['zone'] ?? '',
+    state: status === null ? 'unreachable' : status['voter'] === true ? 'voter' : 'no vote',
+    generation: status?.['generation'] ?? null,
+    detail: status === null ? '' : `reaches ${String(status['reachable'])} members`,
+  })),
+  ...[...seen.counters].map(([name, status]) => ({
+    node: name,
+    role: 'counter',
+    zone: status?.['zone'] ?? '',
+    state: status === null ? 'unreachable' : status['fresh'] === true ? 'fresh' : 'not fresh',
+    generation: status?.['generation'] ?? null,
+    detail: status === null ? '' : `${String(status['live'])} live, ${String(status['voices'])} voices`,
+  })),
 ];
 
 const acks = (seen: Seen): Row[] =>
-  live(seen.postmasters).flatMap(([name, status]) => list(status['counters']).map((ack) => ({ postmaster: name, holds: status['generation'], counter: ack['counter'], acked: ack['generation'], ackAgeMs: ack['ackAgeMs'] })));
+  live(seen.postmasters).flatMap(([name, status]) =>
+    list(status['counters']).map((ack) => ({
+      postmaster: name,
+      holds: status['generation'],
+      counter: ack['counter'],
+      acked: ack['generation'],
+      ackAgeMs: ack['ackAgeMs'],
+    })),
+  );
 
 const replicas = (seen: Seen): Row[] =>
   list(newest(seen)['replicas']).map((record) => {
-    const views = live(seen.counters).flatMap(([, status]) => list(status['replicas']).filter((one) => one['replica'] === record['name']));
-    return { replica: record['name'], pool: record['pool'], state: record['state'], incarnation: record['incarnation'], born: record['born'], sides: list(record['sides']).map(String).join(' '), address: record['address'], running: views.reduce((sum, one) => sum + Number(one['running']), 0), suspectedBy: views.filter((one) => one['isSuspect'] === true).length };
+    const views = live(seen.counters).flatMap(([, status]) =>
+      list(status['replicas']).filter((one) => one['replica'] === record['name']),
+    );
+    return {
+      replica: record['name'],
+      pool: record['pool'],
+      state: record['state'],
+      incarnation: record['incarnation'],
+      born: record['born'],
+      sides: list(record['sides']).map(String).join(' '),
+      address: record['address'],
+      running: views.reduce((sum, one) => sum + Number(one['running']), 0),
+      suspectedBy: views.filter((one) => one['isSuspect'] === true).length,
+    };
   });
 
 const index = (seen: Seen): Row[] =>
   list(newest(seen)['index']).map((shelf) => {
-    const seqs = live(seen.counters).flatMap(([, status]) => list(status['index']).filter((one) => one['replica'] === shelf['replica']).map((one) => Number(one['seq'])));
-    return { replica: shelf['replica'], incarnation: shelf['incarnation'], seq: shelf['seq'], blocks: shelf['blocks'], whole: shelf['isWhole'], scopes: list(shelf['scopes']).map((scope) => (String(scope) === '' ? 'shared' : String(scope))).join(' '), countersBehind: seqs.filter((seq) => seq < Number(shelf['seq'])).length };
+    const seqs = live(seen.counters).flatMap(([, status]) =>
+      list(status['index'])
+        .filter((one) => one['replica'] === shelf['replica'])
+        .map((one) => Number(one['seq'])),
+    );
+    return {
+      replica: shelf['replica'],
+      incarnation: shelf['incarnation'],
+      seq: shelf['seq'],
+      blocks: shelf['blocks'],
+      whole: shelf['isWhole'],
+      scopes: list(shelf['scopes'])
+        .map((scope) => (String(scope) === '' ? 'shared' : String(scope)))
+        .join(' '),
+      countersBehind: seqs.filter((seq) => seq < Number(shelf['seq'])).length,
+    };
   });
 
 const queues = (seen: Seen): Row[] =>
   live(seen.counters).flatMap(([name, status]) =>
-    table(status['queues']).map(([pool, queue]) => ({ counter: name, pool, waiting: queue['waiting'], byTier: Object.entries((queue['byTier'] ?? {}) as Record<string, number>).filter(([, count]) => count > 0).map(([tier, count]) => `${tier}=${count}`).join(' ') })),
+    table(status['queues']).map(([pool, queue]) => ({
+      counter: name,
+      pool,
+      waiting: queue['waiting'],
+      byTier: Object.entries((queue['byTier'] ?? {}) as Record<string, number>)
+        .filter(([, count]) => count > 0)
+        .map(([tier, count]) => `${tier}=${count}`)
+        .join(' '),
+    })),
   );
 
-const budgets = (seen: Seen): Row[] => live(seen.counters).flatMap(([name, status]) => Object.entries((status['budgets'] ?? {}) as Record<string, number>).map(([pool, left]) => ({ counter: name, pool, extraShotsLeft: Math.round(left * 100) / 100 })));
+const budgets = (seen: Seen): Row[] =>
+  live(seen.counters).flatMap(([name, status]) =>
+    Object.entries((status['budgets'] ?? {}) as Record<string, number>).map(([pool, left]) => ({
+      counter: name,
+      pool,
+      extraShotsLeft: Math.round(left * 100) / 100,
+    })),
+  );
 
-const members = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['members']).map((member) => ({ seenBy: name, ...member })));
+const members = (seen: Seen): Row[] =>
+  live(seen.postmasters).flatMap(([name, status]) =>
+    list(status['members']).map((member) => ({ seenBy: name, ...member })),
+  );
 
-const leases = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['leases']).map((lease) => ({ duty: lease['duty'], holder: name, fence: lease['fence'], leftMs: lease['leftMs'] })));
+const leases = (seen: Seen): Row[] =>
+  live(seen.postmasters).flatMap(([name, status]) =>
+    list(status['leases']).map((lease) => ({
+      duty: lease['duty'],
+      holder: name,
+      fence: lease['fence'],
+      leftMs: lease['leftMs'],
+    })),
+  );
 
-const watchers = (seen: Seen): Row[] => live(seen.postmasters).flatMap(([name, status]) => list(status['watch']).map((line) => ({ toldBy: name, node: line['node'], suspectedBy: list(line['suspectedBy']).join(' '), down: line['isDown'] })));
+const watchers = (seen: Seen): Row[] =>
+  live(seen.postmasters).flatMap(([name, status]) =>
+    list(status['watch']).map((line) => ({
+      toldBy: name,
+      node: line['node'],
+      suspectedBy: list(line['suspectedBy']).join(' '),
+      down: line['isDown'],
+    })),
+  );
 
-const views: Record<string, (seen: Seen) => Row[]> = { nodes, acks, replicas, index, queues, budgets, members, leases, watchers };
+const views: Record<string, (seen: Seen) => Row[]> = {
+  nodes,
+  acks,
+  replicas,
+  index,
+  queues,
+  budgets,
+  members,
+  leases,
+  watchers,
+};
 
 export const help = `queries:
   nodes                        every node: role, zone, state, generation
@@ -106,7 +203,11 @@
     const seen = await look(ask, addresses);
     if (seen === null) return { rows: [], code: codes.unreachable, note: 'no postmaster answers' };
     const absent = down(seen);
-    return { rows: view(seen), code: absent.length === 0 ? codes.fine : codes.partly, note: absent.length === 0 ? null : `not reached: ${absent.join(', ')}` };
+    return {
+      rows: view(seen),
+      code: absent.length === 0 ? codes.fine : codes.partly,
+      note: absent.length === 0 ? null : `not reached: ${absent.join(', ')}`,
+    };
   }
   switch (name) {
     case 'layout':
@@ -120,7 +221,10 @@
       const seen = await look(ask, addresses);
       const counter = seen === null ? undefined : live(seen.counters)[0];
       if (counter === undefined) return { rows: [], code: codes.unreachable, note: 'no counter answers' };
-      const told = await ask(String(counter[1]['http']), '/why', { method: 'POST', body: { lane, tenant, prompt: textOf(prompt.join(' ')) } });
+      const told = await ask(String(counter[1]['http']), '/why', {
+        method: 'POST',
+        body: { lane, tenant, prompt: textOf(prompt.join(' ')) },
+      });
       if (told?.status !== 200) return { rows: told === null ? [] : [told.body], code: codes.refused, note: null };
       return { rows: list(told.body['candidates']), code: codes.fine, note: `as ${counter[0]} sees it` };
     }
@@ -137,8 +241,24 @@
       if (ops === null || rest[1] === undefined) return { rows: [], code: codes.usage, note: 'apply FILE PLAN-ID' };
       const plan = await first('/operator/plans', { method: 'POST', body: ops, headers: patchHeaders });
       if (plan?.status !== 200) return replyOf(plan);
-      if (plan.body['planId'] !== rest[1]) return { rows: [plan.body], code: codes.refused, note: 'that plan was made for another base or another change; this is the plan now' };
-      return replyOf(await first('/operator/layout', { method: 'PATCH', body: ops, headers: { ...patchHeaders, 'if-match': `"${String(plan.body['base'])}"`, 'plan-id': rest[1], 'change-id': `plan-${rest[1]}` } }));
+      if (plan.body['planId'] !== rest[1])
+        return {
+          rows: [plan.body],
+          code: codes.refused,
+          note: 'that plan was made for another base or another change; this is the plan now',
+        };
+      return replyOf(
+        await first('/operator/layout', {
+          method: 'PATCH',
+          body: ops,
+          headers: {
+            ...patchHeaders,
+            'if-match': `"${String(plan.body['base'])}"`,
+            'plan-id': rest[1],
+            'change-id': `plan-${rest[1]}`,
+          },
+        }),
+      );
     }
   }
   return { rows: [], code: codes.usage, note: help };
--- a/packages/inspector/src/reader.ts
+++ b/packages/inspector/src/reader.ts
@@ -7,7 +7,11 @@
   readonly body: Row;
 }
 
-export type Ask = (address: string, path: string, more?: { method?: 'GET' | 'POST' | 'PATCH'; body?: unknown; headers?: Record<string, string> }) => Promise<Told | null>;
+export type Ask = (
+  address: string,
+  path: string,
+  more?: { method?: 'GET' | 'POST' | 'PATCH'; body?: unknown; headers?: Record<string, string> },
+) => Promise<Told | null>;
 
 const patienceMs = 2_000;
 
@@ -54,6 +58,7 @@
       ),
     );
   const postmasters = await read(postmasterAt, '/operator/status');
-  for (const status of postmasters.values()) for (const one of rowsOf(status?.['counters'])) counterAt.set(String(one['counter']), String(one['http']));
+  for (const status of postmasters.values())
+    for (const one of rowsOf(status?.['counters'])) counterAt.set(String(one['counter']), String(one['http']));
   return { postmasters, counters: await read(counterAt, '/status') };
 };
--- a/packages/inspector/test/inspector.test.ts
+++ b/packages/inspector/test/inspector.test.ts
@@ -46,19 +46,30 @@
   it('given a JSON Patch, when it is planned and another change lands first, then the plan is refused, and a new plan applies once', async () => {
     const { fleet, see } = await raised();
     const file = join(mkdtempSync(join(tmpdir(), 'plan-')), 'patch.json');
-    writeFileSync(file, JSON.stringify([{ op: 'add', path: '/lanes/chat', value: { pool: 'main', repeat: 'freely' } }, { op: 'replace', path: '/pools/main/weights', value: 'weights-2' }]));
+    writeFileSync(
+      file,
+      JSON.stringify([
+        { op: 'add', path: '/lanes/chat', value: { pool: 'main', repeat: 'freely' } },
+        { op: 'replace', path: '/pools/main/weights', value: 'weights-2' },
+      ]),
+    );
     const planIdOf = (outcome: Outcome): string => /plan ([0-9a-f]+)/.exec(outcome.note ?? '')?.[1] ?? '';
     const first = await see('plan', file);
     expect(first.rows.map((row) => [row['op'], row['path'], row['after']])).to.deep.equal([
       ['add', '/lanes/chat', { pool: 'main', repeat: 'freely' }],
       ['replace', '/pools/main/weights', 'weights-2'],
     ]);
-    const rival = await fleet.finish(fleet.onPostmaster(1, 'PATCH', '/operator/layout', { tiers: { extra: { rank: 5 } } }, { 'if-match': '"1"' }));
+    const rival = await fleet.finish(
+      fleet.onPostmaster(1, 'PATCH', '/operator/layout', { tiers: { extra: { rank: 5 } } }, { 'if-match': '"1"' }),
+    );
     expect(rival.status).to.equal(200);
     expect((await see('apply', file, planIdOf(first))).code).to.equal(codes.refused);
     const second = planIdOf(await see('plan', file));
     expect((await see('apply', file, second)).code).to.equal(codes.fine);
-    const layout = (await see('layout')).rows[0]?.['layout'] as { pools: { main: { weights: string } }; tiers: Record<string, unknown> };
+    const layout = (await see('layout')).rows[0]?.['layout'] as {
+      pools: { main: { weights: string } };
+      tiers: Record<string, unknown>;
+    };
     expect([layout.pools.main.weights, 'extra' in layout.tiers]).to.deep.equal(['weights-2', true]);
     writeFileSync(file, JSON.stringify([{ op: 'remove', path: '/pools/main' }]));
     const broken = await see('plan', file);
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -86,7 +86,8 @@
     private firstSegment: number,
   ) {}
 
-  private readonly nameOf = (kind: 'segment' | 'checkpoint', number: number): string => names.of(this.prefix, kind, number);
+  private readonly nameOf = (kind: 'segment' | 'checkpoint', number: number): string =>
+    names.of(this.prefix, kind, number);
 
   readonly append = (record: unknown): Promise<Result<void, LedgerFault>> =>
     new Promise((settle) => {
@@ -182,7 +183,8 @@
 }
 
 const names = {
-  of: (prefix: string, kind: 'segment' | 'checkpoint', number: number): string => `${prefix}-${kind}-${String(number).padStart(digits, '0')}`,
+  of: (prefix: string, kind: 'segment' | 'checkpoint', number: number): string =>
+    `${prefix}-${kind}-${String(number).padStart(digits, '0')}`,
   parse: (prefix: string, name: string): { kind: 'segment' | 'checkpoint'; number: number } | null => {
     const found = new RegExp(`^${prefix}-(segment|checkpoint)-(\\d{${digits}})$`).exec(name);
     return found === null ? null : { kind: found[1] as 'segment' | 'checkpoint', number: Number(found[2]) };
@@ -194,7 +196,10 @@
     const listed = await disk.list();
     if (listed.isErr()) return err(listed.error);
     const files = listed.value.map((name) => names.parse(prefix, name)).filter((file) => file !== null);
-    const checkpointNumbers = files.filter((file) => file.kind === 'checkpoint').map((file) => file.number).sort((a, b) => b - a);
+    const checkpointNumbers = files
+      .filter((file) => file.kind === 'checkpoint')
+      .map((file) => file.number)
+      .sort((a, b) => b - a);
     let checkpoint: unknown = null;
     let first = 0;
     const newest = checkpointNumbers[0];
@@ -203,11 +208,15 @@
       const bytes = await disk.read(name);
       if (bytes.isErr()) return err(bytes.error);
       const read = scan(bytes.value ?? new Uint8Array());
-      if (read.records.length !== 1) return err({ kind: 'corrupt', file: name, offset: 0, detail: 'checkpoint does not pass its check' });
+      if (read.records.length !== 1)
+        return err({ kind: 'corrupt', file: name, offset: 0, detail: 'checkpoint does not pass its check' });
       checkpoint = read.records[0];
       first = newest;
     }
-    const segments = files.filter((file) => file.kind === 'segment' && file.number >= first).map((file) => file.number).sort((a, b) => a - b);
+    const segments = files
+      .filter((file) => file.kind === 'segment' && file.number >= first)
+      .map((file) => file.number)
+      .sort((a, b) => a - b);
     const records: unknown[] = [];
     let cutBytes = 0;
     for (const number of segments) {
@@ -219,7 +228,12 @@
       records.push(...read.records);
       if (read.end === held.length) continue;
       if (number !== segments[segments.length - 1] || hasBatchAfter(held, read.end)) {
-        return err({ kind: 'corrupt', file: name, offset: read.end, detail: 'a record before the tail does not pass its check' });
+        return err({
+          kind: 'corrupt',
+          file: name,
+          offset: read.end,
+          detail: 'a record before the tail does not pass its check',
+        });
       }
       const cut = await disk.truncate(name, read.end);
       if (cut.isErr()) return err(cut.error);
--- a/packages/ledger/test/ledger.test.ts
+++ b/packages/ledger/test/ledger.test.ts
@@ -17,7 +17,8 @@
   return copy;
 };
 
-const segmentsOf = (disk: SimDisk): string[] => [...disk.files.keys()].filter((name) => name.includes('segment')).sort();
+const segmentsOf = (disk: SimDisk): string[] =>
+  [...disk.files.keys()].filter((name) => name.includes('segment')).sort();
 
 describe('a ledger', () => {
   it('given records kept one by one, when its last file is cut at any byte, then it opens with a prefix that holds every record wholly before the cut', async () => {
@@ -37,7 +38,9 @@
       held.safe = held.safe.slice(0, cut);
       const again = await opened(copy);
       const wanted = ends.filter((end) => end <= cut).length;
-      expect(again.records.map((record) => (record as { at: number }).at)).to.deep.equal(Array.from({ length: wanted }, (_, at) => at));
+      expect(again.records.map((record) => (record as { at: number }).at)).to.deep.equal(
+        Array.from({ length: wanted }, (_, at) => at),
+      );
       expect((await again.ledger.append({ at: 99 })).isOk()).to.equal(true);
       const third = await opened(copy);
       expect(third.records.length).to.equal(wanted + 1);
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -18,7 +18,17 @@
 }
 
 export const hellos = {
-  of: (role: Hello['role'], node: { readonly name: string; readonly coach: string; readonly http: string; readonly operators: string | null; readonly zone: string }, incarnation: string): Hello => ({
+  of: (
+    role: Hello['role'],
+    node: {
+      readonly name: string;
+      readonly coach: string;
+      readonly http: string;
+      readonly operators: string | null;
+      readonly zone: string;
+    },
+    incarnation: string,
+  ): Hello => ({
     release: wireRelease,
     name: node.name,
     role,
@@ -98,7 +108,11 @@
     if (!this.isOpen) return;
     if (frame.f === 'hello') {
       if (frame.hello.release !== wireRelease) {
-        this.log.warn('connection dropped', { cause: 'another wire release', theirs: frame.hello.release, ours: wireRelease });
+        this.log.warn('connection dropped', {
+          cause: 'another wire release',
+          theirs: frame.hello.release,
+          ours: wireRelease,
+        });
         return this.close();
       }
       if (this.neighbour !== null) return this.close();
@@ -108,7 +122,9 @@
     if (this.neighbour === null) return this.close();
     if (frame.f === 'tell') return this.handlers.told(this, frame.topic, frame.body);
     if (frame.f === 'ask') {
-      void this.handlers.asked(this, frame.topic, frame.body).then((body) => this.send({ f: 'reply', id: frame.id, body }));
+      void this.handlers
+        .asked(this, frame.topic, frame.body)
+        .then((body) => this.send({ f: 'reply', id: frame.id, body }));
       return;
     }
     const call = this.calls.get(frame.id);
@@ -152,7 +168,14 @@
 const helloPatienceMs = 2000;
 
 export const coaches = {
-  listen: (net: Net, clock: Clock, log: Log, own: () => Hello, address: string, handlers: Handlers): Promise<Result<Listener, NetFault>> =>
+  listen: (
+    net: Net,
+    clock: Clock,
+    log: Log,
+    own: () => Hello,
+    address: string,
+    handlers: Handlers,
+  ): Promise<Result<Listener, NetFault>> =>
     net.listen(address, (wire) => {
       const coach = new Coach(wire, clock, log, own(), handlers);
       clock.after(helloPatienceMs, () => {
@@ -160,7 +183,15 @@
       });
       coach.begin();
     }),
-  dial: async (net: Net, clock: Clock, log: Log, own: Hello, address: string, handlers: Handlers, patienceMs = helloPatienceMs): Promise<Result<Coach, CoachFault>> => {
+  dial: async (
+    net: Net,
+    clock: Clock,
+    log: Log,
+    own: Hello,
+    address: string,
+    handlers: Handlers,
+    patienceMs = helloPatienceMs,
+  ): Promise<Result<Coach, CoachFault>> => {
     const wire = await net.dial(address, patienceMs);
     if (wire.isErr()) return err({ kind: 'coach', code: 'unreachable' });
     return new Promise((settle) => {
--- a/packages/pigeonhole/src/pigeonhole.ts
+++ b/packages/pigeonhole/src/pigeonhole.ts
@@ -53,7 +53,14 @@
       const era = eraOf(record);
       const shelf = this.shelves.get(record.name);
       if (shelf === undefined || shelf.incarnation < record.incarnation) {
-        this.shelves.set(record.name, { incarnation: record.incarnation, seq: 0, era, isWhole: true, scopes: new Set(), blocks: new Map() });
+        this.shelves.set(record.name, {
+          incarnation: record.incarnation,
+          seq: 0,
+          era,
+          isWhole: true,
+          scopes: new Set(),
+          blocks: new Map(),
+        });
         continue;
       }
       if (shelf.era === era) continue;
@@ -138,15 +145,29 @@
     shelf.seq = checkpoint.seq;
     shelf.isWhole = checkpoint.isWhole;
     shelf.scopes = new Set(checkpoint.scopes.map(this.tenantNumber));
-    shelf.blocks = new Map(checkpoint.blocks.map(([block, tenant, age]) => [block, { tenant: this.tenantNumber(tenant), bornAt: now - age }]));
+    shelf.blocks = new Map(
+      checkpoint.blocks.map(([block, tenant, age]) => [
+        block,
+        { tenant: this.tenantNumber(tenant), bornAt: now - age },
+      ]),
+    );
     return true;
   };
 
-  private readonly tenantName = (tenant: number): string => (tenant === wildTenant ? '?' : tenant === sharedTenant ? '' : this.tenants.nameOf(tenant));
+  private readonly tenantName = (tenant: number): string =>
+    tenant === wildTenant ? '?' : tenant === sharedTenant ? '' : this.tenants.nameOf(tenant);
 
-  private readonly tenantNumber = (name: string): number => (name === '?' ? wildTenant : name === '' ? sharedTenant : this.tenants.indexOf(name));
+  private readonly tenantNumber = (name: string): number =>
+    name === '?' ? wildTenant : name === '' ? sharedTenant : this.tenants.indexOf(name);
 
-  readonly sizes = (): { replica: string; incarnation: number; seq: number; blocks: number; isWhole: boolean; scopes: string[] }[] =>
+  readonly sizes = (): {
+    replica: string;
+    incarnation: number;
+    seq: number;
+    blocks: number;
+    isWhole: boolean;
+    scopes: string[];
+  }[] =>
     [...this.shelves].map(([replica, shelf]) => ({
       replica,
       incarnation: shelf.incarnation,
--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -66,7 +66,12 @@
   readonly costMs: number;
 }
 
-const bestPull = ({ pool, pullExcessMs }: PlaceQuestion, holders: readonly HolderKept[], receiver: string, local: number): Pull | null => {
+const bestPull = (
+  { pool, pullExcessMs }: PlaceQuestion,
+  holders: readonly HolderKept[],
+  receiver: string,
+  local: number,
+): Pull | null => {
   let best: Pull | null = null;
   let bestGainMs = 0;
   for (const { record, blockCount } of holders) {
@@ -94,7 +99,9 @@
   const home = question.useIndex && holders.length === 0 ? homeOf(blocks, question.candidates) : null;
   const isUnburdened = (candidate: Candidate): boolean => candidate.pendingTokens < heavyTokens;
   const unburdened = question.candidates.filter(isUnburdened).length;
-  const isLastUnburdened = question.candidates.length > 1 && unburdened <= Math.max(1, Math.floor(question.candidates.length * unburdenedShare));
+  const isLastUnburdened =
+    question.candidates.length > 1 &&
+    unburdened <= Math.max(1, Math.floor(question.candidates.length * unburdenedShare));
   const weighed: Placement[] = [];
   const offset = question.candidates.length === 0 ? 0 : Math.floor(question.tieBreak * question.candidates.length);
   for (let step = 0; step < question.candidates.length; step += 1) {
@@ -106,7 +113,10 @@
     const localTokens = local * prompts.blockTokens;
     const prefilledTokens = Math.max(0, question.promptTokens - localTokens - pulledTokens);
     const isMakingLikely = candidate.pendingTokens >= prefilledTokens;
-    const homeGainMs = candidate.record.name === home && local === 0 ? (prefilledTokens / pool.prefillTokensPerMs) * (isMakingLikely ? 1 : homeDiscount) : 0;
+    const homeGainMs =
+      candidate.record.name === home && local === 0
+        ? (prefilledTokens / pool.prefillTokensPerMs) * (isMakingLikely ? 1 : homeDiscount)
+        : 0;
     const isBurden = isLastUnburdened && prefilledTokens >= heavyTokens && isUnburdened(candidate);
     const burdenMs = isBurden ? (reluctance * prefilledTokens) / pool.prefillTokensPerMs : 0;
     const costMs =
@@ -122,4 +132,7 @@
 };
 
 export const place = (index: Pigeonhole, question: PlaceQuestion): Placement | null =>
-  weigh(index, question).reduce<Placement | null>((best, one) => (best === null || one.costMs < best.costMs ? one : best), null);
+  weigh(index, question).reduce<Placement | null>(
+    (best, one) => (best === null || one.costMs < best.costMs ? one : best),
+    null,
+  );
--- a/packages/pigeonhole/src/quarters.ts
+++ b/packages/pigeonhole/src/quarters.ts
@@ -14,7 +14,8 @@
   readonly openAt: Map<string, number>;
 }
 
-const score = (label: string, replica: string): string => createHash('sha256').update(`${label}\n${replica}`).digest('hex');
+const score = (label: string, replica: string): string =>
+  createHash('sha256').update(`${label}\n${replica}`).digest('hex');
 
 const draw = (label: string, free: Set<string>): string | undefined => {
   let best: string | undefined;
@@ -49,7 +50,8 @@
   },
 };
 
-const admits = (role: string, isolatedTenant: string | null): boolean => role === mixed || role === (isolatedTenant ?? shared);
+const admits = (role: string, isolatedTenant: string | null): boolean =>
+  role === mixed || role === (isolatedTenant ?? shared);
 
 export class Quarters {
   private readonly seats = new Map<string, Seat>();
@@ -66,7 +68,9 @@
       byPool.set(record.pool, [...(byPool.get(record.pool) ?? []), record]);
     }
     for (const [pool, some] of byPool) {
-      const tenants = isolated.filter(([, tenant]) => tenant.lanes.some((lane) => state.layout.lanes[lane]?.pool === pool)).map(([name]) => name);
+      const tenants = isolated
+        .filter(([, tenant]) => tenant.lanes.some((lane) => state.layout.lanes[lane]?.pool === pool))
+        .map(([name]) => name);
       const roles = quarterPlan.roles(some.map((record) => record.name).sort(), tenants);
       for (const record of some) this.seat(record, roles.get(record.name) ?? mixed, now);
     }
@@ -75,7 +79,8 @@
 
   private readonly seat = (record: ReplicaRecord, role: string, now: number): void => {
     const held = this.seats.get(record.name);
-    if (held === undefined || held.incarnation !== record.incarnation) this.seats.set(record.name, { incarnation: record.incarnation, role, roleSince: now, openAt: new Map() });
+    if (held === undefined || held.incarnation !== record.incarnation)
+      this.seats.set(record.name, { incarnation: record.incarnation, role, roleSince: now, openAt: new Map() });
     else if (held.role !== role) Object.assign(held, { role, roleSince: now });
   };
 
@@ -84,7 +89,11 @@
       openAt.has(role) || (openAt.size > 0 && now - roleSince < steadyMs) ? [] : [{ replica, incarnation, side: role }],
     );
 
-  readonly admitted = ({ replica, incarnation, side, sides, ageMs }: SideStanding, isUsed: boolean, now: number): void => {
+  readonly admitted = (
+    { replica, incarnation, side, sides, ageMs }: SideStanding,
+    isUsed: boolean,
+    now: number,
+  ): void => {
     const seat = this.seats.get(replica);
     if (seat === undefined || seat.incarnation !== incarnation) return;
     const isSole = sides.every((one) => one === side);
@@ -93,7 +102,8 @@
 
   readonly mayRun = (record: ReplicaRecord, isolatedTenant: string | null, now: number): boolean => {
     const seat = this.seats.get(record.name);
-    if (seat === undefined || seat.incarnation !== record.incarnation || !admits(seat.role, isolatedTenant)) return false;
+    if (seat === undefined || seat.incarnation !== record.incarnation || !admits(seat.role, isolatedTenant))
+      return false;
     return [...seat.openAt].some(([role, openAt]) => admits(role, isolatedTenant) && now >= openAt);
   };
 
@@ -101,8 +111,14 @@
     if (record.kind === 'store') return isolatedTenant === null;
     const side = isolatedTenant ?? shared;
     const seat = this.seats.get(record.name);
-    return seat?.role === side && seat.incarnation === record.incarnation && record.sides.length === 1 && record.sides[0] === side;
+    return (
+      seat?.role === side &&
+      seat.incarnation === record.incarnation &&
+      record.sides.length === 1 &&
+      record.sides[0] === side
+    );
   };
 
-  readonly roles = (): { replica: string; role: string }[] => [...this.seats].map(([replica, seat]) => ({ replica, role: seat.role }));
+  readonly roles = (): { replica: string; role: string }[] =>
+    [...this.seats].map(([replica, seat]) => ({ replica, role: seat.role }));
 }
--- a/packages/pigeonhole/test/holders.test.ts
+++ b/packages/pigeonhole/test/holders.test.ts
@@ -8,12 +8,26 @@
 const layoutOf = (isolated: readonly string[], more: Record<string, unknown> = {}): Record<string, unknown> => ({
   ...plans.layout('weights-1'),
   pools: { main: { weights: 'weights-1', slots: 2, ...more }, app: { weights: 'app-1' } },
-  tenants: Object.fromEntries(plans.tenantNames.map((name) => [name, { tier: 'prompt', isolated: isolated.includes(name), lanes: [...kinds] }])),
+  tenants: Object.fromEntries(
+    plans.tenantNames.map((name) => [name, { tier: 'prompt', isolated: isolated.includes(name), lanes: [...kinds] }]),
+  ),
 });
 
-const ask = (tenant: string, prompt: string): Ask => ({ kind: 'diagnose', tenant, key: keyOf(tenant), prompt, maxTokens: 40, tier: 'prompt' });
+const ask = (tenant: string, prompt: string): Ask => ({
+  kind: 'diagnose',
+  tenant,
+  key: keyOf(tenant),
+  prompt,
+  maxTokens: 40,
+  tier: 'prompt',
+});
 
-const raised = async (seed: number, replicas: number, layout: Record<string, unknown>, more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<{ fleet: SimFleet; judge: Judge }> => {
+const raised = async (
+  seed: number,
+  replicas: number,
+  layout: Record<string, unknown>,
+  more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {},
+): Promise<{ fleet: SimFleet; judge: Judge }> => {
   const fleet = new SimFleet({ seed, fronts: 2, replicas, layout, standIn: { decodeMs: 20 }, ...more });
   await fleet.up();
   return { fleet, judge: new Judge(fleet) };
@@ -34,24 +48,48 @@
     await waves(fleet, judge, 'south', 'alpha', 6);
     const pulls = named(judge);
     expect(pulls.length).to.be.greaterThan(0);
-    expect(pulls.some((run) => run.cacheFrom === `${fleet.hostOfReplica(keeper)}:8000` && run.pulledTokens > 2_000 && run.prefilledTokens < 200)).to.equal(true);
+    expect(
+      pulls.some(
+        (run) =>
+          run.cacheFrom === `${fleet.hostOfReplica(keeper)}:8000` &&
+          run.pulledTokens > 2_000 &&
+          run.prefilledTokens < 200,
+      ),
+    ).to.equal(true);
     expect(judge.complaints()).to.deep.equal([]);
   });
 
-  it('given isolated tenants with the same manual, when all ask, then no isolated tenant\'s parts reach another, and the others still pull', async () => {
+  it("given isolated tenants with the same manual, when all ask, then no isolated tenant's parts reach another, and the others still pull", async () => {
     const { fleet, judge } = await raised(32, 12, layoutOf(['depot', 'mill']));
-    for (let round = 0; round < 3; round += 1) for (const tenant of ['depot', 'mill', 'north', 'south']) for (const count of [1, 10]) await waves(fleet, judge, tenant, `beta-${round}`, count);
+    for (let round = 0; round < 3; round += 1)
+      for (const tenant of ['depot', 'mill', 'north', 'south'])
+        for (const count of [1, 10]) await waves(fleet, judge, tenant, `beta-${round}`, count);
     expect(judge.complaints()).to.deep.equal([]);
     expect(named(judge).filter((run) => !run.isIsolated).length).to.be.greaterThan(0);
-    const homes = new Set(judge.runs().filter((run) => run.isIsolated).map((run) => run.replica));
-    for (const run of named(judge)) if (!run.isIsolated) expect([...homes].map((name) => `${fleet.hostOfReplica(name)}:8000`)).to.not.include(run.cacheFrom);
+    const homes = new Set(
+      judge
+        .runs()
+        .filter((run) => run.isIsolated)
+        .map((run) => run.replica),
+    );
+    for (const run of named(judge))
+      if (!run.isIsolated)
+        expect([...homes].map((name) => `${fleet.hostOfReplica(name)}:8000`)).to.not.include(run.cacheFrom);
   });
 
-  it('given new weights, when the old ones\' parts are still kept, then they are named to nobody, until replicas born under the new ones keep some', async () => {
+  it("given new weights, when the old ones' parts are still kept, then they are named to nobody, until replicas born under the new ones keep some", async () => {
     const { fleet, judge } = await raised(33, 4, layoutOf([]));
     await waves(fleet, judge, 'north', 'gamma', 6);
     const before = named(judge).length;
-    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { pools: { main: { weights: 'weights-2' } } }, { 'if-match': '"1"' }));
+    const put = await fleet.finish(
+      fleet.onPostmaster(
+        0,
+        'PATCH',
+        '/operator/layout',
+        { pools: { main: { weights: 'weights-2' } } },
+        { 'if-match': '"1"' },
+      ),
+    );
     expect(put.status).to.equal(200);
     judge.weightsFrom.push({ offeredAt: 0, at: fleet.world.time, pool: 'main', weights: 'weights-2' });
     await fleet.world.run(2_000);
@@ -93,15 +131,24 @@
 
   it('given a cache store, when it goes down and returns empty, then it is named while it keeps parts, and every call is still answered whole', async () => {
     const storeHost = '10.4.0.1';
-    const { fleet, judge } = await raised(35, 3, layoutOf([], { store: 'store-1' }), { standIn: { decodeMs: 20, store: `${storeHost}:8000`, keptBlocks: 60 } });
+    const { fleet, judge } = await raised(35, 3, layoutOf([], { store: 'store-1' }), {
+      standIn: { decodeMs: 20, store: `${storeHost}:8000`, keptBlocks: 60 },
+    });
     fleet.startStandIn('store-1', storeHost, { store: null, keptBlocks: 5_000 });
-    const announce = (incarnation: number): Promise<{ status: number }> => fleet.finish(fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name: 'store-1', kind: 'store', pool: 'main', address: `${storeHost}:8000`, incarnation }]));
+    const announce = (incarnation: number): Promise<{ status: number }> =>
+      fleet.finish(
+        fleet.onPostmaster(0, 'POST', '/platform/replicas', [
+          { name: 'store-1', kind: 'store', pool: 'main', address: `${storeHost}:8000`, incarnation },
+        ]),
+      );
     expect((await announce(1)).status).to.equal(200);
     const rounds = async (): Promise<void> => {
-      for (let round = 0; round < 2; round += 1) for (const name of ['e-1', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6']) await waves(fleet, judge, 'north', name, 1);
+      for (let round = 0; round < 2; round += 1)
+        for (const name of ['e-1', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6']) await waves(fleet, judge, 'north', name, 1);
     };
     await rounds();
-    const fromStore = (): number => named(judge).filter((run) => run.cacheFrom === `${storeHost}:8000` && run.pulledTokens > 1_000).length;
+    const fromStore = (): number =>
+      named(judge).filter((run) => run.cacheFrom === `${storeHost}:8000` && run.pulledTokens > 1_000).length;
     expect(fromStore()).to.be.greaterThan(0);
     fleet.world.machine(storeHost).kill();
     await rounds();
@@ -131,7 +178,15 @@
     await waves(fleet, judge, 'depot', 'zeta', 2);
     hide(false);
     expect(judge.runs().some((run) => run.replica === own && run.isIsolated)).to.equal(true);
-    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { depot: { isolated: false } } }, { 'if-match': '"1"' }));
+    const put = await fleet.finish(
+      fleet.onPostmaster(
+        0,
+        'PATCH',
+        '/operator/layout',
+        { tenants: { depot: { isolated: false } } },
+        { 'if-match': '"1"' },
+      ),
+    );
     expect(put.status).to.equal(200);
     await fleet.world.run(20_000);
     await waves(fleet, judge, 'north', 'zeta', 10);
@@ -152,19 +207,31 @@
     expect(judge.tally()).to.deep.equal({ whole: judge.calls.length });
   });
 
-  it('given a store that keeps an isolated tenant\'s parts and told nothing of them, when others ask for the same prefix, then it is named to nobody until it is announced anew without isolated tenants', async () => {
-    const { fleet, judge } = await raised(37, 3, layoutOf(['depot'], { store: 'store-1' }), { hasStore: true, standIn: { decodeMs: 20, keptBlocks: 60 } });
+  it("given a store that keeps an isolated tenant's parts and told nothing of them, when others ask for the same prefix, then it is named to nobody until it is announced anew without isolated tenants", async () => {
+    const { fleet, judge } = await raised(37, 3, layoutOf(['depot'], { store: 'store-1' }), {
+      hasStore: true,
+      standIn: { decodeMs: 20, keptBlocks: 60 },
+    });
     const store = (): void => void Object.assign(fleet.current.get('store-1')?.faults ?? {}, { hidesNews: true });
     store();
     await waves(fleet, judge, 'depot', 'eta', 1);
     Object.assign(fleet.current.get('store-1')?.faults ?? {}, { hidesNews: false });
     const rounds = async (): Promise<void> => {
-      for (let round = 0; round < 2; round += 1) for (const name of ['eta', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6']) await waves(fleet, judge, 'north', name, 1);
+      for (let round = 0; round < 2; round += 1)
+        for (const name of ['eta', 'e-2', 'e-3', 'e-4', 'e-5', 'e-6']) await waves(fleet, judge, 'north', name, 1);
     };
     const fromStore = (): number => named(judge).filter((run) => run.cacheFrom === `${fleet.storeHost}:8000`).length;
     await rounds();
     expect(fromStore()).to.equal(0);
-    const put = await fleet.finish(fleet.onPostmaster(0, 'PATCH', '/operator/layout', { tenants: { depot: { isolated: false } } }, { 'if-match': '"1"' }));
+    const put = await fleet.finish(
+      fleet.onPostmaster(
+        0,
+        'PATCH',
+        '/operator/layout',
+        { tenants: { depot: { isolated: false } } },
+        { 'if-match': '"1"' },
+      ),
+    );
     expect(put.status).to.equal(200);
     await fleet.world.run(20_000);
     await rounds();
@@ -180,8 +247,25 @@
 
   it('given notices with a gap, when the replica tells that its cache is cleared, then it may be named again', () => {
     const index = new Pigeonhole(60_000);
-    index.reconcile([{ name: 'r', kind: 'replica', incarnation: 1, state: 'ready', pool: 'main', address: '10.2.0.1:8000', zone: '', slots: null, born: 0, sides: [] }], () => 0);
-    const told = (seq: number, kind: 'stored' | 'cleared', blocks: string[]): void => index.take({ replica: 'r', incarnation: 1, seq, kind, tenant: null, blocks }, 0);
+    index.reconcile(
+      [
+        {
+          name: 'r',
+          kind: 'replica',
+          incarnation: 1,
+          state: 'ready',
+          pool: 'main',
+          address: '10.2.0.1:8000',
+          zone: '',
+          slots: null,
+          born: 0,
+          sides: [],
+        },
+      ],
+      () => 0,
+    );
+    const told = (seq: number, kind: 'stored' | 'cleared', blocks: string[]): void =>
+      index.take({ replica: 'r', incarnation: 1, seq, kind, tenant: null, blocks }, 0);
     told(1, 'stored', ['a']);
     expect(index.kept('r', ['a'], null, 0)).to.deep.equal({ blockCount: 1, isNameable: true });
     told(3, 'stored', ['b']);
--- a/packages/postmaster/src/claims.ts
+++ b/packages/postmaster/src/claims.ts
@@ -18,8 +18,14 @@
 
 const merged = (a: ClaimState, b: ClaimState): ClaimState => {
   if (a.turn !== b.turn) return a.turn > b.turn ? a : b;
-  const promised = a.promised === null || (b.promised !== null && claimBallots.compare(b.promised, a.promised) > 0) ? b.promised : a.promised;
-  const accepted = a.accepted === null || (b.accepted !== null && claimBallots.compare(b.accepted.ballot, a.accepted.ballot) > 0) ? b.accepted : a.accepted;
+  const promised =
+    a.promised === null || (b.promised !== null && claimBallots.compare(b.promised, a.promised) > 0)
+      ? b.promised
+      : a.promised;
+  const accepted =
+    a.accepted === null || (b.accepted !== null && claimBallots.compare(b.accepted.ballot, a.accepted.ballot) > 0)
+      ? b.accepted
+      : a.accepted;
   return { turn: a.turn, promised, accepted };
 };
 
@@ -66,14 +72,16 @@
 
   readonly prepare = async (key: string, turn: number, ballot: ClaimBallot): Promise<ClaimVote> => {
     const state = this.at(key, turn);
-    if (state.turn > turn || (state.promised !== null && claimBallots.compare(ballot, state.promised) <= 0)) return { k: 'state', isGranted: false, state };
+    if (state.turn > turn || (state.promised !== null && claimBallots.compare(ballot, state.promised) <= 0))
+      return { k: 'state', isGranted: false, state };
     const next: ClaimState = { ...state, promised: ballot };
     return (await this.keep(key, next)) ? { k: 'state', isGranted: true, state: next } : { k: 'mute' };
   };
 
   readonly accept = async (key: string, turn: number, ballot: ClaimBallot, claimant: Claimant): Promise<ClaimVote> => {
     const state = this.at(key, turn);
-    if (state.turn > turn || claimBallots.isOver(state.promised, ballot)) return { k: 'state', isGranted: false, state };
+    if (state.turn > turn || claimBallots.isOver(state.promised, ballot))
+      return { k: 'state', isGranted: false, state };
     const next: ClaimState = { turn, promised: ballot, accepted: { ballot, claimant } };
     return (await this.keep(key, next)) ? { k: 'state', isGranted: true, state: next } : { k: 'mute' };
   };
--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -25,7 +25,10 @@
   | { readonly k: 'behind'; readonly generation: number }
   | { readonly k: 'mute'; readonly cause: 'unfounded' | 'no voter' | 'disk' };
 
-export type Since = { readonly k: 'changes'; readonly settled: readonly Settled[] } | { readonly k: 'checkpoint'; readonly agreed: Agreed } | { readonly k: 'nothing' };
+export type Since =
+  | { readonly k: 'changes'; readonly settled: readonly Settled[] }
+  | { readonly k: 'checkpoint'; readonly agreed: Agreed }
+  | { readonly k: 'nothing' };
 
 interface Live {
   promised: Ballot | null;
@@ -132,18 +135,28 @@
     return written;
   };
 
-  private readonly capture = (): DecreesCheckpoint => ({ incarnation: this.incarnation, isFresh: this.isFresh, vow: this.vowed, agreed: this.state, live: this.live });
+  private readonly capture = (): DecreesCheckpoint => ({
+    incarnation: this.incarnation,
+    isFresh: this.isFresh,
+    vow: this.vowed,
+    agreed: this.state,
+    live: this.live,
+  });
 
   readonly identify = (random: Random, isFresh: boolean): Promise<Result<void, LedgerFault>> =>
-    this.owner.run(async () => (this.incarnation === '' ? this.keep({ t: 'identity', incarnation: random.token(8), isFresh }) : ok(undefined)));
+    this.owner.run(async () =>
+      this.incarnation === '' ? this.keep({ t: 'identity', incarnation: random.token(8), isFresh }) : ok(undefined),
+    );
 
   readonly agreed = (): Agreed | null => this.state;
 
   readonly slot = (): number => (this.state === null ? -1 : this.state.generation + 1);
 
-  readonly isVoter = (): boolean => this.state !== null && this.state.members.some((member) => member.incarnation === this.incarnation);
+  readonly isVoter = (): boolean =>
+    this.state !== null && this.state.members.some((member) => member.incarnation === this.incarnation);
 
-  readonly unsettledFor = (): number | null => (this.live.accepted === null ? null : this.clock.now() - this.acceptedAt);
+  readonly unsettledFor = (): number | null =>
+    this.live.accepted === null ? null : this.clock.now() - this.acceptedAt;
 
   readonly highestRound = (): number => this.live.promised?.[0] ?? 0;
 
@@ -186,7 +199,8 @@
     this.owner.run(async (): Promise<Vote> => {
       const objection = this.objection(slot);
       if (objection !== null) return objection;
-      if (this.live.promised !== null && ballots.compare(ballot, this.live.promised) <= 0) return { k: 'denied', promised: this.live.promised };
+      if (this.live.promised !== null && ballots.compare(ballot, this.live.promised) <= 0)
+        return { k: 'denied', promised: this.live.promised };
       const kept = await this.keep({ t: 'promised', slot, ballot });
       return kept.isErr() ? { k: 'mute', cause: 'disk' } : { k: 'promised', accepted: this.live.accepted };
     });
@@ -195,7 +209,8 @@
     this.owner.run(async (): Promise<Vote> => {
       const objection = this.objection(slot);
       if (objection !== null) return objection;
-      if (this.live.promised !== null && ballots.compare(ballot, this.live.promised) < 0) return { k: 'denied', promised: this.live.promised };
+      if (this.live.promised !== null && ballots.compare(ballot, this.live.promised) < 0)
+        return { k: 'denied', promised: this.live.promised };
       const kept = await this.keep({ t: 'accepted', slot, accepted: { ballot, change } });
       return kept.isErr() ? { k: 'mute', cause: 'disk' } : { k: 'accepted' };
     });
@@ -213,7 +228,8 @@
     if (generation >= this.state.generation) return { k: 'changes', settled: [] };
     const first = this.recent[0];
     const isNear = this.state.generation - generation <= sinceLimit;
-    if (isNear && generation >= 0 && first !== undefined && first.generation <= generation + 1) return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation) };
+    if (isNear && generation >= 0 && first !== undefined && first.generation <= generation + 1)
+      return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation) };
     return { k: 'checkpoint', agreed: this.state };
   };
 
@@ -223,7 +239,13 @@
 }
 
 export const decreeBooks = {
-  open: async (disk: Disk, clock: Clock, random: Random, log: Log, isFresh = true): Promise<Result<Decrees, LedgerFault>> => {
+  open: async (
+    disk: Disk,
+    clock: Clock,
+    random: Random,
+    log: Log,
+    isFresh = true,
+  ): Promise<Result<Decrees, LedgerFault>> => {
     const opened = await ledgers.open(disk, 'decrees');
     if (opened.isErr()) return err(opened.error);
     const { ledger, checkpoint, records, cutBytes } = opened.value;
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -20,7 +20,11 @@
 const usualCoreSize = 3;
 const patienceMs = 1_000;
 
-const memberOf = (hello: Hello): Member => ({ name: hello.name, address: hello.address, incarnation: hello.incarnation });
+const memberOf = (hello: Hello): Member => ({
+  name: hello.name,
+  address: hello.address,
+  incarnation: hello.incarnation,
+});
 
 export class Founding {
   constructor(
@@ -34,7 +38,13 @@
   ) {}
 
   private readonly postmasters = (): Map<string, Coach> =>
-    new Map(this.lines().open().flatMap((coach) => (coach.neighbour?.role === 'postmaster' ? [[coach.neighbour.incarnation, coach] as const] : [])));
+    new Map(
+      this.lines()
+        .open()
+        .flatMap((coach) =>
+          coach.neighbour?.role === 'postmaster' ? [[coach.neighbour.incarnation, coach] as const] : [],
+        ),
+    );
 
   readonly step = async (): Promise<void> => {
     if (this.decrees.agreed() !== null) return;
@@ -48,10 +58,15 @@
       standings.set(incarnation, standing);
     }
     if (reached.size < this.coreSize - 1 || this.known().length !== reached.size) return;
-    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])].map(memberOf).sort((a, b) => (a.name < b.name ? -1 : 1)).slice(0, this.coreSize);
+    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])]
+      .map(memberOf)
+      .sort((a, b) => (a.name < b.name ? -1 : 1))
+      .slice(0, this.coreSize);
     if (!members.some((member) => member.incarnation === this.own().incarnation)) return;
     if (new Set(members.map((member) => member.name)).size !== this.coreSize) return;
-    const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter((vow) => vow !== null);
+    const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter(
+      (vow) => vow !== null,
+    );
     const texts = vows.map((vow) => JSON.stringify(vow));
     const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > this.coreSize / 2);
     if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
--- a/packages/postmaster/src/kvDesk.ts
+++ b/packages/postmaster/src/kvDesk.ts
@@ -50,18 +50,25 @@
 
   readonly takeRelayed = ({ fences, news }: RelayedKv): void => {
     const now = this.ports.clock.now();
-    const admitted = news.filter(({ replica }) => fences[replica] !== undefined && this.gate.admits(replica, fences[replica]));
+    const admitted = news.filter(
+      ({ replica }) => fences[replica] !== undefined && this.gate.admits(replica, fences[replica]),
+    );
     for (const one of admitted) this.index.take(one, now);
     if (admitted.length > 0) this.tell(admitted);
   };
 
   readonly broken = (): string[] => this.index.broken();
 
-  readonly takeShelves = (shelves: readonly ShelfCheckpoint[]): ShelfCheckpoint[] => shelves.filter((shelf) => this.index.restore(shelf, this.ports.clock.now()));
+  readonly takeShelves = (shelves: readonly ShelfCheckpoint[]): ShelfCheckpoint[] =>
+    shelves.filter((shelf) => this.index.restore(shelf, this.ports.clock.now()));
 
   readonly align = (records: readonly ReplicaRecord[]): void => {
     this.index.reconcile(records, () => 0);
-    const wanted = new Map(records.filter((record) => record.state !== 'gone' && this.fenceOf(record.name) !== null).map((record) => [record.name, record]));
+    const wanted = new Map(
+      records
+        .filter((record) => record.state !== 'gone' && this.fenceOf(record.name) !== null)
+        .map((record) => [record.name, record]),
+    );
     for (const [name, followed] of this.followed) {
       if (wanted.get(name)?.incarnation === followed.incarnation) continue;
       followed.follower.stop();
@@ -70,7 +77,16 @@
     for (const record of wanted.values()) {
       if (this.followed.has(record.name)) continue;
       const { carriage, clock, random, log } = this.ports;
-      const follower = kvFollow.follow(carriage, clock, random, log, record.name, record.address, () => this.index.seqOf(record.name, record.incarnation), this.take);
+      const follower = kvFollow.follow(
+        carriage,
+        clock,
+        random,
+        log,
+        record.name,
+        record.address,
+        () => this.index.seqOf(record.name, record.incarnation),
+        this.take,
+      );
       this.followed.set(record.name, { incarnation: record.incarnation, follower });
     }
   };
@@ -82,7 +98,9 @@
   };
 
   readonly shelves = (names: readonly string[] | null = null): ShelfCheckpoint[] =>
-    this.index.checkpoint(this.ports.clock.now()).filter((shelf) => (names === null ? shelf.seq > 0 : names.includes(shelf.replica) && shelf.isWhole));
+    this.index
+      .checkpoint(this.ports.clock.now())
+      .filter((shelf) => (names === null ? shelf.seq > 0 : names.includes(shelf.replica) && shelf.isWhole));
 
   readonly followedCount = (): number => this.followed.size;
 
--- a/packages/postmaster/src/leases.ts
+++ b/packages/postmaster/src/leases.ts
@@ -28,7 +28,13 @@
       if (ledger.segmentCount() > segmentsBeforeCheckpoint) await ledger.checkpoint(book.fences);
       return written.isOk();
     };
-    const book = new LeaseBook(clock, keep, kept, terms === undefined && checkpoint === null && records.length === 0, terms);
+    const book = new LeaseBook(
+      clock,
+      keep,
+      kept,
+      terms === undefined && checkpoint === null && records.length === 0,
+      terms,
+    );
     return ok({ book, close: ledger.close });
   },
 };
--- a/packages/postmaster/src/membership.ts
+++ b/packages/postmaster/src/membership.ts
@@ -27,17 +27,23 @@
   private readonly noteLost = (members: readonly Member[]): void => {
     const now = this.clock.now();
     for (const member of members) {
-      if (member.incarnation === this.decrees.incarnation || this.lines().to(member.incarnation) !== undefined) this.lostAt.delete(member.incarnation);
+      if (member.incarnation === this.decrees.incarnation || this.lines().to(member.incarnation) !== undefined)
+        this.lostAt.delete(member.incarnation);
       else if (!this.lostAt.has(member.incarnation)) this.lostAt.set(member.incarnation, now);
     }
-    for (const incarnation of this.lostAt.keys()) if (!members.some((member) => member.incarnation === incarnation)) this.lostAt.delete(incarnation);
+    for (const incarnation of this.lostAt.keys())
+      if (!members.some((member) => member.incarnation === incarnation)) this.lostAt.delete(incarnation);
   };
 
   private readonly outgoingFor = (newcomer: Hello, members: readonly Member[]): Member | undefined => {
     const lost = members.filter((member) => this.lostAt.has(member.incarnation));
     const sameName = members.find((member) => member.name === newcomer.name);
     if (sameName !== undefined) return lost.find((member) => member.name === newcomer.name);
-    return lost.find((member) => this.isDown(member.name) && this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > this.strangerWaitMs);
+    return lost.find(
+      (member) =>
+        this.isDown(member.name) &&
+        this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > this.strangerWaitMs,
+    );
   };
 
   readonly step = async (): Promise<void> => {
@@ -53,8 +59,17 @@
       const told = await coach.ask('standing', null, patienceMs);
       if (told.isErr()) continue;
       const standing = told.value as Standing;
-      const isReady = standing.generation === state.generation && state.members.every((member) => member.incarnation === outgoing.incarnation || standing.syncedFrom.includes(member.incarnation));
-      if (isReady) return this.swap(outgoing, { name: newcomer.name, address: newcomer.address, incarnation: newcomer.incarnation });
+      const isReady =
+        standing.generation === state.generation &&
+        state.members.every(
+          (member) => member.incarnation === outgoing.incarnation || standing.syncedFrom.includes(member.incarnation),
+        );
+      if (isReady)
+        return this.swap(outgoing, {
+          name: newcomer.name,
+          address: newcomer.address,
+          incarnation: newcomer.incarnation,
+        });
     }
   };
 
@@ -63,6 +78,10 @@
     const body = { kind: 'swap' as const, outgoing: outgoing.incarnation, incoming };
     const digest = digests.of(body);
     const outcome = await this.proposer.propose(() => ok({ id, digest, body }), id, digest, swapPatienceMs);
-    this.log.info('a membership swap was proposed', { outgoing: outgoing.name, incoming: incoming.name, outcome: outcome.isOk() ? outcome.value : outcome.error });
+    this.log.info('a membership swap was proposed', {
+      outgoing: outgoing.name,
+      incoming: incoming.name,
+      outcome: outcome.isOk() ? outcome.value : outcome.error,
+    });
   };
 }
--- a/packages/postmaster/src/operatorWire.ts
+++ b/packages/postmaster/src/operatorWire.ts
@@ -7,15 +7,27 @@
 import type { Result } from 'neverthrow';
 
 export const replyTo = (c: Context, changeId: string, outcome: Result<Applied, ProposeFault>): Response => {
-  if (outcome.isOk()) return c.json({ outcome: 'accepted', changeId, generation: outcome.value.generation, repeated: outcome.value.isRepeat }, 200, { etag: `"${outcome.value.generation}"` });
+  if (outcome.isOk())
+    return c.json(
+      { outcome: 'accepted', changeId, generation: outcome.value.generation, repeated: outcome.value.isRepeat },
+      200,
+      { etag: `"${outcome.value.generation}"` },
+    );
   const fault = outcome.error;
   switch (fault.kind) {
     case 'conflict':
-      return c.json({ outcome: 'conflict', changeId, layoutGeneration: fault.layoutGeneration, detail: fault.detail }, 409);
+      return c.json(
+        { outcome: 'conflict', changeId, layoutGeneration: fault.layoutGeneration, detail: fault.detail },
+        409,
+      );
     case 'rejected':
       return c.json({ outcome: 'rejected', changeId, complaints: fault.complaints }, 422);
     case 'unknown':
-      return c.json({ outcome: 'unknown', changeId, detail: 'ask again by this change id, or send the change again under it' }, 504, { 'retry-after': '1' });
+      return c.json(
+        { outcome: 'unknown', changeId, detail: 'ask again by this change id, or send the change again under it' },
+        504,
+        { 'retry-after': '1' },
+      );
     case 'unavailable':
       return c.json({ outcome: 'not accepted', changeId, detail: fault.detail }, 503, { 'retry-after': '1' });
   }
@@ -29,7 +41,8 @@
   }
 };
 
-export const changeIdOf = (c: Context, postmaster: Postmaster): string => c.req.header('change-id') ?? postmaster.ports.random.token(12);
+export const changeIdOf = (c: Context, postmaster: Postmaster): string =>
+  c.req.header('change-id') ?? postmaster.ports.random.token(12);
 
 const baseOf = (c: Context): number | null => {
   const found = /^"?(\d+)"?$/.exec(c.req.header('if-match') ?? '');
@@ -37,17 +50,27 @@
 };
 
 const editOf = (c: Context, kind: 'whole' | 'part', given: unknown): LayoutEdit =>
-  kind === 'part' && (c.req.header('content-type') ?? '').startsWith('application/json-patch+json') ? { kind: 'ops', given } : { kind, given };
+  kind === 'part' && (c.req.header('content-type') ?? '').startsWith('application/json-patch+json')
+    ? { kind: 'ops', given }
+    : { kind, given };
 
 const changed = async (c: Context, postmaster: Postmaster, kind: 'whole' | 'part'): Promise<Response> => {
   const changeId = changeIdOf(c, postmaster);
   const base = baseOf(c);
-  if (base === null) return c.json({ outcome: 'rejected', changeId, detail: 'If-Match must state the generation this change is based on' }, 428);
+  if (base === null)
+    return c.json(
+      { outcome: 'rejected', changeId, detail: 'If-Match must state the generation this change is based on' },
+      428,
+    );
   const body = await bodyOf(c);
   if (!body.isJson) return c.json({ outcome: 'rejected', changeId, detail: 'the body is not JSON' }, 400);
   const edit = editOf(c, kind, body.value);
   const planId = c.req.header('plan-id');
-  if (planId !== undefined && planId !== planIds.of(base, edit)) return c.json({ outcome: 'conflict', changeId, detail: 'that plan was made for another base or another change' }, 409);
+  if (planId !== undefined && planId !== planIds.of(base, edit))
+    return c.json(
+      { outcome: 'conflict', changeId, detail: 'that plan was made for another base or another change' },
+      409,
+    );
   return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, edit));
 };
 
@@ -57,7 +80,11 @@
     const held = await postmaster.confirmed();
     if (held === null) return c.json({ detail: 'no fleet is founded yet' }, 503, { 'retry-after': '1' });
     const { state, isConfirmed } = held;
-    return c.json({ generation: state.layoutGeneration, confirmed: isConfirmed, layout: state.layout }, isConfirmed ? 200 : 203, { etag: `"${state.layoutGeneration}"` });
+    return c.json(
+      { generation: state.layoutGeneration, confirmed: isConfirmed, layout: state.layout },
+      isConfirmed ? 200 : 203,
+      { etag: `"${state.layoutGeneration}"` },
+    );
   });
   app.put('/operator/layout', (c) => changed(c, postmaster, 'whole'));
   app.patch('/operator/layout', (c) => changed(c, postmaster, 'part'));
@@ -65,9 +92,18 @@
     const body = await bodyOf(c);
     if (!body.isJson) return c.json({ outcome: 'rejected', detail: 'the body is not JSON' }, 400);
     const held = await postmaster.confirmed();
-    if (held === null || !held.isConfirmed) return c.json({ detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
+    if (held === null || !held.isConfirmed)
+      return c.json({ detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
     const base = baseOf(c) ?? held.state.layoutGeneration;
-    if (base !== held.state.layoutGeneration) return c.json({ outcome: 'conflict', layoutGeneration: held.state.layoutGeneration, detail: `the layout is at generation ${held.state.layoutGeneration}` }, 409);
+    if (base !== held.state.layoutGeneration)
+      return c.json(
+        {
+          outcome: 'conflict',
+          layoutGeneration: held.state.layoutGeneration,
+          detail: `the layout is at generation ${held.state.layoutGeneration}`,
+        },
+        409,
+      );
     const drawn = drawPlan(held.state, editOf(c, 'part', body.value));
     return drawn.match(
       (plan) => c.json(plan, 200, { etag: `"${base}"` }),
@@ -79,8 +115,14 @@
     const held = await postmaster.confirmed();
     const known = held?.state.changeIds[id];
     if (known !== undefined) return c.json({ outcome: 'accepted', changeId: id, generation: known.generation });
-    if (held === null || !held.isConfirmed) return c.json({ outcome: 'unknown', changeId: id, detail: 'no majority of postmasters can be reached' }, 504, { 'retry-after': '1' });
-    return c.json({ outcome: 'not accepted', changeId: id, detail: 'not accepted so far; a change still under way may yet be' }, 404);
+    if (held === null || !held.isConfirmed)
+      return c.json({ outcome: 'unknown', changeId: id, detail: 'no majority of postmasters can be reached' }, 504, {
+        'retry-after': '1',
+      });
+    return c.json(
+      { outcome: 'not accepted', changeId: id, detail: 'not accepted so far; a change still under way may yet be' },
+      404,
+    );
   });
   app.get('/operator/status', (c) => {
     const state = postmaster.decrees.agreed();
@@ -93,7 +135,16 @@
       members: state?.members ?? [],
       voter: postmaster.decrees.isVoter(),
       reachable: postmaster.reachable(),
-      postmasters: postmaster.roster.entries().filter(({ hello }) => hello.role === 'postmaster').map(({ hello, ageMs }) => ({ name: hello.name, http: hello.http, incarnation: hello.incarnation, zone: hello.zone, heardMsAgo: Math.round(ageMs) })),
+      postmasters: postmaster.roster
+        .entries()
+        .filter(({ hello }) => hello.role === 'postmaster')
+        .map(({ hello, ageMs }) => ({
+          name: hello.name,
+          http: hello.http,
+          incarnation: hello.incarnation,
+          zone: hello.zone,
+          heardMsAgo: Math.round(ageMs),
+        })),
       counters: postmaster.push.acks(),
       claims: postmaster.claims.size(),
       leases: postmaster.duties.lines(),
@@ -105,7 +156,11 @@
     });
   });
   app.get('/healthz', (c) => c.json({ status: 'ok' }));
-  app.get('/readyz', (c) => (postmaster.isReady() ? c.json({ status: 'ready' }) : c.json({ status: 'not ready', detail: 'no majority of postmasters' }, 503, { 'retry-after': '1' })));
+  app.get('/readyz', (c) =>
+    postmaster.isReady()
+      ? c.json({ status: 'ready' })
+      : c.json({ status: 'not ready', detail: 'no majority of postmasters' }, 503, { 'retry-after': '1' }),
+  );
   app.get('/metrics', (c) => {
     const state = postmaster.decrees.agreed();
     const lines = [
@@ -114,7 +169,9 @@
       `martenworks_subscribed_counters ${postmaster.push.acks().length}`,
       `martenworks_ledger_segments ${postmaster.decrees.ledgerSegments()}`,
       ...vitals(),
-      ...postmaster.push.acks().map((ack) => `martenworks_acked_generation{counter="${ack.counter}"} ${ack.generation}`),
+      ...postmaster.push
+        .acks()
+        .map((ack) => `martenworks_acked_generation{counter="${ack.counter}"} ${ack.generation}`),
     ];
     return c.text(`${lines.join('\n')}\n`);
   });
--- a/packages/postmaster/src/platformWire.ts
+++ b/packages/postmaster/src/platformWire.ts
@@ -30,9 +30,14 @@
 
 const keyRef = type({ 'key?': 'string >= 8', 'keyHash?': type(/^[0-9a-f]{64}$/) });
 
-const recordOf = (given: typeof announcement.infer, held: ReplicaRecord | undefined, generation: number): ReplicaRecord => {
+const recordOf = (
+  given: typeof announcement.infer,
+  held: ReplicaRecord | undefined,
+  generation: number,
+): ReplicaRecord => {
   const isBack = held?.state === 'gone' || (held?.state === 'leaving' && given.state === 'ready');
-  const isSame = held !== undefined && held.address === given.address && held.pool === (given.pool ?? held.pool) && !isBack;
+  const isSame =
+    held !== undefined && held.address === given.address && held.pool === (given.pool ?? held.pool) && !isBack;
   return {
     name: given.name,
     kind: given.kind ?? 'replica',
@@ -47,14 +52,18 @@
   };
 };
 
-const unheard = (c: Context): Response => c.json({ outcome: 'not accepted', detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
+const unheard = (c: Context): Response =>
+  c.json({ outcome: 'not accepted', detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
 
 const announced = async (c: Context, postmaster: Postmaster, records: readonly ReplicaRecord[]): Promise<Response> => {
   const outcome = await postmaster.replicas.announce(records);
-  if (outcome.isOk()) return c.json({ outcome: 'accepted', replicas: records.map((record) => postmaster.table.find(record.name)) });
+  if (outcome.isOk())
+    return c.json({ outcome: 'accepted', replicas: records.map((record) => postmaster.table.find(record.name)) });
   return outcome.error.kind === 'disk'
     ? c.json({ outcome: 'not accepted', detail: 'the disk did not take it' }, 503, { 'retry-after': '1' })
-    : c.json({ outcome: 'unknown', detail: 'no majority of postmasters has confirmed it yet; send it again' }, 504, { 'retry-after': '1' });
+    : c.json({ outcome: 'unknown', detail: 'no majority of postmasters has confirmed it yet; send it again' }, 504, {
+        'retry-after': '1',
+      });
 };
 
 export const platformWire = (postmaster: Postmaster): Hono => {
@@ -67,15 +76,36 @@
     const body = await bodyOf(c);
     if (!body.isJson) return badRequest(c, 'the body is not JSON');
     const checked = announcement.array()(Array.isArray(body.value) ? body.value : [body.value]);
-    if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
+    if (checked instanceof type.errors)
+      return c.json(
+        {
+          outcome: 'rejected',
+          complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })),
+        },
+        422,
+      );
     if (!(await postmaster.replicas.learn(checked.map((one) => one.name)))) return unheard(c);
     const moved = checked.flatMap((one, at) => {
       const held = postmaster.table.find(one.name);
-      const isMoved = held !== undefined && held.incarnation === one.incarnation && one.pool !== undefined && one.pool !== held.pool;
-      return isMoved ? [{ path: `/${at}/pool`, message: `this incarnation serves pool ${held.pool}; in another pool it must be a new one` }] : [];
+      const isMoved =
+        held !== undefined && held.incarnation === one.incarnation && one.pool !== undefined && one.pool !== held.pool;
+      return isMoved
+        ? [
+            {
+              path: `/${at}/pool`,
+              message: `this incarnation serves pool ${held.pool}; in another pool it must be a new one`,
+            },
+          ]
+        : [];
     });
     if (moved.length > 0) return c.json({ outcome: 'rejected', complaints: moved }, 422);
-    return announced(c, postmaster, checked.map((one) => recordOf(one, postmaster.table.find(one.name), postmaster.decrees.agreed()?.generation ?? 0)));
+    return announced(
+      c,
+      postmaster,
+      checked.map((one) =>
+        recordOf(one, postmaster.table.find(one.name), postmaster.decrees.agreed()?.generation ?? 0),
+      ),
+    );
   });
 
   const moved = async (c: Context, state: 'leaving' | 'gone'): Promise<Response> => {
@@ -92,9 +122,20 @@
     const body = await bodyOf(c);
     if (!body.isJson) return badRequest(c, 'the body is not JSON');
     const checked = client(body.value);
-    if (checked instanceof type.errors) return c.json({ outcome: 'rejected', complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })) }, 422);
+    if (checked instanceof type.errors)
+      return c.json(
+        {
+          outcome: 'rejected',
+          complaints: checked.map((one) => ({ path: `/${one.path.join('/')}`, message: one.message })),
+        },
+        422,
+      );
     const keyHash = checked.keyHash ?? (checked.key === undefined ? undefined : keys.hash(checked.key));
-    if (keyHash === undefined) return c.json({ outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] }, 422);
+    if (keyHash === undefined)
+      return c.json(
+        { outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] },
+        422,
+      );
     let tenant: Tenant | null = null;
     if (checked.grant !== undefined) {
       const shaped = layouts.tenant(checked.grant);
@@ -111,7 +152,11 @@
     const checked = keyRef(body.value);
     if (checked instanceof type.errors) return c.json({ outcome: 'rejected', detail: checked.summary }, 422);
     const keyHash = checked.keyHash ?? (checked.key === undefined ? undefined : keys.hash(checked.key));
-    if (keyHash === undefined) return c.json({ outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] }, 422);
+    if (keyHash === undefined)
+      return c.json(
+        { outcome: 'rejected', complaints: [{ path: '/key', message: 'key or keyHash must be given' }] },
+        422,
+      );
     const changeId = changeIdOf(c, postmaster);
     return replyTo(c, changeId, await postmaster.changes.revoke(changeId, keyHash));
   });
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -1,7 +1,19 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, Change, Claimant, ClaimBallot, Listener, LoadReport, Member, NetFault, Ports, ReplicaRecord, SideClaim } from '@martenworks/envelope';
+import type {
+  Agreed,
+  Change,
+  Claimant,
+  ClaimBallot,
+  Listener,
+  LoadReport,
+  Member,
+  NetFault,
+  Ports,
+  ReplicaRecord,
+  SideClaim,
+} from '@martenworks/envelope';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -74,15 +86,32 @@
     const { clock, random, log } = ports;
     this.roster = new Roster(clock, this.hello);
     this.verdicts = new Verdicts(clock);
-    this.rounds = new Rounds(ports, this.hello, this.roster, () => this.lines, (suspects) => this.verdicts.report(env.name, suspects));
-    this.lines = new Lines(ports, this.hello, env.seeds, this.roster, () => [...(decrees.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()], this.handlers());
+    this.rounds = new Rounds(
+      ports,
+      this.hello,
+      this.roster,
+      () => this.lines,
+      (suspects) => this.verdicts.report(env.name, suspects),
+    );
+    this.lines = new Lines(
+      ports,
+      this.hello,
+      env.seeds,
+      this.roster,
+      () => [...(decrees.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()],
+      this.handlers(),
+    );
     this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
     this.changes = new ChangeDesk(this.proposer);
     this.duties = new Duties(
       clock,
       () => decrees.incarnation,
       () => this.reachableVoters(),
-      () => table.records().filter((record) => record.state !== 'gone').map((record) => kvDuty(record.name)),
+      () =>
+        table
+          .records()
+          .filter((record) => record.state !== 'gone')
+          .map((record) => kvDuty(record.name)),
       this.askLeases,
       (ask) => {
         this.leases.book.release(ask);
@@ -100,7 +129,14 @@
     this.push = new PushDesk(decrees, clock, table.records, this.kv.shelves);
     this.sides = new SideDesk(table, clock);
     this.replicas = new ReplicaDesk(table, claims, decrees, () => this.lines);
-    this.founding = new Founding(decrees, this.hello, () => this.lines, () => this.roster.neighbours('postmaster'), this.proposer.learn, log);
+    this.founding = new Founding(
+      decrees,
+      this.hello,
+      () => this.lines,
+      () => this.roster.neighbours('postmaster'),
+      this.proposer.learn,
+      log,
+    );
     this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, this.verdicts.isDown, log);
     table.watch((records) => {
       this.push.tellReplicas(records);
@@ -113,8 +149,16 @@
       new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
       new Repeating(clock, () => settleCheckMs * (0.5 + random.fraction()), this.settleRival),
       new Repeating(clock, () => beatMs, this.beat),
-      new Repeating(clock, () => dutyMs * (0.9 + 0.2 * random.fraction()), () => void this.duties.tick()),
-      new Repeating(clock, () => trimMs, () => void claims.trim()),
+      new Repeating(
+        clock,
+        () => dutyMs * (0.9 + 0.2 * random.fraction()),
+        () => void this.duties.tick(),
+      ),
+      new Repeating(
+        clock,
+        () => trimMs,
+        () => void claims.trim(),
+      ),
     );
   }
 
@@ -155,7 +199,10 @@
       const { incarnation } = coach.neighbour;
       if (!this.replicas.syncedFrom.has(incarnation)) {
         await this.replicas.reconcile(incarnation, this.lines);
-        await this.borrowShelves(coach, this.table.records().map((record) => record.name));
+        await this.borrowShelves(
+          coach,
+          this.table.records().map((record) => record.name),
+        );
       }
       const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
       if (told.isOk()) await this.proposer.learn(told.value as Since);
@@ -180,7 +227,9 @@
   };
 
   private readonly reachableVoters = (): string[] =>
-    (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation).filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
+    (this.decrees.agreed()?.members ?? [])
+      .map((member) => member.incarnation)
+      .filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
@@ -214,12 +263,21 @@
       return receipt?.isOk() === true ? receipt.value : null;
     };
     return {
-      prepare: (member, slot, ballot) => (isSelf(member) ? this.decrees.prepare(slot, ballot) : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>)),
-      accept: (member, slot, ballot, change) => (isSelf(member) ? this.decrees.accept(slot, ballot, change) : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>)),
+      prepare: (member, slot, ballot) =>
+        isSelf(member)
+          ? this.decrees.prepare(slot, ballot)
+          : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
+      accept: (member, slot, ballot, change) =>
+        isSelf(member)
+          ? this.decrees.accept(slot, ballot, change)
+          : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
       settle: (settled) => {
         this.tellPostmasters('settled', settled);
       },
-      since: (member, generation) => (isSelf(member) ? Promise.resolve(this.decrees.since(generation)) : (asked(member, 'since', generation) as Promise<Since | null>)),
+      since: (member, generation) =>
+        isSelf(member)
+          ? Promise.resolve(this.decrees.since(generation))
+          : (asked(member, 'since', generation) as Promise<Since | null>),
       supply: async (member, since) => void (await asked(member, 'supply', since)),
     };
   };
@@ -241,7 +299,8 @@
       else if (topic === 'suspects') this.verdicts.report(coach.neighbour?.name ?? '', body as string[]);
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
       else if (topic === 'kvRelay') this.kv.takeRelayed(body as RelayedKv);
-      else if (topic === 'shelvesPlease') for (const shelf of this.kv.shelves(body as string[])) coach.tell('shelf', shelf);
+      else if (topic === 'shelvesPlease')
+        for (const shelf of this.kv.shelves(body as string[])) coach.tell('shelf', shelf);
     },
     asked: async (coach, topic, body) => {
       if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
@@ -285,13 +344,20 @@
           return this.decrees.isVoter() ? this.claims.prepare(key, turn, ballot) : null;
         }
         case 'claimAccept': {
-          const { key, turn, ballot, claimant } = body as { key: string; turn: number; ballot: ClaimBallot; claimant: Claimant };
+          const { key, turn, ballot, claimant } = body as {
+            key: string;
+            turn: number;
+            ballot: ClaimBallot;
+            claimant: Claimant;
+          };
           return this.decrees.isVoter() ? this.claims.accept(key, turn, ballot, claimant) : null;
         }
         case 'claimRelease': {
           const { key, turn } = body as { key: string; turn: number };
           const isKept = this.decrees.isVoter() && (await this.claims.release(key, turn));
-          return isKept ? { k: 'state', isGranted: true, state: { turn: turn + 1, promised: null, accepted: null } } : null;
+          return isKept
+            ? { k: 'state', isGranted: true, state: { turn: turn + 1, promised: null, accepted: null } }
+            : null;
         }
         case 'claimPage':
           return this.claims.page(body as number);
@@ -322,7 +388,10 @@
     return { state: this.decrees.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
   };
 
-  readonly reachable = (): number => (this.decrees.agreed()?.members ?? []).filter((member) => member.incarnation === this.decrees.incarnation || this.lines.to(member.incarnation) !== undefined).length;
+  readonly reachable = (): number =>
+    (this.decrees.agreed()?.members ?? []).filter(
+      (member) => member.incarnation === this.decrees.incarnation || this.lines.to(member.incarnation) !== undefined,
+    ).length;
 
   readonly isReady = (): boolean => {
     const state = this.decrees.agreed();
--- a/packages/postmaster/src/proposer.ts
+++ b/packages/postmaster/src/proposer.ts
@@ -47,8 +47,14 @@
     private readonly log: Log,
   ) {}
 
-  readonly propose = (check: Check, changeId: string, digest: string, patienceMs: number): Promise<Result<Applied, ProposeFault>> => {
-    if (this.owner.depth() >= queueLimit) return Promise.resolve(err({ kind: 'unavailable', detail: 'too many changes are waiting' }));
+  readonly propose = (
+    check: Check,
+    changeId: string,
+    digest: string,
+    patienceMs: number,
+  ): Promise<Result<Applied, ProposeFault>> => {
+    if (this.owner.depth() >= queueLimit)
+      return Promise.resolve(err({ kind: 'unavailable', detail: 'too many changes are waiting' }));
     return this.owner.run(() => this.push(check, changeId, digest, this.clock.now() + patienceMs));
   };
 
@@ -75,15 +81,26 @@
 
   readonly depth = (): number => this.owner.depth();
 
-  private readonly push = async (check: Check, changeId: string, digest: string, horizonAt: number): Promise<Result<Applied, ProposeFault>> => {
+  private readonly push = async (
+    check: Check,
+    changeId: string,
+    digest: string,
+    horizonAt: number,
+  ): Promise<Result<Applied, ProposeFault>> => {
     let wasOffered = false;
-    const giveUp = (detail: string): Result<Applied, ProposeFault> => err(wasOffered ? { kind: 'unknown', changeId } : { kind: 'unavailable', detail });
+    const giveUp = (detail: string): Result<Applied, ProposeFault> =>
+      err(wasOffered ? { kind: 'unknown', changeId } : { kind: 'unavailable', detail });
     for (let shot = 0; ; shot += 1) {
       const state = this.decrees.agreed();
       if (state === null) return giveUp('no fleet is founded yet');
       const known = state.changeIds[changeId];
       if (known !== undefined) {
-        if (known.digest !== digest) return err({ kind: 'conflict', layoutGeneration: state.layoutGeneration, detail: 'this change id was used for another change' });
+        if (known.digest !== digest)
+          return err({
+            kind: 'conflict',
+            layoutGeneration: state.layoutGeneration,
+            detail: 'this change id was used for another change',
+          });
         return ok({ generation: known.generation, isRepeat: shot === 0 });
       }
       if (shot > 0 && this.clock.now() >= horizonAt) return giveUp('no majority of postmasters agreed in time');
@@ -99,7 +116,8 @@
         wasOffered ||= outcome.wasOffered;
         await pause.for(this.clock, backoffMs * (0.5 + this.random.fraction()) * Math.min(shot + 1, 8));
       } else if (outcome.k === 'settled') {
-        if (outcome.settled.change.id === changeId) return ok({ generation: outcome.settled.generation, isRepeat: false });
+        if (outcome.settled.change.id === changeId)
+          return ok({ generation: outcome.settled.generation, isRepeat: false });
         wasOffered = false;
       }
     }
@@ -117,9 +135,14 @@
     if (since.k === 'changes') for (const settled of since.settled) await this.decrees.settle(settled);
   };
 
-  private readonly others = (state: Agreed): Member[] => state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
+  private readonly others = (state: Agreed): Member[] =>
+    state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
 
-  private readonly vote = async (state: Agreed, call: (member: Member) => Promise<Vote | null>, wanted: Vote['k']): Promise<Vote[] | 'again' | 'no majority'> => {
+  private readonly vote = async (
+    state: Agreed,
+    call: (member: Member) => Promise<Vote | null>,
+    wanted: Vote['k'],
+  ): Promise<Vote[] | 'again' | 'no majority'> => {
     const majority = Math.floor(state.members.length / 2) + 1;
     const votes: Vote[] = [];
     let isOutrun = false;
@@ -150,7 +173,10 @@
 
   private seenRound = 0;
 
-  private readonly helpful = async (member: Member, call: (member: Member) => Promise<Vote | null>): Promise<Vote | null> => {
+  private readonly helpful = async (
+    member: Member,
+    call: (member: Member) => Promise<Vote | null>,
+  ): Promise<Vote | null> => {
     const vote = await call(member);
     if (vote?.k !== 'behind') return vote;
     await this.voters.supply(member, this.decrees.since(vote.generation));
@@ -165,7 +191,12 @@
     if (promises === 'again' || promises === 'no majority') return { k: promises, wasOffered: false };
     let highest: Accepted | null = null;
     for (const vote of promises) {
-      if (vote.k === 'promised' && vote.accepted !== null && (highest === null || ballots.compare(vote.accepted.ballot, highest.ballot) > 0)) highest = vote.accepted;
+      if (
+        vote.k === 'promised' &&
+        vote.accepted !== null &&
+        (highest === null || ballots.compare(vote.accepted.ballot, highest.ballot) > 0)
+      )
+        highest = vote.accepted;
     }
     const change = highest?.change ?? own;
     if (change === null) return { k: 'nothing to settle' };
@@ -175,7 +206,13 @@
     const settled: Settled = { generation: slot, change };
     this.voters.settle(settled);
     const isKept = await this.decrees.settle(settled);
-    this.log.info('a generation is settled', { generation: slot, changeId: change.id, kind: change.body.kind, isVoid: agreedState.isVoid(state, change), isKept });
+    this.log.info('a generation is settled', {
+      generation: slot,
+      changeId: change.id,
+      kind: change.body.kind,
+      isVoid: agreedState.isVoid(state, change),
+      isKept,
+    });
     return { k: 'settled', settled };
   };
 }
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -35,7 +35,13 @@
   }
 
   readonly subscribe = (coach: Coach, generation: number): void => {
-    this.subscribers.set(coach, { sent: generation, acked: generation, ackedAt: this.clock.now(), heardAt: this.clock.now(), report: { replicas: {}, pools: {} } });
+    this.subscribers.set(coach, {
+      sent: generation,
+      acked: generation,
+      ackedAt: this.clock.now(),
+      heardAt: this.clock.now(),
+      report: { replicas: {}, pools: {} },
+    });
     coach.tell('replicas', this.records());
     for (const shelf of this.shelves()) coach.tell('shelf', shelf);
     this.bringTo(coach);
@@ -44,7 +50,8 @@
   readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
 
   private readonly bring = (settled: Settled | null): void => {
-    if (settled === null) for (const subscriber of this.subscribers.values()) subscriber.sent = Math.min(subscriber.sent, -1);
+    if (settled === null)
+      for (const subscriber of this.subscribers.values()) subscriber.sent = Math.min(subscriber.sent, -1);
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
@@ -78,7 +85,9 @@
 
   private readonly others = (coach: Coach): LoadReport[] => {
     const now = this.clock.now();
-    return [...this.subscribers].flatMap(([other, { report, heardAt }]) => (other === coach || now - heardAt > reportAgeMs ? [] : [report]));
+    return [...this.subscribers].flatMap(([other, { report, heardAt }]) =>
+      other === coach || now - heardAt > reportAgeMs ? [] : [report],
+    );
   };
 
   private readonly loadsFor = (coach: Coach): Loads => {
