--- a/packages/postmaster/src/recovery.ts
+++ b/packages/postmaster/src/recovery.ts
@@ -9,14 +9,25 @@
 export type RecoveryFault = LedgerFault | { readonly kind: 'recovery'; readonly detail: string };
 
 export const recovery = {
-  recover: async (disk: Disk, clock: Clock, random: Random, log: Log, members: readonly Member[]): Promise<Result<Agreed, RecoveryFault>> => {
+  recover: async (
+    disk: Disk,
+    clock: Clock,
+    random: Random,
+    log: Log,
+    members: readonly Member[],
+  ): Promise<Result<Agreed, RecoveryFault>> => {
     const opened = await decreeBooks.open(disk, clock, random, log);
     if (opened.isErr()) return err(opened.error);
     const decrees = opened.value;
     const state = decrees.agreed();
     if (state === null) return err({ kind: 'recovery', detail: 'this data folder holds no agreed state' });
-    if (!members.some((member) => member.incarnation === decrees.incarnation)) return err({ kind: 'recovery', detail: `the new members must include this one, incarnation ${decrees.incarnation}` });
-    if (new Set(members.map((member) => member.incarnation)).size !== members.length) return err({ kind: 'recovery', detail: 'the new members must differ' });
+    if (!members.some((member) => member.incarnation === decrees.incarnation))
+      return err({
+        kind: 'recovery',
+        detail: `the new members must include this one, incarnation ${decrees.incarnation}`,
+      });
+    if (new Set(members.map((member) => member.incarnation)).size !== members.length)
+      return err({ kind: 'recovery', detail: 'the new members must differ' });
     const recovered: Agreed = { ...state, generation: state.generation + generationLeap, members };
     const isKept = await decrees.adopt(recovered);
     await decrees.close();
--- a/packages/postmaster/src/replicaDesk.ts
+++ b/packages/postmaster/src/replicaDesk.ts
@@ -20,7 +20,11 @@
     private readonly lines: () => Lines,
   ) {}
 
-  private readonly byMajority = (topic: string, body: unknown, isHeard: (told: unknown) => boolean | Promise<boolean>): Promise<boolean> => {
+  private readonly byMajority = (
+    topic: string,
+    body: unknown,
+    isHeard: (told: unknown) => boolean | Promise<boolean>,
+  ): Promise<boolean> => {
     const members = this.decrees.agreed()?.members ?? [];
     const majority = Math.floor(members.length / 2) + 1;
     const others = members.filter((member) => member.incarnation !== this.decrees.incarnation);
@@ -37,7 +41,10 @@
       for (const member of others) {
         const coach = this.lines().to(member.incarnation);
         if (coach === undefined) tally(false);
-        else void coach.ask(topic, body, patienceMs).then(async (receipt) => tally(receipt.isOk() && (await isHeard(receipt.value))));
+        else
+          void coach
+            .ask(topic, body, patienceMs)
+            .then(async (receipt) => tally(receipt.isOk() && (await isHeard(receipt.value))));
       }
     });
   };
@@ -46,15 +53,23 @@
     const kept = await this.table.take(records);
     if (kept.isErr()) return err({ kind: 'disk' });
     const merged = records.flatMap((record) => this.table.find(record.name) ?? []);
-    return (await this.byMajority('replicaNews', merged, (told) => told === true)) ? ok(undefined) : err({ kind: 'unknown' });
+    return (await this.byMajority('replicaNews', merged, (told) => told === true))
+      ? ok(undefined)
+      : err({ kind: 'unknown' });
   };
 
   readonly learn = (names: readonly string[]): Promise<boolean> =>
-    this.byMajority('replicaLook', names, async (told) => told !== null && (await this.takeNews(told as ReplicaRecord[])));
+    this.byMajority(
+      'replicaLook',
+      names,
+      async (told) => told !== null && (await this.takeNews(told as ReplicaRecord[])),
+    );
 
-  readonly look = (names: readonly string[]): ReplicaRecord[] | null => (this.decrees.isVoter() ? names.flatMap((name) => this.table.find(name) ?? []) : null);
+  readonly look = (names: readonly string[]): ReplicaRecord[] | null =>
+    this.decrees.isVoter() ? names.flatMap((name) => this.table.find(name) ?? []) : null;
 
-  readonly takeNews = async (records: readonly ReplicaRecord[]): Promise<boolean> => (await this.table.take(records)).isOk();
+  readonly takeNews = async (records: readonly ReplicaRecord[]): Promise<boolean> =>
+    (await this.table.take(records)).isOk();
 
   readonly reconcile = async (incarnation: string, lines: Lines): Promise<void> => {
     const coach = lines.to(incarnation);
--- a/packages/postmaster/src/replicaTable.ts
+++ b/packages/postmaster/src/replicaTable.ts
@@ -18,14 +18,17 @@
   ) {}
 
   readonly replay = (records: readonly ReplicaRecord[]): void => {
-    for (const record of records) this.held.set(record.name, replicas.merge(this.held.get(record.name), replicas.filled(record)));
+    for (const record of records)
+      this.held.set(record.name, replicas.merge(this.held.get(record.name), replicas.filled(record)));
   };
 
   readonly watch = (verb: (records: readonly ReplicaRecord[]) => void): void => void this.watchers.push(verb);
 
   readonly take = (told: readonly ReplicaRecord[]): Promise<Result<readonly ReplicaRecord[], LedgerFault>> =>
     this.owner.run(async () => {
-      const news = told.filter((record) => replicas.isNews(this.held.get(record.name), record)).map((record) => replicas.merge(this.held.get(record.name), record));
+      const news = told
+        .filter((record) => replicas.isNews(this.held.get(record.name), record))
+        .map((record) => replicas.merge(this.held.get(record.name), record));
       if (news.length === 0) return ok(news);
       for (const record of news) {
         const written = await this.ledger.append(record);
--- a/packages/postmaster/src/shelfDesk.ts
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -85,7 +85,19 @@
       const held = this.shelves.get(address);
       const isMineNow = isMine(address);
       if (held !== undefined && held.isStopped !== isMineNow) continue;
-      const shelf: Shelf = { kept: held?.kept ?? new Map<string, KeptNews>(), fresh: [], doubted: held?.doubted ?? new Map<string, number>(), pairs: held?.pairs ?? new LifePairs(this.clock), ids: held?.ids ?? new Set<string>(), epoch: '', since: 0, heardAt: this.clock.now(), isHeard: held?.isHeard ?? false, isCleared: false, isStopped: !isMineNow };
+      const shelf: Shelf = {
+        kept: held?.kept ?? new Map<string, KeptNews>(),
+        fresh: [],
+        doubted: held?.doubted ?? new Map<string, number>(),
+        pairs: held?.pairs ?? new LifePairs(this.clock),
+        ids: held?.ids ?? new Set<string>(),
+        epoch: '',
+        since: 0,
+        heardAt: this.clock.now(),
+        isHeard: held?.isHeard ?? false,
+        isCleared: false,
+        isStopped: !isMineNow,
+      };
       if (held !== undefined) held.isStopped = true;
       this.shelves.set(address, shelf);
       if (isMineNow) void this.follow(address, shelf, held !== undefined);
@@ -143,7 +155,8 @@
     const label = labelOf(news);
     const doubtedAt = shelf.doubted.get(label);
     shelf.doubted.delete(label);
-    if (doubtedAt !== undefined && !news.isKept && this.clock.now() - doubtedAt <= doubtMs) this.counts.falseAlarms += 1;
+    if (doubtedAt !== undefined && !news.isKept && this.clock.now() - doubtedAt <= doubtMs)
+      this.counts.falseAlarms += 1;
     if (news.tokens >= leastTokens) shelf.kept.set(label, news);
     else if (!shelf.kept.delete(label)) return;
     shelf.fresh.push(news);
@@ -169,7 +182,13 @@
     for (const [address, shelf] of this.shelves) {
       if (shelf.isStopped) continue;
       if (!shelf.isCleared && shelf.fresh.length === 0 && this.toldHeard.get(address) === shelf.isHeard) continue;
-      bundle.push({ address, isWhole: shelf.isCleared, isHeard: shelf.isHeard, epoch: shelf.epoch, news: shelf.fresh.splice(0) });
+      bundle.push({
+        address,
+        isWhole: shelf.isCleared,
+        isHeard: shelf.isHeard,
+        epoch: shelf.epoch,
+        news: shelf.fresh.splice(0),
+      });
       shelf.isCleared = false;
       this.toldHeard.set(address, shelf.isHeard);
     }
@@ -179,11 +198,22 @@
     this.relay(bundle);
   };
 
-  readonly whole = (): ShelfNews[] => [...this.shelves].map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, epoch: shelf.epoch, news: [...shelf.kept.values()] }));
-
-  readonly followed = (): ShelfNews[] => [...this.shelves].filter(([, shelf]) => !shelf.isStopped && shelf.epoch !== '').map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
-
-  readonly sizes = (): { address: string; parts: number; isHeard: boolean }[] => [...this.shelves].map(([address, shelf]) => ({ address, parts: shelf.kept.size, isHeard: shelf.isHeard }));
+  readonly whole = (): ShelfNews[] =>
+    [...this.shelves].map(([address, shelf]) => ({
+      address,
+      isWhole: true,
+      isHeard: shelf.isHeard,
+      epoch: shelf.epoch,
+      news: [...shelf.kept.values()],
+    }));
+
+  readonly followed = (): ShelfNews[] =>
+    [...this.shelves]
+      .filter(([, shelf]) => !shelf.isStopped && shelf.epoch !== '')
+      .map(([address, shelf]) => ({ address, isWhole: true, isHeard: shelf.isHeard, news: [...shelf.kept.values()] }));
+
+  readonly sizes = (): { address: string; parts: number; isHeard: boolean }[] =>
+    [...this.shelves].map(([address, shelf]) => ({ address, parts: shelf.kept.size, isHeard: shelf.isHeard }));
 
   readonly stale = (): Record<string, number> => ({ ...this.counts });
 
--- a/packages/postmaster/src/sideDesk.ts
+++ b/packages/postmaster/src/sideDesk.ts
@@ -12,7 +12,8 @@
     table.watch(this.note);
   }
 
-  private readonly labelOf = (replica: string, incarnation: number, side: string): string => `${replica}\n${incarnation}\n${side}`;
+  private readonly labelOf = (replica: string, incarnation: number, side: string): string =>
+    `${replica}\n${incarnation}\n${side}`;
 
   private readonly note = (records: readonly ReplicaRecord[]): void => {
     for (const { name, incarnation, sides, state } of records) {
@@ -32,7 +33,9 @@
     return known.flatMap((claim) => {
       const record = this.table.find(claim.replica);
       const since = this.since.get(this.labelOf(claim.replica, claim.incarnation, claim.side));
-      return record === undefined || record.incarnation !== claim.incarnation || since === undefined ? [] : [{ ...claim, sides: record.sides, ageMs: this.clock.now() - since }];
+      return record === undefined || record.incarnation !== claim.incarnation || since === undefined
+        ? []
+        : [{ ...claim, sides: record.sides, ageMs: this.clock.now() - since }];
     });
   };
 }
--- a/packages/postmaster/src/wayDesk.ts
+++ b/packages/postmaster/src/wayDesk.ts
@@ -16,18 +16,46 @@
 export class WayDesk {
   constructor(private readonly proposer: Proposer) {}
 
-  private readonly put = (id: string, digest: string, bodyFor: (state: Agreed) => Result<ChangeBody, ProposeFault>): Promise<Result<Applied, ProposeFault>> =>
-    this.proposer.propose((state): Result<Change, ProposeFault> => bodyFor(state).map((body) => ({ id, digest, body })), id, digest, patienceMs);
+  private readonly put = (
+    id: string,
+    digest: string,
+    bodyFor: (state: Agreed) => Result<ChangeBody, ProposeFault>,
+  ): Promise<Result<Applied, ProposeFault>> =>
+    this.proposer.propose(
+      (state): Result<Change, ProposeFault> => bodyFor(state).map((body) => ({ id, digest, body })),
+      id,
+      digest,
+      patienceMs,
+    );
 
-  readonly change = (kind: 'whole' | 'part', base: number, asked: unknown, editOf: EditOf): Promise<Result<Applied, ProposeFault>> => {
+  readonly change = (
+    kind: 'whole' | 'part',
+    base: number,
+    asked: unknown,
+    editOf: EditOf,
+  ): Promise<Result<Applied, ProposeFault>> => {
     const digest = digests.of([kind, asked]);
     return this.put(`ways/${digest}`, digest, (state) => {
       const edition = state.ways?.edition ?? 0;
-      if (base !== edition) return err({ kind: 'conflict', layoutGeneration: edition, detail: `edition ${edition} is in force` });
+      if (base !== edition)
+        return err({ kind: 'conflict', layoutGeneration: edition, detail: `edition ${edition} is in force` });
       return editOf(state.ways)
         .mapErr(rejected)
-        .andThen((edit) => (edit.edition > edition ? books.check(edit.book).mapErr(rejected).map(() => edit) : err(rejected([{ path: '/edition', message: `must be above ${edition}` }]))))
-        .map((edit): ChangeBody => ({ kind: 'ways', base, ways: { edition: edit.edition, book: edit.book, source: edit.source } }));
+        .andThen((edit) =>
+          edit.edition > edition
+            ? books
+                .check(edit.book)
+                .mapErr(rejected)
+                .map(() => edit)
+            : err(rejected([{ path: '/edition', message: `must be above ${edition}` }])),
+        )
+        .map(
+          (edit): ChangeBody => ({
+            kind: 'ways',
+            base,
+            ways: { edition: edit.edition, book: edit.book, source: edit.source },
+          }),
+        );
     });
   };
 
@@ -36,7 +64,9 @@
     return this.put(`weights/${model}/${version}`, digest, (state) => {
       const named = state.named[model] ?? 0;
       if (version === named) return ok({ kind: 'weights', model, version });
-      return version > named ? ok({ kind: 'weights', model, version }) : err(rejected([{ path: '/version', message: `must be above ${named}` }]));
+      return version > named
+        ? ok({ kind: 'weights', model, version })
+        : err(rejected([{ path: '/version', message: `must be above ${named}` }]));
     });
   };
 }
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -2,7 +2,21 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Repeating } from '@martenworks/envelope';
-import type { Agreed, BackEnds, Change, FrontPing, Listener, Member, MissedNews, NetFault, Ports, ReadingNews, ShelfNews, StateHeld, Subscription } from '@martenworks/envelope';
+import type {
+  Agreed,
+  BackEnds,
+  Change,
+  FrontPing,
+  Listener,
+  Member,
+  MissedNews,
+  NetFault,
+  Ports,
+  ReadingNews,
+  ShelfNews,
+  StateHeld,
+  Subscription,
+} from '@martenworks/envelope';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
@@ -86,7 +100,15 @@
   ) {
     const { clock, random, log } = ports;
     this.roster = new Roster(clock, this.hello);
-    this.lines = new Lines(ports, this.hello, seeds, this.roster, () => (decrees.agreed()?.members ?? []).map((member) => member.address), this.handlers(), wayPace);
+    this.lines = new Lines(
+      ports,
+      this.hello,
+      seeds,
+      this.roster,
+      () => (decrees.agreed()?.members ?? []).map((member) => member.address),
+      this.handlers(),
+      wayPace,
+    );
     this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
     this.changes = new WayDesk(this.proposer);
     this.duties = new Duties(
@@ -108,7 +130,11 @@
       clock,
       random,
       log,
-      { everyMs: env.listEveryMs, perSecond: env.listPerSecond, readers: () => decrees.agreed()?.members.length ?? env.voters },
+      {
+        everyMs: env.listEveryMs,
+        perSecond: env.listPerSecond,
+        readers: () => decrees.agreed()?.members.length ?? env.voters,
+      },
       (news) => {
         this.push.tellContent('cards', news);
         this.alignShelves();
@@ -141,8 +167,24 @@
       (news) => this.push.tellAll('weights', news),
       this.cards.holds,
     );
-    this.founding = new Founding(decrees, this.hello, () => this.lines, () => this.roster.neighbours('postmaster'), this.proposer.learn, log, env.voters);
-    this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, () => true, log, strangerWaitMs);
+    this.founding = new Founding(
+      decrees,
+      this.hello,
+      () => this.lines,
+      () => this.roster.neighbours('postmaster'),
+      this.proposer.learn,
+      log,
+      env.voters,
+    );
+    this.membership = new Membership(
+      decrees,
+      this.proposer,
+      clock,
+      () => this.lines,
+      () => true,
+      log,
+      strangerWaitMs,
+    );
     decrees.watch(() => {
       this.lines.align();
       this.alignShelves();
@@ -153,12 +195,21 @@
       new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
       new Repeating(clock, () => settleCheckMs * (0.5 + random.fraction()), this.settleRival),
       new Repeating(clock, () => beatMs, this.beat),
-      new Repeating(clock, () => dutyMs * (0.9 + 0.2 * random.fraction()), () => void this.duties.tick()),
+      new Repeating(
+        clock,
+        () => dutyMs * (0.9 + 0.2 * random.fraction()),
+        () => void this.duties.tick(),
+      ),
       new Repeating(clock, () => weightsStepMs, this.weights.step),
     );
   }
 
-  readonly hello = (): Hello => hellos.of('postmaster', { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone }, this.decrees.incarnation);
+  readonly hello = (): Hello =>
+    hellos.of(
+      'postmaster',
+      { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone },
+      this.decrees.incarnation,
+    );
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
@@ -183,8 +234,18 @@
     if (book === undefined) return;
     const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
     const voters = this.reachableVoters();
-    const isMine = (address: string): boolean => !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.decrees.incarnation));
-    this.shelves.align(new Set([...this.cards.all().filter((card) => engines.has(card.pool)).map((card) => card.address), ...book.stores.map((store) => store.address)]), isMine);
+    const isMine = (address: string): boolean =>
+      !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.decrees.incarnation));
+    this.shelves.align(
+      new Set([
+        ...this.cards
+          .all()
+          .filter((card) => engines.has(card.pool))
+          .map((card) => card.address),
+        ...book.stores.map((store) => store.address),
+      ]),
+      isMine,
+    );
     if (!this.env.watchesStale) return;
     const lives = new Map<string, Set<string>>();
     for (const { address, id } of this.cards.all()) lives.set(address, (lives.get(address) ?? new Set()).add(id));
@@ -217,7 +278,8 @@
     await this.membership.step();
   };
 
-  private readonly postmasters = (): Coach[] => this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+  private readonly postmasters = (): Coach[] =>
+    this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
 
   private readonly settleRival = (): void => {
     const age = this.decrees.unsettledFor();
@@ -237,7 +299,9 @@
   };
 
   private readonly reachableVoters = (): string[] =>
-    (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation).filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
+    (this.decrees.agreed()?.members ?? [])
+      .map((member) => member.incarnation)
+      .filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
@@ -257,10 +321,19 @@
       return receipt?.isOk() === true ? receipt.value : null;
     };
     return {
-      prepare: (member, slot, ballot) => (isSelf(member) ? this.decrees.prepare(slot, ballot) : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>)),
-      accept: (member, slot, ballot, change) => (isSelf(member) ? this.decrees.accept(slot, ballot, change) : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>)),
+      prepare: (member, slot, ballot) =>
+        isSelf(member)
+          ? this.decrees.prepare(slot, ballot)
+          : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
+      accept: (member, slot, ballot, change) =>
+        isSelf(member)
+          ? this.decrees.accept(slot, ballot, change)
+          : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
       settle: (settled) => this.tellPostmasters('settled', settled),
-      since: (member, generation) => (isSelf(member) ? Promise.resolve(this.decrees.since(generation)) : (asked(member, 'since', generation) as Promise<Since | null>)),
+      since: (member, generation) =>
+        isSelf(member)
+          ? Promise.resolve(this.decrees.since(generation))
+          : (asked(member, 'since', generation) as Promise<Since | null>),
       supply: async (member, since) => void (await asked(member, 'supply', since)),
     };
   };
@@ -286,8 +359,7 @@
       } else if (topic === 'missedRelay') {
         this.shelves.missed(body as MissedNews);
         this.push.tellContent('missed', body);
-      }
-      else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
+      } else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
     asked: async (coach, topic, body) => {
       if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
@@ -335,7 +407,8 @@
   });
 
   /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
-  readonly confirmed = async (): Promise<Agreed | null> => ((await this.proposer.confirm(confirmPatienceMs)) ? this.decrees.agreed() : null);
+  readonly confirmed = async (): Promise<Agreed | null> =>
+    (await this.proposer.confirm(confirmPatienceMs)) ? this.decrees.agreed() : null;
 
   readonly isReady = (): boolean => {
     const state = this.decrees.agreed();
@@ -377,10 +450,20 @@
 }
 
 export const wayPostmasters = {
-  start: async (env: WayEnv, ports: Ports, backEnds: BackEnds, seeds: readonly string[]): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
+  start: async (
+    env: WayEnv,
+    ports: Ports,
+    backEnds: BackEnds,
+    seeds: readonly string[],
+  ): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
     const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
     if (decrees.isErr()) return err(decrees.error);
-    const terms: LeaseTerms = { leaseMs, marginMs: leaseMarginMs, gapMs: env.orderGapMs, floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration };
+    const terms: LeaseTerms = {
+      leaseMs,
+      marginMs: leaseMarginMs,
+      gapMs: env.orderGapMs,
+      floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration,
+    };
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
     if (leases.isErr()) return err(leases.error);
     const postmaster = new WayPostmaster(env, ports, backEnds, decrees.value, leases.value, terms, seeds);
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -1,4 +1,14 @@
-import type { Agreed, BookPatch, Clock, FrontPing, FrontPong, StateHeld, StateNews, Subscription, WaysInForce } from '@martenworks/envelope';
+import type {
+  Agreed,
+  BookPatch,
+  Clock,
+  FrontPing,
+  FrontPong,
+  StateHeld,
+  StateNews,
+  Subscription,
+  WaysInForce,
+} from '@martenworks/envelope';
 import type { Coach } from '@martenworks/mailcoach';
 import { patches } from '@martenworks/waybill';
 import type { Decrees } from './decrees.js';
@@ -63,10 +73,23 @@
   private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
     const edition = state.ways?.edition ?? 0;
     const now = this.clock.now();
-    const namedAges = Object.fromEntries([...this.named].map(([model, list]) => [model, list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) }))]));
+    const namedAges = Object.fromEntries(
+      [...this.named].map(([model, list]) => [
+        model,
+        list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) })),
+      ]),
+    );
     const isPatched = this.patch !== null && this.lastWays?.edition === edition && this.patch.from === held.edition;
     const book = held.edition === edition || isPatched ? null : (state.ways?.book ?? null);
-    return { generation: state.generation, edition, book, patch: isPatched ? this.patch : null, named: state.named, namedAges, members: state.members };
+    return {
+      generation: state.generation,
+      edition,
+      book,
+      patch: isPatched ? this.patch : null,
+      named: state.named,
+      namedAges,
+      members: state.members,
+    };
   };
 
   readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
@@ -110,7 +133,12 @@
 
   readonly pong = (coach: Coach, ping: FrontPing, isSettled: boolean): FrontPong => {
     this.acked(coach, ping);
-    return { generation: this.decrees.agreed()?.generation ?? -1, fronts: this.fronts(), isSettled, listAgeMs: this.listAgeMs() };
+    return {
+      generation: this.decrees.agreed()?.generation ?? -1,
+      fronts: this.fronts(),
+      isSettled,
+      listAgeMs: this.listAgeMs(),
+    };
   };
 
   readonly fronts = (): number => {
@@ -127,7 +155,8 @@
   };
 
   readonly tellOthers = (sender: Coach, topic: string, body: unknown): void => {
-    for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent && coach !== sender) coach.tell(topic, body);
+    for (const [coach, { wantsContent }] of this.subscribers)
+      if (wantsContent && coach !== sender) coach.tell(topic, body);
   };
 
   readonly dropSilent = (): void => {
@@ -137,6 +166,12 @@
 
   readonly lines = (): FrontLine[] => {
     const now = this.clock.now();
-    return [...this.subscribers].map(([coach, one]) => ({ front: coach.neighbour?.name ?? '', zone: coach.neighbour?.zone ?? '', acked: one.acked, isContent: one.wantsContent, heardMsAgo: Math.round(now - one.heardAt) }));
+    return [...this.subscribers].map(([coach, one]) => ({
+      front: coach.neighbour?.name ?? '',
+      zone: coach.neighbour?.zone ?? '',
+      acked: one.acked,
+      isContent: one.wantsContent,
+      heardMsAgo: Math.round(now - one.heardAt),
+    }));
   };
 }
--- a/packages/postmaster/src/weightsDesk.ts
+++ b/packages/postmaster/src/weightsDesk.ts
@@ -26,7 +26,11 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly cards: () => readonly ReplicaCard[],
-    private readonly wanted: () => readonly { readonly pool: string; readonly model: string; readonly version: number }[],
+    private readonly wanted: () => readonly {
+      readonly pool: string;
+      readonly model: string;
+      readonly version: number;
+    }[],
     private readonly fence: () => number | null,
     private readonly holder: () => string,
     private readonly tell: (news: WeightsNews) => void,
@@ -40,11 +44,17 @@
     const now = this.clock.now();
     const waiting = this.wanted().flatMap(({ pool, model, version }) =>
       cards.flatMap((card) => {
-        const isBehind = card.pool === pool && !card.isLeaving && card.weights[model] !== undefined && card.weights[model] < version;
-        return isBehind && !this.underWay.has(card.id) && (this.restUntil.get(card.id) ?? 0) <= now ? [{ card, model, version }] : [];
+        const isBehind =
+          card.pool === pool && !card.isLeaving && card.weights[model] !== undefined && card.weights[model] < version;
+        return isBehind && !this.underWay.has(card.id) && (this.restUntil.get(card.id) ?? 0) <= now
+          ? [{ card, model, version }]
+          : [];
       }),
     );
-    return { waiting: waiting.sort((a, b) => (a.card.weights[a.model] ?? 0) - (b.card.weights[b.model] ?? 0)), poolSizes };
+    return {
+      waiting: waiting.sort((a, b) => (a.card.weights[a.model] ?? 0) - (b.card.weights[b.model] ?? 0)),
+      poolSizes,
+    };
   };
 
   readonly step = (): void => {
@@ -59,7 +69,8 @@
     }
   };
 
-  private readonly rest = ({ card, model }: Waiting, forMs: number): void => this.tell({ id: card.id, model, version: null, forMs });
+  private readonly rest = ({ card, model }: Waiting, forMs: number): void =>
+    this.tell({ id: card.id, model, version: null, forMs });
 
   private readonly done = ({ card, model, version }: Waiting): void => {
     this.holds(card.id, model, version);
@@ -105,5 +116,8 @@
     this.postpone(one, againMs);
   };
 
-  readonly status = (): { underWay: string[]; orders: number } => ({ underWay: [...this.underWay.keys()], orders: this.orders });
+  readonly status = (): { underWay: string[]; orders: number } => ({
+    underWay: [...this.underWay.keys()],
+    orders: this.orders,
+  });
 }
--- a/packages/postmaster/test/control.test.ts
+++ b/packages/postmaster/test/control.test.ts
@@ -14,11 +14,18 @@
 const tier = (horizonMs: number): Record<string, unknown> => ({ tiers: { steady: { rank: 1, horizonMs } } });
 
 const patch = (fleet: SimFleet, at: number, part: unknown, base: number | null, id: string): Promise<Told> =>
-  fleet.onPostmaster(at, 'PATCH', '/operator/layout', part, { 'change-id': id, ...(base === null ? {} : { 'if-match': `"${base}"` }) });
+  fleet.onPostmaster(at, 'PATCH', '/operator/layout', part, {
+    'change-id': id,
+    ...(base === null ? {} : { 'if-match': `"${base}"` }),
+  });
 
-const baseOf = async (fleet: SimFleet, at = 0): Promise<number> => Number((await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/layout'))).body['generation']);
+const baseOf = async (fleet: SimFleet, at = 0): Promise<number> =>
+  Number((await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/layout'))).body['generation']);
 
-const allHold = (fleet: SimFleet, generation: number): boolean => fleet.counters.every((counter) => counter === null || (counter.freshness.isFresh() && counter.book.generation() >= generation));
+const allHold = (fleet: SimFleet, generation: number): boolean =>
+  fleet.counters.every(
+    (counter) => counter === null || (counter.freshness.isFresh() && counter.book.generation() >= generation),
+  );
 
 describe('founding', () => {
   it('given one seed address down, when the fleet starts, then counters still find all postmasters', async () => {
@@ -40,7 +47,9 @@
     await fleet.startPostmaster(1);
     await fleet.world.run(20_000);
     expect(fleet.postmasters.map((one) => one?.decrees.agreed() ?? null)).to.deep.equal([null, null, null]);
-    const told = await fleet.finish(fleet.onPostmaster(0, 'PUT', '/operator/layout', plans.layout('weights-1'), { 'if-match': '"0"' }));
+    const told = await fleet.finish(
+      fleet.onPostmaster(0, 'PUT', '/operator/layout', plans.layout('weights-1'), { 'if-match': '"0"' }),
+    );
     expect([told.status, told.body['outcome'], told.retryAfter]).to.deep.equal([503, 'not accepted', '1']);
     await fleet.startPostmaster(2);
     await fleet.world.until('the founding', () => fleet.postmasters.every((one) => one?.isReady() === true), 5_000);
@@ -55,7 +64,11 @@
       fleet.killPostmaster(seed % 3, true);
       await fleet.world.run(500);
       await fleet.bootPostmaster(seed % 3);
-      await fleet.world.until('one fleet of three voters', () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true), 40_000);
+      await fleet.world.until(
+        'one fleet of three voters',
+        () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true),
+        40_000,
+      );
       const lists = new Set(fleet.postmasters.map((one) => JSON.stringify(one?.decrees.agreed()?.members)));
       expect(lists.size, `seed ${seed}`).to.equal(1);
     }
@@ -74,7 +87,11 @@
     const told = await fleet.finish(patch(fleet, 0, tier(19_000), base, 'while-lost'));
     expect(told.status).to.equal(503);
     expect(fleet.counters[0]?.freshness.isFresh()).to.equal(false);
-    const members = fleet.postmasters.map((one) => ({ name: one?.env.name ?? '', address: one?.env.coach ?? '', incarnation: one?.decrees.incarnation ?? '' }));
+    const members = fleet.postmasters.map((one) => ({
+      name: one?.env.name ?? '',
+      address: one?.env.coach ?? '',
+      incarnation: one?.decrees.incarnation ?? '',
+    }));
     fleet.killPostmaster(0);
     const machine = fleet.machineOf('postmaster', 0);
     machine.boot();
@@ -82,7 +99,11 @@
     const recovered = await fleet.finish(recovery.recover(ports.disk, ports.clock, ports.random, ports.log, members));
     expect(recovered.isOk()).to.equal(true);
     await fleet.startPostmaster(0);
-    await fleet.world.until('three voters', () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true), 10_000);
+    await fleet.world.until(
+      'three voters',
+      () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true),
+      10_000,
+    );
     const after = await fleet.finish(patch(fleet, 1, tier(18_000), await baseOf(fleet, 1), 'after-recovery'));
     expect(after.status).to.equal(200);
     await fleet.world.until('in force on every counter', () => allHold(fleet, Number(after.body['generation'])), 2_000);
@@ -98,7 +119,9 @@
     fleet.postmasterNames[2] = 'postmaster-9';
     await fleet.startPostmaster(2);
     await fleet.world.until('the swap', () => fleet.postmasters[2]?.decrees.isVoter() === true, 30_000);
-    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds['kept']?.generation).to.equal(Number(kept.body['generation']));
+    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds['kept']?.generation).to.equal(
+      Number(kept.body['generation']),
+    );
     fleet.killPostmaster(0);
     const more = await fleet.finish(patch(fleet, 2, tier(16_000), await baseOf(fleet, 2), 'by-the-new'));
     expect(more.status).to.equal(200);
@@ -112,28 +135,62 @@
     const base = await baseOf(fleet);
     const noBase = await fleet.finish(patch(fleet, 0, tier(1_000), null, 'no-base'));
     expect(noBase.status).to.equal(428);
-    const wrong = { lanes: { good: { pool: 'main', repeat: 'freely' }, bad: { pool: 'absent', repeat: 'freely' }, odd: { pool: 'main', repeat: 'sometimes' } }, tiers: { steady: { rank: -1 } } };
+    const wrong = {
+      lanes: {
+        good: { pool: 'main', repeat: 'freely' },
+        bad: { pool: 'absent', repeat: 'freely' },
+        odd: { pool: 'main', repeat: 'sometimes' },
+      },
+      tiers: { steady: { rank: -1 } },
+    };
     const rejected = await fleet.finish(patch(fleet, 0, wrong, base, 'faulty'));
     expect(rejected.status).to.equal(422);
-    expect((rejected.body['complaints'] as { path: string }[]).map((one) => one.path)).to.include.members(['/lanes/odd/repeat', '/tiers/steady/rank']);
-    const dangling = await fleet.finish(patch(fleet, 0, { lanes: { bad: { pool: 'absent', repeat: 'freely' } }, tenants: { north: { tier: 'absent' } } }, base, 'dangling'));
-    expect((dangling.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal(['/lanes/bad/pool', '/tenants/north/tier']);
+    expect((rejected.body['complaints'] as { path: string }[]).map((one) => one.path)).to.include.members([
+      '/lanes/odd/repeat',
+      '/tiers/steady/rank',
+    ]);
+    const dangling = await fleet.finish(
+      patch(
+        fleet,
+        0,
+        { lanes: { bad: { pool: 'absent', repeat: 'freely' } }, tenants: { north: { tier: 'absent' } } },
+        base,
+        'dangling',
+      ),
+    );
+    expect((dangling.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal([
+      '/lanes/bad/pool',
+      '/tenants/north/tier',
+    ]);
     expect(await baseOf(fleet)).to.equal(base);
-    for (const id of ['no-base', 'faulty', 'dangling']) expect((await fleet.finish(fleet.onPostmaster(1, 'GET', `/operator/changes/${id}`))).status).to.equal(404);
+    for (const id of ['no-base', 'faulty', 'dangling'])
+      expect((await fleet.finish(fleet.onPostmaster(1, 'GET', `/operator/changes/${id}`))).status).to.equal(404);
   });
 
   it('given one change that touches tiers, 300 lanes and weights, when it is accepted, then every counter has all of it within two seconds or none', async () => {
     const fleet = await raised(7);
     const base = await baseOf(fleet);
-    const lanes = Object.fromEntries(Array.from({ length: 300 }, (_, at) => [`lane-${at}`, { pool: 'main', repeat: 'freely' }]));
+    const lanes = Object.fromEntries(
+      Array.from({ length: 300 }, (_, at) => [`lane-${at}`, { pool: 'main', repeat: 'freely' }]),
+    );
     const seen = new Set<string>();
-    const told = fleet.finish(patch(fleet, 1, { tiers: { prompt: { rank: 0, horizonMs: 9_999 } }, lanes, pools: { main: { weights: 'weights-2' } } }, base, 'wide'));
+    const told = fleet.finish(
+      patch(
+        fleet,
+        1,
+        { tiers: { prompt: { rank: 0, horizonMs: 9_999 } }, lanes, pools: { main: { weights: 'weights-2' } } },
+        base,
+        'wide',
+      ),
+    );
     const accepted = await told;
     expect(accepted.status).to.equal(200);
     const waited = await fleet.world.until('in force', () => {
       for (const counter of fleet.counters) {
         const layout = counter?.book.agreed()?.layout;
-        seen.add(`${layout?.tiers['prompt']?.horizonMs} ${Object.keys(layout?.lanes ?? {}).length} ${layout?.pools['main']?.weights}`);
+        seen.add(
+          `${layout?.tiers['prompt']?.horizonMs} ${Object.keys(layout?.lanes ?? {}).length} ${layout?.pools['main']?.weights}`,
+        );
       }
       return allHold(fleet, Number(accepted.body['generation']));
     });
@@ -146,7 +203,12 @@
     const base = await baseOf(fleet);
     const first = await fleet.finish(patch(fleet, 0, tier(15_000), base, 'once'));
     const again = await fleet.finish(patch(fleet, 2, tier(15_000), base, 'once'));
-    expect([first.status, again.status, again.body['repeated'], again.body['generation']]).to.deep.equal([200, 200, true, first.body['generation']]);
+    expect([first.status, again.status, again.body['repeated'], again.body['generation']]).to.deep.equal([
+      200,
+      200,
+      true,
+      first.body['generation'],
+    ]);
     const other = await fleet.finish(patch(fleet, 1, tier(14_000), base, 'once'));
     expect(other.status).to.equal(409);
   });
@@ -165,7 +227,11 @@
       if (told.status === 504) expect(told.body['changeId']).to.equal('half');
       fleet.world.healAll();
       await fleet.world.run(3_000);
-      const truths = await Promise.all([0, 1, 2].map(async (at) => (await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/changes/half'))).status));
+      const truths = await Promise.all(
+        [0, 1, 2].map(
+          async (at) => (await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/changes/half'))).status,
+        ),
+      );
       expect(new Set(truths).size, `seed ${seed}: ${truths.join()}`).to.equal(1);
       if (told.status === 200) expect(truths[0]).to.equal(200);
       if (told.status === 503) expect(truths[0]).to.equal(404);
@@ -190,10 +256,22 @@
     const fleet = await raised(11);
     const judge = new Judge(fleet);
     const key = 'a-new-riders-key';
-    const granted = await fleet.finish(fleet.onPostmaster(2, 'POST', '/platform/clients', { tenant: 'newcomer', key, grant: { tier: 'steady', lanes: ['query'] } }));
+    const granted = await fleet.finish(
+      fleet.onPostmaster(2, 'POST', '/platform/clients', {
+        tenant: 'newcomer',
+        key,
+        grant: { tier: 'steady', lanes: ['query'] },
+      }),
+    );
     expect(granted.status).to.equal(200);
     await fleet.world.until('in force', () => allHold(fleet, Number(granted.body['generation'])), 2_000);
-    const ask = { ...plans.ask(fleet.world.random, 1), kind: 'query' as const, tenant: 'newcomer', key, maxTokens: 2_000 };
+    const ask = {
+      ...plans.ask(fleet.world.random, 1),
+      kind: 'query' as const,
+      tenant: 'newcomer',
+      key,
+      maxTokens: 2_000,
+    };
     const held = judge.send(ask, 0);
     await fleet.world.run(500);
     expect([held.verdict, held.text.length > 0]).to.deep.equal(['open', true]);
--- a/packages/postmaster/test/platform.test.ts
+++ b/packages/postmaster/test/platform.test.ts
@@ -11,7 +11,14 @@
     const fleet = new SimFleet({ seed: 71, fronts: 1, replicas: 1 });
     await fleet.up();
     const tell = async (more: Record<string, unknown>, at = 0): Promise<Shown> => {
-      const told = await fleet.finish(fleet.onPostmaster(at, 'POST', '/platform/replicas', { name: 'lone', address: '10.2.0.77:8000', pool: 'main', ...more }));
+      const told = await fleet.finish(
+        fleet.onPostmaster(at, 'POST', '/platform/replicas', {
+          name: 'lone',
+          address: '10.2.0.77:8000',
+          pool: 'main',
+          ...more,
+        }),
+      );
       expect(told.status).to.equal(200);
       const { state, incarnation } = (told.body['replicas'] as Shown[])[0] as Shown;
       return { state, incarnation };
@@ -25,9 +32,14 @@
     expect(await tell({}, 2)).to.deep.equal({ state: 'ready', incarnation: 3 });
     expect(await tell({ address: '10.2.0.78:8000' })).to.deep.equal({ state: 'ready', incarnation: 4 });
     expect(await tell({ incarnation: 2, state: 'gone' })).to.deep.equal({ state: 'ready', incarnation: 4 });
-    const faulty = await fleet.finish(fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name: 'x y', address: 'nowhere' }]));
+    const faulty = await fleet.finish(
+      fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name: 'x y', address: 'nowhere' }]),
+    );
     expect(faulty.status).to.equal(422);
-    expect((faulty.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal(['/0/address', '/0/name']);
+    expect((faulty.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal([
+      '/0/address',
+      '/0/name',
+    ]);
   });
 
   it('given a leaving replica confirmed by one postmaster, when that one dies at once with its disk, then every counter still stops sending to it within two seconds', async () => {
@@ -38,12 +50,14 @@
       expect(told.status).to.equal(200);
       fleet.killPostmaster(0, true);
       await fleet.world.run(2_000);
-      for (const counter of fleet.counters) if (counter?.freshness.isFresh() === true) expect(counter.book.record('replica-1')?.state, `seed ${seed}`).to.equal('leaving');
+      for (const counter of fleet.counters)
+        if (counter?.freshness.isFresh() === true)
+          expect(counter.book.record('replica-1')?.state, `seed ${seed}`).to.equal('leaving');
       expect(fleet.counters.some((counter) => counter?.freshness.isFresh() === true)).to.equal(true);
     }
   });
 
-  it('given a postmaster that missed a replica\'s return, when it is told that the replica leaves, then the newest incarnation is the one that leaves', async () => {
+  it("given a postmaster that missed a replica's return, when it is told that the replica leaves, then the newest incarnation is the one that leaves", async () => {
     for (let seed = 80; seed < 86; seed += 1) {
       const fleet = new SimFleet({ seed, fronts: 3, replicas: 3 });
       await fleet.up();
@@ -54,7 +68,8 @@
       expect(fleet.postmasters[1]?.table.find('replica-1')?.incarnation).to.equal(1);
       fleet.world.healAll();
       let told = await fleet.finish(fleet.onPostmaster(1, 'POST', '/platform/replicas/replica-1/leaving'));
-      for (let shot = 0; shot < 20 && told.status !== 200; shot += 1) told = await fleet.finish(fleet.onPostmaster(1, 'POST', '/platform/replicas/replica-1/leaving'));
+      for (let shot = 0; shot < 20 && told.status !== 200; shot += 1)
+        told = await fleet.finish(fleet.onPostmaster(1, 'POST', '/platform/replicas/replica-1/leaving'));
       expect(told.status).to.equal(200);
       await fleet.world.run(2_000);
       for (const counter of fleet.counters) {
--- a/packages/postmaster/test/since.test.ts
+++ b/packages/postmaster/test/since.test.ts
@@ -20,7 +20,11 @@
   return (outcome as unknown as { value: T }).value;
 };
 
-const named = (version: number): Change => ({ id: `weights/m/${version}`, digest: String(version), body: { kind: 'weights', model: 'm', version } });
+const named = (version: number): Change => ({
+  id: `weights/m/${version}`,
+  digest: String(version),
+  body: { kind: 'weights', model: 'm', version },
+});
 
 describe('catching up', () => {
   it('given a core node that was apart, when it asks for what it missed, then a few changes come as changes, many as one checkpoint, and one reply always brings it up to date', async () => {
@@ -30,7 +34,8 @@
       const founded = agreed.founded([{ name: 'a', address: '10.0.0.1:1', incarnation: ahead.incarnation }]);
       await done(world, ahead.adopt(founded));
       await done(world, behind.adopt(founded));
-      for (let version = 1; version <= missed; version += 1) await done(world, ahead.settle({ generation: version, change: named(version) }));
+      for (let version = 1; version <= missed; version += 1)
+        await done(world, ahead.settle({ generation: version, change: named(version) }));
       const since = ahead.since(behind.agreed()?.generation ?? -1);
       expect(since.k).to.equal(missed > 16 ? 'checkpoint' : 'changes');
       if (since.k === 'checkpoint') await done(world, behind.adopt(since.agreed));
--- a/packages/postmaster/test/staleIndex.test.ts
+++ b/packages/postmaster/test/staleIndex.test.ts
@@ -13,7 +13,12 @@
   isSilent = false;
   events: KeptNews[] = [];
 
-  readonly page = (since: number): KeptPage => ({ epoch: String(this.epoch), next: this.events.length, isLost: since > this.events.length, news: this.events.slice(since) });
+  readonly page = (since: number): KeptPage => ({
+    epoch: String(this.epoch),
+    next: this.events.length,
+    isLost: since > this.events.length,
+    news: this.events.slice(since),
+  });
 }
 
 const office = async () => {
@@ -22,10 +27,26 @@
   const teller = new Teller();
   const told: ShelfNews[] = [];
   const keptNews: BackEnds['keptNews'] = (_, since) =>
-    new Promise((settle) => void clock.after(200, () => settle(teller.isSilent ? err({ kind: 'back', code: 'ETIMEDOUT' }) : ok(teller.page(since)))));
-  const desk = new ShelfDesk({ keptNews } as Partial<BackEnds> as BackEnds, clock, random, log, (bundle) => void told.push(...bundle), () => {});
+    new Promise(
+      (settle) =>
+        void clock.after(200, () =>
+          settle(teller.isSilent ? err({ kind: 'back', code: 'ETIMEDOUT' }) : ok(teller.page(since))),
+        ),
+    );
+  const desk = new ShelfDesk(
+    { keptNews } as Partial<BackEnds> as BackEnds,
+    clock,
+    random,
+    log,
+    (bundle) => void told.push(...bundle),
+    () => {},
+  );
   desk.align(new Set([address]), () => true);
-  const parts = (): string[] => desk.whole().flatMap((shelf) => shelf.news.map(({ part }) => part)).sort();
+  const parts = (): string[] =>
+    desk
+      .whole()
+      .flatMap((shelf) => shelf.news.map(({ part }) => part))
+      .sort();
   await world.run(1_000);
   return { world, desk, teller, told, parts };
 };
--- a/packages/postmaster/test/upkeep.test.ts
+++ b/packages/postmaster/test/upkeep.test.ts
@@ -7,7 +7,10 @@
 
 const sizeOf = (disk: SimDisk): number => [...disk.files.values()].reduce((sum, held) => sum + held.safe.length, 0);
 
-const raised = async (seed: number, more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {}): Promise<SimFleet> => {
+const raised = async (
+  seed: number,
+  more: Partial<ConstructorParameters<typeof SimFleet>[0]> = {},
+): Promise<SimFleet> => {
   const fleet = new SimFleet({ seed, fronts: 3, replicas: 4, ...more });
   await fleet.up();
   return fleet;
@@ -19,8 +22,18 @@
     const judge = new Judge(fleet);
     judge.traffic(40, 45_000);
     for (let round = 0; round < 3; round += 1) {
-      const base = Number((await fleet.finish(fleet.onPostmaster(round, 'GET', '/operator/layout'))).body['generation']);
-      const put = await fleet.finish(fleet.onPostmaster(round, 'PATCH', '/operator/layout', { tiers: { steady: { rank: 1, horizonMs: 20_000 + round } } }, { 'if-match': `"${base}"`, 'change-id': `roll-${round}` }));
+      const base = Number(
+        (await fleet.finish(fleet.onPostmaster(round, 'GET', '/operator/layout'))).body['generation'],
+      );
+      const put = await fleet.finish(
+        fleet.onPostmaster(
+          round,
+          'PATCH',
+          '/operator/layout',
+          { tiers: { steady: { rank: 1, horizonMs: 20_000 + round } } },
+          { 'if-match': `"${base}"`, 'change-id': `roll-${round}` },
+        ),
+      );
       expect(put.status).to.equal(200);
       judge.acceptedIds.set(`roll-${round}`, Number(put.body['generation']));
       await fleet.finish(fleet.rollPostmaster(round));
@@ -33,7 +46,12 @@
     expect(tally['cut'] ?? 0, JSON.stringify(tally)).to.equal(0);
     for (const call of judge.calls) {
       if (call.verdict === 'lost') expect(call.code).to.equal('ECONNREFUSED');
-      if (call.verdict === 'denied') expect([call.code, call.ran, call.retryAfter === null]).to.deep.equal([call.code === 'draining' ? 'draining' : 'not_fresh', 'no', false]);
+      if (call.verdict === 'denied')
+        expect([call.code, call.ran, call.retryAfter === null]).to.deep.equal([
+          call.code === 'draining' ? 'draining' : 'not_fresh',
+          'no',
+          false,
+        ]);
     }
     expect(tally['whole'] ?? 0).to.be.greaterThan(judge.calls.length * 0.9);
     expect([...judge.complaints(), ...statePlaints(fleet, judge)]).to.deep.equal([]);
@@ -68,11 +86,21 @@
 describe('ledger upkeep', () => {
   it('given hundreds of wide changes and thousands of claims, when they are kept, then disks stay bounded, and a postmaster comes back with all of it', async () => {
     const fleet = await raised(63, { fronts: 1, replicas: 2 });
-    const lanes = Object.fromEntries(Array.from({ length: 400 }, (_, at) => [`lane-${at}`, { pool: 'main', repeat: 'freely' }]));
+    const lanes = Object.fromEntries(
+      Array.from({ length: 400 }, (_, at) => [`lane-${at}`, { pool: 'main', repeat: 'freely' }]),
+    );
     let base = 1;
     let largest = 0;
     for (let round = 0; round < 300; round += 1) {
-      const put = await fleet.finish(fleet.onPostmaster(round % 3, 'PATCH', '/operator/layout', { lanes, tiers: { steady: { rank: 1, horizonMs: 10_000 + round } } }, { 'if-match': `"${base}"`, 'change-id': `wide-${round}` }));
+      const put = await fleet.finish(
+        fleet.onPostmaster(
+          round % 3,
+          'PATCH',
+          '/operator/layout',
+          { lanes, tiers: { steady: { rank: 1, horizonMs: 10_000 + round } } },
+          { 'if-match': `"${base}"`, 'change-id': `wide-${round}` },
+        ),
+      );
       expect(put.status, JSON.stringify(put.body)).to.equal(200);
       base = Number(put.body['generation']);
       largest = Math.max(largest, ...[0, 1, 2].map((at) => sizeOf(fleet.machineOf('postmaster', at).disk)));
@@ -108,7 +136,7 @@
     expect(opened._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name });
   });
 
-  it('given ledgers of a release that knew no sides and no stores\' generations, when all three start with them, then they serve, and name no replica that they know nothing of', async () => {
+  it("given ledgers of a release that knew no sides and no stores' generations, when all three start with them, then they serve, and name no replica that they know nothing of", async () => {
     const fleet = await raised(67);
     for (const at of [0, 1, 2]) fleet.killPostmaster(at);
     for (const at of [0, 1, 2]) {
@@ -117,7 +145,11 @@
       const { disk } = machine.ports();
       for (const prefix of ['decrees', 'replicas']) {
         const held = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
-        const older = JSON.parse(JSON.stringify(held.records, (key, value: unknown) => (key === 'sides' || key === 'storeSince' ? undefined : value))) as unknown[];
+        const older = JSON.parse(
+          JSON.stringify(held.records, (key, value: unknown) =>
+            key === 'sides' || key === 'storeSince' ? undefined : value,
+          ),
+        ) as unknown[];
         for (const name of [...machine.disk.files.keys()]) if (name.startsWith(prefix)) machine.disk.files.delete(name);
         const { ledger } = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
         const names = older.map((record) => (record as { name?: string }).name);
--- a/packages/postrider/src/door.ts
+++ b/packages/postrider/src/door.ts
@@ -12,7 +12,9 @@
       const { host, port } = addresses.split(address);
       const server = createAdaptorServer({ fetch: handler }) as Server;
       server.keepAliveTimeout = keepAliveMs;
-      server.once('error', (cause) => settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })));
+      server.once('error', (cause) =>
+        settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })),
+      );
       server.listen(port, host, 1024, () =>
         settle(
           ok({
--- a/packages/postrider/src/flags.ts
+++ b/packages/postrider/src/flags.ts
@@ -23,11 +23,16 @@
   }
 };
 
-const fieldsOf = (value: unknown): Record<string, unknown> | null => (value !== null && typeof value === 'object' && !Array.isArray(value) ? (value as Record<string, unknown>) : null);
+const fieldsOf = (value: unknown): Record<string, unknown> | null =>
+  value !== null && typeof value === 'object' && !Array.isArray(value) ? (value as Record<string, unknown>) : null;
 
 export const flags = {
   read: (role: Role, args: string[]): Asked => {
-    const options = Object.fromEntries([...fields.map((field) => [kebab(field), { type: 'string' as const }]), ['env', { type: 'string' as const }], ['help', { type: 'boolean' as const, short: 'h' }]]);
+    const options = Object.fromEntries([
+      ...fields.map((field) => [kebab(field), { type: 'string' as const }]),
+      ['env', { type: 'string' as const }],
+      ['help', { type: 'boolean' as const, short: 'h' }],
+    ]);
     let values: Record<string, string | boolean | undefined>;
     try {
       values = parseArgs({ args, options, strict: true, allowPositionals: false }).values as typeof values;
@@ -44,11 +49,22 @@
     const file = typeof path === 'string' ? readJson(path) : ok<unknown, Complaint[]>({});
     if (file.isErr()) return { isHelp: false, env: err(file.error) };
     const table = fieldsOf(file.value);
-    if (table === null) return { isHelp: false, env: err([{ path: String(path), message: 'must hold one JSON object' }]) };
+    if (table === null)
+      return { isHelp: false, env: err([{ path: String(path), message: 'must hold one JSON object' }]) };
     return { isHelp: false, env: envs.check(role, table, given) };
   },
   help: (role: Role): string => {
-    const lines = fields.filter((field) => (role === 'postmaster' ? field !== 'operators' : field !== 'data')).map((field) => `  --${kebab(field).padEnd(18)} ${envFields[field].help}`);
-    return [`postrider ${role}: ${role === 'counter' ? 'a front, which takes callers\' requests' : 'a core node, which keeps the agreed state'}`, '', `usage: postrider ${role} [--env FILE] [flags]`, '', '  --env FILE           JSON file with the fields below; flags go before it', ...lines, ''].join('\n');
+    const lines = fields
+      .filter((field) => (role === 'postmaster' ? field !== 'operators' : field !== 'data'))
+      .map((field) => `  --${kebab(field).padEnd(18)} ${envFields[field].help}`);
+    return [
+      `postrider ${role}: ${role === 'counter' ? "a front, which takes callers' requests" : 'a core node, which keeps the agreed state'}`,
+      '',
+      `usage: postrider ${role} [--env FILE] [flags]`,
+      '',
+      '  --env FILE           JSON file with the fields below; flags go before it',
+      ...lines,
+      '',
+    ].join('\n');
   },
 };
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -64,7 +64,12 @@
     log.error('the HTTP address could not be opened', { address: env.http, fault: door.error });
     return exitCodes.failed;
   }
-  log.info('the postmaster is up', { coach: env.coach, http: env.http, zone: env.zone, incarnation: postmaster.decrees.incarnation });
+  log.info('the postmaster is up', {
+    coach: env.coach,
+    http: env.http,
+    zone: env.zone,
+    incarnation: postmaster.decrees.incarnation,
+  });
   log.info('closing', { signal: await asked });
   await door.value.close();
   await postmaster.stop();
@@ -80,7 +85,12 @@
   }
   const counter = started.value;
   const doors: Listener[] = [];
-  const wanted: [string, WebHandler][] = [[env.http, callerWire(counter).fetch], ...(env.operators === null ? [] : [[env.operators, operatorPages(counter, watchVitals()).fetch] as [string, WebHandler]])];
+  const wanted: [string, WebHandler][] = [
+    [env.http, callerWire(counter).fetch],
+    ...(env.operators === null
+      ? []
+      : [[env.operators, operatorPages(counter, watchVitals()).fetch] as [string, WebHandler]]),
+  ];
   for (const [address, handler] of wanted) {
     const door = await realDoor.open(address, handler);
     if (door.isErr()) {
@@ -89,7 +99,13 @@
     }
     doors.push(door.value);
   }
-  log.info('the counter is up', { coach: env.coach, http: env.http, operators: env.operators, zone: env.zone, incarnation: counter.incarnation });
+  log.info('the counter is up', {
+    coach: env.coach,
+    http: env.http,
+    operators: env.operators,
+    zone: env.zone,
+    incarnation: counter.incarnation,
+  });
   log.info('draining', { signal: await asked, live: counter.stages.live.size });
   await counter.drain();
   await counter.stop();
@@ -130,8 +146,18 @@
     return exitCodes.badEnv;
   }
   const table = (read.value ?? {}) as Record<string, unknown>;
-  const kind = values.as ?? ('tiers' in table || 'lanes' in table ? 'layout' : 'data' in table ? 'postmaster' : 'counter');
-  const faults = kind === 'layout' ? layouts.check(table).match(() => [], (found) => found) : envs.check(kind as Role, table, {}).match(() => [], (found) => found);
+  const kind =
+    values.as ?? ('tiers' in table || 'lanes' in table ? 'layout' : 'data' in table ? 'postmaster' : 'counter');
+  const faults =
+    kind === 'layout'
+      ? layouts.check(table).match(
+          () => [],
+          (found) => found,
+        )
+      : envs.check(kind as Role, table, {}).match(
+          () => [],
+          (found) => found,
+        );
   if (faults.length > 0) {
     complain(faults);
     return exitCodes.badEnv;
@@ -147,13 +173,34 @@
 `;
 
 const recover = async (args: string[]): Promise<number> => {
-  const { values } = parseArgs({ args, options: { data: { type: 'string' }, member: { type: 'string', multiple: true }, help: { type: 'boolean', short: 'h' } } });
-  const members = (values.member ?? []).map((text) => text.split(',')).map(([name = '', address = '', incarnation = '']) => ({ name, address, incarnation }));
-  if (values.help === true || values.data === undefined || members.length < 3 || members.length % 2 === 0 || members.some((member) => member.incarnation === '')) {
+  const { values } = parseArgs({
+    args,
+    options: {
+      data: { type: 'string' },
+      member: { type: 'string', multiple: true },
+      help: { type: 'boolean', short: 'h' },
+    },
+  });
+  const members = (values.member ?? [])
+    .map((text) => text.split(','))
+    .map(([name = '', address = '', incarnation = '']) => ({ name, address, incarnation }));
+  if (
+    values.help === true ||
+    values.data === undefined ||
+    members.length < 3 ||
+    members.length % 2 === 0 ||
+    members.some((member) => member.incarnation === '')
+  ) {
     (values.help === true ? process.stdout : process.stderr).write(recoverUsage);
     return values.help === true ? exitCodes.fine : exitCodes.badEnv;
   }
-  const outcome = await recovery.recover(machine.disk(values.data), machine.clock, machine.random, logs.named('postrider', { role: 'recover' }), members);
+  const outcome = await recovery.recover(
+    machine.disk(values.data),
+    machine.clock,
+    machine.random,
+    logs.named('postrider', { role: 'recover' }),
+    members,
+  );
   if (outcome.isErr()) {
     process.stderr.write(`not recovered: ${JSON.stringify(outcome.error)}\n`);
     return exitCodes.failed;
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -14,9 +14,18 @@
   readonly close: () => Promise<void>;
 }
 
-export const asMember = (at: number): Member => ({ name: `postmaster-${at}`, address: `127.0.0.${at}:1`, incarnation: `incarnation-${String(at).padStart(5, '0')}` });
+export const asMember = (at: number): Member => ({
+  name: `postmaster-${at}`,
+  address: `127.0.0.${at}:1`,
+  incarnation: `incarnation-${String(at).padStart(5, '0')}`,
+});
 
-export const openCore = async (tenantCount: number, records: readonly ReplicaRecord[], more: Partial<Handlers> = {}, shelves: () => ReturnType<Pigeonhole['checkpoint']> = () => []): Promise<Core> => {
+export const openCore = async (
+  tenantCount: number,
+  records: readonly ReplicaRecord[],
+  more: Partial<Handlers> = {},
+  shelves: () => ReturnType<Pigeonhole['checkpoint']> = () => [],
+): Promise<Core> => {
   const meter = new Meter();
   const ports = rig.ports(meter);
   const decrees = (await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
@@ -28,14 +37,25 @@
     joined: () => {},
     left: push.drop,
     told: (coach, topic, body) => {
-      if (topic === 'subscribe') push.subscribe(coach, body === null ? (decrees.agreed()?.generation ?? -1) : (body as number));
+      if (topic === 'subscribe')
+        push.subscribe(coach, body === null ? (decrees.agreed()?.generation ?? -1) : (body as number));
       else if (topic === 'ack') push.acked(coach, body as number);
       else if (topic === 'heavyNews') push.heavyNews(coach, body as Parameters<PushDesk['heavyNews']>[1]);
     },
-    asked: async (coach, topic, body) => (topic === 'ping' ? push.pong(coach, body as Parameters<PushDesk['pong']>[1]) : null),
+    asked: async (coach, topic, body) =>
+      topic === 'ping' ? push.pong(coach, body as Parameters<PushDesk['pong']>[1]) : null,
     ...more,
   };
-  const listener = (await coaches.listen(ports.net, ports.clock, ports.log, () => rig.helloOf('postmaster', 1, address), address, handlers))._unsafeUnwrap();
+  const listener = (
+    await coaches.listen(
+      ports.net,
+      ports.clock,
+      ports.log,
+      () => rig.helloOf('postmaster', 1, address),
+      address,
+      handlers,
+    )
+  )._unsafeUnwrap();
   const close = async (): Promise<void> => {
     await listener.close();
     await decrees.close();
--- a/packages/proving/src/capacity/fit.ts
+++ b/packages/proving/src/capacity/fit.ts
@@ -22,10 +22,14 @@
   const sorted = [...values].sort((a, b) => a - b);
   const half = sorted.length >> 1;
   if (sorted.length === 0) return Number.NaN;
-  return sorted.length % 2 === 1 ? (sorted[half] as number) : ((sorted[half - 1] as number) + (sorted[half] as number)) / 2;
+  return sorted.length % 2 === 1
+    ? (sorted[half] as number)
+    : ((sorted[half - 1] as number) + (sorted[half] as number)) / 2;
 };
 
-const leastSquares = (pairs: readonly (readonly [number, number])[]): { slope: number; intercept: number; r2: number } => {
+const leastSquares = (
+  pairs: readonly (readonly [number, number])[],
+): { slope: number; intercept: number; r2: number } => {
   const meanX = pairs.reduce((sum, [x]) => sum + x, 0) / pairs.length;
   const meanY = pairs.reduce((sum, [, y]) => sum + y, 0) / pairs.length;
   const sxx = pairs.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
@@ -51,9 +55,17 @@
   const mean = ys.reduce((sum, y) => sum + y, 0) / ys.length;
   const isFlat = Math.max(...ys) - Math.min(...ys) <= flatShare * Math.abs(mean);
   const last = medians[medians.length - 1];
-  const topMiss = last === undefined || last[1] === 0 ? 0 : Math.abs(line.intercept + line.slope * last[0] - last[1]) / Math.abs(last[1]);
+  const topMiss =
+    last === undefined || last[1] === 0
+      ? 0
+      : Math.abs(line.intercept + line.slope * last[0] - last[1]) / Math.abs(last[1]);
   const isLine = line.r2 >= leastR2 && topMiss <= worstTopMiss;
-  return { ...line, exponent, spread: Math.max(0, ...points.map(spreadOf)), shape: isFlat ? 'flat' : isLine ? 'line' : 'not a line' };
+  return {
+    ...line,
+    exponent,
+    spread: Math.max(0, ...points.map(spreadOf)),
+    shape: isFlat ? 'flat' : isLine ? 'line' : 'not a line',
+  };
 };
 
 export interface Forecast {
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -47,8 +47,17 @@
   if (dialed.isOk()) held.push(dialed.value);
 };
 
-const report = (at: number, running: number, replicaCount: number): { replicas: Loads; pools: Record<string, [number, number]> } => ({
-  replicas: Object.fromEntries(Array.from({ length: running }, (_, one) => [`replica-${String((at * 131 + one * 37) % replicaCount).padStart(4, '0')}`, [1, 512]])),
+const report = (
+  at: number,
+  running: number,
+  replicaCount: number,
+): { replicas: Loads; pools: Record<string, [number, number]> } => ({
+  replicas: Object.fromEntries(
+    Array.from({ length: running }, (_, one) => [
+      `replica-${String((at * 131 + one * 37) % replicaCount).padStart(4, '0')}`,
+      [1, 512],
+    ]),
+  ),
   pools: Object.fromEntries(Array.from({ length: 10 }, (_, pool) => [`model-${pool}`, [0, Math.round(running / 10)]])),
 });
 
@@ -65,7 +74,9 @@
   const number = (name: string): number => Number(order[name] ?? 0);
   if (order.verb === 'dial') {
     isReal = order['real'] === true;
-    await many(number('count'), 40, (at) => dial(String(order['address']), number('from') + at, order['role'] === 'postmaster' ? 'postmaster' : 'counter'));
+    await many(number('count'), 40, (at) =>
+      dial(String(order['address']), number('from') + at, order['role'] === 'postmaster' ? 'postmaster' : 'counter'),
+    );
     return { held: held.length };
   }
   if (order.verb === 'tell') {
@@ -73,7 +84,9 @@
     return {};
   }
   if (order.verb === 'pings') {
-    const asks = held.map((coach, at) => [coach, order['body'] ?? report(at, number('running'), number('replicas'))] as const);
+    const asks = held.map(
+      (coach, at) => [coach, order['body'] ?? report(at, number('running'), number('replicas'))] as const,
+    );
     const [began, got, sent] = [rig.cpuUs(), meter.got, meter.sent];
     const pings = number('count');
     await many(pings, 20, async (at) => {
@@ -90,7 +103,12 @@
     return { got: meter.got - before[1] };
   }
   if (order.verb === 'claims') {
-    const claimant = (key: string) => ({ id: `id-${key}`, counter: 'incarnation-00001', address: '10.0.0.1:7100', digest: key.padStart(32, '0') });
+    const claimant = (key: string) => ({
+      id: `id-${key}`,
+      counter: 'incarnation-00001',
+      address: '10.0.0.1:7100',
+      digest: key.padStart(32, '0'),
+    });
     await many(number('count'), number('width'), async (at) => {
       const coach = held[at % held.length] as Coach;
       const key = `tenant-0001/${number('from') + at}`;
--- a/packages/proving/src/capacity/plot.ts
+++ b/packages/proving/src/capacity/plot.ts
@@ -7,7 +7,8 @@
 const columns = 3;
 const margin = { left: 52, right: 12, top: 34, bottom: 30 };
 
-const escaped = (text: string): string => text.replace(/[&<>]/g, (sign) => (sign === '&' ? '&amp;' : sign === '<' ? '&lt;' : '&gt;'));
+const escaped = (text: string): string =>
+  text.replace(/[&<>]/g, (sign) => (sign === '&' ? '&amp;' : sign === '<' ? '&lt;' : '&gt;'));
 
 const panel = (one: Measured, at: number): string => {
   const [left, top] = [(at % columns) * width, Math.floor(at / columns) * height];
@@ -15,15 +16,20 @@
   const xs = one.points.map(({ x }) => x);
   const [lowX, highX] = [Math.min(...xs), Math.max(...xs)];
   const highY = Math.max(...one.points.flatMap(({ values }) => values)) || 1;
-  const across = (x: number): number => left + margin.left + ((x - lowX) / (highX - lowX || 1)) * (width - margin.left - margin.right);
-  const down = (y: number): number => top + height - margin.bottom - (Math.max(0, Math.min(y, highY)) / highY) * (height - margin.top - margin.bottom);
+  const across = (x: number): number =>
+    left + margin.left + ((x - lowX) / (highX - lowX || 1)) * (width - margin.left - margin.right);
+  const down = (y: number): number =>
+    top + height - margin.bottom - (Math.max(0, Math.min(y, highY)) / highY) * (height - margin.top - margin.bottom);
   const line = (x: number): string => `${across(x).toFixed(1)},${down(found.intercept + found.slope * x).toFixed(1)}`;
-  const text = (x: number, y: number, anchor: string, told: string): string => `<text x="${x}" y="${y}" text-anchor="${anchor}">${escaped(told)}</text>`;
+  const text = (x: number, y: number, anchor: string, told: string): string =>
+    `<text x="${x}" y="${y}" text-anchor="${anchor}">${escaped(told)}</text>`;
   return [
     `<path d="M${left + margin.left},${top + margin.top}V${top + height - margin.bottom}H${left + width - margin.right}" class="axis"/>`,
     `<path d="M${line(lowX)}L${line(highX)}" class="${found.shape === 'not a line' ? 'bent' : 'fit'}"/>`,
     `<path d="${one.points.map(({ x, values }) => `M${across(x).toFixed(1)},${down(Math.min(...values)).toFixed(1)}V${down(Math.max(...values)).toFixed(1)}`).join('')}" class="range"/>`,
-    ...one.points.map(({ x, values }) => `<circle cx="${across(x).toFixed(1)}" cy="${down(fits.median(values)).toFixed(1)}" r="2"/>`),
+    ...one.points.map(
+      ({ x, values }) => `<circle cx="${across(x).toFixed(1)}" cy="${down(fits.median(values)).toFixed(1)}" r="2"/>`,
+    ),
     text(left + 6, top + 14, 'start', one.run),
     text(left + 6, top + 26, 'start', `${one.unit}, ${found.shape}`),
     text(left + margin.left - 4, top + margin.top + 8, 'end', tables.figure(highY)),
@@ -35,7 +41,8 @@
 
 const svg = (all: readonly Measured[]): string => {
   const rows = Math.ceil(all.length / columns);
-  const style = 'text{font:9px sans-serif;fill:#222}.axis{fill:none;stroke:#888}.range{stroke:#222;stroke-opacity:.4}.fit{stroke:#27c;stroke-width:1.2}.bent{stroke:#c42;stroke-dasharray:4 3}circle{fill:#222}';
+  const style =
+    'text{font:9px sans-serif;fill:#222}.axis{fill:none;stroke:#888}.range{stroke:#222;stroke-opacity:.4}.fit{stroke:#27c;stroke-width:1.2}.bent{stroke:#c42;stroke-dasharray:4 3}circle{fill:#222}';
   return `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 ${columns * width} ${rows * height}"><style>${style}</style><rect width="100%" height="100%" fill="#fff"/>\n${all.map(panel).join('\n')}\n</svg>\n`;
 };
 
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -1,7 +1,16 @@
 import { ok } from 'neverthrow';
 import { Book } from '@martenworks/counter';
 import { logs, machine } from '@martenworks/envelope';
-import type { Carriage, Change, Claimant, ClaimBallot, KvNews, Member, Ports, ReplicaRecord } from '@martenworks/envelope';
+import type {
+  Carriage,
+  Change,
+  Claimant,
+  ClaimBallot,
+  KvNews,
+  Member,
+  Ports,
+  ReplicaRecord,
+} from '@martenworks/envelope';
 import { Unpacker, coaches, frames } from '@martenworks/mailcoach';
 import type { Coach, Handlers } from '@martenworks/mailcoach';
 import { Pigeonhole, place } from '@martenworks/pigeonhole';
@@ -20,10 +29,34 @@
     const coreUs = series('pings/core-cpu', 'core node: processor time a ping', 'us', 'fronts', size.nodes);
     const pongBytes = series('pings/pong-bytes', 'reply to a ping', 'bytes', 'fronts', size.nodes);
     const askBytes = series('pings/ask-bytes', 'a ping', 'bytes', 'fronts', size.nodes);
-    const frontUs = series('pings/front-cpu', 'front: processor time a ping, its report and loads', 'us', 'fronts', size.nodes);
-    const heavyMs = series('heavy/core-cpu', 'core node: processor time for one heavy-prefill notice', 'ms', 'fronts', size.nodes);
-    const heavyBytes = series('heavy/bytes', 'sent by a core node for one heavy-prefill notice', 'bytes', 'fronts', size.nodes);
-    const byReplicas = series('pings/pong-bytes-by-replicas', 'reply to a ping, 100 fronts', 'bytes', 'replicas', size.replicas);
+    const frontUs = series(
+      'pings/front-cpu',
+      'front: processor time a ping, its report and loads',
+      'us',
+      'fronts',
+      size.nodes,
+    );
+    const heavyMs = series(
+      'heavy/core-cpu',
+      'core node: processor time for one heavy-prefill notice',
+      'ms',
+      'fronts',
+      size.nodes,
+    );
+    const heavyBytes = series(
+      'heavy/bytes',
+      'sent by a core node for one heavy-prefill notice',
+      'bytes',
+      'fronts',
+      size.nodes,
+    );
+    const byReplicas = series(
+      'pings/pong-bytes-by-replicas',
+      'reply to a ping, 100 fronts',
+      'bytes',
+      'replicas',
+      size.replicas,
+    );
     const measure = async (fronts: number, replicas: number, isHeavy: boolean): Promise<void> => {
       const core = await openCore(10, []);
       await peers.ask({ verb: 'dial', address: core.address, from: 0, count: fronts });
@@ -57,19 +90,77 @@
     return [coreUs, frontUs, askBytes, pongBytes, byReplicas, heavyMs, heavyBytes].map((one) => one.told());
   });
 
-const layoutChange = (tenantCount: number, at: number, base: number): Change => ({ id: `push-${at}`, digest: at.toString(16).padStart(32, '0'), body: { kind: 'layout', layout: rig.layoutOf(tenantCount, 0, at), base } });
+const layoutChange = (tenantCount: number, at: number, base: number): Change => ({
+  id: `push-${at}`,
+  digest: at.toString(16).padStart(32, '0'),
+  body: { kind: 'layout', layout: rig.layoutOf(tenantCount, 0, at), base },
+});
 
 const pushes = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const byFronts = series('pushes/core-cpu', 'core node: processor time to push one change, 1,000 tenants', 'ms', 'fronts', size.nodes);
-    const lateness = series('pushes/all-acked', 'one change until every front acked, 1,000 tenants, loopback', 'ms', 'fronts', size.nodes);
-    const byTenants = series('pushes/core-cpu-by-tenants', 'core node: processor time to push one change, 100 fronts', 'ms', 'tenants', size.tenants);
-    const bytes = series('pushes/bytes', 'one change to one front from one core node', 'bytes', 'tenants', size.tenants);
-    const checkpoint = series('pushes/checkpoint-bytes', 'whole agreed state to a front that starts, 4,096 change ids kept', 'bytes', 'tenants', size.tenants);
-    const since = series('pushes/since-bytes', 'changes sent at once to a core node that lags, 3,100 tenants', 'bytes', 'changes behind', 71);
-    for (const behind of [1, 10, 30, 60]) since.add(behind, frames.pack({ f: 'reply', id: 1, body: { k: 'changes', settled: Array.from({ length: behind }, (_, at) => ({ generation: at, change: layoutChange(size.tenants, at, at) })) } }).length);
+    const byFronts = series(
+      'pushes/core-cpu',
+      'core node: processor time to push one change, 1,000 tenants',
+      'ms',
+      'fronts',
+      size.nodes,
+    );
+    const lateness = series(
+      'pushes/all-acked',
+      'one change until every front acked, 1,000 tenants, loopback',
+      'ms',
+      'fronts',
+      size.nodes,
+    );
+    const byTenants = series(
+      'pushes/core-cpu-by-tenants',
+      'core node: processor time to push one change, 100 fronts',
+      'ms',
+      'tenants',
+      size.tenants,
+    );
+    const bytes = series(
+      'pushes/bytes',
+      'one change to one front from one core node',
+      'bytes',
+      'tenants',
+      size.tenants,
+    );
+    const checkpoint = series(
+      'pushes/checkpoint-bytes',
+      'whole agreed state to a front that starts, 4,096 change ids kept',
+      'bytes',
+      'tenants',
+      size.tenants,
+    );
+    const since = series(
+      'pushes/since-bytes',
+      'changes sent at once to a core node that lags, 3,100 tenants',
+      'bytes',
+      'changes behind',
+      71,
+    );
+    for (const behind of [1, 10, 30, 60])
+      since.add(
+        behind,
+        frames.pack({
+          f: 'reply',
+          id: 1,
+          body: {
+            k: 'changes',
+            settled: Array.from({ length: behind }, (_, at) => ({
+              generation: at,
+              change: layoutChange(size.tenants, at, at),
+            })),
+          },
+        }).length,
+      );
     let edition = 0;
-    const measure = async (fronts: number, tenants: number, note: (ms: number, ackedMs: number, bytesEach: number) => void): Promise<void> => {
+    const measure = async (
+      fronts: number,
+      tenants: number,
+      note: (ms: number, ackedMs: number, bytesEach: number) => void,
+    ): Promise<void> => {
       const core = await openCore(tenants, []);
       await peers.ask({ verb: 'dial', address: core.address, from: 0, count: fronts });
       await peers.ask({ verb: 'tell', topic: 'subscribe' });
@@ -77,7 +168,10 @@
       for (let repeat = 0; repeat < 4; repeat += 1) {
         const state = core.decrees.agreed();
         const generation = (state?.generation ?? 0) + 1;
-        const settled: Settled = { generation, change: layoutChange(tenants, (edition += 1), state?.layoutGeneration ?? 0) };
+        const settled: Settled = {
+          generation,
+          change: layoutChange(tenants, (edition += 1), state?.layoutGeneration ?? 0),
+        };
         const [began, sent, at] = [rig.cpuUs(), core.meter.sent, performance.now()];
         await core.decrees.settle(settled);
         await rig.until(() => core.push.acks().every((one) => one.generation === generation), 30_000, 10);
@@ -97,7 +191,14 @@
         byTenants.add(tenants, ms);
         bytes.add(tenants, bytesEach);
       });
-      checkpoint.add(tenants, frames.pack({ f: 'tell', topic: 'checkpoint', body: rig.stateOf(tenants, 0, [asMember(1), asMember(2), asMember(3)]) }).length);
+      checkpoint.add(
+        tenants,
+        frames.pack({
+          f: 'tell',
+          topic: 'checkpoint',
+          body: rig.stateOf(tenants, 0, [asMember(1), asMember(2), asMember(3)]),
+        }).length,
+      );
     }
     return [byFronts, lateness, byTenants, bytes, checkpoint, since].map((one) => one.told());
   });
@@ -105,7 +206,13 @@
 const ballots = async (): Promise<Measured[]> => {
   const wall = series('ballots/wall', 'one change decided by three members on disk', 'ms', 'tenants', size.tenants);
   const cpu = series('ballots/cpu', 'processor time of one member a change', 'ms', 'tenants', size.tenants);
-  const wire = series('ballots/bytes', 'sent between the three members for one change', 'bytes', 'tenants', size.tenants);
+  const wire = series(
+    'ballots/bytes',
+    'sent between the three members for one change',
+    'bytes',
+    'tenants',
+    size.tenants,
+  );
   for (const tenants of tenantCounts) {
     const meter = new Meter();
     const books: Decrees[] = [];
@@ -122,8 +229,22 @@
         if (topic === 'accept') return decrees.accept(slot, ballot, change);
         return decrees.since(body as number);
       };
-      const handlers: Handlers = { joined: () => {}, left: () => {}, told: (_coach, topic, body) => void (topic === 'settled' && decrees.settle(body as Settled)), asked };
-      const listener = (await coaches.listen(ports.net, ports.clock, ports.log, () => rig.helloOf('postmaster', at, address), address, handlers))._unsafeUnwrap();
+      const handlers: Handlers = {
+        joined: () => {},
+        left: () => {},
+        told: (_coach, topic, body) => void (topic === 'settled' && decrees.settle(body as Settled)),
+        asked,
+      };
+      const listener = (
+        await coaches.listen(
+          ports.net,
+          ports.clock,
+          ports.log,
+          () => rig.helloOf('postmaster', at, address),
+          address,
+          handlers,
+        )
+      )._unsafeUnwrap();
       books.push(decrees);
       addresses.push(address);
       members.push({ name: `postmaster-${at}`, address, incarnation: decrees.incarnation });
@@ -137,18 +258,41 @@
     const ports = rig.ports(meter);
     const quiet: Handlers = { joined: () => {}, left: () => {}, told: () => {}, asked: async () => null };
     const lines = new Map<string, Coach>();
-    for (const member of members.slice(1)) lines.set(member.incarnation, (await coaches.dial(ports.net, ports.clock, ports.log, rig.helloOf('postmaster', 0, addresses[0] as string), member.address, quiet))._unsafeUnwrap());
-    const ask = async (member: Member, topic: string, body: unknown): Promise<unknown> => (await (lines.get(member.incarnation) as Coach).ask(topic, body, 5_000)).unwrapOr(null);
+    for (const member of members.slice(1))
+      lines.set(
+        member.incarnation,
+        (
+          await coaches.dial(
+            ports.net,
+            ports.clock,
+            ports.log,
+            rig.helloOf('postmaster', 0, addresses[0] as string),
+            member.address,
+            quiet,
+          )
+        )._unsafeUnwrap(),
+      );
+    const ask = async (member: Member, topic: string, body: unknown): Promise<unknown> =>
+      (await (lines.get(member.incarnation) as Coach).ask(topic, body, 5_000)).unwrapOr(null);
     const isOwn = (member: Member): boolean => member.incarnation === own.incarnation;
     const proposer = new Proposer(
       own,
       {
-        prepare: (member, slot, ballot) => (isOwn(member) ? own.prepare(slot, ballot) : (ask(member, 'prepare', { slot, ballot }) as Promise<Vote | null>)),
-        accept: (member, slot, ballot, change) => (isOwn(member) ? own.accept(slot, ballot, change) : (ask(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>)),
+        prepare: (member, slot, ballot) =>
+          isOwn(member)
+            ? own.prepare(slot, ballot)
+            : (ask(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
+        accept: (member, slot, ballot, change) =>
+          isOwn(member)
+            ? own.accept(slot, ballot, change)
+            : (ask(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
         settle: (settled) => {
           for (const coach of lines.values()) coach.tell('settled', settled);
         },
-        since: (member, generation) => (isOwn(member) ? Promise.resolve(own.since(generation)) : (ask(member, 'since', generation) as Promise<Since | null>)),
+        since: (member, generation) =>
+          isOwn(member)
+            ? Promise.resolve(own.since(generation))
+            : (ask(member, 'since', generation) as Promise<Since | null>),
         supply: async () => {},
       },
       ports.clock,
@@ -161,7 +305,12 @@
       for (let one = 0; one < changes; one += 1) {
         const edition = repeat * changes + one + 1;
         const id = `push-${edition}`;
-        const outcome = await proposer.propose((state) => ok(layoutChange(tenants, edition, state.layoutGeneration)), id, edition.toString(16).padStart(32, '0'), 5_000);
+        const outcome = await proposer.propose(
+          (state) => ok(layoutChange(tenants, edition, state.layoutGeneration)),
+          id,
+          edition.toString(16).padStart(32, '0'),
+          5_000,
+        );
         if (outcome.isErr()) throw new Error(`a ballot failed: ${JSON.stringify(outcome.error)}`);
       }
       if (repeat === 0) continue;
@@ -178,9 +327,27 @@
 
 const claims = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const cpu = series('claims/core-cpu', 'core node: processor time a claim (two rounds, kept on disk)', 'us', 'claims at once', size.requests);
-    const wall = series('claims/rate', 'claims a second that one core node takes', 'a second', 'claims at once', size.requests);
-    const bytes = series('claims/bytes', 'one claim between a front and a core node, both ways', 'bytes', 'claims at once', size.requests);
+    const cpu = series(
+      'claims/core-cpu',
+      'core node: processor time a claim (two rounds, kept on disk)',
+      'us',
+      'claims at once',
+      size.requests,
+    );
+    const wall = series(
+      'claims/rate',
+      'claims a second that one core node takes',
+      'a second',
+      'claims at once',
+      size.requests,
+    );
+    const bytes = series(
+      'claims/bytes',
+      'one claim between a front and a core node, both ways',
+      'bytes',
+      'claims at once',
+      size.requests,
+    );
     const memory = series('claims/memory', 'core node: memory of claims', 'bytes', 'claims kept', size.requests * 600);
     let from = 0;
     for (const width of [10, 50, 200, 500, 1_500]) {
@@ -188,7 +355,12 @@
       const ports = rig.ports(meter);
       const table = (await claimTables.open(ports.disk, ports.clock, ports.log, 3_600_000))._unsafeUnwrap();
       const asked = async (_coach: Coach, topic: string, body: unknown): Promise<unknown> => {
-        const { key, turn, ballot, claimant } = body as { key: string; turn: number; ballot: ClaimBallot; claimant: Claimant };
+        const { key, turn, ballot, claimant } = body as {
+          key: string;
+          turn: number;
+          ballot: ClaimBallot;
+          claimant: Claimant;
+        };
         return topic === 'claimPrepare' ? table.prepare(key, turn, ballot) : table.accept(key, turn, ballot, claimant);
       };
       const core = await openCore(10, [], { asked });
@@ -214,11 +386,19 @@
     const empty = rig.heap();
     let kept = 0;
     for (const target of [10_000, 30_000, 60_000, 100_000]) {
-      const more = Array.from({ length: target - kept }, (_, at) => ({ key: `tenant-${at % 3_100}/${kept + at}-idempotency-key`, at: kept + at }));
+      const more = Array.from({ length: target - kept }, (_, at) => ({
+        key: `tenant-${at % 3_100}/${kept + at}-idempotency-key`,
+        at: kept + at,
+      }));
       for (let begin = 0; begin < more.length; begin += 5_000) {
         await Promise.all(
           more.slice(begin, begin + 5_000).map(({ key, at }) => {
-            const claimant = { id: `${at}`.padStart(32, '0'), counter: `${at % 400}`.padStart(16, '0'), address: `10.0.0.${at % 256}:7100`, digest: `${at}`.padStart(32, 'd') };
+            const claimant = {
+              id: `${at}`.padStart(32, '0'),
+              counter: `${at % 400}`.padStart(16, '0'),
+              address: `10.0.0.${at % 256}:7100`,
+              digest: `${at}`.padStart(32, 'd'),
+            };
             return table.accept(key, 0, [1, claimant.id], claimant);
           }),
         );
@@ -231,9 +411,27 @@
   });
 
 const layout = async (): Promise<Measured[]> => {
-  const view = series('layout/view', 'front: apply one change and build its view, 1,000 replicas, none isolated', 'ms', 'tenants', size.tenants);
-  const viewIsolated = series('layout/view-isolated', 'the same with 1 in 100 tenants isolated', 'ms', 'tenants', size.tenants);
-  const align = series('layout/replica-news', 'front: take one replica record, 3,100 tenants, 31 isolated', 'ms', 'replicas', size.replicas);
+  const view = series(
+    'layout/view',
+    'front: apply one change and build its view, 1,000 replicas, none isolated',
+    'ms',
+    'tenants',
+    size.tenants,
+  );
+  const viewIsolated = series(
+    'layout/view-isolated',
+    'the same with 1 in 100 tenants isolated',
+    'ms',
+    'tenants',
+    size.tenants,
+  );
+  const align = series(
+    'layout/replica-news',
+    'front: take one replica record, 3,100 tenants, 31 isolated',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
   const memory = series('layout/memory', 'front: memory of state and view', 'bytes', 'tenants', size.tenants);
   const kept: Book[] = [];
   for (const tenants of tenantCounts) {
@@ -246,7 +444,14 @@
         kept.push(book);
         if (isolated === 0) memory.add(tenants, rig.heap() - empty);
         book.takeReplicas(rig.records(size.replicas));
-        const changes = Array.from({ length: 3 }, (_, at): Change => ({ id: `view-${at}`, digest: '0', body: { kind: 'layout', layout: rig.layoutOf(tenants, isolated, at), base: 5_000 + at } }));
+        const changes = Array.from(
+          { length: 3 },
+          (_, at): Change => ({
+            id: `view-${at}`,
+            digest: '0',
+            body: { kind: 'layout', layout: rig.layoutOf(tenants, isolated, at), base: 5_000 + at },
+          }),
+        );
         const ms = rig.timed(3, (at) => void book.takeChange(5_001 + at, changes[at] as Change)) / 1_000;
         (isolated === 0 ? view : viewIsolated).add(tenants, ms);
       }
@@ -258,7 +463,9 @@
     const records = rig.records(replicas);
     book.takeReplicas(records);
     for (let repeat = 0; repeat < 4; repeat += 1) {
-      const ms = rig.timed(4, (at) => book.takeReplicas([{ ...(records[at] as ReplicaRecord), incarnation: 2 + repeat }])) / 1_000;
+      const ms =
+        rig.timed(4, (at) => book.takeReplicas([{ ...(records[at] as ReplicaRecord), incarnation: 2 + repeat }])) /
+        1_000;
       if (repeat > 0) align.add(replicas, ms);
     }
   }
@@ -268,21 +475,44 @@
 const index = async (): Promise<Measured[]> => {
   const memory = series('index/memory', 'one whole index: memory', 'bytes', 'blocks', size.blocks);
   const take = series('index/take', 'processor time of one event of one block', 'us', 'blocks', size.blocks);
-  const overWire = series('index/memory-from-frames', 'one whole index filled from frames of 20 events: memory', 'bytes', 'blocks', size.blocks);
+  const overWire = series(
+    'index/memory-from-frames',
+    'one whole index filled from frames of 20 events: memory',
+    'bytes',
+    'blocks',
+    size.blocks,
+  );
   const shelf = series('index/shelf-bytes', 'shelves of a whole index on the wire', 'bytes', 'blocks', size.blocks);
-  const shelfMs = series('index/shelf-cpu', 'core node: processor time to pack the shelves of a whole index, in one turn of its event loop', 'ms', 'blocks', size.blocks);
-  const placing = series('index/place', 'placing one prompt of 266 blocks in one pool', 'us', 'replicas in the pool', size.replicas / poolCount);
+  const shelfMs = series(
+    'index/shelf-cpu',
+    'core node: processor time to pack the shelves of a whole index, in one turn of its event loop',
+    'ms',
+    'blocks',
+    size.blocks,
+  );
+  const placing = series(
+    'index/place',
+    'placing one prompt of 266 blocks in one pool',
+    'us',
+    'replicas in the pool',
+    size.replicas / poolCount,
+  );
   const beforeFrames = rig.heap();
   const framed = new Pigeonhole(3_600_000);
   let toldCount = 0;
   for (const target of [10_000, 50_000, 100_000, 200_000, 400_000]) {
     const records = rig.records(Math.ceil(target / blocksPerReplica));
     framed.reconcile(records, () => 0);
-    const unpacker = new Unpacker((message) => (message as { body: KvNews[] }).body.forEach((one) => framed.take(one, 0)), () => {});
+    const unpacker = new Unpacker(
+      (message) => (message as { body: KvNews[] }).body.forEach((one) => framed.take(one, 0)),
+      () => {},
+    );
     while (toldCount < target) {
       const record = records[Math.floor(toldCount / blocksPerReplica)] as ReplicaRecord;
       const first = framed.seqOf(record.name, 1) + 1;
-      const body = Array.from({ length: 20 }, (_, at) => rig.stored(record.name, first + at, [rig.blockName(toldCount + at)]));
+      const body = Array.from({ length: 20 }, (_, at) =>
+        rig.stored(record.name, first + at, [rig.blockName(toldCount + at)]),
+      );
       unpacker.take(frames.pack({ f: 'tell', topic: 'kv', body }));
       toldCount += 20;
     }
@@ -313,21 +543,47 @@
         news.push(rig.stored(replica, seq + 1, blocks), { ...rig.stored(replica, seq + 2, blocks), kind: 'removed' });
         local.set(replica, seq + 2);
       }
-      take.add(target, rig.timed(news.length, (at) => hole.take(news[at] as KvNews, 1)));
+      take.add(
+        target,
+        rig.timed(news.length, (at) => hole.take(news[at] as KvNews, 1)),
+      );
     }
-    for (let repeat = 0; target <= 1_000_000 && repeat < 3; repeat += 1) shelfMs.add(target, rig.timed(1, () => hole.checkpoint(1).forEach((one) => void frames.pack({ f: 'tell', topic: 'shelf', body: one }))) / 1_000);
-    if (target <= 500_000) shelf.add(target, hole.checkpoint(1).reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0));
+    for (let repeat = 0; target <= 1_000_000 && repeat < 3; repeat += 1)
+      shelfMs.add(
+        target,
+        rig.timed(1, () =>
+          hole.checkpoint(1).forEach((one) => void frames.pack({ f: 'tell', topic: 'shelf', body: one })),
+        ) / 1_000,
+      );
+    if (target <= 500_000)
+      shelf.add(
+        target,
+        hole.checkpoint(1).reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0),
+      );
   }
   const chain = Array.from({ length: 266 }, (_, at) => rig.blockName(700_000_000 + at));
   for (const replicas of [10, 25, 50, 100, 250]) {
     const records = rig.records(replicas * poolCount).filter((record) => record.pool === 'model-0');
     const small = new Pigeonhole(3_600_000);
     small.reconcile(records, () => 0);
-    for (const [at, record] of records.entries()) small.take(rig.stored(record.name, 1, chain.slice(0, at % 3 === 0 ? 208 : 0)), 0);
+    for (const [at, record] of records.entries())
+      small.take(rig.stored(record.name, 1, chain.slice(0, at % 3 === 0 ? 208 : 0)), 0);
     const pool = rig.layoutOf(1, 0).pools['model-0'];
     if (pool === undefined) continue;
     const candidates = records.map((record, at) => ({ record, running: at % 20, pendingTokens: (at * 97) % 2_000 }));
-    const question = { pool, blocks: chain, promptTokens: 17_020, isolatedTenant: null, candidates, holders: records, now: 1, zone: '', useIndex: true, tieBreak: 0.5, pullExcessMs: () => 0 };
+    const question = {
+      pool,
+      blocks: chain,
+      promptTokens: 17_020,
+      isolatedTenant: null,
+      candidates,
+      holders: records,
+      now: 1,
+      zone: '',
+      useIndex: true,
+      tieBreak: 0.5,
+      pullExcessMs: () => 0,
+    };
     for (let repeat = 0; repeat < 4; repeat += 1) {
       const us = rig.timed(100, () => void place(small, question));
       if (repeat > 0) placing.add(replicas, us);
@@ -338,8 +594,20 @@
 
 const joins = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const got = series('joins/arrived', 'of the index that a core node sends a front that starts, what arrives', 'share', 'blocks', 1_120_000);
-    const stays = series('joins/stays', 'a front that starts and is sent the index keeps its connection (1) or is cut off (0)', 'share', 'blocks', 1_120_000);
+    const got = series(
+      'joins/arrived',
+      'of the index that a core node sends a front that starts, what arrives',
+      'share',
+      'blocks',
+      1_120_000,
+    );
+    const stays = series(
+      'joins/stays',
+      'a front that starts and is sent the index keeps its connection (1) or is cut off (0)',
+      'share',
+      'blocks',
+      1_120_000,
+    );
     const hole = new Pigeonhole(3_600_000);
     let held = 0;
     for (const target of [28_000, 280_000, 560_000, 840_000, 1_120_000]) {
@@ -347,10 +615,19 @@
       hole.reconcile(records, () => 0);
       for (const record of records) {
         if (hole.seqOf(record.name, 1) > 0) continue;
-        hole.take(rig.stored(record.name, 1, Array.from({ length: blocksPerReplica }, (_, at) => rig.blockName(held + at))), 0);
+        hole.take(
+          rig.stored(
+            record.name,
+            1,
+            Array.from({ length: blocksPerReplica }, (_, at) => rig.blockName(held + at)),
+          ),
+          0,
+        );
         held += blocksPerReplica;
       }
-      const bytes = hole.checkpoint(1).reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0);
+      const bytes = hole
+        .checkpoint(1)
+        .reduce((sum, one) => sum + frames.pack({ f: 'tell', topic: 'shelf', body: one }).length, 0);
       for (let repeat = 0; repeat < 2; repeat += 1) {
         const core = await openCore(10, records, {}, () => hole.checkpoint(1));
         await peers.ask({ verb: 'dial', address: core.address, from: 0, count: 1 });
@@ -372,7 +649,8 @@
     return [got, stays].map((one) => one.told());
   });
 
-const sse = (news: KvNews): string => `data: ${JSON.stringify({ incarnation: news.incarnation, seq: news.seq, kind: news.kind, tenant: news.tenant, blocks: news.blocks })}\n\n`;
+const sse = (news: KvNews): string =>
+  `data: ${JSON.stringify({ incarnation: news.incarnation, seq: news.seq, kind: news.kind, tenant: news.tenant, blocks: news.blocks })}\n\n`;
 
 interface Feed {
   readonly carriage: Carriage;
@@ -412,21 +690,62 @@
 
 const relays = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const perFront = series('relays/core-cpu', 'core node: processor time an event, read, kept and told to all fronts', 'us', 'fronts', size.nodes);
+    const perFront = series(
+      'relays/core-cpu',
+      'core node: processor time an event, read, kept and told to all fronts',
+      'us',
+      'fronts',
+      size.nodes,
+    );
     const bytes = series('relays/bytes', 'one event to one front', 'bytes', 'blocks an event', 1);
     const bulk = series('relays/core-cpu-full', 'the same with 400 events in each bundle', 'us', 'fronts', size.nodes);
-    const front = series('relays/front-busy', 'front: cores busy with events (decode and take)', 'cores', 'events a second', size.events);
-    const followerBusy = series('relays/follower-busy', 'follower that tells nobody: cores busy (read, parse, keep)', 'cores', 'events a second', size.events);
-    const share = series('relays/core-busy', 'core node with 3 fronts: share of its thread while it lasts', 'share', 'events a second', size.events);
-    const delivered = series('relays/delivered', 'events told within the window, of those offered', 'share', 'events a second', size.events);
+    const front = series(
+      'relays/front-busy',
+      'front: cores busy with events (decode and take)',
+      'cores',
+      'events a second',
+      size.events,
+    );
+    const followerBusy = series(
+      'relays/follower-busy',
+      'follower that tells nobody: cores busy (read, parse, keep)',
+      'cores',
+      'events a second',
+      size.events,
+    );
+    const share = series(
+      'relays/core-busy',
+      'core node with 3 fronts: share of its thread while it lasts',
+      'share',
+      'events a second',
+      size.events,
+    );
+    const delivered = series(
+      'relays/delivered',
+      'events told within the window, of those offered',
+      'share',
+      'events a second',
+      size.events,
+    );
     const replicas = 50;
     const records = rig.records(replicas);
-    const play = async (fronts: number, rate: number, lengthMs: number, blocksEach: number, isReal = false): Promise<{ us: number; bytes: number; busy: number; delivered: number; frontUs: number }> => {
+    const play = async (
+      fronts: number,
+      rate: number,
+      lengthMs: number,
+      blocksEach: number,
+      isReal = false,
+    ): Promise<{ us: number; bytes: number; busy: number; delivered: number; frontUs: number }> => {
       const feed = feedOf();
       const core = await openCore(10, records);
       const meter = new Meter();
       const ports: Ports = { ...rig.ports(meter), carriage: feed.carriage };
-      const desk = new KvDesk(ports, (news) => core.push.tellKv(news), () => {}, () => 1);
+      const desk = new KvDesk(
+        ports,
+        (news) => core.push.tellKv(news),
+        () => {},
+        () => 1,
+      );
       if (fronts > 0) await peers.ask({ verb: 'dial', address: core.address, from: 0, count: fronts, real: isReal });
       if (fronts > 0) await peers.ask({ verb: 'tell', topic: 'subscribe' });
       desk.align(records);
@@ -442,7 +761,13 @@
         for (let at = 0; at < perTick; at += 1) {
           const replica = (tick * perTick + at) % replicas;
           const seq = (seqs[replica] = (seqs[replica] ?? 0) + 1);
-          texts[replica] += sse(rig.stored((records[replica] as ReplicaRecord).name, seq, Array.from({ length: blocksEach }, () => rig.blockName((name += 1)))));
+          texts[replica] += sse(
+            rig.stored(
+              (records[replica] as ReplicaRecord).name,
+              seq,
+              Array.from({ length: blocksEach }, () => rig.blockName((name += 1))),
+            ),
+          );
         }
         batches.push(texts.map((text) => Buffer.from(text)));
       }
@@ -471,14 +796,15 @@
     for (let repeat = 0; repeat < 3; repeat += 1) {
       for (const fronts of nodeCounts) perFront.add(fronts, (await play(fronts, 1_000, 300, 1)).us);
       for (const fronts of [5, 10, 20, 40]) bulk.add(fronts, (await play(fronts, 20_000, 200, 1)).us);
-      for (const blocksEach of [1, 4, 16, 64]) if (repeat === 0) bytes.add(blocksEach, (await play(3, 1_000, 200, blocksEach)).bytes);
+      for (const blocksEach of [1, 4, 16, 64])
+        if (repeat === 0) bytes.add(blocksEach, (await play(3, 1_000, 200, blocksEach)).bytes);
       for (const rate of [2_000, 10_000, 30_000, 60_000, 120_000]) {
         const three = await play(3, rate, 300, 1);
         share.add(rate, three.busy);
         delivered.add(rate, three.delivered);
         const alone = await play(0, rate, 300, 1);
-        followerBusy.add(rate, alone.us * rate / 1e6);
-        front.add(rate, (await play(1, rate, 300, 1, true)).frontUs * rate / 1e6);
+        followerBusy.add(rate, (alone.us * rate) / 1e6);
+        front.add(rate, ((await play(1, rate, 300, 1, true)).frontUs * rate) / 1e6);
       }
     }
     return [perFront, bulk, bytes, followerBusy, share, delivered, front].map((one) => one.told());
@@ -486,11 +812,29 @@
 
 const gossip = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const beat = series('watch/beat-cpu', 'any node: processor time of one beat (twice a second)', 'ms', 'nodes', size.nodes);
-    const lines = series('watch/lines-cpu', 'any node: processor time of one look at its lines (once a second, and at each change)', 'ms', 'nodes', size.nodes);
+    const beat = series(
+      'watch/beat-cpu',
+      'any node: processor time of one beat (twice a second)',
+      'ms',
+      'nodes',
+      size.nodes,
+    );
+    const lines = series(
+      'watch/lines-cpu',
+      'any node: processor time of one look at its lines (once a second, and at each change)',
+      'ms',
+      'nodes',
+      size.nodes,
+    );
     const bytes = series('gossip/bytes', 'one roster exchange, both ways', 'bytes', 'nodes', size.nodes);
     const cpu = series('gossip/core-cpu', 'core node: processor time a roster exchange', 'us', 'nodes', size.nodes);
-    const known = series('gossip/known', 'nodes that a newcomer knows after one exchange', 'nodes', 'nodes', size.nodes);
+    const known = series(
+      'gossip/known',
+      'nodes that a newcomer knows after one exchange',
+      'nodes',
+      'nodes',
+      size.nodes,
+    );
     const memory = series('gossip/memory', 'any node: memory of its roster', 'bytes', 'nodes', size.nodes);
     const clock = machine.clock;
     const kept: Roster[] = [];
@@ -498,7 +842,9 @@
       const empty = rig.heap();
       const own = rig.helloOf('counter', 0, '10.0.0.0:7100');
       const roster = new Roster(clock, () => own);
-      const hellos = Array.from({ length: nodes - 1 }, (_, at) => structuredClone(rig.helloOf('counter', at + 1, `10.0.${(at + 1) >> 8}.${(at + 1) & 255}:7100`)));
+      const hellos = Array.from({ length: nodes - 1 }, (_, at) =>
+        structuredClone(rig.helloOf('counter', at + 1, `10.0.${(at + 1) >> 8}.${(at + 1) & 255}:7100`)),
+      );
       for (const hello of hellos) roster.heard(hello);
       kept.push(roster);
       memory.add(nodes, rig.heap() - empty);
@@ -540,20 +886,44 @@
   });
 
 const leases = async (): Promise<Measured[]> => {
-  const cpu = series('leases/cpu', 'three core nodes together: processor time of a round of renewals (each 0.4 s)', 'ms', 'replicas', size.replicas);
-  const bytes = series('leases/bytes', 'three core nodes together: bytes of a round of renewals', 'bytes', 'replicas', size.replicas);
+  const cpu = series(
+    'leases/cpu',
+    'three core nodes together: processor time of a round of renewals (each 0.4 s)',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
+  const bytes = series(
+    'leases/bytes',
+    'three core nodes together: bytes of a round of renewals',
+    'bytes',
+    'replicas',
+    size.replicas,
+  );
   const settle = series('leases/settle', 'all duties taken up after a cold start', 'ms', 'replicas', size.replicas);
   for (const replicas of replicaCounts) {
     const meter = new Meter();
     const names = Array.from({ length: size.voters }, (_, at) => rig.helloOf('postmaster', at, '').incarnation);
-    const books = await Promise.all(names.map(async () => (await leaseBooks.open(rig.disk(), machine.clock, logs.silent()))._unsafeUnwrap()));
+    const books = await Promise.all(
+      names.map(async () => (await leaseBooks.open(rig.disk(), machine.clock, logs.silent()))._unsafeUnwrap()),
+    );
     const net = rig.metered(machine.net(null), meter);
     const addresses = await Promise.all(names.map(() => rig.freeAddress()));
     const quiet = { joined: () => {}, left: () => {}, told: () => {} };
     const listeners = await Promise.all(
       addresses.map(async (address, at) => {
-        const asked = async (_coach: Coach, _topic: string, body: unknown): Promise<unknown> => books[at]?.book.grant(body as LeaseAsk);
-        return (await coaches.listen(net, machine.clock, logs.silent(), () => rig.helloOf('postmaster', at, address), address, { ...quiet, asked }))._unsafeUnwrap();
+        const asked = async (_coach: Coach, _topic: string, body: unknown): Promise<unknown> =>
+          books[at]?.book.grant(body as LeaseAsk);
+        return (
+          await coaches.listen(
+            net,
+            machine.clock,
+            logs.silent(),
+            () => rig.helloOf('postmaster', at, address),
+            address,
+            { ...quiet, asked },
+          )
+        )._unsafeUnwrap();
       }),
     );
     const wanted = rig.records(replicas).map((record) => `kv/${record.name}`);
@@ -563,15 +933,35 @@
       const lines: Coach[] = [];
       for (const [other, address] of addresses.entries()) {
         if (other === at) continue;
-        lines.push((await coaches.dial(net, machine.clock, logs.silent(), rig.helloOf('postmaster', at, ''), address, { ...quiet, asked: async () => null }))._unsafeUnwrap());
+        lines.push(
+          (
+            await coaches.dial(net, machine.clock, logs.silent(), rig.helloOf('postmaster', at, ''), address, {
+              ...quiet,
+              asked: async () => null,
+            })
+          )._unsafeUnwrap(),
+        );
       }
       coachesHeld.push(...lines);
       const askAll = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
         const own = books[at]?.book.grant(ask);
-        const others = await Promise.all(lines.map(async (coach) => (await coach.ask('leaseAsk', ask, 5_000)).unwrapOr(null)));
+        const others = await Promise.all(
+          lines.map(async (coach) => (await coach.ask('leaseAsk', ask, 5_000)).unwrapOr(null)),
+        );
         return [await own, ...others].filter((reply) => reply !== undefined && reply !== null) as LeaseReply[];
       };
-      held.push(new Duties(machine.clock, () => name, () => names, () => wanted, askAll, () => {}, () => 2, () => {}));
+      held.push(
+        new Duties(
+          machine.clock,
+          () => name,
+          () => names,
+          () => wanted,
+          askAll,
+          () => {},
+          () => 2,
+          () => {},
+        ),
+      );
     }
     const began = performance.now();
     const holding = (): number => held.reduce((sum, duties) => sum + duties.lines().length, 0);
@@ -596,10 +986,28 @@
 
 const replicaLists = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
-    const wall = series('replicas/first-list', 'core node: a first list of replicas kept on disk', 'ms', 'replicas', size.replicas);
-    const cpu = series('replicas/list-cpu', 'core node: processor time of a list without news', 'ms', 'replicas', size.replicas);
+    const wall = series(
+      'replicas/first-list',
+      'core node: a first list of replicas kept on disk',
+      'ms',
+      'replicas',
+      size.replicas,
+    );
+    const cpu = series(
+      'replicas/list-cpu',
+      'core node: processor time of a list without news',
+      'ms',
+      'replicas',
+      size.replicas,
+    );
     const bytes = series('replicas/bytes', 'the list of replicas to one front', 'bytes', 'replicas', size.replicas);
-    const news = series('replicas/news-cpu', 'core node: processor time to tell all fronts one record', 'us', 'fronts', size.nodes);
+    const news = series(
+      'replicas/news-cpu',
+      'core node: processor time to tell all fronts one record',
+      'us',
+      'fronts',
+      size.nodes,
+    );
     for (const replicas of replicaCounts) {
       for (let repeat = 0; repeat < 3; repeat += 1) {
         const table = (await replicaTables.open(rig.disk(), logs.silent()))._unsafeUnwrap();
@@ -632,4 +1040,17 @@
     return [wall, cpu, bytes, news].map((one) => one.told());
   });
 
-export const probes: Record<string, () => Promise<Measured[]>> = { ...wayProbes, pings, pushes, ballots, claims, layout, index, joins, relays, gossip, leases, replicas: replicaLists };
+export const probes: Record<string, () => Promise<Measured[]>> = {
+  ...wayProbes,
+  pings,
+  pushes,
+  ballots,
+  claims,
+  layout,
+  index,
+  joins,
+  relays,
+  gossip,
+  leases,
+  replicas: replicaLists,
+};
--- a/packages/proving/src/capacity/rig.ts
+++ b/packages/proving/src/capacity/rig.ts
@@ -6,7 +6,18 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { agreed as agreedState, logs, machine } from '@martenworks/envelope';
-import type { Agreed, Disk, KvNews, Layout, Member, Net, Ports, ReplicaRecord, Tenant, Wire } from '@martenworks/envelope';
+import type {
+  Agreed,
+  Disk,
+  KvNews,
+  Layout,
+  Member,
+  Net,
+  Ports,
+  ReplicaRecord,
+  Tenant,
+  Wire,
+} from '@martenworks/envelope';
 import type { Hello } from '@martenworks/mailcoach';
 
 export const poolCount = 10;
@@ -71,12 +82,31 @@
 
 const layoutOf = (tenantCount: number, isolated: number, edition = 0): Layout => {
   const names = Array.from({ length: poolCount }, (_, at) => `model-${at}`);
-  const tenantAt = (at: number): Tenant => ({ tier: at % 3 === 0 ? 'prompt' : 'steady', isolated: at < isolated, lanes: [`lane-${at % poolCount}`, `lane-${(at + 1) % poolCount}`], ratePerSecond: 10 + edition });
+  const tenantAt = (at: number): Tenant => ({
+    tier: at % 3 === 0 ? 'prompt' : 'steady',
+    isolated: at < isolated,
+    lanes: [`lane-${at % poolCount}`, `lane-${(at + 1) % poolCount}`],
+    ratePerSecond: 10 + edition,
+  });
   return {
     tiers: { prompt: { rank: 0, share: 1, horizonMs: 30_000 }, steady: { rank: 1, share: 0.8, horizonMs: 30_000 } },
-    pools: Object.fromEntries(names.map((name) => [name, { weights: `${name}-weights-1`, slots: 32, extraAllowance: 18, prefillTokensPerMs: 8, pullTokensPerMs: 80, store: null }])),
+    pools: Object.fromEntries(
+      names.map((name) => [
+        name,
+        {
+          weights: `${name}-weights-1`,
+          slots: 32,
+          extraAllowance: 18,
+          prefillTokensPerMs: 8,
+          pullTokensPerMs: 80,
+          store: null,
+        },
+      ]),
+    ),
     lanes: Object.fromEntries(names.map((pool, at) => [`lane-${at}`, { pool, repeat: 'freely' as const }])),
-    tenants: Object.fromEntries(Array.from({ length: tenantCount }, (_, at) => [`tenant-${String(at).padStart(4, '0')}`, tenantAt(at)])),
+    tenants: Object.fromEntries(
+      Array.from({ length: tenantCount }, (_, at) => [`tenant-${String(at).padStart(4, '0')}`, tenantAt(at)]),
+    ),
   };
 };
 
@@ -88,13 +118,30 @@
   layoutGeneration: 5_000,
   layout: layoutOf(tenantCount, isolated),
   weightsSince: Object.fromEntries(Array.from({ length: poolCount }, (_, at) => [`model-${at}`, 0])),
-  keys: Object.fromEntries(Array.from({ length: tenantCount }, (_, at) => [at.toString(16).padStart(64, '0'), { tenant: `tenant-${String(at).padStart(4, '0')}` }])),
-  changeIds: Object.fromEntries(Array.from({ length: rememberedChanges }, (_, at) => [`change-${at}`, { generation: at, digest: at.toString(16).padStart(32, '0') }])),
+  keys: Object.fromEntries(
+    Array.from({ length: tenantCount }, (_, at) => [
+      at.toString(16).padStart(64, '0'),
+      { tenant: `tenant-${String(at).padStart(4, '0')}` },
+    ]),
+  ),
+  changeIds: Object.fromEntries(
+    Array.from({ length: rememberedChanges }, (_, at) => [
+      `change-${at}`,
+      { generation: at, digest: at.toString(16).padStart(32, '0') },
+    ]),
+  ),
 });
 
 const blockName = (at: number): string => `5a5a5a5a5a5a${at.toString(16).padStart(12, '0')}`;
 
-const stored = (replica: string, seq: number, blocks: readonly string[]): KvNews => ({ replica, incarnation: 1, seq, kind: 'stored', tenant: null, blocks });
+const stored = (replica: string, seq: number, blocks: readonly string[]): KvNews => ({
+  replica,
+  incarnation: 1,
+  seq,
+  kind: 'stored',
+  tenant: null,
+  blocks,
+});
 
 const folders: string[] = [];
 
@@ -155,7 +202,9 @@
   private readonly child: ChildProcess;
 
   constructor() {
-    this.child = fork(fileURLToPath(new URL('./hollow.js', import.meta.url)), [], { execArgv: ['--expose-gc', '--max-old-space-size=3000'] });
+    this.child = fork(fileURLToPath(new URL('./hollow.js', import.meta.url)), [], {
+      execArgv: ['--expose-gc', '--max-old-space-size=3000'],
+    });
     this.child.on('message', (told) => this.waiting.shift()?.(told as Record<string, number>));
   }
 
@@ -168,4 +217,20 @@
   readonly stop = (): void => void this.child.kill('SIGKILL');
 }
 
-export const rig = { metered, freeAddress, helloOf, records, layoutOf, stateOf, blockName, stored, disk, ports, cpuUs, heap, timed, pauseMs, until };
+export const rig = {
+  metered,
+  freeAddress,
+  helloOf,
+  records,
+  layoutOf,
+  stateOf,
+  blockName,
+  stored,
+  disk,
+  ports,
+  cpuUs,
+  heap,
+  timed,
+  pauseMs,
+  until,
+};
--- a/packages/proving/src/capacity/size.ts
+++ b/packages/proving/src/capacity/size.ts
@@ -1,7 +1,17 @@
 import type { Point } from './fit.js';
 import type { Measured } from './table.js';
 
-export const size = { nodes: 400, replicas: 1_000, blocks: 28_000_000, events: 280_000, requests: 1_500, tenants: 3_100, voters: 3, controlMachines: 6, changesADay: 1_700 };
+export const size = {
+  nodes: 400,
+  replicas: 1_000,
+  blocks: 28_000_000,
+  events: 280_000,
+  requests: 1_500,
+  tenants: 3_100,
+  voters: 3,
+  controlMachines: 6,
+  changesADay: 1_700,
+};
 export const runningPerFront = Math.round((size.requests * (0.82 + 246 * 0.056)) / size.nodes);
 
 export const nodeCounts = [10, 50, 100, 200, 400];
@@ -16,7 +26,11 @@
 
   readonly add = (x: number, value: number): void => void this.points.set(x, [...(this.points.get(x) ?? []), value]);
 
-  readonly told = (): Measured => ({ ...this.head, points: [...this.points].sort(([a], [b]) => a - b).map(([x, values]): Point => ({ x, values })) });
+  readonly told = (): Measured => ({
+    ...this.head,
+    points: [...this.points].sort(([a], [b]) => a - b).map(([x, values]): Point => ({ x, values })),
+  });
 }
 
-export const series = (run: string, what: string, unit: string, over: string, target: number): Series => new Series({ run, what, unit, over, target });
+export const series = (run: string, what: string, unit: string, over: string, target: number): Series =>
+  new Series({ run, what, unit, over, target });
--- a/packages/proving/src/capacity/table.ts
+++ b/packages/proving/src/capacity/table.ts
@@ -27,13 +27,36 @@
   const told = fits.forecast(one.points, found, one.target);
   const shape = found.shape === 'not a line' ? `not a line, x^${found.exponent.toFixed(2)} at the top` : found.shape;
   const points = one.points.map((point) => `${figure(point.x)}: ${figure(fits.median(point.values))}`).join(', ');
-  const cells = [`\`${one.run}\``, `${one.what} (${one.unit})`, one.over, points, figure(found.slope), figure(found.intercept), found.r2.toFixed(3), `${Math.round(found.spread * 100)} %`, shape, `${figure(told.value)} at ${figure(one.target)}, ${told.how}`];
+  const cells = [
+    `\`${one.run}\``,
+    `${one.what} (${one.unit})`,
+    one.over,
+    points,
+    figure(found.slope),
+    figure(found.intercept),
+    found.r2.toFixed(3),
+    `${Math.round(found.spread * 100)} %`,
+    shape,
+    `${figure(told.value)} at ${figure(one.target)}, ${told.how}`,
+  ];
   return `| ${cells.join(' | ')} |`;
 };
 
-const head = ['run', 'measured (unit)', 'over', 'medians', 'slope', 'intercept', 'r2', 'widest spread', 'shape', 'at the size'];
+const head = [
+  'run',
+  'measured (unit)',
+  'over',
+  'medians',
+  'slope',
+  'intercept',
+  'r2',
+  'widest spread',
+  'shape',
+  'at the size',
+];
 
-const markdown = (all: readonly Measured[]): string => [`| ${head.join(' | ')} |`, `|${'---|'.repeat(head.length)}`, ...all.map(row)].join('\n');
+const markdown = (all: readonly Measured[]): string =>
+  [`| ${head.join(' | ')} |`, `|${'---|'.repeat(head.length)}`, ...all.map(row)].join('\n');
 
 const asJson = (all: readonly Measured[]): unknown =>
   all.map((one) => {
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -1,6 +1,16 @@
 import { ok } from 'neverthrow';
 import { logs, machine } from '@martenworks/envelope';
-import type { BackEnds, Change, Clock, KeptNews, Part, ReadingNews, ReplicaCard, ShelfNews, WayBook } from '@martenworks/envelope';
+import type {
+  BackEnds,
+  Change,
+  Clock,
+  KeptNews,
+  Part,
+  ReadingNews,
+  ReplicaCard,
+  ShelfNews,
+  WayBook,
+} from '@martenworks/envelope';
 import { Unpacker, frames } from '@martenworks/mailcoach';
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/postmaster';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
@@ -14,15 +24,52 @@
 const modelOf = (at: number): string => `model-${at % poolCount}`;
 
 const bookOf = (customerCount: number): WayBook => ({
-  ways: Array.from({ length: 40 }, (_, at) => ({ name: `way-${at}`, host: `host-${at % 8}.example`, pathStart: `/v1/${at}/`, kind: 'stream' as const, horizonMs: 6_000, targetMs: 820, rank: at % 9, shares: [{ pool: modelOf(at), share: 1 }], shots: 3, isOpen: false, mayResume: true, gapMs: 56 })),
-  pools: Array.from({ length: poolCount }, (_, at) => ({ name: modelOf(at), connectionLimit: 170, engine: { slots: 32, cacheTokens: 150_000, tokenBytes: 163_840, linkMbps: 1_100_000, inFlight: 4, models: [modelOf(at)] } })),
+  ways: Array.from({ length: 40 }, (_, at) => ({
+    name: `way-${at}`,
+    host: `host-${at % 8}.example`,
+    pathStart: `/v1/${at}/`,
+    kind: 'stream' as const,
+    horizonMs: 6_000,
+    targetMs: 820,
+    rank: at % 9,
+    shares: [{ pool: modelOf(at), share: 1 }],
+    shots: 3,
+    isOpen: false,
+    mayResume: true,
+    gapMs: 56,
+  })),
+  pools: Array.from({ length: poolCount }, (_, at) => ({
+    name: modelOf(at),
+    connectionLimit: 170,
+    engine: {
+      slots: 32,
+      cacheTokens: 150_000,
+      tokenBytes: 163_840,
+      linkMbps: 1_100_000,
+      inFlight: 4,
+      models: [modelOf(at)],
+    },
+  })),
   stores: [],
-  customers: Array.from({ length: customerCount }, (_, at) => ({ name: `tenant-${String(at).padStart(4, '0')}`, keyHashes: [at.toString(16).padStart(64, '0')], rank: at % 9, isIsolated: at % 100 === 0 })),
+  customers: Array.from({ length: customerCount }, (_, at) => ({
+    name: `tenant-${String(at).padStart(4, '0')}`,
+    keyHashes: [at.toString(16).padStart(64, '0')],
+    rank: at % 9,
+    isIsolated: at % 100 === 0,
+  })),
   limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerMs: 5_000, idleMs: 30_000 },
 });
 
 const cards = (count: number): ReplicaCard[] =>
-  Array.from({ length: count }, (_, at) => ({ id: `replica-${String(at).padStart(4, '0')}-1`, pool: modelOf(at), address: `10.1.${at >> 8}.${at & 255}:8000`, zone: `zone-${at % 13}`, slots: 32, isLeaving: false, weights: { [modelOf(at)]: 1 } }));
+  Array.from({ length: count }, (_, at) => ({
+    id: `replica-${String(at).padStart(4, '0')}-1`,
+    pool: modelOf(at),
+    address: `10.1.${at >> 8}.${at & 255}:8000`,
+    zone: `zone-${at % 13}`,
+    slots: 32,
+    isLeaving: false,
+    weights: { [modelOf(at)]: 1 },
+  }));
 
 const backEnds = (more: Partial<BackEnds>): BackEnds => ({
   replicas: async () => ok([]),
@@ -33,29 +80,76 @@
   ...more,
 });
 
-const kept = (at: number, isKept = true): KeptNews => ({ isKept, salt: `${modelOf(at)}@1`, part: rig.blockName(at), tokens: isKept ? 512 : 0 });
+const kept = (at: number, isKept = true): KeptNews => ({
+  isKept,
+  salt: `${modelOf(at)}@1`,
+  part: rig.blockName(at),
+  tokens: isKept ? 512 : 0,
+});
 
 const wayPush = (): Promise<Measured[]> =>
   withPeers(async (peers) => {
     const pingUs = series('way-push/ping-cpu', 'core node: processor time a ping', 'us', 'fronts', size.nodes);
     const pingBytes = series('way-push/ping-bytes', 'a ping and its reply', 'bytes', 'fronts', size.nodes);
-    const content = series('way-push/content-cpu', 'core node: processor time to push a book of 1,000 customers to all it serves', 'ms', 'fronts it serves', size.nodes / size.voters);
-    const bytes = series('way-push/content-bytes', 'one change to one front that it serves', 'bytes', 'customers', size.tenants);
-    const bare = series('way-push/bare-cpu', 'core node: processor time to tell the bare generation to all others', 'ms', 'fronts', size.nodes);
+    const content = series(
+      'way-push/content-cpu',
+      'core node: processor time to push a book of 1,000 customers to all it serves',
+      'ms',
+      'fronts it serves',
+      size.nodes / size.voters,
+    );
+    const bytes = series(
+      'way-push/content-bytes',
+      'one change to one front that it serves',
+      'bytes',
+      'customers',
+      size.tenants,
+    );
+    const bare = series(
+      'way-push/bare-cpu',
+      'core node: processor time to tell the bare generation to all others',
+      'ms',
+      'fronts',
+      size.nodes,
+    );
     const bareBytes = series('way-push/bare-bytes', 'a bare generation to one front', 'bytes', 'fronts', size.nodes);
-    const reading = series('way-push/reading-cpu', 'core node: processor time to tell all it serves of one long prompt being read', 'us', 'fronts it serves', size.nodes / size.voters);
-    const readingBytes = series('way-push/reading-bytes', 'one such notice to one front', 'bytes', 'fronts it serves', size.nodes / size.voters);
+    const reading = series(
+      'way-push/reading-cpu',
+      'core node: processor time to tell all it serves of one long prompt being read',
+      'us',
+      'fronts it serves',
+      size.nodes / size.voters,
+    );
+    const readingBytes = series(
+      'way-push/reading-bytes',
+      'one such notice to one front',
+      'bytes',
+      'fronts it serves',
+      size.nodes / size.voters,
+    );
     const holder: { push: WayPush | null } = { push: null };
-    const measure = async (fronts: number, customers: number, wantsContent: boolean, note: (ms: number, bytesEach: number) => void, notePing: (us: number, bytesEach: number) => void): Promise<void> => {
+    const measure = async (
+      fronts: number,
+      customers: number,
+      wantsContent: boolean,
+      note: (ms: number, bytesEach: number) => void,
+      notePing: (us: number, bytesEach: number) => void,
+    ): Promise<void> => {
       const core = await openCore(10, [], {
         left: (coach) => holder.push?.drop(coach),
         told: (coach, topic, body) => {
           if (topic === 'subscribe') holder.push?.subscribe(coach, body as Parameters<WayPush['subscribe']>[1]);
           else if (topic === 'ack') holder.push?.acked(coach, body as Parameters<WayPush['acked']>[1]);
         },
-        asked: async (coach, topic, body) => (topic === 'ping' ? (holder.push?.pong(coach, body as Parameters<WayPush['pong']>[1], true) ?? null) : null),
+        asked: async (coach, topic, body) =>
+          topic === 'ping' ? (holder.push?.pong(coach, body as Parameters<WayPush['pong']>[1], true) ?? null) : null,
       });
-      const push = new WayPush(core.decrees, machine.clock, () => 100, () => {});
+      const push = new WayPush(
+        core.decrees,
+        machine.clock,
+        () => 100,
+        () => {},
+      );
       holder.push = push;
       const state = core.decrees.agreed();
       const held = { generation: state?.generation ?? 0, edition: 0 };
@@ -68,7 +162,13 @@
         await peers.ask({ verb: 'pings', count: 200, body });
         if (repeat > 0) notePing((rig.cpuUs() - began) / 200, (core.meter.sent - sent + core.meter.got - got) / 200);
       }
-      const news: ReadingNews = { id: 'request-0000000000000001', replica: 'replica-0001-1', tokens: 13_300, salt: `${modelOf(1)}@1`, part: rig.blockName(1) };
+      const news: ReadingNews = {
+        id: 'request-0000000000000001',
+        replica: 'replica-0001-1',
+        tokens: 13_300,
+        salt: `${modelOf(1)}@1`,
+        part: rig.blockName(1),
+      };
       for (let repeat = 0; wantsContent && repeat < 4; repeat += 1) {
         const [began, sent] = [rig.cpuUs(), core.meter.sent];
         for (let one = 0; one < 20; one += 1) push.tellContent('reading', news);
@@ -80,7 +180,11 @@
       const book = bookOf(customers);
       for (let repeat = 0; repeat < 4; repeat += 1) {
         const generation = (core.decrees.agreed()?.generation ?? 0) + 1;
-        const change: Change = { id: `book-${repeat}`, digest: '0', body: { kind: 'ways', base: repeat, ways: { edition: repeat + 1, book, source: '' } } };
+        const change: Change = {
+          id: `book-${repeat}`,
+          digest: '0',
+          body: { kind: 'ways', base: repeat, ways: { edition: repeat + 1, book, source: '' } },
+        };
         const [began, sent] = [rig.cpuUs(), core.meter.sent];
         await core.decrees.settle({ generation, change });
         if (wantsContent) await rig.until(() => push.lines().every((one) => one.acked >= generation), 20_000, 10);
@@ -107,20 +211,64 @@
       );
     }
     for (const fronts of [10, 34, 67, 134]) await measure(fronts, 1_000, true, (ms) => content.add(fronts, ms), quiet);
-    for (const customers of tenantCounts) await measure(10, customers, true, (_ms, bytesEach) => bytes.add(customers, bytesEach), quiet);
+    for (const customers of tenantCounts)
+      await measure(10, customers, true, (_ms, bytesEach) => bytes.add(customers, bytesEach), quiet);
     return [pingUs, pingBytes, content, bytes, bare, bareBytes, reading, readingBytes].map((one) => one.told());
   });
 
 const wayIndex = async (): Promise<Measured[]> => {
-  const follow = series('way-index/follow-cpu', 'core node: processor time of a second of asking each replica for its events, none coming', 'ms', 'replicas', size.replicas);
-  const event = series('way-index/event-cpu', 'core node: processor time of one event of a large part, read, kept and bundled', 'us', 'parts held', 1_000_000);
-  const deskMemory = series('way-index/core-memory', 'core node: memory of the parts it keeps', 'bytes', 'parts held', 1_000_000);
-  const bookMemory = series('way-index/front-memory', 'front: memory of the parts it was told', 'bytes', 'parts held', 1_000_000);
-  const frontUs = series('way-index/front-cpu', 'front: processor time of one event (decode and take)', 'us', 'parts held', 1_000_000);
-  const bytes = series('way-index/bytes', 'one event of a large part to one front', 'bytes', 'events in a bundle', 1_000);
+  const follow = series(
+    'way-index/follow-cpu',
+    'core node: processor time of a second of asking each replica for its events, none coming',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
+  const event = series(
+    'way-index/event-cpu',
+    'core node: processor time of one event of a large part, read, kept and bundled',
+    'us',
+    'parts held',
+    1_000_000,
+  );
+  const deskMemory = series(
+    'way-index/core-memory',
+    'core node: memory of the parts it keeps',
+    'bytes',
+    'parts held',
+    1_000_000,
+  );
+  const bookMemory = series(
+    'way-index/front-memory',
+    'front: memory of the parts it was told',
+    'bytes',
+    'parts held',
+    1_000_000,
+  );
+  const frontUs = series(
+    'way-index/front-cpu',
+    'front: processor time of one event (decode and take)',
+    'us',
+    'parts held',
+    1_000_000,
+  );
+  const bytes = series(
+    'way-index/bytes',
+    'one event of a large part to one front',
+    'bytes',
+    'events in a bundle',
+    1_000,
+  );
   for (const replicas of replicaCounts) {
     const back = backEnds({ keptNews: async () => ok({ epoch: 'e', next: 0, isLost: false, news: [] }) });
-    const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), () => {}, () => {});
+    const desk = new ShelfDesk(
+      back,
+      machine.clock,
+      machine.random,
+      logs.silent(),
+      () => {},
+      () => {},
+    );
     desk.align(new Set(cards(replicas).map((card) => card.address)), () => true);
     await rig.pauseMs(500);
     for (let repeat = 0; repeat < 3; repeat += 1) {
@@ -142,14 +290,24 @@
     },
   });
   const emptyDesk = rig.heap();
-  const desk = new ShelfDesk(back, machine.clock, machine.random, logs.silent(), (bundle) => void bundles.push([...bundle]), () => {});
+  const desk = new ShelfDesk(
+    back,
+    machine.clock,
+    machine.random,
+    logs.silent(),
+    (bundle) => void bundles.push([...bundle]),
+    () => {},
+  );
   desk.align(new Set(addresses), () => true);
   let held = 0;
   const told: { readonly frame: Uint8Array; readonly events: number }[] = [];
   const takenBy = (target: number): void => {
     const before = rig.heap();
     const book = new ShelfBook(machine.clock);
-    const unpacker = new Unpacker((message) => book.take((message as { body: ShelfNews[] }).body), () => {});
+    const unpacker = new Unpacker(
+      (message) => book.take((message as { body: ShelfNews[] }).body),
+      () => {},
+    );
     for (const { frame, events } of told) {
       const began = rig.cpuUs();
       unpacker.take(frame);
@@ -161,28 +319,77 @@
   for (const target of [10_000, 50_000, 100_000, 200_000]) {
     while (held < target) {
       const count = Math.min(10_000, target - held);
-      for (const [at, address] of addresses.entries()) pages.set(address, Array.from({ length: count / addresses.length }, (_, one) => kept(held + at * (count / addresses.length) + one)));
+      for (const [at, address] of addresses.entries())
+        pages.set(
+          address,
+          Array.from({ length: count / addresses.length }, (_, one) =>
+            kept(held + at * (count / addresses.length) + one),
+          ),
+        );
       const began = rig.cpuUs();
       held += count;
       await rig.until(() => desk.sizes().reduce((sum, one) => sum + one.parts, 0) >= held, 5_000, 20);
       await rig.pauseMs(80);
       event.add(target, (rig.cpuUs() - began) / count);
-      for (const bundle of bundles.splice(0)) told.push({ frame: frames.pack({ f: 'tell', topic: 'shelves', body: bundle }), events: bundle.reduce((sum, one) => sum + one.news.length, 0) });
+      for (const bundle of bundles.splice(0))
+        told.push({
+          frame: frames.pack({ f: 'tell', topic: 'shelves', body: bundle }),
+          events: bundle.reduce((sum, one) => sum + one.news.length, 0),
+        });
     }
     deskMemory.add(target, rig.heap() - emptyDesk);
     takenBy(target);
   }
   desk.stop();
-  for (const count of [1, 10, 100, 1_000]) bytes.add(count, frames.pack({ f: 'tell', topic: 'shelves', body: [{ address: addresses[0], isWhole: false, isHeard: true, news: Array.from({ length: count }, (_, at) => kept(at)) }] }).length / count);
+  for (const count of [1, 10, 100, 1_000])
+    bytes.add(
+      count,
+      frames.pack({
+        f: 'tell',
+        topic: 'shelves',
+        body: [
+          {
+            address: addresses[0],
+            isWhole: false,
+            isHeard: true,
+            news: Array.from({ length: count }, (_, at) => kept(at)),
+          },
+        ],
+      }).length / count,
+    );
   return [follow, event, deskMemory, bookMemory, frontUs, bytes].map((one) => one.told());
 };
 
 const wayList = async (): Promise<Measured[]> => {
-  const reading = series('way-list/reading-cpu', 'core node: processor time of one reading of the list, nothing new (the call itself left out)', 'ms', 'replicas', size.replicas);
+  const reading = series(
+    'way-list/reading-cpu',
+    'core node: processor time of one reading of the list, nothing new (the call itself left out)',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
   const bytes = series('way-list/bytes', 'the whole list to one front that starts', 'bytes', 'replicas', size.replicas);
-  const step = series('way-weights/step-cpu', 'holder of the rollout: processor time of one step (each 60 ms), all replicas behind', 'ms', 'replicas', size.replicas);
-  const idle = series('way-weights/idle-cpu', 'holder of the rollout: processor time of one step, none behind', 'ms', 'replicas', size.replicas);
-  const front = series('way-list/front-cpu', 'front: processor time to take one changed replica', 'ms', 'replicas', size.replicas);
+  const step = series(
+    'way-weights/step-cpu',
+    'holder of the rollout: processor time of one step (each 60 ms), all replicas behind',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
+  const idle = series(
+    'way-weights/idle-cpu',
+    'holder of the rollout: processor time of one step, none behind',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
+  const front = series(
+    'way-list/front-cpu',
+    'front: processor time to take one changed replica',
+    'ms',
+    'replicas',
+    size.replicas,
+  );
   for (const replicas of replicaCounts) {
     const list = cards(replicas);
     const atOnce: Clock = {
@@ -193,7 +400,14 @@
       },
     };
     let gave: ((list: readonly ReplicaCard[]) => void) | null = null;
-    const reader = new CardReader(backEnds({ replicas: () => new Promise((give) => (gave = (list) => give(ok(list)))) }), atOnce, machine.random, logs.silent(), { everyMs: 0, perSecond: 1e9, readers: () => 1 }, () => {});
+    const reader = new CardReader(
+      backEnds({ replicas: () => new Promise((give) => (gave = (list) => give(ok(list)))) }),
+      atOnce,
+      machine.random,
+      logs.silent(),
+      { everyMs: 0, perSecond: 1e9, readers: () => 1 },
+      () => {},
+    );
     const read = async (): Promise<void> => {
       await rig.until(() => gave !== null, 1_000, 0);
       const give = gave;
@@ -209,7 +423,10 @@
       if (repeat > 0) reading.add(replicas, Math.max(0, (rig.cpuUs() - began) / 10_000 - clone));
     }
     reader.stop();
-    bytes.add(replicas, frames.pack({ f: 'tell', topic: 'cards', body: { isWhole: true, put: list, gone: [] } }).length);
+    bytes.add(
+      replicas,
+      frames.pack({ f: 'tell', topic: 'cards', body: { isWhole: true, put: list, gone: [] } }).length,
+    );
     const desk = (version: number): WeightsDesk =>
       new WeightsDesk(
         backEnds({}),
@@ -228,7 +445,10 @@
       const [stepMs, idleMs] = [rig.timed(10, () => behind.step()) / 1_000, rig.timed(20, () => done.step()) / 1_000];
       const tracks = new ReplicaTracks(machine.clock);
       tracks.take({ isWhole: true, put: list, gone: [] });
-      const frontMs = rig.timed(10, (at) => tracks.take({ isWhole: false, put: [{ ...(list[at] as ReplicaCard), isLeaving: true }], gone: [] })) / 1_000;
+      const frontMs =
+        rig.timed(10, (at) =>
+          tracks.take({ isWhole: false, put: [{ ...(list[at] as ReplicaCard), isLeaving: true }], gone: [] }),
+        ) / 1_000;
       if (repeat === 0) continue;
       step.add(replicas, stepMs);
       idle.add(replicas, idleMs);
@@ -239,19 +459,48 @@
 };
 
 const wayPlace = async (): Promise<Measured[]> => {
-  const placing = series('way-place/cpu', 'front: processor time to place one prompt', 'us', 'replicas in the pool', size.replicas / poolCount);
-  const view = series('way-place/view', 'front: processor time to build the view of a new edition', 'ms', 'customers', size.tenants);
+  const placing = series(
+    'way-place/cpu',
+    'front: processor time to place one prompt',
+    'us',
+    'replicas in the pool',
+    size.replicas / poolCount,
+  );
+  const view = series(
+    'way-place/view',
+    'front: processor time to build the view of a new edition',
+    'ms',
+    'customers',
+    size.tenants,
+  );
   for (const replicas of [10, 25, 50, 100, 250]) {
     const list = cards(replicas * poolCount);
     const tracks = new ReplicaTracks(machine.clock);
     tracks.take({ isWhole: true, put: list, gone: [] });
     const shelves = new ShelfBook(machine.clock);
-    const parts: Part[] = [{ id: 'a'.repeat(24), tokens: 13_300 }, { id: 'b'.repeat(24), tokens: 3_720 }];
+    const parts: Part[] = [
+      { id: 'a'.repeat(24), tokens: 13_300 },
+      { id: 'b'.repeat(24), tokens: 3_720 },
+    ];
     const pool = list.filter((card) => card.pool === modelOf(0));
-    for (const [at, card] of pool.entries()) if (at % 3 === 0) shelves.take([{ address: card.address, isWhole: false, isHeard: true, news: [{ isKept: true, salt: salts.of(modelOf(0), 1, null), part: 'a'.repeat(24), tokens: 13_300 }] }]);
+    for (const [at, card] of pool.entries())
+      if (at % 3 === 0)
+        shelves.take([
+          {
+            address: card.address,
+            isWhole: false,
+            isHeard: true,
+            news: [{ isKept: true, salt: salts.of(modelOf(0), 1, null), part: 'a'.repeat(24), tokens: 13_300 }],
+          },
+        ]);
     const way = new WayPlacing(tracks, shelves, machine.clock, () => ({ version: 1, sinceMs: 10_000 }), 8_000);
     const shown = new BookDoor().view(1, bookOf(10));
-    const question: WayQuestion = { pool: modelOf(0), order: { id: 'order', key: null, leftMs: 6_000, model: modelOf(0), tokensIn: 17_020, tokensOut: 247, parts }, customer: null, avoided: new Set() };
+    const question: WayQuestion = {
+      pool: modelOf(0),
+      order: { id: 'order', key: null, leftMs: 6_000, model: modelOf(0), tokensIn: 17_020, tokensOut: 247, parts },
+      customer: null,
+      avoided: new Set(),
+    };
     for (let repeat = 0; repeat < 6; repeat += 1) {
       const us = rig.timed(50, () => void way.place(question, shown, 50));
       if (repeat > 0) placing.add(replicas, us);
@@ -268,4 +517,9 @@
   return [placing, view].map((one) => one.told());
 };
 
-export const wayProbes: Record<string, () => Promise<Measured[]>> = { 'way-push': wayPush, 'way-index': wayIndex, 'way-list': wayList, 'way-place': wayPlace };
+export const wayProbes: Record<string, () => Promise<Measured[]>> = {
+  'way-push': wayPush,
+  'way-index': wayIndex,
+  'way-list': wayList,
+  'way-place': wayPlace,
+};
--- a/packages/proving/src/capacityCommand.ts
+++ b/packages/proving/src/capacityCommand.ts
@@ -10,10 +10,19 @@
 import { tables } from './capacity/table.js';
 import type { Measured } from './capacity/table.js';
 
-const { values } = parseArgs({ options: { out: { type: 'string', default: 'docs/capacity' }, only: { type: 'string' }, from: { type: 'string' }, help: { type: 'boolean', short: 'h' } } });
+const { values } = parseArgs({
+  options: {
+    out: { type: 'string', default: 'docs/capacity' },
+    only: { type: 'string' },
+    from: { type: 'string' },
+    help: { type: 'boolean', short: 'h' },
+  },
+});
 const names = values.only === undefined ? Object.keys(probes) : values.only.split(',');
 if (values.help === true) {
-  process.stdout.write(`measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME --from FILE, which works the lines of the size out and plots again from a slopes.json (without it all: ${Object.keys(probes).join(', ')})\n`);
+  process.stdout.write(
+    `measures what each part costs as the fleet grows and writes a table, JSON and a plot: --out FOLDER --only NAME,NAME --from FILE, which works the lines of the size out and plots again from a slopes.json (without it all: ${Object.keys(probes).join(', ')})\n`,
+  );
   process.exit(0);
 }
 const sizePage = (held: readonly Measured[]): string =>
@@ -34,7 +43,9 @@
 }
 const unknown = names.filter((name) => probes[name] === undefined);
 if (unknown.length > 0) {
-  process.stderr.write(`--only: no such measurement: ${unknown.join(', ')}\nknown: ${Object.keys(probes).join(', ')}\n`);
+  process.stderr.write(
+    `--only: no such measurement: ${unknown.join(', ')}\nknown: ${Object.keys(probes).join(', ')}\n`,
+  );
   process.exit(2);
 }
 
@@ -49,7 +60,9 @@
 
 const run = (name: string, limitMs: number): Promise<Told | null> =>
   new Promise((settle) => {
-    const child = fork(fileURLToPath(new URL('./capacity/probeRun.js', import.meta.url)), [name], { execArgv: ['--expose-gc', `--max-old-space-size=${heapMegabytes}`] });
+    const child = fork(fileURLToPath(new URL('./capacity/probeRun.js', import.meta.url)), [name], {
+      execArgv: ['--expose-gc', `--max-old-space-size=${heapMegabytes}`],
+    });
     let told: Told | null = null;
     const late = setTimeout(() => child.kill('SIGKILL'), limitMs);
     child.on('message', (message) => (told = message as Told));
@@ -69,8 +82,12 @@
   const told = left <= 0 ? null : await run(name, Math.min(patienceMs, left));
   if (told === null) missing.push(name);
   else measured.push(...told.measured);
-  took.push(`${name} ${((performance.now() - at) / 1_000).toFixed(0)} s${told === null ? '' : `, ${Math.round(told.peakBytes / 2 ** 20)} MB at its peak`}`);
-  process.stdout.write(`${told === null ? 'FAILED ' : ''}${took[took.length - 1]}\n${(told?.measured ?? []).map((one) => `${tables.row(one)}\n`).join('')}`);
+  took.push(
+    `${name} ${((performance.now() - at) / 1_000).toFixed(0)} s${told === null ? '' : `, ${Math.round(told.peakBytes / 2 ** 20)} MB at its peak`}`,
+  );
+  process.stdout.write(
+    `${told === null ? 'FAILED ' : ''}${took[took.length - 1]}\n${(told?.measured ?? []).map((one) => `${tables.row(one)}\n`).join('')}`,
+  );
 }
 const machineLine = `${cpus().length} cores of ${cpus()[0]?.model ?? 'unknown make'}, ${Math.round(totalmem() / 2 ** 30)} GB, Node ${process.versions.node}`;
 const text = [
--- a/packages/proving/src/firms.ts
+++ b/packages/proving/src/firms.ts
@@ -57,7 +57,11 @@
   tiers: { prompt: 0, steady: 1, patient: 3 },
   prober: 'prober',
   layout: (weights: string): Record<string, unknown> => ({
-    tiers: { prompt: { rank: 0, horizonMs: 10_000 }, steady: { rank: 1, horizonMs: 20_000 }, patient: { rank: 3, horizonMs: 60_000, share: 0.5 } },
+    tiers: {
+      prompt: { rank: 0, horizonMs: 10_000 },
+      steady: { rank: 1, horizonMs: 20_000 },
+      patient: { rank: 3, horizonMs: 60_000, share: 0.5 },
+    },
     pools: { main: { weights, slots: 8 }, app: { weights: 'app-1', slots: 32 } },
     lanes: {
       confirm: { pool: 'main', repeat: 'once' },
@@ -65,15 +69,29 @@
       diagnose: { pool: 'main', repeat: 'freely' },
       book: { pool: 'app', repeat: 'once' },
     },
-    tenants: Object.fromEntries(tenantNames.map((name) => [name, { tier: tierOf(name), isolated: isolatedTenants.has(name), lanes: [...kinds] }])),
+    tenants: Object.fromEntries(
+      tenantNames.map((name) => [name, { tier: tierOf(name), isolated: isolatedTenants.has(name), lanes: [...kinds] }]),
+    ),
   }),
   ask: (random: () => number, at: number, longShare = 0.06): Ask => {
     const draw = random();
-    const kind: Kind = draw < longShare ? 'diagnose' : draw < longShare + 0.04 ? 'book' : draw < longShare + 0.64 * (1 - longShare) ? 'confirm' : 'query';
+    const kind: Kind =
+      draw < longShare
+        ? 'diagnose'
+        : draw < longShare + 0.04
+          ? 'book'
+          : draw < longShare + 0.64 * (1 - longShare)
+            ? 'confirm'
+            : 'query';
     const big = random() < 0.5;
-    const tenant = (big ? tenantNames[Math.floor(random() * 2)] : tenantNames[Math.floor(random() * tenantNames.length)]) as string;
+    const tenant = (
+      big ? tenantNames[Math.floor(random() * 2)] : tenantNames[Math.floor(random() * tenantNames.length)]
+    ) as string;
     const tail = ` ticket ${at} ${text(`tail-${at}`, 64)}`;
-    const prompt = kind === 'diagnose' ? `${longPrefixes[Math.floor(random() * longPrefixes.length)]}${tail}` : `${shortPrefix}${tail}`;
+    const prompt =
+      kind === 'diagnose'
+        ? `${longPrefixes[Math.floor(random() * longPrefixes.length)]}${tail}`
+        : `${shortPrefix}${tail}`;
     return { kind, tenant, key: keyOf(tenant), prompt, maxTokens: kind === 'diagnose' ? 24 : 8, tier: tierOf(tenant) };
   },
 };
--- a/packages/proving/src/fleetCommand.ts
+++ b/packages/proving/src/fleetCommand.ts
@@ -39,7 +39,14 @@
   process.stderr.write(`no such firm: ${values.firm}\n`);
   process.exit(2);
 }
-const fleet = new LocalFleet(firm, values.folder, Number(values.net), 9, ['--index', values.index], values.profile ?? null);
+const fleet = new LocalFleet(
+  firm,
+  values.folder,
+  Number(values.net),
+  9,
+  ['--index', values.index],
+  values.profile ?? null,
+);
 const quit = async (code: number): Promise<never> => {
   await fleet.down();
   process.exit(code);
@@ -50,15 +57,26 @@
   const begin = performance.now();
   await fleet.up();
   process.stdout.write(`up in ${Math.round(performance.now() - begin)} ms\n`);
-  process.stdout.write(`operator and platform: http://${fleet.postmasterHosts[0]}:7101  callers: http://${fleet.counterHosts[0]}:7101 (and ${fleet.counterHosts.length - 1} more)\n`);
+  process.stdout.write(
+    `operator and platform: http://${fleet.postmasterHosts[0]}:7101  callers: http://${fleet.counterHosts[0]}:7101 (and ${fleet.counterHosts.length - 1} more)\n`,
+  );
 } catch (cause) {
   process.stderr.write(`${String(cause)}\n`);
   await quit(1);
 }
 const seconds = Number(values.seconds);
 if (seconds > 0) {
-  const outcomes = await load({ hosts: fleet.counterHosts, ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate), seconds, seed: Number(values.seed), weights: () => ['weights-1'], longShare: Number(values.long) });
-  process.stdout.write(`${JSON.stringify(summaries.verdicts(outcomes))}\n${summaries.lines(outcomes).join('\n')}\nstand-ins: ${JSON.stringify(await fleet.totals())}\n`);
+  const outcomes = await load({
+    hosts: fleet.counterHosts,
+    ratePerSecond: values.rate === undefined ? firm.ratePerSecond : Number(values.rate),
+    seconds,
+    seed: Number(values.seed),
+    weights: () => ['weights-1'],
+    longShare: Number(values.long),
+  });
+  process.stdout.write(
+    `${JSON.stringify(summaries.verdicts(outcomes))}\n${summaries.lines(outcomes).join('\n')}\nstand-ins: ${JSON.stringify(await fleet.totals())}\n`,
+  );
   process.stdout.write(`${(await fleet.vitals()).join('\n')}\n`);
   if (values.profile !== undefined) await fleet.signal(values.profile, 'SIGTERM');
   await quit(0);
--- a/packages/proving/src/knownRed.ts
+++ b/packages/proving/src/knownRed.ts
@@ -41,8 +41,10 @@
   for (const [at, line] of text.split(/\r?\n/).entries()) {
     if (line.trim() === '' || line.startsWith('#')) continue;
     const [title = '', cause = '', issue = '', ...rest] = line.split('\t').map((part) => part.trim());
-    if (title === '' || cause === '' || issue === '' || rest.length > 0) faults.push(`line ${at + 1} is not: title TAB cause TAB issue`);
-    else if (entries.some((entry) => entry.title === title)) faults.push(`line ${at + 1} lists a title again: ${title}`);
+    if (title === '' || cause === '' || issue === '' || rest.length > 0)
+      faults.push(`line ${at + 1} is not: title TAB cause TAB issue`);
+    else if (entries.some((entry) => entry.title === title))
+      faults.push(`line ${at + 1} lists a title again: ${title}`);
     else entries.push({ title, cause, issue });
   }
   return { entries, faults };
@@ -63,7 +65,8 @@
   });
   const listed = new Set(listing.entries.map((entry) => entry.title));
   const staleTitles = new Set(stale.map((failure) => failure.title));
-  const isExcused = (result: TestResult): boolean => result.isTest && listed.has(result.title) && !staleTitles.has(result.title);
+  const isExcused = (result: TestResult): boolean =>
+    result.isTest && listed.has(result.title) && !staleTitles.has(result.title);
   const counted = run.results.filter((result) => !isExcused(result));
   const passed = counted.filter((result) => result.fault === null && !staleTitles.has(result.title)).length;
   const failures = [
@@ -71,7 +74,9 @@
     ...stale,
     ...listing.faults.map((fault) => ({ title: listName, fault })),
   ];
-  const knownReds = listing.entries.filter((entry) => run.results.some((result) => isExcused(result) && result.title === entry.title));
+  const knownReds = listing.entries.filter((entry) =>
+    run.results.some((result) => isExcused(result) && result.title === entry.title),
+  );
   return { passed, failures, knownReds, isGreen: passed > 0 && failures.length === 0 };
 };
 
--- a/packages/proving/src/load.ts
+++ b/packages/proving/src/load.ts
@@ -28,7 +28,13 @@
   readonly longShare?: number;
 }
 
-const one = async (agent: Agent, host: string, ask: Ask, requestId: string, weights: () => readonly string[]): Promise<Outcome> => {
+const one = async (
+  agent: Agent,
+  host: string,
+  ask: Ask,
+  requestId: string,
+  weights: () => readonly string[],
+): Promise<Outcome> => {
   const begin = performance.now();
   let runId = '';
   const done = (status: number, verdict: Outcome['verdict'], code = '', ran = '', firstMs = 0): Outcome => ({
@@ -105,7 +111,8 @@
   return outcomes;
 };
 
-const quantile = (sorted: readonly number[], share: number): number => Math.round((sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0) * 10) / 10;
+const quantile = (sorted: readonly number[], share: number): number =>
+  Math.round((sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0) * 10) / 10;
 
 export const summaries = {
   lines: (outcomes: readonly Outcome[]): string[] => {
@@ -114,17 +121,22 @@
       const key = `${outcome.kind}/${outcome.tier}`;
       groups.set(key, [...(groups.get(key) ?? []), outcome]);
     }
-    return [...groups].sort(([a], [b]) => (a < b ? -1 : 1)).map(([key, some]) => {
-      const whole = some.filter((outcome) => outcome.verdict === 'whole');
-      const first = whole.map((outcome) => outcome.firstMs).sort((a, b) => a - b);
-      const total = whole.map((outcome) => outcome.totalMs).sort((a, b) => a - b);
-      return `${key.padEnd(18)} n=${some.length} whole=${whole.length} first p50=${quantile(first, 0.5)} p95=${quantile(first, 0.95)} p99=${quantile(first, 0.99)} total p50=${quantile(total, 0.5)} p99=${quantile(total, 0.99)}`;
-    });
+    return [...groups]
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([key, some]) => {
+        const whole = some.filter((outcome) => outcome.verdict === 'whole');
+        const first = whole.map((outcome) => outcome.firstMs).sort((a, b) => a - b);
+        const total = whole.map((outcome) => outcome.totalMs).sort((a, b) => a - b);
+        return `${key.padEnd(18)} n=${some.length} whole=${whole.length} first p50=${quantile(first, 0.5)} p95=${quantile(first, 0.95)} p99=${quantile(first, 0.99)} total p50=${quantile(total, 0.5)} p99=${quantile(total, 0.99)}`;
+      });
   },
   verdicts: (outcomes: readonly Outcome[]): Record<string, number> => {
     const counts: Record<string, number> = {};
     for (const outcome of outcomes) {
-      const key = outcome.verdict === 'denied' ? `denied ${outcome.status} ${outcome.code} ran=${outcome.ran}` : `${outcome.verdict}${outcome.code === '' ? '' : ` ${outcome.code}`}`;
+      const key =
+        outcome.verdict === 'denied'
+          ? `denied ${outcome.status} ${outcome.code} ran=${outcome.ran}`
+          : `${outcome.verdict}${outcome.code === '' ? '' : ` ${outcome.code}`}`;
       counts[key] = (counts[key] ?? 0) + 1;
     }
     return counts;
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -52,21 +52,26 @@
     this.controls = [host(9, 1), host(9, 2)].map((one) => `${one}:9000`);
     if (!hasRelays) return;
     this.coachRelays = this.postmasterHosts.map((one, at) => new Relay(`${host(5, at + 1)}:7100`, `${one}:7100`));
-    for (const [at, name] of this.replicaNames().entries()) this.replicaRelays.set(name, new Relay(`${host(6, at + 1)}:8000`, this.directOf(name)));
+    for (const [at, name] of this.replicaNames().entries())
+      this.replicaRelays.set(name, new Relay(`${host(6, at + 1)}:8000`, this.directOf(name)));
   }
 
   readonly replicaNames = (): string[] => [...this.replicaHosts.map((_, at) => `replica-${at + 1}`), 'app-1'];
-  readonly directOf = (name: string): string => `${name === 'app-1' ? this.appHost : this.replicaHosts[Number(name.split('-')[1]) - 1]}:8000`;
+  readonly directOf = (name: string): string =>
+    `${name === 'app-1' ? this.appHost : this.replicaHosts[Number(name.split('-')[1]) - 1]}:8000`;
   readonly addressOf = (name: string): string => this.replicaRelays.get(name)?.at ?? this.directOf(name);
   readonly incarnationOf = (name: string): number => this.incarnations.get(name) ?? 1;
   private readonly coachOf = (at: number): string => this.coachRelays[at]?.at ?? `${this.postmasterHosts[at]}:7100`;
 
-  private readonly nodeFlags = (name: string): string[] => (name === this.profiled ? ['--cpu-prof', `--cpu-prof-dir=${this.folder}`] : []);
+  private readonly nodeFlags = (name: string): string[] =>
+    name === this.profiled ? ['--cpu-prof', `--cpu-prof-dir=${this.folder}`] : [];
 
   private readonly start = (name: string, args: string[], script = program): ChildProcess => {
     mkdirSync(this.folder, { recursive: true });
     const log = createWriteStream(join(this.folder, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [...this.nodeFlags(name), script, ...args], { stdio: ['ignore', 'pipe', 'pipe', 'ipc'] });
+    const child = spawn(process.execPath, [...this.nodeFlags(name), script, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
+    });
     child.stdout?.pipe(log, { end: false });
     child.stderr?.pipe(log, { end: false });
     this.children.set(name, child);
@@ -74,18 +79,42 @@
   };
 
   private readonly common = (name: string, host: string, at: number, coach: string): string[] => [
-    ...['--name', name, '--zone', zones[at % 3] as string, '--coach', coach, '--coach-listen', `${host}:7100`, '--http', `${host}:7101`],
+    ...[
+      '--name',
+      name,
+      '--zone',
+      zones[at % 3] as string,
+      '--coach',
+      coach,
+      '--coach-listen',
+      `${host}:7100`,
+      '--http',
+      `${host}:7101`,
+    ],
     ...['--seeds', this.postmasterHosts.map((_, one) => this.coachOf(one)).join(',')],
   ];
 
   readonly startPostmaster = (at: number): ChildProcess => {
     const name = `postmaster-${at + 1}`;
-    return this.start(name, ['postmaster', ...this.common(name, this.postmasterHosts[at] as string, at, this.coachOf(at)), '--data', join(this.folder, name)]);
+    return this.start(name, [
+      'postmaster',
+      ...this.common(name, this.postmasterHosts[at] as string, at, this.coachOf(at)),
+      '--data',
+      join(this.folder, name),
+    ]);
   };
 
   readonly startCounter = (at: number): ChildProcess => {
     const name = `counter-${at + 1}`;
-    return this.start(name, ['counter', ...this.common(name, this.counterHosts[at] as string, at, `${this.counterHosts[at]}:7100`), '--operators', `${this.counterHosts[at]}:7102`, '--fronts', String(this.frontCount), ...this.extraFlags]);
+    return this.start(name, [
+      'counter',
+      ...this.common(name, this.counterHosts[at] as string, at, `${this.counterHosts[at]}:7100`),
+      '--operators',
+      `${this.counterHosts[at]}:7102`,
+      '--fronts',
+      String(this.frontCount),
+      ...this.extraFlags,
+    ]);
   };
 
   readonly standInEnv = (name: string): StandInEnv => ({
@@ -101,19 +130,31 @@
   });
 
   readonly startStandIns = async (): Promise<void> => {
-    const seats = this.replicaNames().map((name): StandInSeat => ({ env: this.standInEnv(name), listen: this.directOf(name) }));
+    const seats = this.replicaNames().map(
+      (name): StandInSeat => ({ env: this.standInEnv(name), listen: this.directOf(name) }),
+    );
     const half = Math.ceil(seats.length / 2);
     await Promise.all(
       [seats.slice(0, half), seats.slice(half)].map(
         (some, at) =>
           new Promise<void>((ready) => {
-            this.start(`stand-ins-${at + 1}`, [JSON.stringify(some), this.controls[at] as string], join(here, 'standInsCommand.js')).stdout?.once('data', () => ready());
+            this.start(
+              `stand-ins-${at + 1}`,
+              [JSON.stringify(some), this.controls[at] as string],
+              join(here, 'standInsCommand.js'),
+            ).stdout?.once('data', () => ready());
           }),
       ),
     );
   };
 
-  readonly call = async (host: string, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', path: string, body?: unknown, headers: Record<string, string> = {}): Promise<Reply> => {
+  readonly call = async (
+    host: string,
+    method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE',
+    path: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<Reply> => {
     const receipt = await request(`http://${host}${path}`, {
       method,
       headers: { 'content-type': 'application/json', ...headers },
@@ -121,7 +162,10 @@
       headersTimeout: 10_000,
     });
     const text = await receipt.body.text();
-    return { status: receipt.statusCode, body: text.startsWith('{') ? (JSON.parse(text) as Record<string, unknown>) : { text } };
+    return {
+      status: receipt.statusCode,
+      body: text.startsWith('{') ? (JSON.parse(text) as Record<string, unknown>) : { text },
+    };
   };
 
   readonly until = async (what: string, test: () => Promise<boolean>, patienceMs = 15_000): Promise<number> => {
@@ -133,25 +177,41 @@
     throw new Error(`timed out: ${what}`);
   };
 
-  readonly isReady = async (host: string): Promise<boolean> => (await this.call(`${host}:7101`, 'GET', '/readyz')).status === 200;
+  readonly isReady = async (host: string): Promise<boolean> =>
+    (await this.call(`${host}:7101`, 'GET', '/readyz')).status === 200;
 
-  readonly up = async (layout: Record<string, unknown> = plans.layout('weights-1'), tenants: readonly string[] = plans.tenantNames): Promise<void> => {
+  readonly up = async (
+    layout: Record<string, unknown> = plans.layout('weights-1'),
+    tenants: readonly string[] = plans.tenantNames,
+  ): Promise<void> => {
     rmSync(this.folder, { recursive: true, force: true });
     await this.startStandIns();
     await Promise.all([...this.coachRelays, ...this.replicaRelays.values()].map((relay) => relay.open()));
     this.postmasterHosts.forEach((_, at) => this.startPostmaster(at));
     this.counterHosts.forEach((_, at) => this.startCounter(at));
-    await this.until('the founding', async () => (await Promise.all(this.postmasterHosts.map(this.isReady))).every(Boolean));
+    await this.until('the founding', async () =>
+      (await Promise.all(this.postmasterHosts.map(this.isReady))).every(Boolean),
+    );
     await this.platformAnnounces();
     await this.operatorPuts(layout);
     for (const tenant of tenants) {
-      const granted = await this.call(`${this.postmasterHosts[0]}:7101`, 'POST', '/platform/clients', { tenant, key: keyOf(tenant) });
+      const granted = await this.call(`${this.postmasterHosts[0]}:7101`, 'POST', '/platform/clients', {
+        tenant,
+        key: keyOf(tenant),
+      });
       if (granted.status !== 200) throw new Error(`grant: ${granted.status} ${JSON.stringify(granted.body)}`);
     }
-    await this.until('every counter ready', async () => (await Promise.all(this.counterHosts.map(this.isReady))).every(Boolean));
+    await this.until('every counter ready', async () =>
+      (await Promise.all(this.counterHosts.map(this.isReady))).every(Boolean),
+    );
   };
 
-  readonly announcement = (name: string): Record<string, unknown> => ({ name, address: this.addressOf(name), pool: name === 'app-1' ? 'app' : 'main', incarnation: this.incarnationOf(name) });
+  readonly announcement = (name: string): Record<string, unknown> => ({
+    name,
+    address: this.addressOf(name),
+    pool: name === 'app-1' ? 'app' : 'main',
+    incarnation: this.incarnationOf(name),
+  });
 
   readonly killReplica = async (name: string): Promise<void> => this.replicaRelays.get(name)?.shut();
 
@@ -160,15 +220,22 @@
     if (relay === undefined) return;
     this.incarnations.set(name, this.incarnationOf(name) + 1);
     const listen = `${addresses.split(this.directOf(name)).host}:${10_000 + (this.risen += 1)}`;
-    const risen = await this.call(this.controls[0] as string, 'POST', '/rise', { env: this.standInEnv(name), listen } satisfies StandInSeat);
+    const risen = await this.call(this.controls[0] as string, 'POST', '/rise', {
+      env: this.standInEnv(name),
+      listen,
+    } satisfies StandInSeat);
     if (risen.status !== 200) throw new Error(`${name} did not rise`);
     relay.target = listen;
     await relay.open();
   };
 
-  readonly lives = async (): Promise<Life[]> => (await Promise.all(this.controls.map((control) => this.call(control, 'GET', '/lives')))).flatMap(({ body }) => body['lives'] as Life[]);
+  readonly lives = async (): Promise<Life[]> =>
+    (await Promise.all(this.controls.map((control) => this.call(control, 'GET', '/lives')))).flatMap(
+      ({ body }) => body['lives'] as Life[],
+    );
 
-  readonly wipePostmaster = (at: number): void => rmSync(join(this.folder, `postmaster-${at + 1}`), { recursive: true, force: true });
+  readonly wipePostmaster = (at: number): void =>
+    rmSync(join(this.folder, `postmaster-${at + 1}`), { recursive: true, force: true });
 
   private readonly platformAnnounces = async (): Promise<void> => {
     const replicas = this.replicaNames().map(this.announcement);
@@ -178,7 +245,9 @@
 
   readonly operatorPuts = async (layout: Record<string, unknown>, at = 0): Promise<Reply> => {
     const held = await this.call(`${this.postmasterHosts[at]}:7101`, 'GET', '/operator/layout');
-    const put = await this.call(`${this.postmasterHosts[at]}:7101`, 'PUT', '/operator/layout', layout, { 'if-match': `"${String(held.body['generation'])}"` });
+    const put = await this.call(`${this.postmasterHosts[at]}:7101`, 'PUT', '/operator/layout', layout, {
+      'if-match': `"${String(held.body['generation'])}"`,
+    });
     if (put.status !== 200) throw new Error(`layout: ${put.status} ${JSON.stringify(put.body)}`);
     return put;
   };
@@ -186,7 +255,11 @@
   readonly signal = (name: string, signal: NodeJS.Signals): Promise<number | null> => {
     const child = this.children.get(name);
     if (child === undefined) return Promise.resolve(null);
-    const ended = new Promise<number | null>((settle) => (child.exitCode !== null || child.signalCode !== null ? settle(child.exitCode) : child.once('exit', (code) => settle(code))));
+    const ended = new Promise<number | null>((settle) =>
+      child.exitCode !== null || child.signalCode !== null
+        ? settle(child.exitCode)
+        : child.once('exit', (code) => settle(code)),
+    );
     child.kill(signal);
     return signal === 'SIGSTOP' || signal === 'SIGCONT' ? Promise.resolve(null) : ended;
   };
@@ -202,10 +275,15 @@
 
   readonly vitals = async (): Promise<string[]> => {
     const rows: string[] = [];
-    for (const address of [...this.postmasterHosts.map((host) => `${host}:7101`), ...this.counterHosts.map((host) => `${host}:7102`)]) {
+    for (const address of [
+      ...this.postmasterHosts.map((host) => `${host}:7101`),
+      ...this.counterHosts.map((host) => `${host}:7102`),
+    ]) {
       const text = String((await this.call(address, 'GET', '/metrics')).body['text']);
       const read = (name: string): string => new RegExp(`^martenworks_${name} (.*)$`, 'm').exec(text)?.[1] ?? '-';
-      rows.push(`${address.padEnd(17)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`);
+      rows.push(
+        `${address.padEnd(17)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`,
+      );
     }
     return rows;
   };
--- a/packages/proving/src/realTrialsCommand.ts
+++ b/packages/proving/src/realTrialsCommand.ts
@@ -63,10 +63,26 @@
   process.exit(0);
 }
 
-const firm = firms[values.firm] ?? plainly(`--firm: no such firm: ${values.firm}\nknown: ${Object.keys(firms).join(', ')}`);
-const kinds: readonly FaultKind[] = values.only === undefined ? faultKinds : values.only.split(',').map((one) => faultKinds.find((kind) => kind === one.trim()) ?? plainly(`--only: no such fault: ${one}\nknown: ${faultKinds.join(', ')}`));
-const numbers = { seconds: Number(values.seconds), rate: Number(values.rate ?? firm.ratePerSecond), seed: Number(values.seed), net: Number(values.net) };
-for (const [name, value] of Object.entries(numbers)) if (!Number.isInteger(value) || value < 1) plainly(`--${name}: must be a whole number of 1 or more`);
+const firm =
+  firms[values.firm] ?? plainly(`--firm: no such firm: ${values.firm}\nknown: ${Object.keys(firms).join(', ')}`);
+const kinds: readonly FaultKind[] =
+  values.only === undefined
+    ? faultKinds
+    : values.only
+        .split(',')
+        .map(
+          (one) =>
+            faultKinds.find((kind) => kind === one.trim()) ??
+            plainly(`--only: no such fault: ${one}\nknown: ${faultKinds.join(', ')}`),
+        );
+const numbers = {
+  seconds: Number(values.seconds),
+  rate: Number(values.rate ?? firm.ratePerSecond),
+  seed: Number(values.seed),
+  net: Number(values.net),
+};
+for (const [name, value] of Object.entries(numbers))
+  if (!Number.isInteger(value) || value < 1) plainly(`--${name}: must be a whole number of 1 or more`);
 
 const inForceMs = 2_000;
 const settleMs = 12_000;
@@ -78,14 +94,29 @@
 const fleet = new LocalFleet(firm, values.folder, numbers.net, 9, [], null, true);
 const outside = carriages.real(null);
 let lives: readonly Life[] = [];
-const scene: Scene = { counterHosts: fleet.counterHosts, now, random, after: (delayMs, ring) => void setTimeout(ring, delayMs), outside: () => outside, lives: () => lives };
+const scene: Scene = {
+  counterHosts: fleet.counterHosts,
+  now,
+  random,
+  after: (delayMs, ring) => void setTimeout(ring, delayMs),
+  outside: () => outside,
+  lives: () => lives,
+};
 const judge = new Judge(scene, `${numbers.seed}-`);
 const brought: Record<string, number> = {};
 const late: Told[] = [];
 let changes = 0;
 
-const ask = (at: number, method: 'GET' | 'POST' | 'PATCH' | 'DELETE', path: string, body?: unknown, headers: Record<string, string> = {}): Promise<Reply> =>
-  fleet.call(`${fleet.postmasterHosts[at]}:7101`, method, path, body, headers).catch((): Reply => ({ status: 0, body: {} }));
+const ask = (
+  at: number,
+  method: 'GET' | 'POST' | 'PATCH' | 'DELETE',
+  path: string,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): Promise<Reply> =>
+  fleet
+    .call(`${fleet.postmasterHosts[at]}:7101`, method, path, body, headers)
+    .catch((): Reply => ({ status: 0, body: {} }));
 
 const untilTaken = async (tell: (at: number) => Promise<Reply>): Promise<void> => {
   for (let shot = 0; shot < 300; shot += 1) {
@@ -108,7 +139,10 @@
   const { at, base } = await baseAt();
   const id = `real-${(changes += 1)}`;
   for (let shot = 0; ; shot += 1) {
-    const told = await ask(shot === 0 ? at : pick(3), 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"`, 'change-id': id });
+    const told = await ask(shot === 0 ? at : pick(3), 'PATCH', '/operator/layout', part, {
+      'if-match': `"${base}"`,
+      'change-id': id,
+    });
     if (told.status === 200) {
       judge.acceptedIds.set(id, Number(told.body['generation']));
       if (isLastWord && shot === 0) await restartPostmaster(at, false);
@@ -127,7 +161,11 @@
   if (isWiped) fleet.wipePostmaster(at);
   await sleep(span(300, 2_000));
   fleet.startPostmaster(at);
-  await fleet.until(`postmaster ${at + 1} votes`, async () => (await ask(at, 'GET', '/operator/status')).body['voter'] === true, 40_000);
+  await fleet.until(
+    `postmaster ${at + 1} votes`,
+    async () => (await ask(at, 'GET', '/operator/status')).body['voter'] === true,
+    40_000,
+  );
 };
 
 const freeze = async (name: string, longest: number): Promise<void> => {
@@ -158,7 +196,9 @@
   grant.to = now();
   const held = judge.calls.filter((call) => call.ask.key === key && call.verdict === 'open');
   await sleep(inForceMs);
-  for (const call of held) if (call.verdict === 'open' || call.verdict === 'whole') late.push({ rule: 'a revoked key\'s stream went on', detail: `${call.requestId} ${call.verdict}` });
+  for (const call of held)
+    if (call.verdict === 'open' || call.verdict === 'whole')
+      late.push({ rule: "a revoked key's stream went on", detail: `${call.requestId} ${call.verdict}` });
 };
 
 const probe = async (): Promise<void> => {
@@ -180,7 +220,11 @@
   else judge.weightsFrom.splice(judge.weightsFrom.indexOf(marker), 1);
 };
 
-const rollEach = async (role: 'counter' | 'postmaster', hosts: readonly string[], start: (at: number) => unknown): Promise<void> => {
+const rollEach = async (
+  role: 'counter' | 'postmaster',
+  hosts: readonly string[],
+  start: (at: number) => unknown,
+): Promise<void> => {
   for (const [at, host] of hosts.entries()) {
     const name = `${role}-${at + 1}`;
     await fleet.until(`${name} is up`, () => fleet.isReady(host));
@@ -261,7 +305,11 @@
     case 'new weights':
       return newWeights();
     case 'many lanes':
-      return void (await change({ lanes: Object.fromEntries(Array.from({ length: 200 }, (_, at) => [`lane-${changes}-${at}`, { pool: 'main', repeat: 'freely' }])) }));
+      return void (await change({
+        lanes: Object.fromEntries(
+          Array.from({ length: 200 }, (_, at) => [`lane-${changes}-${at}`, { pool: 'main', repeat: 'freely' }]),
+        ),
+      }));
     case 'layout probed':
       return probe();
     case 'key revoked from held streams':
@@ -293,9 +341,12 @@
     if ((await ask(at, 'GET', '/healthz')).status !== 200) continue;
     for (const [id, generation] of judge.acceptedIds) {
       const known = await ask(at, 'GET', `/operator/changes/${id}`);
-      if (known.status !== 200 || known.body['generation'] !== generation) told.push({ rule: 'an accepted change is lost', detail: `${id} at postmaster ${at + 1}: ${known.status}` });
+      if (known.status !== 200 || known.body['generation'] !== generation)
+        told.push({ rule: 'an accepted change is lost', detail: `${id} at postmaster ${at + 1}: ${known.status}` });
     }
-    for (const id of judge.refusedIds) if ((await ask(at, 'GET', `/operator/changes/${id}`)).status === 200) told.push({ rule: 'a losing change took effect', detail: id });
+    for (const id of judge.refusedIds)
+      if ((await ask(at, 'GET', `/operator/changes/${id}`)).status === 200)
+        told.push({ rule: 'a losing change took effect', detail: id });
   }
   return told;
 };
@@ -303,7 +354,10 @@
 let code = 1;
 try {
   const layout = plans.layout('weights-1');
-  const tenants = { ...(layout['tenants'] as Record<string, unknown>), [plans.prober]: { tier: 'patient', lanes: ['query'] } };
+  const tenants = {
+    ...(layout['tenants'] as Record<string, unknown>),
+    [plans.prober]: { tier: 'patient', lanes: ['query'] },
+  };
   await fleet.up({ ...layout, tenants }, [...plans.tenantNames, plans.prober]);
   for (const tenant of [...plans.tenantNames, plans.prober]) judge.grant(keyOf(tenant), tenant);
   judge.traffic(numbers.rate, numbers.seconds * 1_000, undefined, true);
@@ -317,19 +371,32 @@
   }
   const final = await bringFinal();
   const begin = now();
-  await fleet.until('every counter ready', async () => (await Promise.all(judge.living().map((at) => fleet.isReady(fleet.counterHosts[at] as string)))).every(Boolean));
+  await fleet.until('every counter ready', async () =>
+    (await Promise.all(judge.living().map((at) => fleet.isReady(fleet.counterHosts[at] as string)))).every(Boolean),
+  );
   const backMs = now() - begin;
   await sleep(Math.max(0, settleMs - backMs));
   const probesFrom = now();
   judge.traffic(50, 3_000);
-  await fleet.until('all calls ended', async () => now() - probesFrom > 4_000 && judge.calls.every((call) => call.verdict !== 'open' && call.endedAt > 0), 90_000).catch(() => 0);
+  await fleet
+    .until(
+      'all calls ended',
+      async () =>
+        now() - probesFrom > 4_000 && judge.calls.every((call) => call.verdict !== 'open' && call.endedAt > 0),
+      90_000,
+    )
+    .catch(() => 0);
   lives = await fleet.lives();
   const after = judge.calls.filter((call) => call.sentAt >= probesFrom);
   const whole = after.filter((call) => call.verdict === 'whole').length;
-  if (whole < after.length * 0.95) late.push({ rule: 'service still mostly absent', detail: `${whole} of ${after.length}` });
-  for (const call of judge.calls) if (call.verdict === 'open') late.push({ rule: 'a call never ended', detail: call.requestId });
+  if (whole < after.length * 0.95)
+    late.push({ rule: 'service still mostly absent', detail: `${whole} of ${after.length}` });
+  for (const call of judge.calls)
+    if (call.verdict === 'open') late.push({ rule: 'a call never ended', detail: call.requestId });
   const told = [...judge.complaints(), ...late, ...(await lostChanges())];
-  process.stdout.write(`seed ${numbers.seed}, ${values.firm}: ${judge.calls.length} calls in ${numbers.seconds} s\nbrought: ${JSON.stringify(brought)}\nlost for good: ${final}\ncalls: ${JSON.stringify(judge.tally())}\nready again ${Math.round(backMs)} ms after the last fault; 12 s after it ${whole} of ${after.length} whole\n`);
+  process.stdout.write(
+    `seed ${numbers.seed}, ${values.firm}: ${judge.calls.length} calls in ${numbers.seconds} s\nbrought: ${JSON.stringify(brought)}\nlost for good: ${final}\ncalls: ${JSON.stringify(judge.tally())}\nready again ${Math.round(backMs)} ms after the last fault; 12 s after it ${whole} of ${after.length} whole\n`,
+  );
   for (const { rule, detail } of told.slice(0, 20)) process.stdout.write(`${rule}: ${detail}\n`);
   process.stdout.write(told.length === 0 ? 'no rule broken\n' : `${told.length} breaches\n`);
   code = told.length === 0 ? 0 : 1;
--- a/packages/proving/src/relay.ts
+++ b/packages/proving/src/relay.ts
@@ -28,7 +28,10 @@
     const from = near.remoteAddress ?? '';
     const { host, port } = addresses.split(this.target);
     const far = createConnection({ host, port });
-    for (const [one, other] of [[near, far], [far, near]] as const) {
+    for (const [one, other] of [
+      [near, far],
+      [far, near],
+    ] as const) {
       one.setNoDelay(true);
       this.sockets.add(one);
       one.on('error', () => {});
--- a/packages/proving/src/roundsCommand.ts
+++ b/packages/proving/src/roundsCommand.ts
@@ -10,7 +10,8 @@
   return fleet;
 };
 
-const isDown = (fleet: SimFleet, node: string, least: number): boolean => fleet.postmasters.filter((postmaster) => postmaster?.verdicts.isDown(node) === true).length >= least;
+const isDown = (fleet: SimFleet, node: string, least: number): boolean =>
+  fleet.postmasters.filter((postmaster) => postmaster?.verdicts.isDown(node) === true).length >= least;
 
 const fleet = await raised(1);
 const waits: number[] = [];
@@ -22,7 +23,8 @@
   await fleet.world.run(5_000);
 }
 waits.sort((a, b) => a - b);
-const at = (share: number): number => Math.round(waits[Math.min(waits.length - 1, Math.floor(waits.length * share))] ?? 0);
+const at = (share: number): number =>
+  Math.round(waits[Math.min(waits.length - 1, Math.floor(waits.length * share))] ?? 0);
 process.stdout.write(`kills ${kills}: told after ms least ${at(0)} median ${at(0.5)} p90 ${at(0.9)} most ${at(1)}\n`);
 
 for (const freezeMs of [300, 600, 1_000, 1_400, 1_800, 2_400]) {
@@ -37,11 +39,15 @@
     const frozen = noisy.world.machine(pick());
     frozen.freeze();
     await noisy.world.run(freezeMs);
-    for (const postmaster of noisy.postmasters) for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
+    for (const postmaster of noisy.postmasters)
+      for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
     frozen.thaw();
     await noisy.world.run(1_500);
-    for (const postmaster of noisy.postmasters) for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
+    for (const postmaster of noisy.postmasters)
+      for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
     noisy.world.healAll();
   }
-  process.stdout.write(`noise ${noiseRounds} rounds of a ${freezeMs} ms freeze, a slow link and a one-way cut: held to be down ${alarms}, missed by one watcher only ${single}\n`);
+  process.stdout.write(
+    `noise ${noiseRounds} rounds of a ${freezeMs} ms freeze, a slow link and a one-way cut: held to be down ${alarms}, missed by one watcher only ${single}\n`,
+  );
 }
--- a/packages/proving/src/runTests.ts
+++ b/packages/proving/src/runTests.ts
@@ -49,7 +49,11 @@
   post({ kind: 'loaded', declared, selected: testsIn(mocha.suite).map((test) => test.fullTitle()) });
   const runner = mocha.run(() => post({ kind: 'done' }));
   const tell = (test: Mocha.Runnable, fault: string | null): void =>
-    post({ kind: 'result', result: { title: test.fullTitle(), fault, isTest: (test as { type?: string }).type === 'test' }, tookMs: test.duration ?? 0 });
+    post({
+      kind: 'result',
+      result: { title: test.fullTitle(), fault, isTest: (test as { type?: string }).type === 'test' },
+      tookMs: test.duration ?? 0,
+    });
   runner.on('pass', (test) => tell(test, null));
   runner.on('fail', (test, cause: Error) => tell(test, String(cause.stack ?? cause)));
 };
@@ -68,7 +72,9 @@
   };
   const work = (at: number): Promise<void> =>
     new Promise((done) => {
-      const worker = new Worker(new URL(import.meta.url), { workerData: { wanted: process.argv[2] ?? '', at, count } satisfies Shard });
+      const worker = new Worker(new URL(import.meta.url), {
+        workerData: { wanted: process.argv[2] ?? '', at, count } satisfies Shard,
+      });
       worker.on('message', (message: Message) => {
         if (message.kind === 'done') void worker.terminate();
         else if (message.kind === 'result') take(message.result, message.tookMs);
@@ -77,7 +83,9 @@
           selected.push(...message.selected);
         }
       });
-      worker.on('error', (cause) => take({ title: `part ${at}`, fault: String(cause.stack ?? cause), isTest: false }, 0));
+      worker.on('error', (cause) =>
+        take({ title: `part ${at}`, fault: String(cause.stack ?? cause), isTest: false }, 0),
+      );
       worker.on('exit', () => done());
     });
   await Promise.all(Array.from({ length: count }, (_, at) => work(at)));
--- a/packages/proving/src/sim/judge.ts
+++ b/packages/proving/src/sim/judge.ts
@@ -87,10 +87,17 @@
     private readonly scene: Scene,
     private readonly salt = '',
   ) {
-    this.weightsFrom.push({ offeredAt: 0, at: 0, pool: 'main', weights: 'weights-1' }, { offeredAt: 0, at: 0, pool: 'app', weights: 'app-1' });
+    this.weightsFrom.push(
+      { offeredAt: 0, at: 0, pool: 'main', weights: 'weights-1' },
+      { offeredAt: 0, at: 0, pool: 'app', weights: 'app-1' },
+    );
   }
 
-  readonly send = (ask: Ask, counterAt: number, more: { idempotencyKey?: string; horizonMs?: number; signal?: AbortSignal; whole?: boolean } = {}): Call => {
+  readonly send = (
+    ask: Ask,
+    counterAt: number,
+    more: { idempotencyKey?: string; horizonMs?: number; signal?: AbortSignal; whole?: boolean } = {},
+  ): Call => {
     const call: Call = {
       requestId: `call-${this.salt}${(this.next += 1)}`,
       ask,
@@ -113,7 +120,10 @@
     return call;
   };
 
-  private readonly follow = async (call: Call, more: { horizonMs?: number; signal?: AbortSignal; whole?: boolean }): Promise<void> => {
+  private readonly follow = async (
+    call: Call,
+    more: { horizonMs?: number; signal?: AbortSignal; whole?: boolean },
+  ): Promise<void> => {
     const isStreamed = more.whole !== true;
     const receipt = await this.scene.outside().carry({
       method: 'POST',
@@ -125,7 +135,12 @@
         ...(call.idempotencyKey === null ? {} : { 'idempotency-key': call.idempotencyKey }),
         ...(more.horizonMs === undefined ? {} : { 'x-horizon-ms': String(more.horizonMs) }),
       },
-      body: JSON.stringify({ model: call.ask.kind, prompt: call.ask.prompt, max_tokens: call.ask.maxTokens, stream: isStreamed }),
+      body: JSON.stringify({
+        model: call.ask.kind,
+        prompt: call.ask.prompt,
+        max_tokens: call.ask.maxTokens,
+        stream: isStreamed,
+      }),
       signal: more.signal ?? new AbortController().signal,
       gate: () => true,
     });
@@ -144,8 +159,7 @@
         if (event.event === 'error') {
           isError = true;
           call.ran = (JSON.parse(event.data) as { error: { ran: string } }).error.ran;
-        }
-        else if (event.data === '[DONE]') isEnded = true;
+        } else if (event.data === '[DONE]') isEnded = true;
         else {
           if (call.firstAt === 0) call.firstAt = this.scene.now();
           call.text += (JSON.parse(event.data) as { choices: { text: string }[] }).choices[0]?.text ?? '';
@@ -199,7 +213,11 @@
       const quit = new AbortController();
       if (draw < leavingShare) after(random() * 400, () => quit.abort());
       this.send(ask, this.somewhere(), { signal: quit.signal });
-      if (draw > 1 - twinShare) this.send({ ...plans.ask(random, 0, 0), kind: ask.kind, prompt: ask.prompt, maxTokens: ask.maxTokens }, this.somewhere());
+      if (draw > 1 - twinShare)
+        this.send(
+          { ...plans.ask(random, 0, 0), kind: ask.kind, prompt: ask.prompt, maxTokens: ask.maxTokens },
+          this.somewhere(),
+        );
       if (draw > 0.5 && draw < 0.5 + strangerShare) {
         const key = `never-granted-${this.calls.length}`;
         this.granted.set(key, []);
@@ -233,7 +251,9 @@
   };
 
   readonly runs = (): (Run & { replica: string; incarnation: number })[] =>
-    this.scene.lives().flatMap(({ name, incarnation, runs }) => runs.map((run) => ({ ...run, replica: name, incarnation })));
+    this.scene
+      .lives()
+      .flatMap(({ name, incarnation, runs }) => runs.map((run) => ({ ...run, replica: name, incarnation })));
 
   readonly grant = (key: string, tenant: string): Grant => {
     const grant: Grant = { tenant, from: this.scene.now(), to: Number.POSITIVE_INFINITY };
@@ -246,10 +266,21 @@
     tenants: { [plans.prober]: { tier, lanes: [lane] } },
   });
 
-  readonly probeAll = (lane: string, change: string, isWanted: boolean, tier: string, repeat: 'once' | 'freely'): void => {
+  readonly probeAll = (
+    lane: string,
+    change: string,
+    isWanted: boolean,
+    tier: string,
+    repeat: 'once' | 'freely',
+  ): void => {
     const priority = plans.tiers[tier as keyof typeof plans.tiers];
     for (const at of this.living()) {
-      const ask = { ...plans.ask(this.scene.random, this.calls.length, 0), kind: lane as Kind, tenant: plans.prober, key: keyOf(plans.prober) };
+      const ask = {
+        ...plans.ask(this.scene.random, this.calls.length, 0),
+        kind: lane as Kind,
+        tenant: plans.prober,
+        key: keyOf(plans.prober),
+      };
       this.probes.push({ call: this.send(ask, at), change, isWanted, priority, repeat });
     }
   };
@@ -258,9 +289,12 @@
     const grants = this.granted.get(call.ask.key);
     return own.flatMap((run): Told[] => {
       const then = grants?.filter((grant) => run.startedAt >= grant.from && run.startedAt <= grant.to + inForceMs);
-      if (then?.length === 0) return [{ rule: 'a key not granted', detail: `${call.requestId} at ${Math.round(run.startedAt)}` }];
+      if (then?.length === 0)
+        return [{ rule: 'a key not granted', detail: `${call.requestId} at ${Math.round(run.startedAt)}` }];
       const holders = then?.map((grant) => grant.tenant) ?? [call.ask.tenant];
-      return holders.includes(run.tenant) ? [] : [{ rule: 'another tenant', detail: `${call.requestId} of ${holders.join()} ran for ${run.tenant}` }];
+      return holders.includes(run.tenant)
+        ? []
+        : [{ rule: 'another tenant', detail: `${call.requestId} of ${holders.join()} ran for ${run.tenant}` }];
     });
   };
 
@@ -268,10 +302,16 @@
     this.probes.flatMap(({ call, change, isWanted, priority, repeat }): Told[] => {
       const own = byRequest.get(call.requestId) ?? [];
       const detail = `${change}: ${call.requestId} at ${call.host}, ${Math.round(call.sentAt)}: ${call.verdict} ${call.code}`;
-      if (!isWanted) return own.length > 0 || call.verdict === 'whole' ? [{ rule: 'a losing change took effect', detail }] : [];
+      if (!isWanted)
+        return own.length > 0 || call.verdict === 'whole' ? [{ rule: 'a losing change took effect', detail }] : [];
       const told: Told[] = [];
-      if (call.verdict === 'denied' && notInForce.has(call.code)) told.push({ rule: 'an accepted change is not in force', detail });
-      if (own.some((run) => run.priority !== priority)) told.push({ rule: 'an accepted change is not in force', detail: `${detail} ran at ${own.map((run) => run.priority).join()}, not ${priority}` });
+      if (call.verdict === 'denied' && notInForce.has(call.code))
+        told.push({ rule: 'an accepted change is not in force', detail });
+      if (own.some((run) => run.priority !== priority))
+        told.push({
+          rule: 'an accepted change is not in force',
+          detail: `${detail} ran at ${own.map((run) => run.priority).join()}, not ${priority}`,
+        });
       if (repeat === 'once' && own.length > 1) told.push({ rule: 'runs twice', detail });
       return told;
     });
@@ -286,7 +326,10 @@
       held.push(at);
       table.set(pool, held);
     };
-    const visits = this.scene.lives().flatMap(({ name, visits }) => visits.map((visit) => ({ ...visit, pool: poolOf(name) }))).sort((a, b) => a.at - b.at);
+    const visits = this.scene
+      .lives()
+      .flatMap(({ name, visits }) => visits.map((visit) => ({ ...visit, pool: poolOf(name) })))
+      .sort((a, b) => a.at - b.at);
     for (const { requestId, at, pool } of visits) {
       add(seen.has(`${pool} ${requestId}`) ? extras : firsts, pool, at);
       seen.add(`${pool} ${requestId}`);
@@ -314,7 +357,11 @@
           worst = Math.max(worst, end - begin + 1 - traffic * extraShare - extraAllowance);
         }
       }
-      if (worst > 0) told.push({ rule: 'extra shots', detail: `pool ${pool}: ${worst.toFixed(1)} more than a fifth and the allowance in some window, ${ats.length} in all` });
+      if (worst > 0)
+        told.push({
+          rule: 'extra shots',
+          detail: `pool ${pool}: ${worst.toFixed(1)} more than a fifth and the allowance in some window, ${ats.length} in all`,
+        });
     }
     return told;
   };
@@ -322,10 +369,23 @@
   private readonly textPlaints = (call: Call, runs: readonly Run[]): Told[] => {
     const label = `${call.requestId} ${call.ask.kind} ${call.verdict}`;
     const spoken = (run: Run): string => speech.whole(call.ask.prompt, run.weights, run.runId, call.ask.maxTokens);
-    if (call.verdict !== 'whole') return call.text === '' || runs.some((run) => spoken(run).startsWith(call.text)) ? [] : [{ rule: 'skipped, repeated or spliced piece', detail: label }];
+    if (call.verdict !== 'whole')
+      return call.text === '' || runs.some((run) => spoken(run).startsWith(call.text))
+        ? []
+        : [{ rule: 'skipped, repeated or spliced piece', detail: label }];
     const finished = runs.filter((run) => run.isFinished);
-    if (finished.length === 0) return [{ rule: runs.some((run) => spoken(run).startsWith(call.text)) ? 'wrong or cut answer looks whole' : 'success the replica never gave', detail: label }];
-    return finished.some((run) => spoken(run) === call.text) ? [] : [{ rule: 'wrong or cut answer looks whole', detail: label }];
+    if (finished.length === 0)
+      return [
+        {
+          rule: runs.some((run) => spoken(run).startsWith(call.text))
+            ? 'wrong or cut answer looks whole'
+            : 'success the replica never gave',
+          detail: label,
+        },
+      ];
+    return finished.some((run) => spoken(run) === call.text)
+      ? []
+      : [{ rule: 'wrong or cut answer looks whole', detail: label }];
   };
 
   readonly complaints = (): Told[] => {
@@ -337,18 +397,29 @@
     for (const call of this.calls) {
       const own = byRequest.get(call.requestId) ?? [];
       const label = `${call.requestId} ${call.ask.kind} ${call.verdict}`;
-      if (lanesOnce.has(call.ask.kind) && own.length > 1) told.push({ rule: 'runs twice', detail: `${label}: ${own.length} runs` });
+      if (lanesOnce.has(call.ask.kind) && own.length > 1)
+        told.push({ rule: 'runs twice', detail: `${label}: ${own.length} runs` });
       if (call.idempotencyKey !== null) {
         const key = `${call.ask.tenant}/${call.idempotencyKey}`;
         byKey.set(key, (byKey.get(key) ?? 0) + own.length);
       }
-      if (call.verdict === 'denied' && call.ran === 'no' && own.length > 0) told.push({ rule: 'not run, yet ran', detail: label });
-      if (call.verdict === 'denied' && (call.status === 429 || call.status === 503) && call.retryAfter === null) told.push({ rule: 'no Retry-After', detail: label });
+      if (call.verdict === 'denied' && call.ran === 'no' && own.length > 0)
+        told.push({ rule: 'not run, yet ran', detail: label });
+      if (call.verdict === 'denied' && (call.status === 429 || call.status === 503) && call.retryAfter === null)
+        told.push({ rule: 'no Retry-After', detail: label });
       told.push(...(call.idempotencyKey === null ? this.textPlaints(call, own) : []), ...this.keyPlaints(call, own));
       for (const run of own) {
-        const due = this.weightsFrom.findLast((one) => one.pool === poolOf(run.replica) && call.sentAt >= one.at + inForceMs);
-        const used = this.weightsFrom.findLast((one) => one.pool === poolOf(run.replica) && one.weights === run.weights);
-        if (due !== undefined && used !== undefined && used.offeredAt < due.offeredAt) told.push({ rule: 'an accepted change is not in force', detail: `${label} sent at ${Math.round(call.sentAt)} ran on ${run.weights}, not ${due.weights}` });
+        const due = this.weightsFrom.findLast(
+          (one) => one.pool === poolOf(run.replica) && call.sentAt >= one.at + inForceMs,
+        );
+        const used = this.weightsFrom.findLast(
+          (one) => one.pool === poolOf(run.replica) && one.weights === run.weights,
+        );
+        if (due !== undefined && used !== undefined && used.offeredAt < due.offeredAt)
+          told.push({
+            rule: 'an accepted change is not in force',
+            detail: `${label} sent at ${Math.round(call.sentAt)} ran on ${run.weights}, not ${due.weights}`,
+          });
       }
     }
     told.push(...this.probePlaints(byRequest), ...this.extraPlaints());
@@ -361,19 +432,39 @@
     for (const [key, some] of keyed) {
       const under = some.flatMap((call) => byRequest.get(call.requestId) ?? []);
       for (const call of some) {
-        if (call.verdict === 'denied' && call.ran === 'no' && under.some((run) => run.startedAt <= call.endedAt)) told.push({ rule: 'not run, yet ran', detail: `${call.requestId} under key ${key}` });
+        if (call.verdict === 'denied' && call.ran === 'no' && under.some((run) => run.startedAt <= call.endedAt))
+          told.push({ rule: 'not run, yet ran', detail: `${call.requestId} under key ${key}` });
         told.push(...this.textPlaints(call, under));
       }
     }
-    for (const [key, count] of byKey) if (count > 1) told.push({ rule: 'runs twice', detail: `idempotency key ${key}: ${count} runs` });
-    for (const { breaches } of this.scene.lives()) for (const breach of breaches) told.push({ rule: `foreign KV (${breach.rule})`, detail: `${breach.requestId} took ${breach.block} from ${breach.holder}` });
+    for (const [key, count] of byKey)
+      if (count > 1) told.push({ rule: 'runs twice', detail: `idempotency key ${key}: ${count} runs` });
+    for (const { breaches } of this.scene.lives())
+      for (const breach of breaches)
+        told.push({
+          rule: `foreign KV (${breach.rule})`,
+          detail: `${breach.requestId} took ${breach.block} from ${breach.holder}`,
+        });
     for (const run of runs) {
       const left = this.leftAt.find((one) => one.name === run.replica && one.incarnation === run.incarnation);
-      if (left !== undefined && run.startedAt > left.at + leavingMs) told.push({ rule: 'a leaving replica got a request', detail: `${run.requestId} on ${run.replica} ${Math.round(run.startedAt - left.at)} ms after` });
+      if (left !== undefined && run.startedAt > left.at + leavingMs)
+        told.push({
+          rule: 'a leaving replica got a request',
+          detail: `${run.requestId} on ${run.replica} ${Math.round(run.startedAt - left.at)} ms after`,
+        });
       const pool = poolOf(run.replica);
       const named = this.weightsFrom.filter((one) => one.pool === pool);
-      const mayUse = named.some((one, index) => one.weights === run.weights && run.startedAt >= one.offeredAt && run.startedAt <= (named[index + 1]?.at ?? Number.POSITIVE_INFINITY) + oldWeightsMs);
-      if (!mayUse) told.push({ rule: 'old weights started', detail: `${run.requestId} on ${run.weights} at ${Math.round(run.startedAt)}` });
+      const mayUse = named.some(
+        (one, index) =>
+          one.weights === run.weights &&
+          run.startedAt >= one.offeredAt &&
+          run.startedAt <= (named[index + 1]?.at ?? Number.POSITIVE_INFINITY) + oldWeightsMs,
+      );
+      if (!mayUse)
+        told.push({
+          rule: 'old weights started',
+          detail: `${run.requestId} on ${run.weights} at ${Math.round(run.startedAt)}`,
+        });
     }
     return told;
   };
