--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -68,10 +68,29 @@
   readonly random = (): number => this.world.random();
   readonly after = (delayMs: number, ring: () => void): void => void this.world.plan(null, delayMs, ring);
   readonly outside = (): Carriage => this.world.machine(outsideHost).carriage();
-  readonly lives = (): Life[] => this.stays.map(({ standIn, name }) => ({ name, incarnation: standIn.env.incarnation, runs: standIn.runs, visits: standIn.visits, breaches: standIn.breaches }));
+  readonly lives = (): Life[] =>
+    this.stays.map(({ standIn, name }) => ({
+      name,
+      incarnation: standIn.env.incarnation,
+      runs: standIn.runs,
+      visits: standIn.visits,
+      breaches: standIn.breaches,
+    }));
 
   private readonly env = (role: Role, name: string, host: string, at: number, more: Record<string, unknown>): Env => {
-    const checked = envs.check(role, { name, zone: zones[at % 3], coach: `${host}:7100`, http: `${host}:7101`, seeds: this.postmasterHosts.slice(0, 3).map((one) => `${one}:7100`), fronts: this.plan.fronts, ...more }, {});
+    const checked = envs.check(
+      role,
+      {
+        name,
+        zone: zones[at % 3],
+        coach: `${host}:7100`,
+        http: `${host}:7101`,
+        seeds: this.postmasterHosts.slice(0, 3).map((one) => `${one}:7100`),
+        fronts: this.plan.fronts,
+        ...more,
+      },
+      {},
+    );
     return checked._unsafeUnwrap();
   };
 
@@ -83,7 +102,10 @@
   readonly startPostmaster = async (at: number): Promise<void> => {
     const host = this.postmasterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await postmasters.start(this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim', ...this.plan.postmasterEnv }), this.portsOf('postmaster', machine));
+    const started = await postmasters.start(
+      this.env('postmaster', this.postmasterNames[at] as string, host, at, { data: 'sim', ...this.plan.postmasterEnv }),
+      this.portsOf('postmaster', machine),
+    );
     if (started.isErr()) throw new Error(`postmaster ${at}: ${JSON.stringify(started.error)}`);
     this.postmasters[at] = started.value;
     this.plan.onPostmaster?.(started.value);
@@ -94,7 +116,10 @@
   readonly startCounter = async (at: number): Promise<void> => {
     const host = this.counterHosts[at] as string;
     const machine = this.world.machine(host);
-    const started = await counters.start(this.env('counter', `counter-${at + 1}`, host, at, { operators: `${host}:7102`, ...this.plan.counterEnv }), this.portsOf('counter', machine));
+    const started = await counters.start(
+      this.env('counter', `counter-${at + 1}`, host, at, { operators: `${host}:7102`, ...this.plan.counterEnv }),
+      this.portsOf('counter', machine),
+    );
     if (started.isErr()) throw new Error(`counter ${at}: ${JSON.stringify(started.error)}`);
     this.counters[at] = started.value;
     this.plan.onCounter?.(started.value);
@@ -133,18 +158,33 @@
 
   readonly replicaName = (at: number): string => `replica-${at + 1}`;
 
-  readonly hostOfReplica = (name: string): string => (name === 'app-1' ? this.appHost : name === 'store-1' ? this.storeHost : (this.replicaHosts[Number(name.split('-')[1]) - 1] as string));
-
-  readonly call = async (url: string, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', body?: unknown, headers: Record<string, string> = {}, signal: AbortSignal = new AbortController().signal): Promise<Told> => {
-    const receipt = await this.world.machine(outsideHost).carriage().carry({
-      method: method as 'POST',
-      url,
-      headers: { 'content-type': 'application/json', ...headers },
-      body: body === undefined ? null : JSON.stringify(body),
-      signal,
-      gate: () => true,
-    });
-    if (receipt.isErr()) return { status: 0, body: { code: receipt.error.code, isUnsent: receipt.error.isUnsent }, retryAfter: null };
+  readonly hostOfReplica = (name: string): string =>
+    name === 'app-1'
+      ? this.appHost
+      : name === 'store-1'
+        ? this.storeHost
+        : (this.replicaHosts[Number(name.split('-')[1]) - 1] as string);
+
+  readonly call = async (
+    url: string,
+    method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE',
+    body?: unknown,
+    headers: Record<string, string> = {},
+    signal: AbortSignal = new AbortController().signal,
+  ): Promise<Told> => {
+    const receipt = await this.world
+      .machine(outsideHost)
+      .carriage()
+      .carry({
+        method: method as 'POST',
+        url,
+        headers: { 'content-type': 'application/json', ...headers },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal,
+        gate: () => true,
+      });
+    if (receipt.isErr())
+      return { status: 0, body: { code: receipt.error.code, isUnsent: receipt.error.isUnsent }, retryAfter: null };
     const parts: Uint8Array[] = [];
     try {
       for await (const part of receipt.value.body) parts.push(part);
@@ -152,11 +192,20 @@
       return { status: 0, body: { code: 'broken' }, retryAfter: null };
     }
     const text = Buffer.concat(parts).toString('utf8');
-    return { status: receipt.value.status, body: text.startsWith('{') ? (JSON.parse(text) as Record<string, unknown>) : { text }, retryAfter: receipt.value.header('retry-after') };
+    return {
+      status: receipt.value.status,
+      body: text.startsWith('{') ? (JSON.parse(text) as Record<string, unknown>) : { text },
+      retryAfter: receipt.value.header('retry-after'),
+    };
   };
 
-  readonly onPostmaster = (at: number, method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE', path: string, body?: unknown, headers?: Record<string, string>): Promise<Told> =>
-    this.call(`http://${this.postmasterHosts[at]}:7101${path}`, method, body, headers);
+  readonly onPostmaster = (
+    at: number,
+    method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE',
+    path: string,
+    body?: unknown,
+    headers?: Record<string, string>,
+  ): Promise<Told> => this.call(`http://${this.postmasterHosts[at]}:7101${path}`, method, body, headers);
 
   readonly finish = async <T>(work: Promise<T>, patienceMs = 30_000): Promise<T> => {
     let outcome: { value: T } | null = null;
@@ -172,13 +221,36 @@
 
   readonly announceAll = (at = 0): Promise<Told> =>
     this.onPostmaster(at, 'POST', '/platform/replicas', [
-      ...this.replicaHosts.map((host, index) => ({ name: this.replicaName(index), address: `${host}:8000`, pool: 'main', incarnation: this.incarnationOf(this.replicaName(index)) })),
+      ...this.replicaHosts.map((host, index) => ({
+        name: this.replicaName(index),
+        address: `${host}:8000`,
+        pool: 'main',
+        incarnation: this.incarnationOf(this.replicaName(index)),
+      })),
       { name: 'app-1', address: `${this.appHost}:8000`, pool: 'app', incarnation: this.incarnationOf('app-1') },
-      ...(this.plan.hasStore === true ? [{ name: 'store-1', kind: 'store', address: `${this.storeHost}:8000`, pool: 'main', incarnation: this.incarnationOf('store-1') }] : []),
+      ...(this.plan.hasStore === true
+        ? [
+            {
+              name: 'store-1',
+              kind: 'store',
+              address: `${this.storeHost}:8000`,
+              pool: 'main',
+              incarnation: this.incarnationOf('store-1'),
+            },
+          ]
+        : []),
     ]);
 
   readonly announce = (name: string, at = 0): Promise<Told> =>
-    this.onPostmaster(at, 'POST', '/platform/replicas', [{ name, address: `${this.hostOfReplica(name)}:8000`, pool: name === 'app-1' ? 'app' : 'main', kind: name === 'store-1' ? 'store' : 'replica', incarnation: this.incarnationOf(name) }]);
+    this.onPostmaster(at, 'POST', '/platform/replicas', [
+      {
+        name,
+        address: `${this.hostOfReplica(name)}:8000`,
+        pool: name === 'app-1' ? 'app' : 'main',
+        kind: name === 'store-1' ? 'store' : 'replica',
+        incarnation: this.incarnationOf(name),
+      },
+    ]);
 
   readonly startAll = async (): Promise<void> => {
     this.replicaHosts.forEach((host, at) => this.startStandIn(this.replicaName(at), host));
@@ -191,19 +263,35 @@
   readonly up = async (): Promise<void> => {
     await this.startAll();
     await this.world.until('the founding', () => this.postmasters.every((one) => one?.isReady() === true));
-    const put = await this.finish(this.onPostmaster(0, 'PUT', '/operator/layout', this.plan.layout ?? plans.layout('weights-1'), { 'if-match': '"0"', 'change-id': 'first-layout' }));
+    const put = await this.finish(
+      this.onPostmaster(0, 'PUT', '/operator/layout', this.plan.layout ?? plans.layout('weights-1'), {
+        'if-match': '"0"',
+        'change-id': 'first-layout',
+      }),
+    );
     if (put.status !== 200) throw new Error(`layout: ${JSON.stringify(put)}`);
     const announced = await this.finish(this.announceAll());
     if (announced.status !== 200) throw new Error(`announce: ${JSON.stringify(announced)}`);
     const tenants = this.plan.tenants ?? plans.tenantNames;
     for (const tenant of tenants) {
-      const granted = await this.finish(this.onPostmaster(0, 'POST', '/platform/clients', { tenant, key: keyOf(tenant) }, { 'change-id': `grant-${tenant}` }));
+      const granted = await this.finish(
+        this.onPostmaster(
+          0,
+          'POST',
+          '/platform/clients',
+          { tenant, key: keyOf(tenant) },
+          { 'change-id': `grant-${tenant}` },
+        ),
+      );
       if (granted.status !== 200) throw new Error(`grant: ${JSON.stringify(granted)}`);
     }
-    await this.world.until('every counter ready', () => this.counters.every((one) => one?.freshness.isFresh() === true && one.book.generation() >= 1 + tenants.length));
+    await this.world.until('every counter ready', () =>
+      this.counters.every((one) => one?.freshness.isFresh() === true && one.book.generation() >= 1 + tenants.length),
+    );
   };
 
-  readonly machineOf = (kind: 'postmaster' | 'counter', at: number): SimMachine => this.world.machine((kind === 'postmaster' ? this.postmasterHosts[at] : this.counterHosts[at]) as string);
+  readonly machineOf = (kind: 'postmaster' | 'counter', at: number): SimMachine =>
+    this.world.machine((kind === 'postmaster' ? this.postmasterHosts[at] : this.counterHosts[at]) as string);
 
   readonly killPostmaster = (at: number, losesDisk = false): void => {
     const machine = this.machineOf('postmaster', at);
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -1,7 +1,19 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { Heap } from 'heap-js';
-import type { Carriage, CarriageReceipt, Clock, Door, Log, Net, NetFault, Ports, Random, WebHandler, Wire } from '@martenworks/envelope';
+import type {
+  Carriage,
+  CarriageReceipt,
+  Clock,
+  Door,
+  Log,
+  Net,
+  NetFault,
+  Ports,
+  Random,
+  WebHandler,
+  Wire,
+} from '@martenworks/envelope';
 import { logs } from '@martenworks/envelope';
 import { seeded } from '../firms.js';
 import { SimDisk } from './simDisk.js';
@@ -26,7 +38,8 @@
   readonly context: Record<string, unknown>;
 }
 
-const pairsOf = (list: readonly string[]): [string, string][] => list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
+const pairsOf = (list: readonly string[]): [string, string][] =>
+  list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
 
 export class SimWorld {
   readonly random: () => number;
@@ -53,7 +66,14 @@
   };
 
   readonly plan = (machine: SimMachine | null, delayMs: number, ring: () => void): Planned => {
-    const planned: Planned = { at: this.time + Math.max(0, delayMs), order: (this.order += 1), machine, life: machine?.life ?? 0, ring, isCancelled: false };
+    const planned: Planned = {
+      at: this.time + Math.max(0, delayMs),
+      order: (this.order += 1),
+      machine,
+      life: machine?.life ?? 0,
+      ring,
+      isCancelled: false,
+    };
     this.planned.push(planned);
     return planned;
   };
@@ -85,7 +105,8 @@
   readonly until = async (what: string, test: () => boolean, patienceMs = 30_000): Promise<number> => {
     const begin = this.time;
     while (!test()) {
-      if (this.time - begin > patienceMs) throw new Error(`seed ${this.seed}: timed out after ${patienceMs} virtual ms: ${what}`);
+      if (this.time - begin > patienceMs)
+        throw new Error(`seed ${this.seed}: timed out after ${patienceMs} virtual ms: ${what}`);
       await this.run(20);
     }
     return this.time - begin;
@@ -101,7 +122,8 @@
     this.cuts.clear();
     this.slowLinks.clear();
   };
-  readonly slow = (from: string, to: string, delayMs: number): void => void this.slowLinks.set(`${from}>${to}`, delayMs);
+  readonly slow = (from: string, to: string, delayMs: number): void =>
+    void this.slowLinks.set(`${from}>${to}`, delayMs);
   readonly isolate = (host: string): void => {
     for (const other of this.machines.keys()) if (other !== host) this.cutBoth(host, other);
   };
@@ -112,7 +134,8 @@
     }
   };
   readonly isCut = (from: string, to: string): boolean => this.cuts.has(`${from}>${to}`);
-  readonly latency = (from: string, to: string): number => (from === to ? 0.05 : 0.2 + this.random() * 0.8) + (this.slowLinks.get(`${from}>${to}`) ?? 0);
+  readonly latency = (from: string, to: string): number =>
+    (from === to ? 0.05 : 0.2 + this.random() * 0.8) + (this.slowLinks.get(`${from}>${to}`) ?? 0);
 }
 
 interface Mood {
@@ -200,11 +223,24 @@
 
   private readonly randomPort = (): Random => ({
     fraction: this.world.random,
-    token: (byteCount) => Array.from({ length: byteCount }, () => Math.floor(this.world.random() * 256).toString(16).padStart(2, '0')).join(''),
+    token: (byteCount) =>
+      Array.from({ length: byteCount }, () =>
+        Math.floor(this.world.random() * 256)
+          .toString(16)
+          .padStart(2, '0'),
+      ).join(''),
   });
 
   private readonly log = (context: Record<string, unknown>): Log => {
-    const write = (message: string, more?: Record<string, unknown>): void => void (message === 'request' || message === 'denied' ? 0 : this.world.lines.push({ at: this.world.time, machine: this.host, message, context: { ...context, ...more } }));
+    const write = (message: string, more?: Record<string, unknown>): void =>
+      void (message === 'request' || message === 'denied'
+        ? 0
+        : this.world.lines.push({
+            at: this.world.time,
+            machine: this.host,
+            message,
+            context: { ...context, ...more },
+          }));
     return { info: write, warn: write, error: write, child: (more) => this.log({ ...context, ...more }) };
   };
 
@@ -286,7 +322,8 @@
         owner.shutters.delete(crash);
       };
       const crash = (isReset: boolean): void => {
-        if (isReset && !receive.isShut) this.world.plan(send.to, this.world.latency(owner.host, send.to.host), () => shutEnd(send));
+        if (isReset && !receive.isShut)
+          this.world.plan(send.to, this.world.latency(owner.host, send.to.host), () => shutEnd(send));
         receive.isShut = true;
         receive.onClose = null;
       };
@@ -338,7 +375,8 @@
           if (outcome.isErr()) request.signal.removeEventListener('abort', givenUp);
           settle(outcome);
         };
-        const fail = (code: string, isUnsent: boolean): void => finish(err({ kind: 'net', code, isUnsent } satisfies NetFault));
+        const fail = (code: string, isUnsent: boolean): void =>
+          finish(err({ kind: 'net', code, isUnsent } satisfies NetFault));
         const quit = new AbortController();
         const mood: Mood = { isSilent: false, givenUp: new AbortController() };
         const givenUp = (): void => {
@@ -388,7 +426,9 @@
             }
             const asked = new Request(`http://${host}${pathname}${search}`, {
               method: request.method,
-              headers: Array.isArray(request.headers) ? pairsOf(request.headers as string[]) : (request.headers as Record<string, string>),
+              headers: Array.isArray(request.headers)
+                ? pairsOf(request.headers as string[])
+                : (request.headers as Record<string, string>),
               signal: quit.signal,
               ...(request.body === null ? {} : { body: request.body as string }),
             });
@@ -413,7 +453,15 @@
       }),
   });
 
-  private readonly bodyOf = async function* (this: SimMachine, response: Response, target: SimMachine, targetLife: number, quit: AbortController, mood: Mood, ended: () => void): AsyncGenerator<Uint8Array> {
+  private readonly bodyOf = async function* (
+    this: SimMachine,
+    response: Response,
+    target: SimMachine,
+    targetLife: number,
+    quit: AbortController,
+    mood: Mood,
+    ended: () => void,
+  ): AsyncGenerator<Uint8Array> {
     const { world } = this;
     const reader = response.body?.getReader();
     if (reader === undefined) return ended();
@@ -423,19 +471,30 @@
         const leave = (): void => {
           if (quit.signal.aborted) settle(false);
           else if (world.isCut(target.host, this.host)) world.plan(null, resendMs, leave);
-          else world.plan(this, world.latency(target.host, this.host), () => settle(!quit.signal.aborted || target.life === targetLife));
+          else
+            world.plan(this, world.latency(target.host, this.host), () =>
+              settle(!quit.signal.aborted || target.life === targetLife),
+            );
         };
         leave();
       });
-    const broken = new Promise<'broken'>((settle) => quit.signal.addEventListener('abort', () => settle('broken'), { once: true }));
+    const broken = new Promise<'broken'>((settle) =>
+      quit.signal.addEventListener('abort', () => settle('broken'), { once: true }),
+    );
     let isDone = false;
     try {
       for (;;) {
         const read = reader.read();
         read.catch(() => {});
         const next = quit.signal.aborted ? 'broken' : await Promise.race([read, broken]);
-        if (mood.isSilent) await new Promise<void>((wake) => (mood.givenUp.signal.aborted ? wake() : mood.givenUp.signal.addEventListener('abort', () => wake(), { once: true })));
-        if (next === 'broken' || target.life !== targetLife) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
+        if (mood.isSilent)
+          await new Promise<void>((wake) =>
+            mood.givenUp.signal.aborted
+              ? wake()
+              : mood.givenUp.signal.addEventListener('abort', () => wake(), { once: true }),
+          );
+        if (next === 'broken' || target.life !== targetLife)
+          throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
         if (!(await crossing())) throw Object.assign(new Error('reset'), { code: 'ECONNRESET' });
         if (next.done) {
           isDone = true;
@@ -484,8 +543,9 @@
   readonly thaw = (stopsMonotonic = false): void => {
     if (stopsMonotonic && this.isFrozen) this.monoLost += this.world.time - (this.frozenAt ?? this.world.time);
     this.isFrozen = false;
-    for (const planned of this.postponed.splice(0)) this.world.plan(this, 0, () => {
-      if (!planned.isCancelled) planned.ring();
-    });
+    for (const planned of this.postponed.splice(0))
+      this.world.plan(this, 0, () => {
+        if (!planned.isCancelled) planned.ring();
+      });
   };
 }
--- a/packages/proving/src/sim/storm/caches.ts
+++ b/packages/proving/src/sim/storm/caches.ts
@@ -3,12 +3,13 @@
 export const caches = (storm: FaultContext) => {
   const { fleet, world } = storm;
 
-  const disturbNews = (faults: { delayNewsMs: number } | { dropNews: boolean }): Promise<void> | null => storm.onReplica(async (name) => {
-    const standIn = fleet.current.get(name);
-    if (standIn !== undefined) Object.assign(standIn.faults, faults);
-    await storm.wait(storm.span(1_000, 8_000));
-    if (standIn !== undefined) Object.assign(standIn.faults, { delayNewsMs: 0, dropNews: false });
-  });
+  const disturbNews = (faults: { delayNewsMs: number } | { dropNews: boolean }): Promise<void> | null =>
+    storm.onReplica(async (name) => {
+      const standIn = fleet.current.get(name);
+      if (standIn !== undefined) Object.assign(standIn.faults, faults);
+      await storm.wait(storm.span(1_000, 8_000));
+      if (standIn !== undefined) Object.assign(standIn.faults, { delayNewsMs: 0, dropNews: false });
+    });
 
   return {
     'kv news is late': () => disturbNews({ delayNewsMs: 3_000 }),
--- a/packages/proving/src/sim/storm/confirmations.ts
+++ b/packages/proving/src/sim/storm/confirmations.ts
@@ -8,7 +8,13 @@
   const confirmChange = async (at: number): Promise<void> => {
     const held = await fleet.onPostmaster(at, 'GET', '/operator/layout');
     const id = `last-word-${(storm.state.changes += 1)}`;
-    const told = await fleet.onPostmaster(at, 'PATCH', '/operator/layout', { tiers: { steady: { rank: 1, horizonMs: 20_000 + storm.pick(1_000) } } }, { 'if-match': `"${Number(held.body['generation'])}"`, 'change-id': id });
+    const told = await fleet.onPostmaster(
+      at,
+      'PATCH',
+      '/operator/layout',
+      { tiers: { steady: { rank: 1, horizonMs: 20_000 + storm.pick(1_000) } } },
+      { 'if-match': `"${Number(held.body['generation'])}"`, 'change-id': id },
+    );
     if (told.status !== 200) return;
     judge.acceptedIds.set(id, Number(told.body['generation']));
     fleet.world.plan(null, inForceMs, () => storm.checkInForce(id, Number(told.body['generation'])));
@@ -21,12 +27,21 @@
     const stopAt = fleet.world.time + 8_000;
     const ask = (): void => {
       if (fleet.world.time >= stopAt) return;
-      judge.send({ ...plans.ask(storm.random, judge.calls.length, 0.1), key, tenant }, judge.living()[storm.pick(judge.living().length)] as number);
+      judge.send(
+        { ...plans.ask(storm.random, judge.calls.length, 0.1), key, tenant },
+        judge.living()[storm.pick(judge.living().length)] as number,
+      );
       fleet.world.plan(null, 100, ask);
     };
     ask();
     await storm.wait(1_000);
-    const told = await fleet.onPostmaster(at, 'POST', '/platform/keys/revoke', { key }, { 'change-id': `revoke-${key}` });
+    const told = await fleet.onPostmaster(
+      at,
+      'POST',
+      '/platform/keys/revoke',
+      { key },
+      { 'change-id': `revoke-${key}` },
+    );
     if (told.status === 200) grant.to = fleet.world.time;
   };
 
@@ -44,16 +59,17 @@
   };
 
   return {
-    'postmaster dies having confirmed': () => storm.onPostmaster(async (at) => {
-      const losesDisk = storm.random() < 0.4;
-      const draw = storm.pick(3);
-      if (draw === 0) await confirmChange(at);
-      else if (draw === 1) await confirmRevocation(at);
-      else await confirmLeaving(at);
-      fleet.killPostmaster(at, losesDisk);
-      await storm.wait(storm.span(100, 3_000));
-      await fleet.bootPostmaster(at);
-      if (losesDisk) await storm.untilVoter(at, 300);
-    }, true),
+    'postmaster dies having confirmed': () =>
+      storm.onPostmaster(async (at) => {
+        const losesDisk = storm.random() < 0.4;
+        const draw = storm.pick(3);
+        if (draw === 0) await confirmChange(at);
+        else if (draw === 1) await confirmRevocation(at);
+        else await confirmLeaving(at);
+        fleet.killPostmaster(at, losesDisk);
+        await storm.wait(storm.span(100, 3_000));
+        await fleet.bootPostmaster(at);
+        if (losesDisk) await storm.untilVoter(at, 300);
+      }, true),
   } satisfies Injections;
 };
--- a/packages/proving/src/sim/storm/faultContext.ts
+++ b/packages/proving/src/sim/storm/faultContext.ts
@@ -30,7 +30,8 @@
 
   readonly random = (): number => this.fleet.world.random();
   readonly pick = (count: number): number => Math.floor(this.random() * count);
-  readonly wait = (delayMs: number): Promise<void> => new Promise((wake) => void this.fleet.world.plan(null, delayMs, wake));
+  readonly wait = (delayMs: number): Promise<void> =>
+    new Promise((wake) => void this.fleet.world.plan(null, delayMs, wake));
   readonly span = (low: number, high: number): number => low + this.random() * (high - low);
 
   readonly claim = (what: string): boolean => {
@@ -90,7 +91,10 @@
   readonly change = async (part: Record<string, unknown>, at: number, base: number): Promise<boolean> => {
     const id = `change-${(this.state.changes += 1)}`;
     for (let shot = 0; ; shot += 1) {
-      const told = await this.fleet.onPostmaster(shot === 0 ? at : this.pick(3), 'PATCH', '/operator/layout', part, { 'if-match': `"${base}"`, 'change-id': id });
+      const told = await this.fleet.onPostmaster(shot === 0 ? at : this.pick(3), 'PATCH', '/operator/layout', part, {
+        'if-match': `"${base}"`,
+        'change-id': id,
+      });
       if (told.status === 200) {
         const generation = Number(told.body['generation']);
         this.judge.acceptedIds.set(id, generation);
@@ -108,18 +112,36 @@
   readonly checkInForce = (id: string, generation: number): void => {
     this.fleet.counters.forEach((counter, at) => {
       if (counter === null || !counter.freshness.isFresh() || counter.book.generation() >= generation) return;
-      this.late.push({ rule: 'an accepted change is not in force', detail: `${id}: counter ${at + 1} serves under ${counter.book.generation()}, not ${generation}, after ${inForceMs} ms` });
+      this.late.push({
+        rule: 'an accepted change is not in force',
+        detail: `${id}: counter ${at + 1} serves under ${counter.book.generation()}, not ${generation}, after ${inForceMs} ms`,
+      });
     });
   };
 
-  readonly grant = async (key: string, tenant: string, entry: Record<string, unknown> | null, prefix = ''): Promise<Grant> => {
+  readonly grant = async (
+    key: string,
+    tenant: string,
+    entry: Record<string, unknown> | null,
+    prefix = '',
+  ): Promise<Grant> => {
     const grant = this.judge.grant(key, tenant);
-    await this.tellUntilTaken((at) => this.fleet.onPostmaster(at, 'POST', '/platform/clients', { tenant, key, ...(entry === null ? {} : { grant: entry }) }, { 'change-id': `grant-${prefix}${key}` }));
+    await this.tellUntilTaken((at) =>
+      this.fleet.onPostmaster(
+        at,
+        'POST',
+        '/platform/clients',
+        { tenant, key, ...(entry === null ? {} : { grant: entry }) },
+        { 'change-id': `grant-${prefix}${key}` },
+      ),
+    );
     return grant;
   };
 
   readonly untilVoter = async (at: number, shots: number): Promise<void> => {
-    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1) await this.wait(100);
-    if (this.fleet.postmasters[at]?.decrees.isVoter() !== true) throw new Error('the empty postmaster was never swapped in');
+    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1)
+      await this.wait(100);
+    if (this.fleet.postmasters[at]?.decrees.isVoter() !== true)
+      throw new Error('the empty postmaster was never swapped in');
   };
 }
--- a/packages/proving/src/sim/storm/finals.ts
+++ b/packages/proving/src/sim/storm/finals.ts
@@ -7,7 +7,10 @@
     case 'counter lost for good':
     case 'front of a zone lost for good': {
       const at = storm.pick(fleet.plan.fronts);
-      const lost = final === 'counter lost for good' ? [at] : fleet.counterHosts.map((_, one) => one).filter((one) => one % 3 === at % 3);
+      const lost =
+        final === 'counter lost for good'
+          ? [at]
+          : fleet.counterHosts.map((_, one) => one).filter((one) => one % 3 === at % 3);
       for (const one of lost) {
         fleet.killCounter(one);
         judge.gone.add(one);
@@ -20,7 +23,8 @@
     case 'replica silent for good': {
       const name = fleet.replicaName(storm.pick(fleet.plan.replicas));
       fleet.world.machine(fleet.hostOfReplica(name)).vanish();
-      if (final === 'replica lost for good') await storm.tellUntilTaken((at) => fleet.onPostmaster(at, 'DELETE', `/platform/replicas/${name}`));
+      if (final === 'replica lost for good')
+        await storm.tellUntilTaken((at) => fleet.onPostmaster(at, 'DELETE', `/platform/replicas/${name}`));
       return;
     }
     case 'none':
--- a/packages/proving/src/sim/storm/operators.ts
+++ b/packages/proving/src/sim/storm/operators.ts
@@ -15,7 +15,15 @@
       return (async () => {
         const { base } = await storm.layoutOf();
         const names = [0, 1, 2].map(() => `rival-${(storm.state.probes += 1)}`);
-        const wins = await Promise.all(names.map((name, at) => storm.change({ tiers: { steady: { rank: 1, horizonMs: 20_000 + at } }, ...judge.probed(name, 'patient', 'freely') }, at, base)));
+        const wins = await Promise.all(
+          names.map((name, at) =>
+            storm.change(
+              { tiers: { steady: { rank: 1, horizonMs: 20_000 + at } }, ...judge.probed(name, 'patient', 'freely') },
+              at,
+              base,
+            ),
+          ),
+        );
         if (wins.filter(Boolean).length > 1) judge.acceptedIds.set('two rivals were both accepted', -1);
         const won = names.findIndex((_, at) => wins[at]);
         if (won >= 0) storm.state.probedLane = names[won] as string;
@@ -39,14 +47,23 @@
           await storm.wait(inForceMs);
           judge.probeAll(name, `probe ${name}`, isTaken, tier, repeat);
           judge.probeAll(`${name}-faulty`, 'a faulty change', false, tier, repeat);
-          if (isTaken && before.startsWith('probe-')) judge.probeAll(before, `probe ${name} took ${before} away`, false, tier, repeat);
+          if (isTaken && before.startsWith('probe-'))
+            judge.probeAll(before, `probe ${name} took ${before} away`, false, tier, repeat);
         }
       })().finally(() => storm.free('prober'));
     },
     'many lanes': async () => {
       const { at, base } = await storm.layoutOf();
       const from = storm.pick(100_000);
-      await storm.change({ lanes: Object.fromEntries(Array.from({ length: 200 }, (_, index) => [`extra-${from}-${index}`, { pool: 'main', repeat: 'freely' }])) }, at, base);
+      await storm.change(
+        {
+          lanes: Object.fromEntries(
+            Array.from({ length: 200 }, (_, index) => [`extra-${from}-${index}`, { pool: 'main', repeat: 'freely' }]),
+          ),
+        },
+        at,
+        base,
+      );
     },
     'new weights': () => {
       if (!storm.claim('weights')) return null;
--- a/packages/proving/src/sim/storm/storm.ts
+++ b/packages/proving/src/sim/storm/storm.ts
@@ -75,7 +75,15 @@
   private readonly spans: { kind: FaultKind; from: number; to: number }[] = [];
 
   constructor(private readonly plan: StormPlan) {
-    this.fleet = new SimFleet({ seed: plan.seed, fronts: plan.fronts ?? 4, replicas: plan.replicas ?? 6, hasStore: true, layout: stormLayout(plan.seed), tenants: [...plans.tenantNames, plans.prober], ...plan.breakage });
+    this.fleet = new SimFleet({
+      seed: plan.seed,
+      fronts: plan.fronts ?? 4,
+      replicas: plan.replicas ?? 6,
+      hasStore: true,
+      layout: stormLayout(plan.seed),
+      tenants: [...plans.tenantNames, plans.prober],
+      ...plan.breakage,
+    });
     this.judge = new Judge(this.fleet);
     this.context = new FaultContext(this.fleet, this.judge);
     this.injections = injectionsOf(this.context);
@@ -105,14 +113,36 @@
     const probesFrom = world.time;
     judge.traffic(20, 2_000);
     await world.run(45_000);
-    const complaints = [...judge.complaints(), ...statePlaints(this.fleet, this.judge), ...this.context.late, ...this.recoveryPlaints(healedAt, probesFrom)];
+    const complaints = [
+      ...judge.complaints(),
+      ...statePlaints(this.fleet, this.judge),
+      ...this.context.late,
+      ...this.recoveryPlaints(healedAt, probesFrom),
+    ];
     const spans = this.spans.map((span) => ({ ...span, recoveryMs: this.recoveryOf(span.to) }));
-    return { seed: plan.seed, digest: world.digest, brought: this.brought, complaints, tally: judge.tally(), calls: judge.calls.length, final, spans, shares: this.shares() };
+    return {
+      seed: plan.seed,
+      digest: world.digest,
+      brought: this.brought,
+      complaints,
+      tally: judge.tally(),
+      calls: judge.calls.length,
+      final,
+      spans,
+      shares: this.shares(),
+    };
   };
 
   private readonly isServed = (call: Call): boolean => call.verdict === 'whole';
 
-  private readonly counted = (): Call[] => this.judge.calls.filter((call) => call.idempotencyKey === null && call.ask.key === keyOf(call.ask.tenant) && call.ask.tenant !== plans.prober && !call.isLeft);
+  private readonly counted = (): Call[] =>
+    this.judge.calls.filter(
+      (call) =>
+        call.idempotencyKey === null &&
+        call.ask.key === keyOf(call.ask.tenant) &&
+        call.ask.tenant !== plans.prober &&
+        !call.isLeft,
+    );
 
   private readonly recoveryOf = (to: number): number | null => {
     const calls = this.counted();
@@ -125,11 +155,15 @@
 
   private readonly shares = (): Share[] => {
     const calls = this.counted();
-    const isDuring = (call: Call): boolean => this.spans.some(({ from, to }) => call.sentAt >= from && call.sentAt <= to);
+    const isDuring = (call: Call): boolean =>
+      this.spans.some(({ from, to }) => call.sentAt >= from && call.sentAt <= to);
     const isAfter = (call: Call): boolean => !isDuring(call) && this.spans.some(({ to }) => call.sentAt > to);
     return Object.keys(plans.tiers).flatMap((tier) => {
       const some = calls.filter((call) => call.ask.tier === tier);
-      const count = (is: (call: Call) => boolean): [number, number] => [some.filter((call) => is(call) && this.isServed(call)).length, some.filter(is).length];
+      const count = (is: (call: Call) => boolean): [number, number] => [
+        some.filter((call) => is(call) && this.isServed(call)).length,
+        some.filter(is).length,
+      ];
       return some.length === 0 ? [] : [{ tier, during: count(isDuring), after: count(isAfter) }];
     });
   };
@@ -137,10 +171,23 @@
   private readonly recoveryPlaints = (healedAt: number, probesFrom: number): Told[] => {
     const probes = this.judge.calls.filter((call) => call.sentAt >= probesFrom && call.sentAt < probesFrom + 2_000);
     const whole = probes.filter((call) => call.verdict === 'whole').length;
-    const told: Told[] = whole < probes.length * 0.8 ? [{ rule: 'service still mostly absent', detail: `${whole} of ${probes.length} whole ${Math.round(probesFrom - healedAt)} ms after healing` }] : [];
-    for (const call of this.judge.calls) if (call.verdict === 'open') told.push({ rule: 'a call never ended', detail: call.requestId });
+    const told: Told[] =
+      whole < probes.length * 0.8
+        ? [
+            {
+              rule: 'service still mostly absent',
+              detail: `${whole} of ${probes.length} whole ${Math.round(probesFrom - healedAt)} ms after healing`,
+            },
+          ]
+        : [];
+    for (const call of this.judge.calls)
+      if (call.verdict === 'open') told.push({ rule: 'a call never ended', detail: call.requestId });
     const generations = new Set(this.judge.living().map((at) => this.fleet.counters[at]?.book.generation()));
-    if (generations.size !== 1) told.push({ rule: 'an accepted change is not in force', detail: `counters hold generations ${[...generations].join(', ')}` });
+    if (generations.size !== 1)
+      told.push({
+        rule: 'an accepted change is not in force',
+        detail: `counters hold generations ${[...generations].join(', ')}`,
+      });
     return told;
   };
 
--- a/packages/proving/src/sim/storm/stormPlan.ts
+++ b/packages/proving/src/sim/storm/stormPlan.ts
@@ -52,7 +52,14 @@
   'layout is probed',
 ] as const;
 
-export const finalKinds = ['counter lost for good', 'front of a zone lost for good', 'postmaster lost for good', 'replica lost for good', 'replica silent for good', 'none'] as const;
+export const finalKinds = [
+  'counter lost for good',
+  'front of a zone lost for good',
+  'postmaster lost for good',
+  'replica lost for good',
+  'replica silent for good',
+  'none',
+] as const;
 export type FinalKind = (typeof finalKinds)[number];
 export type FaultKind = (typeof faultKinds)[number];
 
@@ -85,7 +92,12 @@
     ...layout,
     pools: { main: { weights: 'weights-1', slots: 8, store: 'store-1' }, app: { weights: 'app-1', slots: 32 } },
     tenants: {
-      ...Object.fromEntries(Object.entries(tenants).map(([name, tenant]) => [name, { ...tenant, isolated: isApart && tenant['isolated'] === true }])),
+      ...Object.fromEntries(
+        Object.entries(tenants).map(([name, tenant]) => [
+          name,
+          { ...tenant, isolated: isApart && tenant['isolated'] === true },
+        ]),
+      ),
       [plans.prober]: { tier: 'patient', lanes: ['query'] },
     },
   };
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -90,7 +90,8 @@
 
 export const speech = {
   digest: (prompt: string): string => createHash('sha256').update(prompt).digest('hex'),
-  piece: (digest: string, weights: string, runId: string, at: number): string => `${createHash('sha256').update(`${weights}|${runId}|${at}|${digest}`).digest('hex').slice(0, 6)} `,
+  piece: (digest: string, weights: string, runId: string, at: number): string =>
+    `${createHash('sha256').update(`${weights}|${runId}|${at}|${digest}`).digest('hex').slice(0, 6)} `,
   whole: (prompt: string, weights: string, runId: string, count: number): string => {
     const digest = speech.digest(prompt);
     return Array.from({ length: count }, (_, at) => speech.piece(digest, weights, runId, at)).join('');
@@ -110,7 +111,18 @@
   readonly visits: Visit[] = [];
   private runCount = 0;
   piecesSaid = 0;
-  readonly faults: Faults = { failStatus: null, failRetryAfter: null, cutAfterPieces: null, stallMs: 0, omitsEnd: false, claimedWeights: null, dropNews: false, hidesNews: false, delayNewsMs: 0, slowPullMs: 0 };
+  readonly faults: Faults = {
+    failStatus: null,
+    failRetryAfter: null,
+    cutAfterPieces: null,
+    stallMs: 0,
+    omitsEnd: false,
+    claimedWeights: null,
+    dropNews: false,
+    hidesNews: false,
+    delayNewsMs: 0,
+    slowPullMs: 0,
+  };
   private readonly copies = new Map<string, Copy[]>();
   private readonly newsLines: NewsLine[] = [];
   private readonly listeners = new Set<(line: NewsLine) => void>();
@@ -135,7 +147,9 @@
       this.store(blocks, copy);
       return c.json({ kept: blocks.length });
     });
-    this.app.post('/kv-parts', async (c) => c.json(this.keptParts(((await c.req.json()) as { blocks: string[] }).blocks)));
+    this.app.post('/kv-parts', async (c) =>
+      c.json(this.keptParts(((await c.req.json()) as { blocks: string[] }).blocks)),
+    );
     this.app.get('/standin/report', (c) => c.json({ runs: this.runs, breaches: this.breaches, visits: this.visits }));
     this.app.get('/standin/totals', (c) => c.json(this.totals()));
     this.app.post('/standin/faults', async (c) => {
@@ -218,7 +232,8 @@
     let count = 0;
     for (const block of blocks) {
       const held = this.copies.get(block);
-      if (held === undefined || !held.some((copy) => copy.weights === wanted.weights && copy.scope === wanted.scope)) break;
+      if (held === undefined || !held.some((copy) => copy.weights === wanted.weights && copy.scope === wanted.scope))
+        break;
       this.copies.delete(block);
       this.copies.set(block, held);
       count += 1;
@@ -255,7 +270,12 @@
     });
   };
 
-  private readonly pull = async (run: Run, holder: string, blocks: readonly string[], have: number): Promise<number> => {
+  private readonly pull = async (
+    run: Run,
+    holder: string,
+    blocks: readonly string[],
+    have: number,
+  ): Promise<number> => {
     const quit = new AbortController();
     this.clock.after(2_000, () => quit.abort());
     const receipt = await this.carriage.carry({
@@ -277,7 +297,8 @@
     const taken = parts.slice(have);
     taken.forEach((part, at) => {
       const block = blocks[have + at] ?? '';
-      if (part.weights !== run.weights) this.breaches.push({ rule: 'weights', requestId: run.requestId, holder, block });
+      if (part.weights !== run.weights)
+        this.breaches.push({ rule: 'weights', requestId: run.requestId, holder, block });
       const isForeign = part.scope !== null ? part.scope !== run.tenant : run.isIsolated;
       if (isForeign) this.breaches.push({ rule: 'tenant', requestId: run.requestId, holder, block });
     });
@@ -322,7 +343,13 @@
   private readonly complete = async (request: Request, path: string): Promise<Response> => {
     this.visits.push({ requestId: request.headers.get('x-request-id') ?? '', at: this.clock.now() });
     if (this.visits.length > runLimit) this.visits.shift();
-    if (this.faults.failStatus !== null) return new Response('{"error":"fault"}', { status: this.faults.failStatus, ...(this.faults.failRetryAfter === null ? {} : { headers: { 'retry-after': String(this.faults.failRetryAfter) } }) });
+    if (this.faults.failStatus !== null)
+      return new Response('{"error":"fault"}', {
+        status: this.faults.failStatus,
+        ...(this.faults.failRetryAfter === null
+          ? {}
+          : { headers: { 'retry-after': String(this.faults.failRetryAfter) } }),
+      });
     let body: Record<string, unknown>;
     try {
       body = (await request.json()) as Record<string, unknown>;
@@ -374,13 +401,22 @@
     return new Response(stream, { headers: { 'content-type': 'text/event-stream' } });
   };
 
-  private readonly pieces = async function* (this: StandIn, run: Run, prompt: string, count: number, signal: AbortSignal): AsyncGenerator<string> {
+  private readonly pieces = async function* (
+    this: StandIn,
+    run: Run,
+    prompt: string,
+    count: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<string> {
     await this.turn(run.priority);
     try {
       const blocks = prompts.blocks(prompt);
       const copy: Copy = { weights: run.weights, scope: run.isIsolated ? run.tenant : null };
       const before = this.localBlocks(blocks, copy);
-      const pulled = run.cacheFrom === null || run.cacheFrom === this.env.address ? 0 : await this.pull(run, run.cacheFrom, blocks, before);
+      const pulled =
+        run.cacheFrom === null || run.cacheFrom === this.env.address
+          ? 0
+          : await this.pull(run, run.cacheFrom, blocks, before);
       run.behind = this.isPrefilling ? this.prefilling : null;
       const cameAt = this.clock.now();
       await this.prefillTurn(run.priority);
@@ -414,7 +450,13 @@
           object: isChat ? 'chat.completion.chunk' : 'text_completion',
           created: 0,
           model: this.faults.claimedWeights ?? run.weights,
-          choices: [{ index: 0, ...(isChat ? { delta: { content: text } } : { text }), finish_reason: at === count - 1 ? 'stop' : null }],
+          choices: [
+            {
+              index: 0,
+              ...(isChat ? { delta: { content: text } } : { text }),
+              finish_reason: at === count - 1 ? 'stop' : null,
+            },
+          ],
           ...(at === count - 1 ? { usage: { prompt_tokens: prompts.tokens(prompt), completion_tokens: count } } : {}),
         };
         yield `data: ${JSON.stringify(chunk)}\n\n`;
--- a/packages/proving/src/standInsCommand.ts
+++ b/packages/proving/src/standInsCommand.ts
@@ -28,8 +28,17 @@
 };
 
 const controls: WebHandler = async (request) => {
-  if (new URL(request.url).pathname === '/rise') return new Response(null, { status: (await rise((await request.json()) as StandInSeat)) ? 200 : 500 });
-  return Response.json({ lives: lives.map(({ env, runs, visits, breaches }) => ({ name: env.name, incarnation: env.incarnation, runs, visits, breaches })) });
+  if (new URL(request.url).pathname === '/rise')
+    return new Response(null, { status: (await rise((await request.json()) as StandInSeat)) ? 200 : 500 });
+  return Response.json({
+    lives: lives.map(({ env, runs, visits, breaches }) => ({
+      name: env.name,
+      incarnation: env.incarnation,
+      runs,
+      visits,
+      breaches,
+    })),
+  });
 };
 
 for (const seat of seats) if (!(await rise(seat))) process.exit(1);
--- a/packages/proving/src/trialsCommand.ts
+++ b/packages/proving/src/trialsCommand.ts
@@ -32,23 +32,36 @@
 
 const trial = async (plan: StormPlan): Promise<Result> => {
   const storm = new Storm(plan);
-  const lines = (): string[] => storm.fleet.world.lines.map((line) => `    ${Math.round(line.at)} ${line.machine} ${line.message} ${JSON.stringify(line.context)}`);
+  const lines = (): string[] =>
+    storm.fleet.world.lines.map(
+      (line) => `    ${Math.round(line.at)} ${line.machine} ${line.message} ${JSON.stringify(line.context)}`,
+    );
   try {
     const report = await storm.run();
     return { plan, report, brought: report.brought, fault: '', lines: report.complaints.length > 0 ? lines() : [] };
   } catch (cause) {
-    return { plan, report: null, brought: storm.brought, fault: String((cause as Error).stack ?? cause), lines: lines() };
+    return {
+      plan,
+      report: null,
+      brought: storm.brought,
+      fault: String((cause as Error).stack ?? cause),
+      lines: lines(),
+    };
   }
 };
 
-const quantile = (sorted: readonly number[], share: number): number => Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
+const quantile = (sorted: readonly number[], share: number): number =>
+  Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
 
 const plainly = (text: string): never => {
   process.stderr.write(`${text}\n`);
   process.exit(2);
 };
 
-const count = (name: string, raw: string, least: number): number => (/^\d+$/.test(raw) && Number(raw) >= least ? Number(raw) : plainly(`--${name}: must be a whole number of ${least} or more`));
+const count = (name: string, raw: string, least: number): number =>
+  /^\d+$/.test(raw) && Number(raw) >= least
+    ? Number(raw)
+    : plainly(`--${name}: must be a whole number of ${least} or more`);
 
 const run = async (): Promise<void> => {
   let parsed;
@@ -75,10 +88,15 @@
     process.stdout.write(usage);
     process.exit(0);
   }
-  const kinds = values.only === undefined ? [...faultKinds] : values.only.split(',').map((kind) => kind.trim() as FaultKind);
-  for (const kind of kinds) if (!faultKinds.includes(kind)) plainly(`--only: no such fault: ${kind}\nknown: ${faultKinds.join(', ')}`);
-  if (values.final !== undefined && !finalKinds.includes(values.final as FinalKind)) plainly(`--final: no such fault: ${values.final}\nknown: ${finalKinds.join(', ')}`);
-  const size = (sizes as Record<string, Partial<StormPlan>>)[values.size] ?? plainly(`--size: no such size: ${values.size}\nknown: ${Object.keys(sizes).join(', ')}`);
+  const kinds =
+    values.only === undefined ? [...faultKinds] : values.only.split(',').map((kind) => kind.trim() as FaultKind);
+  for (const kind of kinds)
+    if (!faultKinds.includes(kind)) plainly(`--only: no such fault: ${kind}\nknown: ${faultKinds.join(', ')}`);
+  if (values.final !== undefined && !finalKinds.includes(values.final as FinalKind))
+    plainly(`--final: no such fault: ${values.final}\nknown: ${finalKinds.join(', ')}`);
+  const size =
+    (sizes as Record<string, Partial<StormPlan>>)[values.size] ??
+    plainly(`--size: no such size: ${values.size}\nknown: ${Object.keys(sizes).join(', ')}`);
   const from = count('from', values.from, 0);
   const seeds = Array.from({ length: count('seeds', values.seeds, 1) }, (_, at) => from + at);
   const more = { ...size, ...(values.final === undefined ? {} : { final: values.final as FinalKind }) };
@@ -99,7 +117,8 @@
       calls += report.calls;
       finals[report.final] = (finals[report.final] ?? 0) + 1;
       for (const told of report.complaints) rules[told.rule] = (rules[told.rule] ?? 0) + 1;
-      for (const span of report.spans) recoveries.set(span.kind, [...(recoveries.get(span.kind) ?? []), span.recoveryMs]);
+      for (const span of report.spans)
+        recoveries.set(span.kind, [...(recoveries.get(span.kind) ?? []), span.recoveryMs]);
       for (const { tier, during, after } of report.shares) {
         const held = shares.get(tier) ?? [0, 0, 0, 0];
         shares.set(tier, [held[0] + during[0], held[1] + during[1], held[2] + after[0], held[3] + after[1]]);
@@ -107,7 +126,9 @@
       if (report.complaints.length === 0) return;
     } else rules['the storm did not end'] = (rules['the storm did not end'] ?? 0) + 1;
     failing += 1;
-    process.stdout.write(`seed ${plan.seed}: ${JSON.stringify(had)} ${report === null ? fault : `${report.final} ${JSON.stringify(report.tally)}`}\n`);
+    process.stdout.write(
+      `seed ${plan.seed}: ${JSON.stringify(had)} ${report === null ? fault : `${report.final} ${JSON.stringify(report.tally)}`}\n`,
+    );
     for (const told of report?.complaints.slice(0, 5) ?? []) process.stdout.write(`  ${told.rule}: ${told.detail}\n`);
     if (values.verbose) process.stdout.write(`${lines.join('\n')}\n`);
   };
@@ -127,14 +148,22 @@
       next();
     });
   await Promise.all(Array.from({ length: Math.min(storms, count('jobs', values.jobs, 1)) }, work));
-  process.stdout.write(`seeds ${from}..${from + seeds.length - 1}, ${values.size}: ${storms} storms, ${calls} calls, ${failing} failing\nbrought: ${JSON.stringify(brought)}\nlost for good: ${JSON.stringify(finals)}\nrules: ${JSON.stringify(rules)}\n`);
+  process.stdout.write(
+    `seeds ${from}..${from + seeds.length - 1}, ${values.size}: ${storms} storms, ${calls} calls, ${failing} failing\nbrought: ${JSON.stringify(brought)}\nlost for good: ${JSON.stringify(finals)}\nrules: ${JSON.stringify(rules)}\n`,
+  );
   for (const [kind, all] of [...recoveries].sort()) {
     const times = all.filter((one) => one !== null).sort((a, b) => a - b);
-    process.stdout.write(`  ${kind.padEnd(40)} n=${all.length} back after p50=${quantile(times, 0.5)} p95=${quantile(times, 0.95)} max=${times.at(-1) ?? '-'} ms, not within 12 s: ${all.length - times.length}\n`);
+    process.stdout.write(
+      `  ${kind.padEnd(40)} n=${all.length} back after p50=${quantile(times, 0.5)} p95=${quantile(times, 0.95)} max=${times.at(-1) ?? '-'} ms, not within 12 s: ${all.length - times.length}\n`,
+    );
   }
-  for (const [tier, [inWhole, inAll, afterWhole, afterAll]] of shares) process.stdout.write(`  tier ${tier.padEnd(8)} whole during faults ${inWhole} of ${inAll}, after ${afterWhole} of ${afterAll}\n`);
+  for (const [tier, [inWhole, inAll, afterWhole, afterAll]] of shares)
+    process.stdout.write(
+      `  tier ${tier.padEnd(8)} whole during faults ${inWhole} of ${inAll}, after ${afterWhole} of ${afterAll}\n`,
+    );
   process.exit(failing === 0 ? 0 : 1);
 };
 
 if (isMainThread) await run();
-else if (workerData === 'trial') parentPort?.on('message', (plan: StormPlan) => void trial(plan).then((result) => parentPort?.postMessage(result)));
+else if (workerData === 'trial')
+  parentPort?.on('message', (plan: StormPlan) => void trial(plan).then((result) => parentPort?.postMessage(result)));
--- a/packages/proving/test/judge.test.ts
+++ b/packages/proving/test/judge.test.ts
@@ -6,19 +6,29 @@
 import type { FaultKind, StormPlan } from '@martenworks/proving';
 
 type Open<T> = { -readonly [K in keyof T]: T[K] };
-const loosened = <T extends object>(held: T): Open<T> & Record<string, unknown> => held as Open<T> & Record<string, unknown>;
+const loosened = <T extends object>(held: T): Open<T> & Record<string, unknown> =>
+  held as Open<T> & Record<string, unknown>;
 
-const carriageBroken = (wrap: (carriage: Carriage) => Partial<Carriage>) => (role: string, ports: Ports): Ports => (role === 'counter' ? { ...ports, carriage: { ...ports.carriage, ...wrap(ports.carriage) } } : ports);
+const carriageBroken =
+  (wrap: (carriage: Carriage) => Partial<Carriage>) =>
+  (role: string, ports: Ports): Ports =>
+    role === 'counter' ? { ...ports, carriage: { ...ports.carriage, ...wrap(ports.carriage) } } : ports;
 
-const diskBroken = (wrap: (disk: Disk) => Partial<Disk>) => (role: string, ports: Ports): Ports => (role === 'postmaster' ? { ...ports, disk: { ...ports.disk, ...wrap(ports.disk) } } : ports);
+const diskBroken =
+  (wrap: (disk: Disk) => Partial<Disk>) =>
+  (role: string, ports: Ports): Ports =>
+    role === 'postmaster' ? { ...ports, disk: { ...ports.disk, ...wrap(ports.disk) } } : ports;
 
-const deafTo = (topic: 'change', from: number) => (counter: Counter): void => {
-  const take = counter.book.takeChange;
-  loosened(counter.book).takeChange = (generation, change) => (generation > from && topic === 'change' ? false : take(generation, change));
-  const whole = counter.book.takeCheckpoint;
-  loosened(counter.book).takeCheckpoint = (state) => (state.generation > from ? false : whole(state));
-  loosened(counter.freshness).isFresh = () => counter.book.generation() >= 0;
-};
+const deafTo =
+  (topic: 'change', from: number) =>
+  (counter: Counter): void => {
+    const take = counter.book.takeChange;
+    loosened(counter.book).takeChange = (generation, change) =>
+      generation > from && topic === 'change' ? false : take(generation, change);
+    const whole = counter.book.takeCheckpoint;
+    loosened(counter.book).takeCheckpoint = (state) => (state.generation > from ? false : whole(state));
+    loosened(counter.freshness).isFresh = () => counter.book.generation() >= 0;
+  };
 
 const upGeneration = 10;
 
@@ -38,7 +48,13 @@
       longShare: 0.5,
       ratePerSecond: 45,
       faults: 16,
-      breakage: { portsFor: carriageBroken((carriage) => ({ carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })) })), onCounter: (counter) => void (loosened(counter.stages.sending)['again'] = (parcel: never) => counter.stages.placing.queue(parcel)) },
+      breakage: {
+        portsFor: carriageBroken((carriage) => ({
+          carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })),
+        })),
+        onCounter: (counter) =>
+          void (loosened(counter.stages.sending)['again'] = (parcel: never) => counter.stages.placing.queue(parcel)),
+      },
     },
   },
   {
@@ -47,14 +63,22 @@
     kinds: ['counter dies'],
     plan: {
       faults: 2,
-      breakage: { onCounter: (counter) => void (loosened(counter.claims).take = async (key, digest) => ({ k: 'claimed', claim: { key, turn: 0, claimant: { id: key, counter: '', address: '', digest } } })) },
+      breakage: {
+        onCounter: (counter) =>
+          void (loosened(counter.claims).take = async (key, digest) => ({
+            k: 'claimed',
+            claim: { key, turn: 0, claimant: { id: key, counter: '', address: '', digest } },
+          })),
+      },
     },
   },
   {
     what: 'a counter that was not the claimant frees the claim of a dead one',
     rule: 'runs twice',
     kinds: ['counter dies', 'counters die in a herd'],
-    plan: { breakage: { onCounter: (counter) => void (loosened(counter.claims)['inquire'] = async () => ({ k: 'not run' })) } },
+    plan: {
+      breakage: { onCounter: (counter) => void (loosened(counter.claims)['inquire'] = async () => ({ k: 'not run' })) },
+    },
   },
   {
     what: 'what may have run is told as not run',
@@ -80,7 +104,9 @@
     plan: {
       breakage: {
         onCounter: (counter) => {
-          const next = loosened(counter.stages.relaying)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          const next = loosened(counter.stages.relaying)['nextPiece'] as (
+            ...args: unknown[]
+          ) => Promise<{ kind: string }>;
           loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
             const piece = await next(...args);
             return piece.kind === 'cut' ? { kind: 'done' } : piece;
@@ -97,7 +123,9 @@
       breakage: {
         onCounter: (counter) => {
           let count = 0;
-          const next = loosened(counter.stages.relaying)['nextPiece'] as (...args: unknown[]) => Promise<{ kind: string }>;
+          const next = loosened(counter.stages.relaying)['nextPiece'] as (
+            ...args: unknown[]
+          ) => Promise<{ kind: string }>;
           loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
             const piece = await next(...args);
             count += 1;
@@ -111,7 +139,13 @@
     what: 'the run is booked to another tenant',
     rule: 'another tenant',
     kinds: ['layout changes'],
-    plan: { breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry({ ...request, headers: { ...request.headers, 'x-tenant': 'north' } }) })) } },
+    plan: {
+      breakage: {
+        portsFor: carriageBroken((carriage) => ({
+          carry: (request) => carriage.carry({ ...request, headers: { ...request.headers, 'x-tenant': 'north' } }),
+        })),
+      },
+    },
   },
   {
     what: 'a counter never hears of revoked keys and holds itself fresh',
@@ -145,7 +179,10 @@
       breakage: {
         onCounter: (counter) => {
           loosened(counter.book).holdersIn = (poolName) => counter.book.inPool(poolName);
-          loosened(counter.book.index).reconcile = ((reconcile) => (records: Parameters<typeof reconcile>[0]) => reconcile(records, () => 0))(counter.book.index.reconcile);
+          loosened(counter.book.index).reconcile = (
+            (reconcile) => (records: Parameters<typeof reconcile>[0]) =>
+              reconcile(records, () => 0)
+          )(counter.book.index.reconcile);
         },
       },
     },
@@ -154,13 +191,24 @@
     what: 'a counter misses every change and holds itself fresh',
     rule: 'an accepted change is not in force',
     kinds: ['layout changes', 'many lanes'],
-    plan: { breakage: { onCounter: (counter) => (counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined) } },
+    plan: {
+      breakage: {
+        onCounter: (counter) =>
+          counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined,
+      },
+    },
   },
   {
     what: 'a counter that misses every change still starts old weights',
     rule: 'old weights started',
     kinds: ['new weights'],
-    plan: { faults: 2, breakage: { onCounter: (counter) => (counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined) } },
+    plan: {
+      faults: 2,
+      breakage: {
+        onCounter: (counter) =>
+          counter.env.name === 'counter-2' ? deafTo('change', upGeneration)(counter) : undefined,
+      },
+    },
   },
   {
     what: 'the disk lies about syncing',
@@ -185,7 +233,8 @@
           const layout = postmaster.changes.layout;
           loosened(postmaster.changes).layout = async (id, base, edit) => {
             const outcome = await layout(id, base, edit);
-            if (outcome.isErr() && outcome.error.kind === 'conflict') void layout(id, outcome.error.layoutGeneration, edit);
+            if (outcome.isErr() && outcome.error.kind === 'conflict')
+              void layout(id, outcome.error.layoutGeneration, edit);
             return outcome;
           };
         },
@@ -200,7 +249,10 @@
       breakage: {
         onPostmaster: (postmaster) => {
           const layout = postmaster.changes.layout;
-          loosened(postmaster.changes).layout = async (id, base, edit) => (await layout(id, base, edit)).orElse((fault) => (fault.kind === 'conflict' ? ok({ generation: base + 1, isRepeat: false }) : err(fault)));
+          loosened(postmaster.changes).layout = async (id, base, edit) =>
+            (await layout(id, base, edit)).orElse((fault) =>
+              fault.kind === 'conflict' ? ok({ generation: base + 1, isRepeat: false }) : err(fault),
+            );
         },
       },
     },
@@ -209,13 +261,32 @@
     what: 'leaving replicas are held to be ready',
     rule: 'a leaving replica got a request',
     kinds: ['replica leaves'],
-    plan: { breakage: { onCounter: (counter) => void (loosened(counter.book).takeReplicas = ((take) => (records: Parameters<typeof take>[0]) => take(records.map((record) => ({ ...record, state: 'ready' as const }))))(counter.book.takeReplicas)) } },
+    plan: {
+      breakage: {
+        onCounter: (counter) =>
+          void (loosened(counter.book).takeReplicas = (
+            (take) => (records: Parameters<typeof take>[0]) =>
+              take(records.map((record) => ({ ...record, state: 'ready' as const })))
+          )(counter.book.takeReplicas)),
+      },
+    },
   },
   {
     what: 'extra shots are not counted',
     rule: 'extra shots',
     kinds: ['whole pool errs'],
-    plan: { ratePerSecond: 60, faults: 3, breakage: { onCounter: (counter) => void (loosened(counter.stages.sending)['budgetOf'] = () => ({ take: () => true, firstShot: () => {}, left: () => 1 })) } },
+    plan: {
+      ratePerSecond: 60,
+      faults: 3,
+      breakage: {
+        onCounter: (counter) =>
+          void (loosened(counter.stages.sending)['budgetOf'] = () => ({
+            take: () => true,
+            firstShot: () => {},
+            left: () => 1,
+          })),
+      },
+    },
   },
   {
     what: 'a counter that lost its postmasters never dials again',
@@ -223,7 +294,22 @@
     kinds: ['all machines die', 'postmasters die in a herd'],
     plan: {
       faults: 3,
-      breakage: { onCounter: (counter) => void (loosened(counter.lines).stop = () => {}), portsFor: (role, ports) => (role === 'counter' ? { ...ports, net: { ...ports.net, dial: (address, patienceMs) => (ports.clock.now() > 6_000 ? Promise.resolve(err({ kind: 'net' as const, code: 'BROKEN', isUnsent: true })) : ports.net.dial(address, patienceMs)) } } : ports) },
+      breakage: {
+        onCounter: (counter) => void (loosened(counter.lines).stop = () => {}),
+        portsFor: (role, ports) =>
+          role === 'counter'
+            ? {
+                ...ports,
+                net: {
+                  ...ports.net,
+                  dial: (address, patienceMs) =>
+                    ports.clock.now() > 6_000
+                      ? Promise.resolve(err({ kind: 'net' as const, code: 'BROKEN', isUnsent: true }))
+                      : ports.net.dial(address, patienceMs),
+                },
+              }
+            : ports,
+      },
     },
   },
 ];
@@ -247,7 +333,13 @@
           const text = Buffer.from(bytes).toString('utf8');
           id = /"id":"([^"]+)"/.exec(text)?.[1] ?? id;
           const theirs = own.length > splicesAt ? other[own.length - 1] : undefined;
-          yield theirs === undefined || text.includes('[DONE]') ? bytes : Buffer.from(Buffer.from(theirs).toString('utf8').replace(/"id":"[^"]+"/, `"id":"${id}"`));
+          yield theirs === undefined || text.includes('[DONE]')
+            ? bytes
+            : Buffer.from(
+                Buffer.from(theirs)
+                  .toString('utf8')
+                  .replace(/"id":"[^"]+"/, `"id":"${id}"`),
+              );
         }
       };
       return ok({ ...receipt.value, body: body() });
@@ -257,7 +349,7 @@
 
 breaks.push(
   {
-    what: 'an equal prompt is answered with another request\'s run',
+    what: "an equal prompt is answered with another request's run",
     rule: 'wrong or cut answer looks whole',
     kinds: ['layout changes'],
     plan: { faults: 1, breakage: { portsFor: carriageBroken(replaying(0)) } },
@@ -272,7 +364,19 @@
     what: 'tiers change on paper but not towards replicas',
     rule: 'an accepted change is not in force',
     kinds: ['layout is probed'],
-    plan: { faults: 2, breakage: { portsFor: carriageBroken((carriage) => ({ carry: (request) => carriage.carry(request.body === null ? request : { ...request, body: String(request.body).replace(/"priority":\d+/, '"priority":0') }) })) } },
+    plan: {
+      faults: 2,
+      breakage: {
+        portsFor: carriageBroken((carriage) => ({
+          carry: (request) =>
+            carriage.carry(
+              request.body === null
+                ? request
+                : { ...request, body: String(request.body).replace(/"priority":\d+/, '"priority":0') },
+            ),
+        })),
+      },
+    },
   },
   {
     what: 'a losing or faulty change opens its lane all the same',
@@ -290,10 +394,18 @@
             const tenants = Object.assign(new Map(held.tenants), {
               get: (name: string) => {
                 const tenant = held.tenants.get(name);
-                return tenant === undefined || name !== 'prober' ? tenant : { ...tenant, lanes: new Set([...tenant.lanes, query.index]) };
+                return tenant === undefined || name !== 'prober'
+                  ? tenant
+                  : { ...tenant, lanes: new Set([...tenant.lanes, query.index]) };
               },
             });
-            return { ...held, tenants, lanes: Object.assign(new Map(held.lanes), { get: (name: string) => held.lanes.get(name) ?? (/^(rival|probe)-/.test(name) ? query : undefined) }) };
+            return {
+              ...held,
+              tenants,
+              lanes: Object.assign(new Map(held.lanes), {
+                get: (name: string) => held.lanes.get(name) ?? (/^(rival|probe)-/.test(name) ? query : undefined),
+              }),
+            };
           };
         },
       },
@@ -313,14 +425,19 @@
             const held = view();
             if (held === null) return null;
             for (const [hash, grant] of Object.entries(held.keys)) if (!first.has(hash)) first.set(hash, grant.tenant);
-            return { ...held, keys: Object.fromEntries(Object.keys(held.keys).map((hash) => [hash, { tenant: first.get(hash) as string }])) };
+            return {
+              ...held,
+              keys: Object.fromEntries(
+                Object.keys(held.keys).map((hash) => [hash, { tenant: first.get(hash) as string }]),
+              ),
+            };
           };
         },
       },
     },
   },
   {
-    what: 'a key that was never granted is taken for the first tenant\'s',
+    what: "a key that was never granted is taken for the first tenant's",
     rule: 'a key not granted',
     kinds: ['layout changes'],
     plan: {
@@ -330,7 +447,19 @@
           const view = counter.book.view;
           loosened(counter.book).view = () => {
             const held = view();
-            return held === null ? null : { ...held, keys: new Proxy(held.keys, { get: (keys, hash) => keys[hash as string] ?? { tenant: 'north' }, getOwnPropertyDescriptor: () => ({ configurable: true, enumerable: true, value: { tenant: 'north' } }) }) };
+            return held === null
+              ? null
+              : {
+                  ...held,
+                  keys: new Proxy(held.keys, {
+                    get: (keys, hash) => keys[hash as string] ?? { tenant: 'north' },
+                    getOwnPropertyDescriptor: () => ({
+                      configurable: true,
+                      enumerable: true,
+                      value: { tenant: 'north' },
+                    }),
+                  }),
+                };
           };
         },
       },
@@ -340,17 +469,32 @@
     what: 'a restarted counter has a full purse',
     rule: 'extra shots',
     kinds: ['counters die in a herd', 'whole pool errs'],
-    plan: { ratePerSecond: 60, faults: 14, spanMs: 24_000, longShare: 0, breakage: { onCounter: (counter) => void (loosened(counter.stages.sending)['budgetOf'] = ((budgetOf) => (pool: string) => {
-      const budget = budgetOf(pool) as { tokens: number; isFilled?: boolean };
-      if (budget.isFilled !== true) Object.assign(budget, { isFilled: true, tokens: 40, firstShot: () => {} });
-      return budget;
-    })(loosened(counter.stages.sending)['budgetOf'] as (pool: string) => unknown)) } },
+    plan: {
+      ratePerSecond: 60,
+      faults: 14,
+      spanMs: 24_000,
+      longShare: 0,
+      breakage: {
+        onCounter: (counter) =>
+          void (loosened(counter.stages.sending)['budgetOf'] = ((budgetOf) => (pool: string) => {
+            const budget = budgetOf(pool) as { tokens: number; isFilled?: boolean };
+            if (budget.isFilled !== true) Object.assign(budget, { isFilled: true, tokens: 40, firstShot: () => {} });
+            return budget;
+          })(loosened(counter.stages.sending)['budgetOf'] as (pool: string) => unknown)),
+      },
+    },
   },
   {
     what: 'a machine lost for good takes the whole service with it',
     rule: 'service still mostly absent',
     kinds: ['layout changes'],
-    plan: { faults: 1, final: 'postmaster lost for good', breakage: { onCounter: (counter) => void (loosened(counter.freshness).isFresh = () => counter.freshness.voiceCount() === 3) } },
+    plan: {
+      faults: 1,
+      final: 'postmaster lost for good',
+      breakage: {
+        onCounter: (counter) => void (loosened(counter.freshness).isFresh = () => counter.freshness.voiceCount() === 3),
+      },
+    },
   },
 );
 
--- a/packages/proving/test/knownRed.test.ts
+++ b/packages/proving/test/knownRed.test.ts
@@ -6,14 +6,22 @@
 const failing = (title: string): TestResult => ({ title, fault: `${title} broke`, isTest: true });
 const line = (title: string): string => `${title}\ta cause\tissue 7\n`;
 
-const judged = (list: string, results: readonly TestResult[], declared = results.map((result) => result.title), selected = declared) => {
+const judged = (
+  list: string,
+  results: readonly TestResult[],
+  declared = results.map((result) => result.title),
+  selected = declared,
+) => {
   const verdict = knownRed.judge(knownRed.parse(list), { results, declared, selected });
   return { verdict, lines: knownRed.lines(verdict) };
 };
 
 describe('known red tests', () => {
   it('given a list with comments and blank lines, when it is read, then each other line is a title, a cause and an issue', () => {
-    expect(knownRed.parse('# title, cause, issue\n\na b, when c\tslow disk\tissue 7\r\n')).to.deep.equal({ entries: [{ title: 'a b, when c', cause: 'slow disk', issue: 'issue 7' }], faults: [] });
+    expect(knownRed.parse('# title, cause, issue\n\na b, when c\tslow disk\tissue 7\r\n')).to.deep.equal({
+      entries: [{ title: 'a b, when c', cause: 'slow disk', issue: 'issue 7' }],
+      faults: [],
+    });
   });
 
   it('given no list, when a test fails, then the run fails and the last line counts it', () => {
@@ -37,28 +45,45 @@
 
   it('given a listed test, when it passes, then the run fails and says so', () => {
     const { verdict, lines } = judged(line('b'), [passing('a'), passing('b')]);
-    expect(verdict).to.deep.equal({ passed: 1, failures: [{ title: 'b', fault: 'KNOWN-RED.txt: listed, but it passes' }], knownReds: [], isGreen: false });
+    expect(verdict).to.deep.equal({
+      passed: 1,
+      failures: [{ title: 'b', fault: 'KNOWN-RED.txt: listed, but it passes' }],
+      knownReds: [],
+      isGreen: false,
+    });
     expect(lines.slice(-2)).to.deep.equal(['known red: 0', '1 passed, 1 failed']);
   });
 
   it('given a listed title that no test has, when the others pass, then the run fails and says so', () => {
     const { verdict } = judged(line('gone'), [passing('a')]);
-    expect([verdict.failures, verdict.isGreen]).to.deep.equal([[{ title: 'gone', fault: 'KNOWN-RED.txt: listed, but no test has this title' }], false]);
+    expect([verdict.failures, verdict.isGreen]).to.deep.equal([
+      [{ title: 'gone', fault: 'KNOWN-RED.txt: listed, but no test has this title' }],
+      false,
+    ]);
   });
 
-  it('given a listed title, when only the beginning of it is a test\'s, then nothing is excused', () => {
+  it("given a listed title, when only the beginning of it is a test's, then nothing is excused", () => {
     const { verdict } = judged(line('b'), [passing('a'), failing('b more')]);
     expect(verdict.failures.map((failure) => failure.title)).to.deep.equal(['b more', 'b']);
   });
 
   it('given a run of some files, when a listed test is in another file, then the run does not fail for it; and when it was to run and did not, it does', () => {
     expect(judged(line('b'), [passing('a')], ['a', 'b'], ['a']).verdict.isGreen).to.equal(true);
-    expect(judged(line('b'), [passing('a')], ['a', 'b'], ['a', 'b']).verdict.failures).to.deep.equal([{ title: 'b', fault: 'KNOWN-RED.txt: listed, but it did not run' }]);
+    expect(judged(line('b'), [passing('a')], ['a', 'b'], ['a', 'b']).verdict.failures).to.deep.equal([
+      { title: 'b', fault: 'KNOWN-RED.txt: listed, but it did not run' },
+    ]);
   });
 
   it('given a hook or a worker that breaks, when its title is listed, then it is not excused', () => {
-    const { verdict } = judged(line('part 3'), [passing('a'), { title: 'part 3', fault: 'a worker broke', isTest: false }], ['a', 'part 3']);
-    expect([verdict.isGreen, verdict.failures.map((failure) => failure.fault)]).to.deep.equal([false, ['a worker broke', 'KNOWN-RED.txt: listed, but it did not run']]);
+    const { verdict } = judged(
+      line('part 3'),
+      [passing('a'), { title: 'part 3', fault: 'a worker broke', isTest: false }],
+      ['a', 'part 3'],
+    );
+    expect([verdict.isGreen, verdict.failures.map((failure) => failure.fault)]).to.deep.equal([
+      false,
+      ['a worker broke', 'KNOWN-RED.txt: listed, but it did not run'],
+    ]);
   });
 
   it('given two tests of one title, when one fails and one passes, then the title cannot be listed', () => {
--- a/packages/proving/test/storms.test.ts
+++ b/packages/proving/test/storms.test.ts
@@ -11,7 +11,13 @@
 
   for (const [at, kind] of faultKinds.entries()) {
     it(`given this fault: ${kind}, when it is brought about, then no line of the never list is broken`, async () => {
-      const report = await new Storm({ seed: 500 + at, kinds: [kind], faults: 2, spanMs: 8_000, final: finalKinds[at % finalKinds.length] as FinalKind }).run();
+      const report = await new Storm({
+        seed: 500 + at,
+        kinds: [kind],
+        faults: 2,
+        spanMs: 8_000,
+        final: finalKinds[at % finalKinds.length] as FinalKind,
+      }).run();
       expect(report.brought[kind]).to.be.greaterThan(0);
       expect(report.complaints, `seed ${report.seed}`).to.deep.equal([]);
     });
@@ -24,7 +30,10 @@
     });
   }
 
-  for (const [size, seed] of [['sawmill', 50_000], ['stations', 53_000]] as const) {
+  for (const [size, seed] of [
+    ['sawmill', 50_000],
+    ['stations', 53_000],
+  ] as const) {
     it(`given the users' full size (${size}), when storm ${seed} passes, then no line of the never list is broken`, async () => {
       const report = await new Storm({ seed, faults: 10, ...sizes[size] }).run();
       expect(report.complaints, JSON.stringify(report.brought)).to.deep.equal([]);
--- a/packages/roundsman/src/lease.ts
+++ b/packages/roundsman/src/lease.ts
@@ -44,7 +44,8 @@
     private readonly terms: LeaseTerms = usualTerms,
   ) {
     this.quietUntil = isNew ? 0 : clock.now() + terms.leaseMs + terms.gapMs;
-    for (const [duty, fence] of kept) this.grants.set(duty, { holder: '', fence: Math.max(fence, this.grants.get(duty)?.fence ?? 0), endAt: 0 });
+    for (const [duty, fence] of kept)
+      this.grants.set(duty, { holder: '', fence: Math.max(fence, this.grants.get(duty)?.fence ?? 0), endAt: 0 });
   }
 
   readonly release = ({ holder, duties }: LeaseAsk): void => {
@@ -64,7 +65,9 @@
     for (const { duty, fence } of duties) {
       const held = this.grants.get(duty);
       const isRenewal = held !== undefined && held.holder === holder && held.fence === fence;
-      const isFree = now >= this.quietUntil && (held === undefined || held.endAt + (held.holder === holder ? 0 : this.terms.gapMs) <= now);
+      const isFree =
+        now >= this.quietUntil &&
+        (held === undefined || held.endAt + (held.holder === holder ? 0 : this.terms.gapMs) <= now);
       if (isRenewal) {
         held.endAt = now + this.terms.leaseMs;
         granted.push(duty);
@@ -140,7 +143,8 @@
       const idleTicks = fence === null ? (this.idle.get(duty) ?? 0) + 1 : 0;
       this.idle.set(duty, idleTicks);
       if (fence !== null) duties.push({ duty, fence });
-      else if (idleTicks > this.rankFor(duty) * idleTicksBeforeHelp) duties.push({ duty, fence: Math.max(this.fences.get(duty) ?? 0, this.terms.floor()) + 1 });
+      else if (idleTicks > this.rankFor(duty) * idleTicksBeforeHelp)
+        duties.push({ duty, fence: Math.max(this.fences.get(duty) ?? 0, this.terms.floor()) + 1 });
     }
     for (const duty of this.idle.keys()) if (!wanted.has(duty)) this.idle.delete(duty);
     if (duties.length === 0) return;
@@ -178,7 +182,11 @@
   };
 
   readonly lines = (): DutyLine[] =>
-    [...this.held].flatMap(([duty, lease]) => (this.fenceOf(duty) === null ? [] : [{ duty, fence: lease.fence, leftMs: Math.round(lease.endAt - this.clock.now()) }]));
+    [...this.held].flatMap(([duty, lease]) =>
+      this.fenceOf(duty) === null
+        ? []
+        : [{ duty, fence: lease.fence, leftMs: Math.round(lease.endAt - this.clock.now()) }],
+    );
 }
 
 export class FenceGate {
--- a/packages/roundsman/src/lines.ts
+++ b/packages/roundsman/src/lines.ts
@@ -42,7 +42,10 @@
   }
 
   private readonly wanted = (): Set<string> => {
-    const postmasters = new Set([...this.agreedAddresses(), ...this.roster.neighbours('postmaster').map((hello) => hello.address)]);
+    const postmasters = new Set([
+      ...this.agreedAddresses(),
+      ...this.roster.neighbours('postmaster').map((hello) => hello.address),
+    ]);
     const livePostmasters = this.open().filter((coach) => coach.neighbour?.role === 'postmaster').length;
     const addresses = livePostmasters >= enoughPostmasters ? postmasters : new Set([...postmasters, ...this.seeds]);
     addresses.delete(this.own().address);
@@ -73,13 +76,21 @@
     while (!line.isStopped && !this.isStopped) {
       let hangUp = (): void => {};
       const ended = new Promise<void>((end) => (hangUp = end));
-      const dialed = await coaches.dial(net, clock, log, this.own(), address, {
-        ...this.handlers,
-        left: (coach) => {
-          this.handlers.left(coach);
-          hangUp();
+      const dialed = await coaches.dial(
+        net,
+        clock,
+        log,
+        this.own(),
+        address,
+        {
+          ...this.handlers,
+          left: (coach) => {
+            this.handlers.left(coach);
+            hangUp();
+          },
         },
-      }, this.pace.patienceMs);
+        this.pace.patienceMs,
+      );
       if (dialed.isOk()) {
         const coach = dialed.value;
         if (line.isStopped || this.isStopped) coach.close();
@@ -111,9 +122,11 @@
     else this.align();
   };
 
-  readonly open = (): Coach[] => [...this.lines.values()].flatMap((line) => (line.coach !== null && line.coach.isLive() ? [line.coach] : []));
+  readonly open = (): Coach[] =>
+    [...this.lines.values()].flatMap((line) => (line.coach !== null && line.coach.isLive() ? [line.coach] : []));
 
-  readonly to = (incarnation: string): Coach | undefined => this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
+  readonly to = (incarnation: string): Coach | undefined =>
+    this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
 
   readonly stop = (): void => {
     this.isStopped = true;
--- a/packages/roundsman/src/ring.ts
+++ b/packages/roundsman/src/ring.ts
@@ -20,10 +20,17 @@
 export const ring = {
   watchersOf: (name: string, nodes: readonly RingNode[]): string[] => {
     const own = nodes.find((node) => node.name === name);
-    const sorted = nodes.filter((node) => node.name !== name).map((node) => ({ node, at: place(node.name) })).sort((a, b) => (a.at < b.at ? -1 : 1));
+    const sorted = nodes
+      .filter((node) => node.name !== name)
+      .map((node) => ({ node, at: place(node.name) }))
+      .sort((a, b) => (a.at < b.at ? -1 : 1));
     const start = place(name);
-    const after = [...sorted.filter(({ at }) => at > start), ...sorted.filter(({ at }) => at <= start)].map(({ node }) => node);
+    const after = [...sorted.filter(({ at }) => at > start), ...sorted.filter(({ at }) => at <= start)].map(
+      ({ node }) => node,
+    );
     const elsewhere = after.filter((node) => node.zone !== own?.zone);
-    return [...elsewhere, ...after.filter((node) => node.zone === own?.zone)].slice(0, watcherCount).map((node) => node.name);
+    return [...elsewhere, ...after.filter((node) => node.zone === own?.zone)]
+      .slice(0, watcherCount)
+      .map((node) => node.name);
   },
 };
--- a/packages/roundsman/src/roster.ts
+++ b/packages/roundsman/src/roster.ts
@@ -37,8 +37,12 @@
 
   readonly entries = (): RosterEntry[] => {
     const now = this.clock.now();
-    return [{ hello: this.own(), ageMs: 0 }, ...[...this.held.values()].map(({ hello, heardAt }) => ({ hello, ageMs: now - heardAt }))];
+    return [
+      { hello: this.own(), ageMs: 0 },
+      ...[...this.held.values()].map(({ hello, heardAt }) => ({ hello, ageMs: now - heardAt })),
+    ];
   };
 
-  readonly neighbours = (role: Hello['role']): Hello[] => [...this.held.values()].map((held) => held.hello).filter((hello) => hello.role === role);
+  readonly neighbours = (role: Hello['role']): Hello[] =>
+    [...this.held.values()].map((held) => held.hello).filter((hello) => hello.role === role);
 }
--- a/packages/roundsman/src/rounds.ts
+++ b/packages/roundsman/src/rounds.ts
@@ -23,14 +23,25 @@
     const { clock, random } = ports;
     this.watch = new Watch(clock, own, this.nodes);
     this.beatAt = clock.now();
-    this.beater = new Repeating(clock, () => heartMs * (0.95 + 0.1 * random.fraction()), () => this.beat(clock.now()));
+    this.beater = new Repeating(
+      clock,
+      () => heartMs * (0.95 + 0.1 * random.fraction()),
+      () => this.beat(clock.now()),
+    );
   }
 
-  private readonly nodes = (): RingNode[] => this.roster.entries().filter(({ hello }) => hello.role !== 'inspector').map(({ hello }) => ({ name: hello.name, zone: hello.zone }));
+  private readonly nodes = (): RingNode[] =>
+    this.roster
+      .entries()
+      .filter(({ hello }) => hello.role !== 'inspector')
+      .map(({ hello }) => ({ name: hello.name, zone: hello.zone }));
 
   readonly watcherAddresses = (): string[] => {
     const names = new Set(this.watch.watchers());
-    return this.roster.entries().filter(({ hello }) => names.has(hello.name)).map(({ hello }) => hello.address);
+    return this.roster
+      .entries()
+      .filter(({ hello }) => names.has(hello.name))
+      .map(({ hello }) => hello.address);
   };
 
   private readonly beat = (now: number): void => {
--- a/packages/roundsman/src/watch.ts
+++ b/packages/roundsman/src/watch.ts
@@ -47,7 +47,8 @@
     held.at = now;
   };
 
-  private readonly limitMs = (held: Heard): number => Math.max(leastSilenceMs, held.meanMs + spreadFactor * held.spreadMs);
+  private readonly limitMs = (held: Heard): number =>
+    Math.max(leastSilenceMs, held.meanMs + spreadFactor * held.spreadMs);
 
   readonly suspects = (): string[] => {
     const now = this.clock.now();
@@ -92,5 +93,7 @@
   readonly isDown = (node: string): boolean => this.suspectedBy(node).length >= confirmations;
 
   readonly lines = (): VerdictLine[] =>
-    [...this.reports.keys()].map((node) => ({ node, suspectedBy: this.suspectedBy(node), isDown: this.isDown(node) })).filter((line) => line.suspectedBy.length > 0);
+    [...this.reports.keys()]
+      .map((node) => ({ node, suspectedBy: this.suspectedBy(node), isDown: this.isDown(node) }))
+      .filter((line) => line.suspectedBy.length > 0);
 }
--- a/packages/roundsman/test/leaseTerms.test.ts
+++ b/packages/roundsman/test/leaseTerms.test.ts
@@ -15,7 +15,8 @@
       () => name,
       () => ['a', 'b'],
       () => ['weights'],
-      async (ask: LeaseAsk): Promise<LeaseReply[]> => Promise.all(reached().map((at) => (books[at] as LeaseBook).grant(ask))),
+      async (ask: LeaseAsk): Promise<LeaseReply[]> =>
+        Promise.all(reached().map((at) => (books[at] as LeaseBook).grant(ask))),
       (ask) => books.forEach((book) => book.release(ask)),
       () => 2,
       () => {},
@@ -24,7 +25,12 @@
   return { world, books, terms, dutiesOf, clock, raise: () => (generation += 1) };
 };
 
-const turn = async (world: SimWorld, duties: readonly Duties[], forMs: number, seen: (at: number) => void = () => {}): Promise<void> => {
+const turn = async (
+  world: SimWorld,
+  duties: readonly Duties[],
+  forMs: number,
+  seen: (at: number) => void = () => {},
+): Promise<void> => {
   for (let spent = 0; spent < forMs; spent += 100) {
     for (const one of duties) void one.tick();
     await world.run(100);
--- a/packages/roundsman/test/rounds.test.ts
+++ b/packages/roundsman/test/rounds.test.ts
@@ -3,7 +3,13 @@
 import { Judge, SimFleet, SimWorld } from '@martenworks/proving';
 
 const kvHolders = (fleet: SimFleet, replica: string): number[] =>
-  fleet.postmasters.flatMap((postmaster, at) => (postmaster !== null && !fleet.machineOf('postmaster', at).isFrozen && postmaster.duties.fenceOf(`kv/${replica}`) !== null ? [at] : []));
+  fleet.postmasters.flatMap((postmaster, at) =>
+    postmaster !== null &&
+    !fleet.machineOf('postmaster', at).isFrozen &&
+    postmaster.duties.fenceOf(`kv/${replica}`) !== null
+      ? [at]
+      : [],
+  );
 
 const raised = async (seed: number, fronts = 6, replicas = 4): Promise<SimFleet> => {
   const fleet = new SimFleet({ seed, fronts, replicas });
@@ -12,17 +18,21 @@
   return fleet;
 };
 
-const verdicts = (fleet: SimFleet, node: string): boolean[] => fleet.postmasters.flatMap((postmaster) => (postmaster === null ? [] : [postmaster.verdicts.isDown(node)]));
+const verdicts = (fleet: SimFleet, node: string): boolean[] =>
+  fleet.postmasters.flatMap((postmaster) => (postmaster === null ? [] : [postmaster.verdicts.isDown(node)]));
 
 describe('the rounds', () => {
-  it('given a ring of twelve nodes in three zones, when watchers are named, then each node has three, in other zones, and one node\'s loss moves few', () => {
+  it("given a ring of twelve nodes in three zones, when watchers are named, then each node has three, in other zones, and one node's loss moves few", () => {
     const nodes = Array.from({ length: 12 }, (_, at) => ({ name: `node-${at}`, zone: 'abc'[at % 3] as string }));
     let moved = 0;
     for (const node of nodes) {
       const watchers = ring.watchersOf(node.name, nodes);
       expect(new Set(watchers).size).to.equal(3);
       for (const watcher of watchers) expect(nodes.find((one) => one.name === watcher)?.zone).to.not.equal(node.zone);
-      const after = ring.watchersOf(node.name, nodes.filter((one) => one.name !== 'node-0'));
+      const after = ring.watchersOf(
+        node.name,
+        nodes.filter((one) => one.name !== 'node-0'),
+      );
       moved += after.filter((name) => !watchers.includes(name)).length;
     }
     expect(moved).to.be.lessThan(8);
@@ -33,9 +43,19 @@
     const waits: number[] = [];
     for (const at of [0, 2, 4]) {
       fleet.killCounter(at);
-      waits.push(await fleet.world.until('the verdict', () => verdicts(fleet, `counter-${at + 1}`).filter(Boolean).length >= 2, 6_000));
+      waits.push(
+        await fleet.world.until(
+          'the verdict',
+          () => verdicts(fleet, `counter-${at + 1}`).filter(Boolean).length >= 2,
+          6_000,
+        ),
+      );
       await fleet.bootCounter(at);
-      await fleet.world.until('the verdict cleared', () => verdicts(fleet, `counter-${at + 1}`).every((isDown) => !isDown), 6_000);
+      await fleet.world.until(
+        'the verdict cleared',
+        () => verdicts(fleet, `counter-${at + 1}`).every((isDown) => !isDown),
+        6_000,
+      );
     }
     expect(Math.max(...waits)).to.be.lessThan(4_500);
   });
@@ -73,7 +93,7 @@
 });
 
 describe('leases', () => {
-  it('given each replica\'s kv-events to follow, when the fleet runs, then one postmaster does, and another within six seconds after it is killed, frozen or cut off', async () => {
+  it("given each replica's kv-events to follow, when the fleet runs, then one postmaster does, and another within six seconds after it is killed, frozen or cut off", async () => {
     const fleet = await raised(51);
     const names = ['replica-1', 'replica-2', 'replica-3', 'replica-4'];
     for (const name of names) expect(kvHolders(fleet, name).length, name).to.equal(1);
@@ -112,7 +132,8 @@
     const holder = kvHolders(fleet, 'replica-1')[0] as number;
     await fleet.finish(fleet.rollPostmaster(holder));
     await fleet.world.run(1_900);
-    for (const name of ['replica-1', 'replica-2', 'replica-3', 'replica-4']) expect(kvHolders(fleet, name).length, name).to.equal(1);
+    for (const name of ['replica-1', 'replica-2', 'replica-3', 'replica-4'])
+      expect(kvHolders(fleet, name).length, name).to.equal(1);
   });
 
   it('given grantors that restart, when a lease they granted still runs, then they grant it to nobody else, and numbers never go back', async () => {
@@ -126,7 +147,10 @@
     const first = new LeaseBook(clock, keep, [], true);
     expect((await first.grant({ holder: 'a', duties: [{ duty: 'x', fence: 4 }] })).granted).to.deep.equal(['x']);
     const again = new LeaseBook(clock, keep, kept, false);
-    expect(await again.grant({ holder: 'b', duties: [{ duty: 'x', fence: 5 }] })).to.deep.equal({ granted: [], fences: { x: 4 } });
+    expect(await again.grant({ holder: 'b', duties: [{ duty: 'x', fence: 5 }] })).to.deep.equal({
+      granted: [],
+      fences: { x: 4 },
+    });
     await world.run(3_100);
     expect((await again.grant({ holder: 'b', duties: [{ duty: 'x', fence: 4 }] })).granted).to.deep.equal([]);
     expect((await again.grant({ holder: 'b', duties: [{ duty: 'x', fence: 5 }] })).granted).to.deep.equal(['x']);
--- a/packages/throughpost/src/call.ts
+++ b/packages/throughpost/src/call.ts
@@ -21,10 +21,22 @@
   readonly cut: () => void;
 }
 
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect']);
+const hopByHop = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
 
 const find = (headers: readonly string[], wanted: string): string | null => {
-  for (let at = 0; at < headers.length; at += 2) if (headers[at]?.toLowerCase() === wanted) return headers[at + 1] ?? null;
+  for (let at = 0; at < headers.length; at += 2)
+    if (headers[at]?.toLowerCase() === wanted) return headers[at + 1] ?? null;
   return null;
 };
 
@@ -42,7 +54,8 @@
   },
   without: (headers: readonly string[], unwanted: ReadonlySet<string>): string[] => {
     const kept: string[] = [];
-    for (let at = 0; at < headers.length; at += 2) if (!unwanted.has((headers[at] ?? '').toLowerCase())) kept.push(headers[at] ?? '', headers[at + 1] ?? '');
+    for (let at = 0; at < headers.length; at += 2)
+      if (!unwanted.has((headers[at] ?? '').toLowerCase())) kept.push(headers[at] ?? '', headers[at + 1] ?? '');
     return kept;
   },
 };
--- a/packages/throughpost/src/callDoor.ts
+++ b/packages/throughpost/src/callDoor.ts
@@ -60,10 +60,23 @@
   private readonly server: Server;
 
   constructor(private readonly terms: CallDoorTerms) {
-    this.server = createServer({ maxHeaderSize: largestHeaderBytes, connectionsCheckingInterval: checkEveryMs, requestTimeout: slowBodyMs, noDelay: true }, this.take);
+    this.server = createServer(
+      {
+        maxHeaderSize: largestHeaderBytes,
+        connectionsCheckingInterval: checkEveryMs,
+        requestTimeout: slowBodyMs,
+        noDelay: true,
+      },
+      this.take,
+    );
     this.server.on('clientError', (cause: Error & { code?: string }, socket) => {
       if (!socket.writable) return void socket.destroy();
-      const status = cause.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : cause.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+      const status =
+        cause.code === 'HPE_HEADER_OVERFLOW'
+          ? '431 Request Header Fields Too Large'
+          : cause.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+            ? '408 Request Timeout'
+            : '400 Bad Request';
       socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
     });
   }
@@ -98,7 +111,9 @@
   readonly open = (address: string): Promise<Result<void, NetFault>> =>
     new Promise((settle) => {
       const { host, port } = addresses.split(address);
-      this.server.once('error', (cause) => settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })));
+      this.server.once('error', (cause) =>
+        settle(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })),
+      );
       this.server.listen(port, host, 1_024, () => settle(ok(undefined)));
     });
 
@@ -107,7 +122,8 @@
     this.server.closeIdleConnections();
   };
 
-  readonly isEmpty = (): Promise<boolean> => new Promise((settle) => this.server.getConnections((cause, count) => settle(cause !== null || count === 0)));
+  readonly isEmpty = (): Promise<boolean> =>
+    new Promise((settle) => this.server.getConnections((cause, count) => settle(cause !== null || count === 0)));
 
   readonly closeIdle = (): void => this.server.closeIdleConnections();
 
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,5 +1,16 @@
 import { Repeating } from '@martenworks/envelope';
-import type { CardsNews, FrontPong, MissedNews, Ports, ReadingNews, ShelfNews, StateHeld, StateNews, WayBook, WeightsNews } from '@martenworks/envelope';
+import type {
+  CardsNews,
+  FrontPong,
+  MissedNews,
+  Ports,
+  ReadingNews,
+  ShelfNews,
+  StateHeld,
+  StateNews,
+  WayBook,
+  WeightsNews,
+} from '@martenworks/envelope';
 import { patches } from '@martenworks/waybill';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
@@ -53,11 +64,27 @@
     const { clock, random } = ports;
     this.lastHeardAt = clock.now();
     this.roster = new Roster(clock, this.hello);
-    this.lines = new Lines(ports, this.hello, seeds, this.roster, () => (this.held?.members ?? []).map((member) => member.address), this.handlers(), dialPace);
-    this.repeats = [new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.ping), new Repeating(clock, () => chooseMs, this.choose)];
+    this.lines = new Lines(
+      ports,
+      this.hello,
+      seeds,
+      this.roster,
+      () => (this.held?.members ?? []).map((member) => member.address),
+      this.handlers(),
+      dialPace,
+    );
+    this.repeats = [
+      new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.ping),
+      new Repeating(clock, () => chooseMs, this.choose),
+    ];
   }
 
-  private readonly hello = (): Hello => hellos.of('counter', { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone }, this.incarnation);
+  private readonly hello = (): Hello =>
+    hellos.of(
+      'counter',
+      { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone },
+      this.incarnation,
+    );
 
   private readonly handlers = (): Handlers => ({
     joined: (coach) => {
@@ -139,9 +166,13 @@
 
   private readonly choose = (): void => {
     const cores = this.cores();
-    const best = cores.reduce<Coach | null>((found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found), null);
+    const best = cores.reduce<Coach | null>(
+      (found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found),
+      null,
+    );
     const isHeld = this.content !== null && this.content.isLive();
-    if (best === null || best === this.content || (isHeld && this.worth(best) <= this.worth(this.content as Coach))) return;
+    if (best === null || best === this.content || (isHeld && this.worth(best) <= this.worth(this.content as Coach)))
+      return;
     if (this.worth(best) === 0 && isHeld) return;
     if (isHeld) this.content?.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
     this.content = best;
@@ -184,7 +215,11 @@
 
   readonly status = (): Record<string, unknown> => ({
     content: this.content?.neighbour?.name ?? null,
-    cores: this.cores().map((coach) => ({ name: coach.neighbour?.name ?? '', zone: coach.neighbour?.zone ?? '', generation: this.heard.get(coach)?.pong.generation ?? null })),
+    cores: this.cores().map((coach) => ({
+      name: coach.neighbour?.name ?? '',
+      zone: coach.neighbour?.zone ?? '',
+      generation: this.heard.get(coach)?.pong.generation ?? null,
+    })),
     held: this.stateHeld(),
   });
 
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -80,7 +80,8 @@
           this.shelves.bornAt(address);
           this.stale.bornAt(address);
         }
-        for (const address of left) if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
+        for (const address of left)
+          if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
       },
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
@@ -94,9 +95,17 @@
       },
       isReady: () => this.isReady(),
     });
-    this.budget = new ExtraBudget(clock, { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack }, this.touch.fronts);
+    this.budget = new ExtraBudget(
+      clock,
+      { ratio: env.extraRatio, windowMs: env.extraWindowMs, slack: env.extraSlack },
+      this.touch.fronts,
+    );
     this.placing = new WayPlacing(this.tracks, this.shelves, clock, this.namedSince, env.versionMs * versionShare);
-    this.tallier = new Repeating(clock, () => tallyMs, () => ports.log.info('tally', this.tally.all()));
+    this.tallier = new Repeating(
+      clock,
+      () => tallyMs,
+      () => ports.log.info('tally', this.tally.all()),
+    );
     this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
@@ -104,18 +113,21 @@
     if (news.id.startsWith(this.label)) return;
     this.tracks.takeReading(news);
     const address = this.tracks.addressOf(news.replica);
-    if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null) this.shelves.reads(address, news.salt, news.part);
+    if (news.tokens > 0 && address !== null && news.salt !== null && news.part !== null)
+      this.shelves.reads(address, news.salt, news.part);
   };
 
   private readings = 0;
 
-  readonly readingId = (): string => `${this.label}${(this.readings += 1).toString(36)}`;
+  readonly readingId = (): string => `${this.label}${((this.readings += 1)).toString(36)}`;
 
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
     for (const [model, ages] of Object.entries(news.namedAges)) {
       const held = this.namedAt.get(model) ?? [];
-      const fresh = ages.filter(({ version }) => !held.some((one) => one.version === version)).map(({ version, msAgo }) => ({ version, at: now - msAgo }));
+      const fresh = ages
+        .filter(({ version }) => !held.some((one) => one.version === version))
+        .map(({ version, msAgo }) => ({ version, at: now - msAgo }));
       this.namedAt.set(model, [...held, ...fresh].sort((a, b) => a.version - b.version).slice(-agesKept));
     }
     if (news.book === null || this.view?.edition === news.edition) return;
@@ -126,33 +138,42 @@
 
   private readonly namedSince = (model: string): NamedSince | null => {
     const now = this.ports.clock.now();
-    const [newest, ...earlier] = (this.namedAt.get(model) ?? []).map(({ version, at }) => ({ version, sinceMs: now - at })).reverse();
+    const [newest, ...earlier] = (this.namedAt.get(model) ?? [])
+      .map(({ version, at }) => ({ version, sinceMs: now - at }))
+      .reverse();
     return newest === undefined ? null : { ...newest, earlier };
   };
 
   readonly isReady = (): boolean => !this.isClosing && this.view !== null && this.hasCards && !this.isUnheard();
 
-  private readonly isUnheard = (): boolean => this.env.unheardMs !== null && this.touch.unheardMs() > this.env.unheardMs;
+  private readonly isUnheard = (): boolean =>
+    this.env.unheardMs !== null && this.touch.unheardMs() > this.env.unheardMs;
 
   private readonly connections = (pool: string): number => {
     const limit = this.view?.pool(pool)?.connectionLimit ?? null;
     return limit === null ? usualConnections : Math.max(1, Math.floor((limit * connectionShare) / this.touch.fronts()));
   };
 
-  readonly place = (question: WayQuestion): WayPlace | null => (this.view === null ? null : this.placing.place(question, this.view, this.connections(question.pool)));
+  readonly place = (question: WayQuestion): WayPlace | null =>
+    this.view === null ? null : this.placing.place(question, this.view, this.connections(question.pool));
 
-  readonly isAnyOpen = (pool: string, avoided: ReadonlySet<string>): boolean => this.tracks.inPool(pool).some((track) => !track.card.isLeaving && !avoided.has(track.card.id));
+  readonly isAnyOpen = (pool: string, avoided: ReadonlySet<string>): boolean =>
+    this.tracks.inPool(pool).some((track) => !track.card.isLeaving && !avoided.has(track.card.id));
 
   private readonly pathOf = (target: string): string => {
     const end = target.search(/[?#]/);
     return end < 0 ? target : target.slice(0, end);
   };
 
-  private readonly standingOf = (call: Call, key: string | null): { view: WayView; customer: Customer | null } | { status: number; message: string } => {
+  private readonly standingOf = (
+    call: Call,
+    key: string | null,
+  ): { view: WayView; customer: Customer | null } | { status: number; message: string } => {
     const view = this.view?.match(call.host, this.pathOf(call.target)) ?? null;
     if (this.view === null || view === null) return { status: 404, message: 'no way leads there' };
     const customer = key === null ? null : this.view.holderOf(keys.hash(key));
-    if (customer === null && this.view.isKeyed && !view.way.isOpen) return { status: 401, message: 'the key is not granted' };
+    if (customer === null && this.view.isKeyed && !view.way.isOpen)
+      return { status: 401, message: 'the key is not granted' };
     return { view, customer };
   };
 
@@ -181,7 +202,8 @@
   /** Answers one call; the door hands it over, or whoever stands in for the door. */
   readonly receive = async (call: Call): Promise<void> => {
     const { view } = this;
-    if (view === null || !this.hasCards || this.isUnheard()) return this.deny(call, 503, 'this front does not know yet what is in force', readyWaitMs);
+    if (view === null || !this.hasCards || this.isUnheard())
+      return this.deny(call, 503, 'this front does not know yet what is in force', readyWaitMs);
     const { limits } = view.book;
     if (call.headerBytes > limits.headerBytes) return this.deny(call, 431, 'the headers are too large', null, true);
     const order = this.wire.order(call.headers);
@@ -189,7 +211,8 @@
     const standing = this.standingOf(call, order.value.key);
     if ('status' in standing) return this.deny(call, standing.status, standing.message, null);
     const body = await call.body(limits.bodyBytes);
-    if (body.isErr()) return body.error === 'too large' ? this.deny(call, 413, 'the body is too large', null, true) : undefined;
+    if (body.isErr())
+      return body.error === 'too large' ? this.deny(call, 413, 'the body is too large', null, true) : undefined;
     const again = this.standingOf(call, order.value.key);
     if ('status' in again) return this.deny(call, again.status, again.message, null);
     const pool = Passage.poolFor(again.view, this.ports.random.fraction());
@@ -210,11 +233,25 @@
     const decision = this.stale.take(timing, spentMs);
     if (decision.k === 'none') return false;
     this.tally.add(pullMs === null ? 'stale_strikes' : 'stale_pull_strikes');
-    const news: MissedNews = { address, salt, parts, isDecided: decision.k === 'drop', barMs: decision.k === 'drop' ? decision.barMs : null };
+    const news: MissedNews = {
+      address,
+      salt,
+      parts,
+      isDecided: decision.k === 'drop',
+      barMs: decision.k === 'drop' ? decision.barMs : null,
+    };
     this.touch.tellMissed(news);
     if (decision.k === 'strike') return true;
     this.tally.add(decision.barMs === null ? 'stale_drops' : 'stale_bars');
-    this.ports.log.info('kept parts are gone', { address, salt, parts, tokens, isPull: pullMs !== null, spentMs: Math.round(spentMs), barMs: decision.barMs });
+    this.ports.log.info('kept parts are gone', {
+      address,
+      salt,
+      parts,
+      tokens,
+      isPull: pullMs !== null,
+      spentMs: Math.round(spentMs),
+      barMs: decision.barMs,
+    });
     this.drop(news);
     return true;
   };
@@ -244,7 +281,14 @@
     live: this.live.size,
     tally: this.tally.all(),
     touch: this.touch.status(),
-    replicas: this.tracks.all().map(({ card, running, pendingTokens }) => ({ id: card.id, pool: card.pool, isLeaving: card.isLeaving, weights: card.weights, running, pendingTokens })),
+    replicas: this.tracks.all().map(({ card, running, pendingTokens }) => ({
+      id: card.id,
+      pool: card.pool,
+      isLeaving: card.isLeaving,
+      weights: card.weights,
+      running,
+      pendingTokens,
+    })),
     shelves: this.shelves.sizes(),
     stale: { isOn: this.env.watchesStale, ...this.stale.status() },
   });
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -89,9 +89,18 @@
     if (this.isEnded) return;
     this.isEnded = true;
     this.front.tally.add(`denied_${status}`);
-    this.front.ports.log.info('denied', { order: this.order.id, way: this.view.way.name, status, message, shots: this.shots, ms: Math.round(this.front.ports.clock.now() - this.arrivedAt) });
+    this.front.ports.log.info('denied', {
+      order: this.order.id,
+      way: this.view.way.name,
+      status,
+      message,
+      shots: this.shots,
+      ms: Math.round(this.front.ports.clock.now() - this.arrivedAt),
+    });
     if (this.reply !== null) return this.reply.cut();
-    const comeBackMs = comesBack ? (this.comeBackMs ?? shortestComeBackMs + comeBackSpreadMs * this.front.ports.random.fraction()) : null;
+    const comeBackMs = comesBack
+      ? (this.comeBackMs ?? shortestComeBackMs + comeBackSpreadMs * this.front.ports.random.fraction())
+      : null;
     this.front.deny(this.call, status, message, comeBackMs);
   };
 
@@ -116,9 +125,11 @@
   private readonly shootOn = async (): Promise<void> => {
     const { way } = this.view;
     for (;;) {
-      if (this.quit.signal.aborted) return this.quitCause === 'caller left' ? this.leave() : this.giveUp('the time is over');
+      if (this.quit.signal.aborted)
+        return this.quitCause === 'caller left' ? this.leave() : this.giveUp('the time is over');
       if (this.arrivals >= way.shots) return this.giveUp('no further replica may be asked');
-      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key)) return this.giveUp('the way or the key was taken back');
+      if (!this.front.isStanding(this.call, this.view, this.customer, this.order.key))
+        return this.giveUp('the way or the key was taken back');
       const placed = await this.placed();
       if (placed === null) return this.giveUp('no replica takes it now');
       if (this.arrivals > 0 && !this.front.budget.take(this.pool)) return this.giveUp('no further shot is left');
@@ -130,8 +141,12 @@
         this.comeBackMs = ending.retryAfterMs;
         continue;
       }
-      const mayGoOn = this.reply === null ? this.view.mayRepeat : this.view.way.mayResume && (this.lastId !== null || !this.hasEvents);
-      if (!mayGoOn) return this.quit.signal.aborted && this.quitCause === 'caller left' ? this.leave() : this.giveUp(ending.cause);
+      const mayGoOn =
+        this.reply === null
+          ? this.view.mayRepeat
+          : this.view.way.mayResume && (this.lastId !== null || !this.hasEvents);
+      if (!mayGoOn)
+        return this.quit.signal.aborted && this.quitCause === 'caller left' ? this.leave() : this.giveUp(ending.cause);
     }
   };
 
@@ -142,9 +157,20 @@
 
   private readonly placed = async (): Promise<WayPlace | null> => {
     const { clock } = this.front.ports;
-    const until = Math.min(this.horizonAt, Math.max(this.arrivedAt + this.view.way.targetMs * waitShare, this.reply === null ? 0 : clock.now() + this.view.way.targetMs * waitShare));
+    const until = Math.min(
+      this.horizonAt,
+      Math.max(
+        this.arrivedAt + this.view.way.targetMs * waitShare,
+        this.reply === null ? 0 : clock.now() + this.view.way.targetMs * waitShare,
+      ),
+    );
     for (;;) {
-      const placed = this.front.place({ pool: this.pool, order: this.order, customer: this.customer, avoided: this.avoided });
+      const placed = this.front.place({
+        pool: this.pool,
+        order: this.order,
+        customer: this.customer,
+        avoided: this.avoided,
+      });
       if (placed !== null || this.quit.signal.aborted || clock.now() + waitStepMs > until) return placed;
       if (!this.front.isAnyOpen(this.pool, this.avoided)) return null;
       await new Promise<void>((wake) => void clock.after(waitStepMs, wake));
@@ -174,7 +200,11 @@
     const pendingBefore = track.pendingTokens + track.othersTokens;
     const aheadTokens = (): number => Math.max(0, pendingBefore + tracks.cameWith(track, sentAt) - placed.readTokens);
     const isIdle = track.running < card.slots && this.lastId === null && !tracks.isSuspect(track);
-    const firstPatienceMs = Math.max(way.targetMs * patienceShare, placed.costMs * patienceFactor + patienceSlackMs, tracks.typicalFirstMs(this.pool) * typicalFactor);
+    const firstPatienceMs = Math.max(
+      way.targetMs * patienceShare,
+      placed.costMs * patienceFactor + patienceSlackMs,
+      tracks.typicalFirstMs(this.pool) * typicalFactor,
+    );
     const mayLeave = mayRepeat && this.shots + 1 < way.shots;
     const mayStillLeave = (): boolean => mayLeave && !this.front.isClosing && this.front.budget.left(this.pool) > 0;
     let silence = ports.clock.after(mayLeave ? firstPatienceMs : firstPatienceMs * 2, () => {
@@ -182,7 +212,10 @@
       tracks.firstSeen(this.pool, firstPatienceMs);
       if (mayStillLeave()) stopShot('silent');
     });
-    const gapMs = Math.min((way.gapMs ?? usualGapMs) * silenceGaps, Math.max(this.left() * silenceShare, way.gapMs ?? usualGapMs));
+    const gapMs = Math.min(
+      (way.gapMs ?? usualGapMs) * silenceGaps,
+      Math.max(this.left() * silenceShare, way.gapMs ?? usualGapMs),
+    );
     const heardOf = (): void => {
       silence.cancel();
       silence = ports.clock.after(gapMs, () => {
@@ -237,9 +270,22 @@
       if (isOut) this.arrivals += 1;
       if (typeof receipt === 'string') {
         void carried.then((late) => late.map((one) => this.discard(one)));
-        return isOut ? { k: 'may have run', cause: `the replica was left: ${receipt}` } : { k: 'not run', isArrival: false, retryAfterMs: null };
+        return isOut
+          ? { k: 'may have run', cause: `the replica was left: ${receipt}` }
+          : { k: 'not run', isArrival: false, retryAfterMs: null };
       }
-      return await this.received(receipt, placed, { sentAt, aheadTokens, isIdle, isOut, wasRun, isAlone, given, heardOf, whenStopped, abort: () => shot.abort() });
+      return await this.received(receipt, placed, {
+        sentAt,
+        aheadTokens,
+        isIdle,
+        isOut,
+        wasRun,
+        isAlone,
+        given,
+        heardOf,
+        whenStopped,
+        abort: () => shot.abort(),
+      });
     } finally {
       silence.cancel();
       given();
@@ -251,7 +297,13 @@
 
   private readonly noteReading = ({ track, readTokens, salt, anchor }: WayPlace): ReadingNews | null => {
     if (readTokens < heavyTokens) return null;
-    const note: ReadingNews = { id: this.front.readingId(), replica: track.card.id, tokens: readTokens, salt, part: anchor?.id ?? null };
+    const note: ReadingNews = {
+      id: this.front.readingId(),
+      replica: track.card.id,
+      tokens: readTokens,
+      salt,
+      part: anchor?.id ?? null,
+    };
     this.front.touch.tellReading(note);
     if (salt !== null && anchor !== null) this.front.shelves.reads(track.card.address, salt, anchor.id);
     return note;
@@ -264,7 +316,18 @@
   private readonly received = async (
     receipt: Result<CarriageReceipt, NetFault>,
     placed: WayPlace,
-    shot: { sentAt: number; aheadTokens: () => number; isIdle: boolean; isOut: boolean; wasRun: boolean; isAlone: boolean; given: () => void; heardOf: () => void; whenStopped: Promise<Stop>; abort: () => void },
+    shot: {
+      sentAt: number;
+      aheadTokens: () => number;
+      isIdle: boolean;
+      isOut: boolean;
+      wasRun: boolean;
+      isAlone: boolean;
+      given: () => void;
+      heardOf: () => void;
+      whenStopped: Promise<Stop>;
+      abort: () => void;
+    },
   ): Promise<Ending> => {
     const { tracks, wire, shelves, ports } = this.front;
     const { track } = placed;
@@ -292,11 +355,19 @@
     const isSuccess = status >= 200 && status < 300;
     const isSound = head.isOwn && (!isSuccess || head.isSealed);
     const isFailure = !isSuccess && status >= 500;
-    if (!isSound || (isFailure && (this.reply !== null || (this.view.mayRepeat && this.arrivals < this.view.way.shots && this.front.budget.left(this.pool) > 0)))) {
+    if (
+      !isSound ||
+      (isFailure &&
+        (this.reply !== null ||
+          (this.view.mayRepeat && this.arrivals < this.view.way.shots && this.front.budget.left(this.pool) > 0)))
+    ) {
       shot.abort();
       this.discard(receipt.value);
       tracks.failed(track);
-      return { k: 'may have run', cause: isSound ? `the replica answered ${status}` : 'the answer is not this request\'s' };
+      return {
+        k: 'may have run',
+        cause: isSound ? `the replica answered ${status}` : "the answer is not this request's",
+      };
     }
     if (!isSuccess && this.reply !== null) {
       shot.abort();
@@ -320,7 +391,8 @@
         const spentMs = ports.clock.now() - shot.sentAt;
         const isLate = shot.isIdle && this.isStale(placed, shot, spentMs);
         if (shot.isAlone && !isLate) tracks.measured(placed.readTokens, spentMs - placed.pullMs);
-        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || placed.claim?.pullMs === null)) tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
+        if (shot.isIdle && !isLate && shot.aheadTokens() === 0 && (placed.readsAll || placed.claim?.pullMs === null))
+          tracks.sampled(track, this.order.tokensIn - (placed.claim?.tokens ?? 0), spentMs);
       }
     });
     if (ending.k !== 'whole') {
@@ -330,12 +402,26 @@
     return ending;
   };
 
-  private readonly isStale = ({ claim, secondClaim, track }: WayPlace, { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number }, spentMs: number): boolean => {
+  private readonly isStale = (
+    { claim, secondClaim, track }: WayPlace,
+    { sentAt, aheadTokens }: { sentAt: number; aheadTokens: () => number },
+    spentMs: number,
+  ): boolean => {
     const { tracks, shelves } = this.front;
     const isLate = (one: KeptClaim | null): boolean => {
       if (one === null) return false;
       const restTokens = Math.max(0, this.order.tokensIn - one.tokens);
-      return this.front.compare({ claim: one, restTokens, aheadTokens: aheadTokens(), tokensPerMs: tracks.readingRate(track), isHeard: shelves.isHeard(one.address), sentAt }, spentMs);
+      return this.front.compare(
+        {
+          claim: one,
+          restTokens,
+          aheadTokens: aheadTokens(),
+          tokensPerMs: tracks.readingRate(track),
+          isHeard: shelves.isHeard(one.address),
+          sentAt,
+        },
+        spentMs,
+      );
     };
     const [isFirstLate, isSecondLate] = [isLate(claim), isLate(secondClaim)];
     return isFirstLate || isSecondLate;
@@ -352,13 +438,25 @@
   private readonly turnedAway = ({ track }: WayPlace, head: ReceiptHead): void => {
     const { tracks, tally } = this.front;
     tally.add('shots_turned_away');
-    this.front.ports.log.info('turned away', { replica: track.card.id, running: track.running, head, resting: track.restUntil - this.front.ports.clock.now() });
+    this.front.ports.log.info('turned away', {
+      replica: track.card.id,
+      running: track.running,
+      head,
+      resting: track.restUntil - this.front.ports.clock.now(),
+    });
     for (const [model, version] of Object.entries(head.versions)) tracks.holds(track, model, version);
     if (head.isElsewhere) tracks.failed(track);
     else tracks.full(track, head.retryAfterMs ?? fullRestMs);
   };
 
-  private readonly relay = async (status: number, list: readonly string[], body: AsyncIterable<Uint8Array>, isSuccess: boolean, shot: { heardOf: () => void; whenStopped: Promise<Stop> }, first: () => void): Promise<Ending> => {
+  private readonly relay = async (
+    status: number,
+    list: readonly string[],
+    body: AsyncIterable<Uint8Array>,
+    isSuccess: boolean,
+    shot: { heardOf: () => void; whenStopped: Promise<Stop> },
+    first: () => void,
+  ): Promise<Ending> => {
     const { way } = this.view;
     const cutter = isSuccess && way.kind === 'stream' && way.mayResume ? new EventCutter() : null;
     const steps = body[Symbol.asyncIterator]();
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -64,7 +64,25 @@
     const told = new Set(put.map((card) => card.id));
     for (const card of put) {
       const held = this.tracks.get(card.id);
-      if (held === undefined) this.tracks.set(card.id, { card, running: 0, pendingTokens: 0, othersTokens: 0, suspectUntil: 0, suspicionMs: firstSuspicionMs, fullUntil: 0, restUntil: 0, illness: 0, illAt: 0, isBroken: false, isGone: false, doubtedAt: null, whenGone: new Set(), samples: [], notes: [] });
+      if (held === undefined)
+        this.tracks.set(card.id, {
+          card,
+          running: 0,
+          pendingTokens: 0,
+          othersTokens: 0,
+          suspectUntil: 0,
+          suspicionMs: firstSuspicionMs,
+          fullUntil: 0,
+          restUntil: 0,
+          illness: 0,
+          illAt: 0,
+          isBroken: false,
+          isGone: false,
+          doubtedAt: null,
+          whenGone: new Set(),
+          samples: [],
+          notes: [],
+        });
       else Object.assign(held, { card: newest(card, held.card), doubtedAt: null });
     }
     for (const id of gone) this.remove(id);
@@ -72,18 +90,24 @@
     this.group();
     const after = this.lives();
     const former = [...before];
-    const isBorn = ([address, ids]: [string, ReadonlySet<string>]): boolean => [...(after.get(address) ?? [])].some((id) => !ids.has(id));
-    return { born: former.filter(isBorn).map(([address]) => address), left: former.flatMap(([address]) => (after.has(address) ? [] : [address])) };
+    const isBorn = ([address, ids]: [string, ReadonlySet<string>]): boolean =>
+      [...(after.get(address) ?? [])].some((id) => !ids.has(id));
+    return {
+      born: former.filter(isBorn).map(([address]) => address),
+      left: former.flatMap(([address]) => (after.has(address) ? [] : [address])),
+    };
   };
 
   private readonly group = (): void => {
     this.byPool.clear();
-    for (const track of this.tracks.values()) this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
+    for (const track of this.tracks.values())
+      this.byPool.set(track.card.pool, [...(this.byPool.get(track.card.pool) ?? []), track]);
   };
 
   private readonly lives = (): Map<string, Set<string>> => {
     const found = new Map<string, Set<string>>();
-    for (const { card } of this.tracks.values()) found.set(card.address, (found.get(card.address) ?? new Set()).add(card.id));
+    for (const { card } of this.tracks.values())
+      found.set(card.address, (found.get(card.address) ?? new Set()).add(card.id));
     return found;
   };
 
@@ -139,12 +163,14 @@
   };
 
   /** Tokens that came to the replica just after `sentAt`; other fronts' notes travel for a while, so some of them were there before. */
-  readonly cameWith = ({ notes }: Track, sentAt: number): number => notes.reduce((sum, { at, tokens }) => (at >= sentAt && at <= sentAt + noteTravelMs ? sum + tokens : sum), 0);
+  readonly cameWith = ({ notes }: Track, sentAt: number): number =>
+    notes.reduce((sum, { at, tokens }) => (at >= sentAt && at <= sentAt + noteTravelMs ? sum + tokens : sum), 0);
 
   readonly addressOf = (id: string): string | null => this.tracks.get(id)?.card.address ?? null;
 
   readonly holds = (track: Track, model: string, version: number): void => {
-    if ((track.card.weights[model] ?? 0) < version) track.card = { ...track.card, weights: { ...track.card.weights, [model]: version } };
+    if ((track.card.weights[model] ?? 0) < version)
+      track.card = { ...track.card, weights: { ...track.card.weights, [model]: version } };
   };
 
   readonly inPool = (pool: string): readonly Track[] => this.byPool.get(pool) ?? [];
@@ -161,12 +187,14 @@
     this.note(track, tokens);
   };
 
-  readonly given = (track: Track, tokens: number): void => void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
+  readonly given = (track: Track, tokens: number): void =>
+    void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
 
   readonly ended = (track: Track): void => void (track.running = Math.max(0, track.running - 1));
 
   /** How much of what was sent there lately failed, 0 to 1, forgotten by half every four seconds: a replica may look well and fail a part of its requests. */
-  readonly illness = (track: Track): number => track.illness * 0.5 ** ((this.clock.now() - track.illAt) / illnessHalfMs);
+  readonly illness = (track: Track): number =>
+    track.illness * 0.5 ** ((this.clock.now() - track.illAt) / illnessHalfMs);
 
   private readonly feels = (track: Track, share: number, isIll: boolean): void => {
     const held = this.illness(track);
@@ -193,7 +221,6 @@
   /** Whether it may hand over what it keeps: one that is only slow may, one whose last word was a failure costs its receiver some hundred milliseconds if it is dead. */
   readonly mayHandOver = (track: Track): boolean => !track.isGone && !(track.isBroken && this.isSuspect(track));
 
-
   private readonly suspect = (track: Track): void => {
     const now = this.clock.now();
     if (track.suspectUntil > now) return;
@@ -201,7 +228,8 @@
     track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
   };
 
-  readonly full = (track: Track, forMs: number): void => void (track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs));
+  readonly full = (track: Track, forMs: number): void =>
+    void (track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs));
 
   /** The reading rate follows quick answers at once and slow ones hardly: what a front does not see can only make an answer slower, and in a crowded pool every answer is slow. */
   readonly measured = (tokens: number, spentMs: number): void => {
@@ -226,7 +254,10 @@
     const { pool } = track.card;
     const held = this.poolSamples.get(pool) ?? [];
     this.poolSamples.set(pool, held);
-    for (const [samples, most] of [[track.samples, mostSamples], [held, mostPoolSamples]] as const) {
+    for (const [samples, most] of [
+      [track.samples, mostSamples],
+      [held, mostPoolSamples],
+    ] as const) {
       samples.push(tokens / spentMs);
       if (samples.length > most) samples.shift();
     }
@@ -234,8 +265,11 @@
 
   /** Tokens that the replica reads in a millisecond: by the quicker of its own samples, else of its pool's, since what this front doesn't see (a wait, a part that was not kept) only slows them, and too slow a rate speaks against nobody; null while too few are there. */
   readonly readingRate = (track: Track): number | null => {
-    const samples = track.samples.length >= leastSamples ? track.samples : (this.poolSamples.get(track.card.pool) ?? []);
-    return samples.length < leastSamples ? null : ([...samples].sort((a, b) => a - b)[Math.floor(samples.length * quickShare)] as number);
+    const samples =
+      track.samples.length >= leastSamples ? track.samples : (this.poolSamples.get(track.card.pool) ?? []);
+    return samples.length < leastSamples
+      ? null
+      : ([...samples].sort((a, b) => a - b)[Math.floor(samples.length * quickShare)] as number);
   };
 
   readonly readMs = (tokens: number): number => tokens / this.tokensPerMs;
--- a/packages/throughpost/src/shelfBook.ts
+++ b/packages/throughpost/src/shelfBook.ts
@@ -28,7 +28,16 @@
   private readonly shelf = (address: string): Shelf => {
     const held = this.shelves.get(address);
     if (held !== undefined) return held;
-    const fresh: Shelf = { isHeard: false, unheardAt: null, epoch: '', pairs: new LifePairs(this.clock), kept: new Map(), own: new Map(), reading: new Map(), barred: new Map() };
+    const fresh: Shelf = {
+      isHeard: false,
+      unheardAt: null,
+      epoch: '',
+      pairs: new LifePairs(this.clock),
+      kept: new Map(),
+      own: new Map(),
+      reading: new Map(),
+      barred: new Map(),
+    };
     this.shelves.set(address, fresh);
     return fresh;
   };
@@ -65,7 +74,8 @@
   readonly leftAt = (address: string): void => void this.shelves.delete(address);
 
   /** Whatever is told, the address does not count as keeping the part for a while. */
-  readonly bar = (address: string, salt: string, part: string, forMs: number): void => void this.shelf(address).barred.set(labelOf(salt, part), this.clock.now() + forMs);
+  readonly bar = (address: string, salt: string, part: string, forMs: number): void =>
+    void this.shelf(address).barred.set(labelOf(salt, part), this.clock.now() + forMs);
 
   readonly isBarred = (address: string, salt: string, part: string): boolean => {
     const barred = this.shelves.get(address)?.barred;
@@ -82,10 +92,12 @@
   };
 
   /** What this front saw itself: `address` was given the part just now. */
-  readonly saw = (address: string, salt: string, part: string): void => void this.shelf(address).own.set(labelOf(salt, part), this.clock.now());
+  readonly saw = (address: string, salt: string, part: string): void =>
+    void this.shelf(address).own.set(labelOf(salt, part), this.clock.now());
 
   /** `address` is reading the part now: whoever comes there next finds it. */
-  readonly reads = (address: string, salt: string, part: string): void => void this.shelf(address).reading.set(labelOf(salt, part), this.clock.now());
+  readonly reads = (address: string, salt: string, part: string): void =>
+    void this.shelf(address).reading.set(labelOf(salt, part), this.clock.now());
 
   readonly isReading = (address: string, salt: string, part: string): boolean => {
     const shelf = this.shelves.get(address);
@@ -121,5 +133,11 @@
 
   readonly isHeard = (address: string): boolean => this.shelves.get(address)?.isHeard === true;
 
-  readonly sizes = (): { address: string; parts: number; isHeard: boolean; barred: number }[] => [...this.shelves].map(([address, { kept, isHeard, barred }]) => ({ address, parts: kept.size, isHeard, barred: barred.size }));
+  readonly sizes = (): { address: string; parts: number; isHeard: boolean; barred: number }[] =>
+    [...this.shelves].map(([address, { kept, isHeard, barred }]) => ({
+      address,
+      parts: kept.size,
+      isHeard,
+      barred: barred.size,
+    }));
 }
--- a/packages/throughpost/src/staleWatch.ts
+++ b/packages/throughpost/src/staleWatch.ts
@@ -37,7 +37,10 @@
 
 export type Verdict = 'missing' | 'found' | 'unclear';
 
-export type Decision = { readonly k: 'none' } | { readonly k: 'strike' } | { readonly k: 'drop'; readonly barMs: number | null };
+export type Decision =
+  | { readonly k: 'none' }
+  | { readonly k: 'strike' }
+  | { readonly k: 'drop'; readonly barMs: number | null };
 
 interface Suspicion {
   strikes: number;
@@ -45,7 +48,8 @@
   drops: number;
 }
 
-const labelOf = ({ address, salt, parts }: Pick<KeptClaim, 'address' | 'salt' | 'parts'>): string => `${address}\n${salt}\n${parts.at(-1) ?? ''}`;
+const labelOf = ({ address, salt, parts }: Pick<KeptClaim, 'address' | 'salt' | 'parts'>): string =>
+  `${address}\n${salt}\n${parts.at(-1) ?? ''}`;
 
 /** Tells from the time to the first piece whether the parts that the index promised had to be read after all. */
 export const answerTimings = {
@@ -111,7 +115,10 @@
   /** Two other entries of the address fell a short while ago: it forgets as such. */
   private readonly isDoubted = (address: string, label: string): boolean => {
     const now = this.clock.now();
-    return [...(this.fallen.get(address) ?? [])].filter(([other, at]) => other !== label && now - at <= doubtMs).length >= doubtedLabels;
+    return (
+      [...(this.fallen.get(address) ?? [])].filter(([other, at]) => other !== label && now - at <= doubtMs).length >=
+      doubtedLabels
+    );
   };
 
   private readonly fell = (address: string, label: string): void => {
@@ -138,8 +145,12 @@
 
   private readonly forget = (now: number): void => {
     if (this.suspicions.size <= mostLabels) return;
-    for (const [label, { notedAt }] of this.suspicions) if (now - notedAt > forgetMs || this.suspicions.size > mostLabels) this.suspicions.delete(label);
+    for (const [label, { notedAt }] of this.suspicions)
+      if (now - notedAt > forgetMs || this.suspicions.size > mostLabels) this.suspicions.delete(label);
   };
 
-  readonly status = (): Record<string, number> => ({ ...this.counts, suspected: [...this.suspicions.values()].filter(({ strikes }) => strikes > 0).length });
+  readonly status = (): Record<string, number> => ({
+    ...this.counts,
+    suspected: [...this.suspicions.values()].filter(({ strikes }) => strikes > 0).length,
+  });
 }
--- a/packages/throughpost/src/webCall.ts
+++ b/packages/throughpost/src/webCall.ts
@@ -7,7 +7,8 @@
 
 const flat = (headers: Headers): string[] => [...headers].flat();
 
-const pairsOf = (list: readonly string[]): [string, string][] => list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
+const pairsOf = (list: readonly string[]): [string, string][] =>
+  list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
 
 const bodyOf = async (request: Request, limitBytes: number): Promise<Result<Uint8Array, BodyFault>> => {
   if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err('too large');
@@ -65,7 +66,11 @@
   readonly answer = (status: number, headers: readonly string[], isLast: boolean): Reply => {
     const list = pairsOf(isLast ? [...headers, 'Connection', 'close'] : headers);
     let pipe: ReadableStreamDefaultController<Uint8Array> | null = null;
-    const stream = new ReadableStream<Uint8Array>({ start: (controller) => void (pipe = controller), pull: () => this.wake(), cancel: this.left });
+    const stream = new ReadableStream<Uint8Array>({
+      start: (controller) => void (pipe = controller),
+      pull: () => this.wake(),
+      cancel: this.left,
+    });
     const act = (verb: (open: ReadableStreamDefaultController<Uint8Array>) => void): void => {
       if (pipe !== null && !this.isOver) verb(pipe);
     };
@@ -75,25 +80,29 @@
         act((open) => open.enqueue(bytes));
         if (!this.isOver && (pipe?.desiredSize ?? 1) <= 0) await new Promise<void>((wake) => (this.wake = wake));
       },
-      end: () => act((open) => {
-        this.over();
-        open.close();
-      }),
-      cut: () => act((open) => {
-        this.over();
-        open.error(Object.assign(new Error('the answer was cut'), { code: 'ECONNRESET' }));
-      }),
+      end: () =>
+        act((open) => {
+          this.over();
+          open.close();
+        }),
+      cut: () =>
+        act((open) => {
+          this.over();
+          open.error(Object.assign(new Error('the answer was cut'), { code: 'ECONNRESET' }));
+        }),
     };
   };
 }
 
 export const webCalls = {
   /** Answers a `Request` by whoever receives calls: a front without its own server. */
-  handler: (receive: (call: Call) => Promise<void>): WebHandler => (request) => {
-    const call = new WebCall(request);
-    return new Promise((settle, fail) => {
-      void call.response.then(settle);
-      receive(call).catch(fail);
-    });
-  },
+  handler:
+    (receive: (call: Call) => Promise<void>): WebHandler =>
+    (request) => {
+      const call = new WebCall(request);
+      return new Promise((settle, fail) => {
+        void call.response.then(settle);
+        receive(call).catch(fail);
+      });
+    },
 };
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -26,7 +26,22 @@
 
 describe('headers that concern one connection', () => {
   it('given such headers and some that Connection names, when a list is passed on, then they are left out and the rest stays in order', () => {
-    const list = ['Host', 'a', 'Connection', 'close, X-One', 'X-One', '1', 'Try-Id', 'q', 'Transfer-Encoding', 'chunked', 'Accept', 'x', 'accept', 'y'];
+    const list = [
+      'Host',
+      'a',
+      'Connection',
+      'close, X-One',
+      'X-One',
+      '1',
+      'Try-Id',
+      'q',
+      'Transfer-Encoding',
+      'chunked',
+      'Accept',
+      'x',
+      'accept',
+      'y',
+    ];
     expect(headerLists.endToEnd(list)).to.deep.equal(['Host', 'a', 'Try-Id', 'q', 'Accept', 'x', 'accept', 'y']);
   });
 });
@@ -50,7 +65,8 @@
         while (budget.take('p')) extras.push(world.time);
       });
     }
-    const within = (times: readonly number[], end: number): number => times.filter((at) => at > end - terms.windowMs && at <= end).length;
+    const within = (times: readonly number[], end: number): number =>
+      times.filter((at) => at > end - terms.windowMs && at <= end).length;
     for (let end = 10_000; end <= 60_000; end += 500) {
       const requests = Math.max(within(firsts, end), within(firsts, end - 10_000), within(firsts, end - 5_000));
       expect(within(extras, end)).to.be.at.most(requests * terms.ratio + terms.slack);
@@ -68,16 +84,52 @@
 });
 
 const model = 'm';
-const card = (id: string, more: Partial<ReplicaCard> = {}): ReplicaCard => ({ id, pool: 'p', address: `10.2.0.${id.length}:${8_000 + Number(id.slice(1))}`, zone: 'a', slots: 12, isLeaving: false, weights: { [model]: 1 }, ...more });
-const customers: Customer[] = [{ name: 'shared', keyHashes: [], rank: null, isIsolated: false }, { name: 'walled', keyHashes: [], rank: null, isIsolated: true }];
+const card = (id: string, more: Partial<ReplicaCard> = {}): ReplicaCard => ({
+  id,
+  pool: 'p',
+  address: `10.2.0.${id.length}:${8_000 + Number(id.slice(1))}`,
+  zone: 'a',
+  slots: 12,
+  isLeaving: false,
+  weights: { [model]: 1 },
+  ...more,
+});
+const customers: Customer[] = [
+  { name: 'shared', keyHashes: [], rank: null, isIsolated: false },
+  { name: 'walled', keyHashes: [], rank: null, isIsolated: true },
+];
 const book: WayBook = {
   ways: [],
-  pools: [{ name: 'p', connectionLimit: null, engine: { slots: 12, cacheTokens: 140_000, tokenBytes: 163_840, linkMbps: 1_100_000, inFlight: 12, models: [model] } }],
+  pools: [
+    {
+      name: 'p',
+      connectionLimit: null,
+      engine: {
+        slots: 12,
+        cacheTokens: 140_000,
+        tokenBytes: 163_840,
+        linkMbps: 1_100_000,
+        inFlight: 12,
+        models: [model],
+      },
+    },
+  ],
   stores: [{ name: 's', address: '10.9.0.1:9000', zone: 'a', cacheTokens: 2_000_000, linkMbps: 300_000, inFlight: 12 }],
   customers,
   limits: { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 },
 };
-const long = (id: string): CallerOrder => ({ id: 'q', key: null, leftMs: null, model, tokensIn: 17_000, tokensOut: 17, parts: [{ id, tokens: 13_300 }, { id: 'own', tokens: 3_700 }] });
+const long = (id: string): CallerOrder => ({
+  id: 'q',
+  key: null,
+  leftMs: null,
+  model,
+  tokensIn: 17_000,
+  tokensOut: 17,
+  parts: [
+    { id, tokens: 13_300 },
+    { id: 'own', tokens: 3_700 },
+  ],
+});
 const nobody: ReadonlySet<string> = new Set();
 
 const office = (count = 13) => {
@@ -86,13 +138,20 @@
   const tracks = new ReplicaTracks(clock);
   const shelves = new ShelfBook(clock);
   const named = new Map<string, { version: number; at: number }>();
-  const placing = new WayPlacing(tracks, shelves, clock, (name) => {
-    const held = named.get(name);
-    return held === undefined ? null : { version: held.version, sinceMs: clock.now() - held.at };
-  }, 6_000);
+  const placing = new WayPlacing(
+    tracks,
+    shelves,
+    clock,
+    (name) => {
+      const held = named.get(name);
+      return held === undefined ? null : { version: held.version, sinceMs: clock.now() - held.at };
+    },
+    6_000,
+  );
   tracks.take({ isWhole: true, put: Array.from({ length: count }, (_, at) => card(`r${at + 1}`)), gone: [] });
   const view = new BookDoor().view(1, book);
-  const place = (order: CallerOrder, customer: Customer | null = null, avoided = nobody) => placing.place({ pool: 'p', order, customer, avoided }, view, 64);
+  const place = (order: CallerOrder, customer: Customer | null = null, avoided = nobody) =>
+    placing.place({ pool: 'p', order, customer, avoided }, view, 64);
   return { world, tracks, shelves, named, place, clock };
 };
 
@@ -100,7 +159,9 @@
   it('given fronts that never talk, when they place prompts of one anchor, then all choose one home, and many anchors spread', () => {
     const [one, other] = [office(), office()];
     const homes = Array.from({ length: 92 }, (_, at) => one.place(long(`manual-${at}`))?.track.card.id);
-    expect(homes).to.deep.equal(Array.from({ length: 92 }, (_, at) => other.place(long(`manual-${at}`))?.track.card.id));
+    expect(homes).to.deep.equal(
+      Array.from({ length: 92 }, (_, at) => other.place(long(`manual-${at}`))?.track.card.id),
+    );
     const counts = new Map<string | undefined, number>();
     for (const home of homes) counts.set(home, (counts.get(home) ?? 0) + 1);
     expect(counts.size).to.be.greaterThan(10);
@@ -111,7 +172,14 @@
     const { tracks, shelves, place } = office();
     const home = place(long('manual'));
     if (home === null) throw new Error('no home');
-    shelves.take([{ address: home.track.card.address, isWhole: false, isHeard: true, news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }] }]);
+    shelves.take([
+      {
+        address: home.track.card.address,
+        isWhole: false,
+        isHeard: true,
+        news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }],
+      },
+    ]);
     expect(place(long('manual'))?.track).to.equal(home.track);
     expect(place(long('manual'))?.isKept).to.equal(true);
     tracks.began(home.track, 60_000);
@@ -124,7 +192,15 @@
     const { shelves, place, tracks } = office();
     const holder = tracks.all()[4];
     if (holder === undefined) throw new Error('no replica');
-    const kept = (salt: string) => shelves.take([{ address: holder.card.address, isWhole: false, isHeard: true, news: [{ isKept: true, salt, part: 'manual', tokens: 13_300 }] }]);
+    const kept = (salt: string) =>
+      shelves.take([
+        {
+          address: holder.card.address,
+          isWhole: false,
+          isHeard: true,
+          news: [{ isKept: true, salt, part: 'manual', tokens: 13_300 }],
+        },
+      ]);
     kept('m@0');
     kept('m@1/walled');
     expect(place(long('manual'), customers[0])?.isKept).to.equal(false);
@@ -160,7 +236,14 @@
 
   it('given a short part before the long one, when nobody keeps the long one, then no replica counts as keeping it', () => {
     const { place } = office();
-    const prompt: CallerOrder = { ...long('q'), parts: [{ id: 'greeting', tokens: 55 }, { id: 'manual', tokens: 13_300 }, { id: 'own', tokens: 3_645 }] };
+    const prompt: CallerOrder = {
+      ...long('q'),
+      parts: [
+        { id: 'greeting', tokens: 55 },
+        { id: 'manual', tokens: 13_300 },
+        { id: 'own', tokens: 3_645 },
+      ],
+    };
     expect(place(prompt)?.isKept).to.equal(false);
   });
 
@@ -171,8 +254,26 @@
     tracks.takeReading({ id: 'x', replica: home.track.card.id, tokens: 17_000, salt: 'm@1', part: 'manual' });
     shelves.reads(home.track.card.address, 'm@1', 'manual');
     expect(place(long('manual'))?.track).to.equal(home.track);
-    const short: CallerOrder = { ...long('s'), tokensIn: 400, parts: [{ id: 'greeting', tokens: 55 }, { id: 'session', tokens: 37 }, { id: 'own', tokens: 300 }] };
-    for (let at = 0; at < 40; at += 1) expect(place({ ...short, parts: [{ id: 'greeting', tokens: 55 }, { id: `session-${at}`, tokens: 37 }, { id: 'own', tokens: 300 }] })?.track).to.not.equal(home.track);
+    const short: CallerOrder = {
+      ...long('s'),
+      tokensIn: 400,
+      parts: [
+        { id: 'greeting', tokens: 55 },
+        { id: 'session', tokens: 37 },
+        { id: 'own', tokens: 300 },
+      ],
+    };
+    for (let at = 0; at < 40; at += 1)
+      expect(
+        place({
+          ...short,
+          parts: [
+            { id: 'greeting', tokens: 55 },
+            { id: `session-${at}`, tokens: 37 },
+            { id: 'own', tokens: 300 },
+          ],
+        })?.track,
+      ).to.not.equal(home.track);
     tracks.takeReading({ id: 'x', replica: home.track.card.id, tokens: 0, salt: null, part: null });
     expect(home.track.othersTokens).to.equal(0);
   });
@@ -203,10 +304,24 @@
   it('given prompts of one manual with ends short and long, when they are placed, then only those whose end is short are sent on to the store', () => {
     const { shelves, place } = office();
     shelves.take([{ address: '10.9.0.1:9000', isWhole: false, isHeard: true, news: [] }]);
-    const withEnd = (tokens: number): CallerOrder => ({ ...long('manual'), tokensIn: 13_300 + tokens, parts: [{ id: 'manual', tokens: 13_300 }, { id: 'own', tokens }] });
+    const withEnd = (tokens: number): CallerOrder => ({
+      ...long('manual'),
+      tokensIn: 13_300 + tokens,
+      parts: [
+        { id: 'manual', tokens: 13_300 },
+        { id: 'own', tokens },
+      ],
+    });
     expect(place(withEnd(1_000))?.store).to.equal('10.9.0.1:9000');
     expect(place(withEnd(9_000))?.store).to.equal(null);
-    shelves.take([{ address: '10.9.0.1:9000', isWhole: false, isHeard: true, news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }] }]);
+    shelves.take([
+      {
+        address: '10.9.0.1:9000',
+        isWhole: false,
+        isHeard: true,
+        news: [{ isKept: true, salt: 'm@1', part: 'manual', tokens: 13_300 }],
+      },
+    ]);
     expect(place(withEnd(1_000))?.store).to.equal(null);
     expect(place(withEnd(1_000))?.holder).to.equal('10.9.0.1:9000');
   });
@@ -218,10 +333,11 @@
   });
 });
 
-describe('the front\'s index', () => {
+describe("the front's index", () => {
   it('given a part that is dropped, when the news comes, then it counts no more, also where this front saw it itself', () => {
     const { shelves } = office();
-    const news = (isKept: boolean, tokens: number) => shelves.take([{ address: 'x', isWhole: false, isHeard: true, news: [{ isKept, salt: 's', part: 'p', tokens }] }]);
+    const news = (isKept: boolean, tokens: number) =>
+      shelves.take([{ address: 'x', isWhole: false, isHeard: true, news: [{ isKept, salt: 's', part: 'p', tokens }] }]);
     shelves.saw('x', 's', 'p');
     expect(shelves.keeps('x', 's', 'p', 500)).to.equal(true);
     news(false, 0);
@@ -234,7 +350,9 @@
 
   it('given memory that goes by blocks of sixteen, when a part of 13,300 tokens is told as 13,296, then it counts as kept', () => {
     const { shelves } = office();
-    shelves.take([{ address: 'x', isWhole: false, isHeard: true, news: [{ isKept: true, salt: 's', part: 'p', tokens: 13_296 }] }]);
+    shelves.take([
+      { address: 'x', isWhole: false, isHeard: true, news: [{ isKept: true, salt: 's', part: 'p', tokens: 13_296 }] },
+    ]);
     expect(shelves.keeps('x', 's', 'p', 13_300)).to.equal(true);
     expect(shelves.keeps('x', 's', 'p', 20_000)).to.equal(false);
   });
--- a/packages/throughpost/test/staleIndex.test.ts
+++ b/packages/throughpost/test/staleIndex.test.ts
@@ -6,14 +6,29 @@
 
 const address = '10.2.0.1:8080';
 const [salt, part, tokens] = ['m@1', 'manual', 13_300];
-const kept = (more: Partial<ShelfNews> = {}): ShelfNews => ({ address, isWhole: false, isHeard: true, epoch: '1', news: [{ isKept: true, salt, part, tokens }], ...more });
+const kept = (more: Partial<ShelfNews> = {}): ShelfNews => ({
+  address,
+  isWhole: false,
+  isHeard: true,
+  epoch: '1',
+  news: [{ isKept: true, salt, part, tokens }],
+  ...more,
+});
 
 const office = () => {
   const world = new SimWorld(3);
   const { clock } = world.machine('10.0.0.1').ports();
   const shelves = new ShelfBook(clock);
   const watch = new StaleWatch(clock);
-  const timing = (more: Partial<AnswerTiming> = {}): AnswerTiming => ({ claim: { address, salt, parts: [part], tokens, pullMs: null }, restTokens: 3_700, aheadTokens: 0, tokensPerMs: 50, isHeard: true, sentAt: clock.now(), ...more });
+  const timing = (more: Partial<AnswerTiming> = {}): AnswerTiming => ({
+    claim: { address, salt, parts: [part], tokens, pullMs: null },
+    restTokens: 3_700,
+    aheadTokens: 0,
+    tokensPerMs: 50,
+    isHeard: true,
+    sentAt: clock.now(),
+    ...more,
+  });
   const late = async (more: Partial<AnswerTiming> = {}, spentMs = 340) => {
     const sent = timing(more);
     await world.run(spentMs);
@@ -33,9 +48,24 @@
     ['the time of what was ahead and of the whole prompt', { aheadTokens: 13_300 }, 610, 'missing'],
     ['a time that no reading explains', {}, 3_000, 'unclear'],
     ['a late time though no reading rate is known', { tokensPerMs: null }, 345, 'unclear'],
-    ['a late time of a short part', { claim: { address, salt, parts: [part], tokens: 300, pullMs: null } }, 400, 'unclear'],
-    ['the time of reading in spite of a holder', { claim: { address, salt, parts: [part], tokens, pullMs: 20 } }, 345, 'missing'],
-    ['a late time where handing over is as slow as reading', { claim: { address, salt, parts: [part], tokens, pullMs: 200 } }, 345, 'unclear'],
+    [
+      'a late time of a short part',
+      { claim: { address, salt, parts: [part], tokens: 300, pullMs: null } },
+      400,
+      'unclear',
+    ],
+    [
+      'the time of reading in spite of a holder',
+      { claim: { address, salt, parts: [part], tokens, pullMs: 20 } },
+      345,
+      'missing',
+    ],
+    [
+      'a late time where handing over is as slow as reading',
+      { claim: { address, salt, parts: [part], tokens, pullMs: 200 } },
+      345,
+      'unclear',
+    ],
   ];
   for (const [what, more, spentMs, verdict] of cases) {
     it(`given ${what}, when it is judged, then the parts are ${verdict}`, () => {
@@ -98,7 +128,7 @@
   });
 });
 
-describe('the front\'s index of an address', () => {
+describe("the front's index of an address", () => {
   it('given an entry that fell, when a fresh event tells it, then it counts again', () => {
     const { shelves, isKept } = office();
     shelves.take([kept()]);
--- a/packages/waybill/src/books.ts
+++ b/packages/waybill/src/books.ts
@@ -23,11 +23,14 @@
   return ways.flatMap((way, at) => {
     const path = `/ways/${at}`;
     const faults: BookFault[] = [];
-    if (!way.pathStart.startsWith('/') || !way.pathStart.endsWith('/')) faults.push({ path: `${path}/pathStart`, message: 'must begin and end with a slash' });
+    if (!way.pathStart.startsWith('/') || !way.pathStart.endsWith('/'))
+      faults.push({ path: `${path}/pathStart`, message: 'must begin and end with a slash' });
     if (!(way.horizonMs > 0)) faults.push({ path: `${path}/horizonMs`, message: 'must be above 0' });
     if (!(way.shots >= 1)) faults.push({ path: `${path}/shots`, message: 'must be 1 or more' });
-    if (way.shares.some((one) => !(one.share >= 0)) || !(way.shares.reduce((sum, one) => sum + one.share, 0) > 0)) faults.push({ path: `${path}/shares`, message: 'must hold weights that sum to more than 0' });
-    for (const { pool } of way.shares) if (!known.has(pool)) faults.push({ path: `${path}/shares`, message: `names the absent pool ${pool}` });
+    if (way.shares.some((one) => !(one.share >= 0)) || !(way.shares.reduce((sum, one) => sum + one.share, 0) > 0))
+      faults.push({ path: `${path}/shares`, message: 'must hold weights that sum to more than 0' });
+    for (const { pool } of way.shares)
+      if (!known.has(pool)) faults.push({ path: `${path}/shares`, message: `names the absent pool ${pool}` });
     return faults;
   });
 };
@@ -38,7 +41,9 @@
     customer.keyHashes.flatMap((hash) => {
       const holder = holders.get(hash);
       holders.set(hash, customer.name);
-      return holder === undefined || holder === customer.name ? [] : [{ path: `/customers/${at}`, message: `shares a key with ${holder}` }];
+      return holder === undefined || holder === customer.name
+        ? []
+        : [{ path: `/customers/${at}`, message: `shares a key with ${holder}` }];
     }),
   );
 };
@@ -46,10 +51,22 @@
 /** What makes a book invalid beyond its shape: absent pools, two ways in one place, no weight, no horizon, shared keys. Source: PROTOCOL's list of invalid configurations, in the product's terms. */
 const faultsOf = (book: WayBook): BookFault[] => [
   ...wayFaults(book),
-  ...repeated(book.ways.map((way) => way.name)).map(({ label, at }) => ({ path: `/ways/${at}/name`, message: `${label} is the name of another way` })),
-  ...repeated(book.ways.map((way) => `${way.host} ${way.pathStart}`)).map(({ label, at }) => ({ path: `/ways/${at}`, message: `${label} is the place of another way` })),
-  ...repeated([...book.pools, ...book.stores].map((pool) => pool.name)).map(({ label, at }) => ({ path: `/pools/${at}/name`, message: `${label} is the name of another pool` })),
-  ...repeated((book.customers ?? []).map((customer) => customer.name)).map(({ label, at }) => ({ path: `/customers/${at}/name`, message: `${label} is the name of another customer` })),
+  ...repeated(book.ways.map((way) => way.name)).map(({ label, at }) => ({
+    path: `/ways/${at}/name`,
+    message: `${label} is the name of another way`,
+  })),
+  ...repeated(book.ways.map((way) => `${way.host} ${way.pathStart}`)).map(({ label, at }) => ({
+    path: `/ways/${at}`,
+    message: `${label} is the place of another way`,
+  })),
+  ...repeated([...book.pools, ...book.stores].map((pool) => pool.name)).map(({ label, at }) => ({
+    path: `/pools/${at}/name`,
+    message: `${label} is the name of another pool`,
+  })),
+  ...repeated((book.customers ?? []).map((customer) => customer.name)).map(({ label, at }) => ({
+    path: `/customers/${at}/name`,
+    message: `${label} is the name of another customer`,
+  })),
   ...keyFaults(book),
 ];
 
--- a/packages/waybill/src/match.ts
+++ b/packages/waybill/src/match.ts
@@ -26,7 +26,11 @@
     for (const way of book.ways) {
       const host = hostNameOf(way.host);
       const views = byHost.get(host) ?? [];
-      views.push({ index: this.wayNames.indexOf(way.name), way, mayRepeat: way.kind === 'repeatable' || (way.kind === 'stream' && way.mayResume) });
+      views.push({
+        index: this.wayNames.indexOf(way.name),
+        way,
+        mayRepeat: way.kind === 'repeatable' || (way.kind === 'stream' && way.mayResume),
+      });
       byHost.set(host, views);
     }
     for (const views of byHost.values()) views.sort((a, b) => b.way.pathStart.length - a.way.pathStart.length);
