--- a/packages/counter/src/admit.ts
+++ b/packages/counter/src/admit.ts
@@ -15,14 +15,25 @@
 
   readonly work = (parcel: Parcel): void => {
     if (parcel.isEnded) return;
-    if (this.isDraining) return this.denying.refuse(parcel, 'draining', 'this counter is closing');
+    if (this.isDraining) {
+      this.denying.refuse(parcel, 'draining', 'this counter is closing');
+      return;
+    }
     const view = this.bench.book.view();
-    if (view === null || !this.bench.freshness.isFresh())
-      return this.denying.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
-    if (parcel.order.key === null) return this.denying.refuse(parcel, 'unknown_key', 'no bearer key was given');
+    if (view === null || !this.bench.freshness.isFresh()) {
+      this.denying.refuse(parcel, 'not_fresh', 'this counter has not heard a majority of postmasters lately');
+      return;
+    }
+    if (parcel.order.key === null) {
+      this.denying.refuse(parcel, 'unknown_key', 'no bearer key was given');
+      return;
+    }
     parcel.keyHash = keys.hash(parcel.order.key);
     const tenant = standings.holderOf(view, parcel.keyHash);
-    if (tenant === undefined) return this.denying.refuse(parcel, 'unknown_key', 'the key is not granted');
+    if (tenant === undefined) {
+      this.denying.refuse(parcel, 'unknown_key', 'the key is not granted');
+      return;
+    }
     parcel.tenant = tenant;
     this.next(parcel);
   };
--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -110,7 +110,7 @@
         signal: c.req.raw.signal,
       });
       if (receipt.kind === 'deny') return denyReply(c, receipt, requestId);
-      return fields['stream'] === true ? streamReply(counter, receipt) : wholeReply(c, path, receipt);
+      return fields.stream === true ? streamReply(counter, receipt) : wholeReply(c, path, receipt);
     };
   const limited = bodyLimit({
     maxSize: counter.env.bodyLimitBytes,
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -126,7 +126,7 @@
     let turn = 0;
     for (let shot = 0; shot < shotLimit && clock.now() < horizonAt; shot += 1) {
       if (shot > 0) await pause.for(clock, 10 * shot * (0.5 + random.fraction()));
-      const ballot: ClaimBallot = [(this.round += 1), own.id];
+      const ballot: ClaimBallot = [++this.round, own.id];
       const promises = await this.poll('claimPrepare', { key, turn, ballot });
       const newestTurn = promises.states.reduce((newest, { state }) => Math.max(newest, state.turn), turn);
       this.round = promises.states.reduce((round, { state }) => Math.max(round, state.promised?.[0] ?? 0), this.round);
--- a/packages/counter/src/match.ts
+++ b/packages/counter/src/match.ts
@@ -23,16 +23,33 @@
     if (parcel.isEnded) return;
     const view = this.bench.book.view();
     const { tenant } = parcel;
-    if (view === null || tenant === null) return this.denying.refuse(parcel, 'not_fresh', 'no layout is held');
-    const laneName = parcel.order.body['model'];
-    if (typeof laneName !== 'string') return this.denying.refuse(parcel, 'bad_request', 'model must name a lane');
+    if (view === null || tenant === null) {
+      this.denying.refuse(parcel, 'not_fresh', 'no layout is held');
+      return;
+    }
+    const laneName = parcel.order.body.model;
+    if (typeof laneName !== 'string') {
+      this.denying.refuse(parcel, 'bad_request', 'model must name a lane');
+      return;
+    }
     const lane = view.lanes.get(laneName);
-    if (lane === undefined) return this.denying.refuse(parcel, 'unknown_lane', 'no such lane');
-    if (!tenant.lanes.has(lane.index))
-      return this.denying.refuse(parcel, 'lane_not_granted', "the key's holder may not use this lane");
+    if (lane === undefined) {
+      this.denying.refuse(parcel, 'unknown_lane', 'no such lane');
+      return;
+    }
+    if (!tenant.lanes.has(lane.index)) {
+      this.denying.refuse(parcel, 'lane_not_granted', "the key's holder may not use this lane");
+      return;
+    }
     const prompt = backWire.promptOf(parcel.order.path, parcel.order.body);
-    if (prompt === null) return this.denying.refuse(parcel, 'bad_request', 'the prompt must be text');
-    if (!this.isWithinRate(parcel)) return this.denying.refuse(parcel, 'over_share', 'the tenant is over its rate');
+    if (prompt === null) {
+      this.denying.refuse(parcel, 'bad_request', 'the prompt must be text');
+      return;
+    }
+    if (!this.isWithinRate(parcel)) {
+      this.denying.refuse(parcel, 'over_share', 'the tenant is over its rate');
+      return;
+    }
     parcel.lane = lane;
     parcel.laneName = laneName;
     parcel.isOnce = lane.repeat === 'once';
--- a/packages/counter/src/pipe.ts
+++ b/packages/counter/src/pipe.ts
@@ -16,7 +16,7 @@
   constructor(private readonly limit: number) {}
 
   readonly put = (item: T, urgency: number): T | null => {
-    const slot = { item, urgency, order: (this.order += 1) };
+    const slot = { item, urgency, order: ++this.order };
     this.heap.push(slot);
     this.slots.set(item, slot);
     if (this.slots.size <= this.limit) return null;
--- a/packages/counter/src/placing.ts
+++ b/packages/counter/src/placing.ts
@@ -68,15 +68,21 @@
     if (!this.isStanding(parcel)) return;
     const { lane, tenant } = parcel;
     if (lane === null || tenant === null) return;
-    if (this.bench.book.inPool(lane.poolName).length === 0)
-      return this.denying.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
+    if (this.bench.book.inPool(lane.poolName).length === 0) {
+      this.denying.refuse(parcel, 'no_capacity', 'the pool has no ready replica');
+      return;
+    }
     const queue = this.queueOf(lane.poolName);
     const ofTier = queue.byTier.get(tenant.tierName) ?? 0;
-    if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.bench.env.queueLimit)))
-      return this.denying.refuse(parcel, 'over_share', "the tier's share of the queue is taken");
+    if (ofTier >= Math.max(1, Math.floor(tenant.tier.share * this.bench.env.queueLimit))) {
+      this.denying.refuse(parcel, 'over_share', "the tier's share of the queue is taken");
+      return;
+    }
     const now = this.bench.ports.clock.now();
-    if (queue.tray.forecastMs(tenant.name, now) > (parcel.horizonAt - now) * forecastSafety)
-      return this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
+    if (queue.tray.forecastMs(tenant.name, now) > (parcel.horizonAt - now) * forecastSafety) {
+      this.denying.refuse(parcel, 'no_capacity', 'the wait would pass the horizon');
+      return;
+    }
     parcel.waits();
     queue.byTier.set(tenant.tierName, ofTier + 1);
     const displaced = queue.tray.put(tenant.name, tenant.tier.rank, parcel, now);
--- a/packages/counter/src/sending.ts
+++ b/packages/counter/src/sending.ts
@@ -70,10 +70,14 @@
   private readonly again = (parcel: Parcel, code: DenyCode, detail: string): void => {
     if (parcel.isEnded || !this.placing().isStanding(parcel) || parcel.lane === null) return;
     const mayRepeat = !parcel.mayHaveRun || !parcel.isOnce;
-    if (!mayRepeat || this.isDraining() || parcel.extraShots >= extraShotLimit)
-      return this.denying.refuse(parcel, code, detail);
-    if (!this.budgetOf(parcel.lane.poolName).take())
-      return this.denying.refuse(parcel, code, `${detail}; no extra shot is left`);
+    if (!mayRepeat || this.isDraining() || parcel.extraShots >= extraShotLimit) {
+      this.denying.refuse(parcel, code, detail);
+      return;
+    }
+    if (!this.budgetOf(parcel.lane.poolName).take()) {
+      this.denying.refuse(parcel, code, `${detail}; no extra shot is left`);
+      return;
+    }
     parcel.extraShots += 1;
     this.bench.tally.add('shots_extra');
     this.placing().queue(parcel);
@@ -122,8 +126,10 @@
     const withdrawn = (): void => {
       comeBack();
       if (parcel.isEnded) return;
-      if (!freshness.isFresh())
-        return this.denying.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
+      if (!freshness.isFresh()) {
+        this.denying.refuse(parcel, 'not_fresh', 'this counter lost touch with the postmasters before the shot');
+        return;
+      }
       this.placing().queue(parcel);
     };
     const failed = (code: DenyCode, detail: string): void => {
@@ -143,10 +149,13 @@
     const turnedAway = ({ status, cause, retryAfterSeconds }: ShotFault): void => {
       if (status !== null && callersFaults.has(status)) {
         comeBack();
-        return this.denying.refuse(parcel, 'bad_request', `the replica turned it away: ${cause}`);
+        this.denying.refuse(parcel, 'bad_request', `the replica turned it away: ${cause}`);
+        return;
+      }
+      if (status === null || !busyStatuses.has(status) || retryAfterSeconds === null) {
+        failed('replica_failed', cause);
+        return;
       }
-      if (status === null || !busyStatuses.has(status) || retryAfterSeconds === null)
-        return failed('replica_failed', cause);
       tracks.rests(replica, retryAfterSeconds * 1_000);
       parcel.comeBackSeconds = retryAfterSeconds;
       comeBack();
--- a/packages/counter/src/stages.ts
+++ b/packages/counter/src/stages.ts
@@ -42,7 +42,10 @@
     this.live.add(parcel);
     parcel.whenEnded(() => this.live.delete(parcel));
     const left = (): void => this.denying.left(parcel);
-    if (parcel.order.signal.aborted) return left();
+    if (parcel.order.signal.aborted) {
+      left();
+      return;
+    }
     parcel.order.signal.addEventListener('abort', left, { once: true });
     this.door.enter(parcel);
   };
@@ -51,7 +54,9 @@
     return this.admit.isDraining;
   }
 
-  readonly drain = (): void => void (this.admit.isDraining = true);
+  readonly drain = (): void => {
+    this.admit.isDraining = true;
+  };
 
   readonly recheck = (): void => {
     const view = this.bench.book.view();
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -78,7 +78,7 @@
     const track = this.of(replica);
     track.running += 1;
     track.pendingTokens += tokens;
-    const mark = (this.marks += 1);
+    const mark = ++this.marks;
     track.unanswered.set(mark, this.clock.now() + silenceMs + Math.max(0, forecastMs) * forecastSlack);
     if (tokens >= heavyTokens) this.heavyNews();
     return mark;
--- a/packages/counter/test/callers.test.ts
+++ b/packages/counter/test/callers.test.ts
@@ -34,7 +34,7 @@
       counterEnv: { bodyLimitBytes: 4_096 },
       layout: {
         ...plans.layout('weights-1'),
-        lanes: { ...(plans.layout('weights-1')['lanes'] as object), secret: { pool: 'main', repeat: 'freely' } },
+        lanes: { ...(plans.layout('weights-1').lanes as object), secret: { pool: 'main', repeat: 'freely' } },
       },
     });
     const good = { model: 'query', prompt: 'hello', max_tokens: 4 };
@@ -52,27 +52,27 @@
     for (const [what, body, headers, status, type] of cases) {
       const begin = fleet.world.time;
       const told = await post(fleet, body, headers);
-      const error = told.body['error'] as { type: string; ran: string };
+      const error = told.body.error as { type: string; ran: string };
       expect([what, told.status, error?.type, error?.ran]).to.deep.equal([what, status, type, 'no']);
       expect(fleet.world.time - begin).to.be.lessThan(100);
     }
     const whole = await post(fleet, good, key);
     expect(whole.status).to.equal(200);
-    expect((whole.body['choices'] as { text: string }[])[0]?.text.length).to.be.greaterThan(10);
+    expect((whole.body.choices as { text: string }[])[0]?.text.length).to.be.greaterThan(10);
     const chat = await post(
       fleet,
       { model: 'query', messages: [{ role: 'user', content: 'hello' }], max_tokens: 4 },
       key,
       '/v1/chat/completions',
     );
-    expect((chat.body['choices'] as { message: { role: string } }[])[0]?.message.role).to.equal('assistant');
+    expect((chat.body.choices as { message: { role: string } }[])[0]?.message.role).to.equal('assistant');
   });
 
   it('given a tenant over its rate, when it asks on, then it gets 429 with Retry-After and its neighbours do not', async () => {
     const layout = plans.layout('weights-1');
-    const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
+    const tenants = layout.tenants as Record<string, Record<string, unknown>>;
     const { fleet, judge } = await raised({
-      layout: { ...layout, tenants: { ...tenants, north: { ...tenants['north'], ratePerSecond: 4 } } },
+      layout: { ...layout, tenants: { ...tenants, north: { ...tenants.north, ratePerSecond: 4 } } },
     });
     for (let at = 0; at < 20; at += 1) {
       judge.send(ask(fleet, 'query', 'north', `n${at}`), 0);
--- a/packages/counter/test/standing.test.ts
+++ b/packages/counter/test/standing.test.ts
@@ -212,13 +212,12 @@
         ]),
       );
     const stays = await tell({ incarnation: 1 });
-    expect([stays.status, (stays.body['complaints'] as { path: string }[])?.[0]?.path]).to.deep.equal([422, '/0/pool']);
+    expect([stays.status, (stays.body.complaints as { path: string }[])?.[0]?.path]).to.deep.equal([422, '/0/pool']);
     const moves = await tell({});
-    expect([
-      moves.status,
-      (moves.body['replicas'] as { incarnation: number; pool: string }[])[0],
-    ]).to.deep.include.members([200]);
-    expect((moves.body['replicas'] as { incarnation: number }[])[0]?.incarnation).to.equal(2);
+    expect([moves.status, (moves.body.replicas as { incarnation: number; pool: string }[])[0]]).to.deep.include.members(
+      [200],
+    );
+    expect((moves.body.replicas as { incarnation: number }[])[0]?.incarnation).to.equal(2);
   });
 
   it('given two pools of other weights, when one change names one store for both, then it is rejected with its path', async () => {
@@ -232,7 +231,7 @@
         { 'if-match': '"1"' },
       ),
     );
-    expect([told.status, (told.body['complaints'] as { path: string }[])?.map((one) => one.path)]).to.deep.equal([
+    expect([told.status, (told.body.complaints as { path: string }[])?.map((one) => one.path)]).to.deep.equal([
       422,
       ['/pools/app/store'],
     ]);
--- a/packages/courier/src/backWire.ts
+++ b/packages/courier/src/backWire.ts
@@ -116,7 +116,7 @@
   const chunks = datas.map((data) => JSON.parse(data) as Record<string, unknown>);
   const texts = new Map<number, { text: string; finish: string | null }>();
   for (const chunk of chunks) {
-    for (const choice of (chunk['choices'] as ChoiceShape[] | undefined) ?? []) {
+    for (const choice of (chunk.choices as ChoiceShape[] | undefined) ?? []) {
       const index = choice.index ?? 0;
       const held = texts.get(index) ?? { text: '', finish: null };
       texts.set(index, {
@@ -126,13 +126,13 @@
     }
   }
   const first = chunks[0] ?? {};
-  const usage = chunks.map((chunk) => chunk['usage']).findLast((held) => held !== undefined && held !== null);
+  const usage = chunks.map((chunk) => chunk.usage).findLast((held) => held !== undefined && held !== null);
   const isChat = path === '/v1/chat/completions';
   return {
-    id: first['id'],
+    id: first.id,
     object: isChat ? 'chat.completion' : 'text_completion',
-    created: first['created'],
-    model: first['model'],
+    created: first.created,
+    model: first.model,
     choices: [...texts].map(([index, { text, finish }]) => ({
       index,
       ...(isChat ? { message: { role: 'assistant', content: text } } : { text }),
@@ -187,8 +187,8 @@
   },
   events: eventsIn,
   promptOf: (path: CompletionPath, body: Record<string, unknown>): string | null => {
-    if (path === '/v1/completions') return typeof body['prompt'] === 'string' ? body['prompt'] : null;
-    const messages = body['messages'];
+    if (path === '/v1/completions') return typeof body.prompt === 'string' ? body.prompt : null;
+    const messages = body.messages;
     if (!Array.isArray(messages) || messages.length === 0) return null;
     const lines: string[] = [];
     for (const message of messages as unknown[]) {
--- a/packages/envelope/src/logSwitch.ts
+++ b/packages/envelope/src/logSwitch.ts
@@ -1,1 +1,1 @@
-process.env['ROARR_LOG'] ??= 'true';
+process.env.ROARR_LOG ??= 'true';
--- a/packages/envelope/src/owner.ts
+++ b/packages/envelope/src/owner.ts
@@ -6,8 +6,12 @@
     this.waiting += 1;
     const turn = this.tail.then(command);
     this.tail = turn.then(
-      () => void (this.waiting -= 1),
-      () => void (this.waiting -= 1),
+      () => {
+        this.waiting -= 1;
+      },
+      () => {
+        this.waiting -= 1;
+      },
     );
     return turn;
   };
--- a/packages/franking/src/env.ts
+++ b/packages/franking/src/env.ts
@@ -99,16 +99,13 @@
       shaped instanceof type.errors
         ? shaped.map((problem) => ({ path: `/${problem.path.join('/')}`, message: problem.message }))
         : [];
-    const data = (flagged['data'] ?? fromFile['data']) as unknown;
+    const data = (flagged.data ?? fromFile.data) as unknown;
     if (role === 'postmaster' && data === undefined)
       faults.push({ path: '/data', message: 'a postmaster needs a data folder' });
-    const operators = (flagged['operators'] ?? fromFile['operators']) as unknown;
+    const operators = (flagged.operators ?? fromFile.operators) as unknown;
     if (role === 'postmaster' && operators !== undefined)
       faults.push({ path: '/operators', message: "is for counters; a postmaster's http is the operators' already" });
-    if (
-      operators !== undefined &&
-      [flagged['http'] ?? fromFile['http'], flagged['coach'] ?? fromFile['coach']].includes(operators)
-    )
+    if (operators !== undefined && [flagged.http ?? fromFile.http, flagged.coach ?? fromFile.coach].includes(operators))
       faults.push({ path: '/operators', message: 'must be another address than http and coach' });
     if (shaped instanceof type.errors || faults.length > 0) return err(faults);
     return ok({
--- a/packages/inspector/src/index.ts
+++ b/packages/inspector/src/index.ts
@@ -15,18 +15,21 @@
 
 ${help}`;
 
+const readFlags = (args: string[]) =>
+  parseArgs({
+    args,
+    allowPositionals: true,
+    options: {
+      at: { type: 'string' },
+      json: { type: 'boolean', default: false },
+      help: { type: 'boolean', short: 'h' },
+    },
+  });
+
 export const runInspector = async (args: string[]): Promise<number> => {
-  let parsed;
+  let parsed: ReturnType<typeof readFlags>;
   try {
-    parsed = parseArgs({
-      args,
-      allowPositionals: true,
-      options: {
-        at: { type: 'string' },
-        json: { type: 'boolean', default: false },
-        help: { type: 'boolean', short: 'h' },
-      },
-    });
+    parsed = readFlags(args);
   } catch (cause) {
     process.stderr.write(`${String((cause as Error).message)}\n`);
     return codes.usage;
--- a/packages/inspector/src/queries.ts
+++ b/packages/inspector/src/queries.ts
@@ -21,83 +21,83 @@
 const newest = (seen: Seen): Row =>
   live(seen.postmasters)
     .map(([, status]) => status)
-    .sort((a, b) => Number(b['generation'] ?? -1) - Number(a['generation'] ?? -1))[0] ?? {};
+    .sort((a, b) => Number(b.generation ?? -1) - Number(a.generation ?? -1))[0] ?? {};
 
 const nodes = (seen: Seen): Row[] => [
   ...[...seen.postmasters].map(([name, status]) => ({
     node: name,
     role: 'postmaster',
-    zone: status?.['zone'] ?? '',
-    state: status === null ? 'unreachable' : status['voter'] === true ? 'voter' : 'no vote',
-    generation: status?.['generation'] ?? null,
-    detail: status === null ? '' : `reaches ${String(status['reachable'])} members`,
+    zone: status?.zone ?? '',
+    state: status === null ? 'unreachable' : status.voter === true ? 'voter' : 'no vote',
+    generation: status?.generation ?? null,
+    detail: status === null ? '' : `reaches ${String(status.reachable)} members`,
   })),
   ...[...seen.counters].map(([name, status]) => ({
     node: name,
     role: 'counter',
-    zone: status?.['zone'] ?? '',
-    state: status === null ? 'unreachable' : status['fresh'] === true ? 'fresh' : 'not fresh',
-    generation: status?.['generation'] ?? null,
-    detail: status === null ? '' : `${String(status['live'])} live, ${String(status['voices'])} voices`,
+    zone: status?.zone ?? '',
+    state: status === null ? 'unreachable' : status.fresh === true ? 'fresh' : 'not fresh',
+    generation: status?.generation ?? null,
+    detail: status === null ? '' : `${String(status.live)} live, ${String(status.voices)} voices`,
   })),
 ];
 
 const acks = (seen: Seen): Row[] =>
   live(seen.postmasters).flatMap(([name, status]) =>
-    list(status['counters']).map((ack) => ({
+    list(status.counters).map((ack) => ({
       postmaster: name,
-      holds: status['generation'],
-      counter: ack['counter'],
-      acked: ack['generation'],
-      ackAgeMs: ack['ackAgeMs'],
+      holds: status.generation,
+      counter: ack.counter,
+      acked: ack.generation,
+      ackAgeMs: ack.ackAgeMs,
     })),
   );
 
 const replicas = (seen: Seen): Row[] =>
-  list(newest(seen)['replicas']).map((record) => {
+  list(newest(seen).replicas).map((record) => {
     const views = live(seen.counters).flatMap(([, status]) =>
-      list(status['replicas']).filter((one) => one['replica'] === record['name']),
+      list(status.replicas).filter((one) => one.replica === record.name),
     );
     return {
-      replica: record['name'],
-      pool: record['pool'],
-      state: record['state'],
-      incarnation: record['incarnation'],
-      born: record['born'],
-      sides: list(record['sides']).map(String).join(' '),
-      address: record['address'],
-      running: views.reduce((sum, one) => sum + Number(one['running']), 0),
-      suspectedBy: views.filter((one) => one['isSuspect'] === true).length,
+      replica: record.name,
+      pool: record.pool,
+      state: record.state,
+      incarnation: record.incarnation,
+      born: record.born,
+      sides: list(record.sides).map(String).join(' '),
+      address: record.address,
+      running: views.reduce((sum, one) => sum + Number(one.running), 0),
+      suspectedBy: views.filter((one) => one.isSuspect === true).length,
     };
   });
 
 const index = (seen: Seen): Row[] =>
-  list(newest(seen)['index']).map((shelf) => {
+  list(newest(seen).index).map((shelf) => {
     const seqs = live(seen.counters).flatMap(([, status]) =>
-      list(status['index'])
-        .filter((one) => one['replica'] === shelf['replica'])
-        .map((one) => Number(one['seq'])),
+      list(status.index)
+        .filter((one) => one.replica === shelf.replica)
+        .map((one) => Number(one.seq)),
     );
     return {
-      replica: shelf['replica'],
-      incarnation: shelf['incarnation'],
-      seq: shelf['seq'],
-      blocks: shelf['blocks'],
-      whole: shelf['isWhole'],
-      scopes: list(shelf['scopes'])
+      replica: shelf.replica,
+      incarnation: shelf.incarnation,
+      seq: shelf.seq,
+      blocks: shelf.blocks,
+      whole: shelf.isWhole,
+      scopes: list(shelf.scopes)
         .map((scope) => (String(scope) === '' ? 'shared' : String(scope)))
         .join(' '),
-      countersBehind: seqs.filter((seq) => seq < Number(shelf['seq'])).length,
+      countersBehind: seqs.filter((seq) => seq < Number(shelf.seq)).length,
     };
   });
 
 const queues = (seen: Seen): Row[] =>
   live(seen.counters).flatMap(([name, status]) =>
-    table(status['queues']).map(([pool, queue]) => ({
+    table(status.queues).map(([pool, queue]) => ({
       counter: name,
       pool,
-      waiting: queue['waiting'],
-      byTier: Object.entries((queue['byTier'] ?? {}) as Record<string, number>)
+      waiting: queue.waiting,
+      byTier: Object.entries((queue.byTier ?? {}) as Record<string, number>)
         .filter(([, count]) => count > 0)
         .map(([tier, count]) => `${tier}=${count}`)
         .join(' '),
@@ -106,7 +106,7 @@
 
 const budgets = (seen: Seen): Row[] =>
   live(seen.counters).flatMap(([name, status]) =>
-    Object.entries((status['budgets'] ?? {}) as Record<string, number>).map(([pool, left]) => ({
+    Object.entries((status.budgets ?? {}) as Record<string, number>).map(([pool, left]) => ({
       counter: name,
       pool,
       extraShotsLeft: Math.round(left * 100) / 100,
@@ -115,26 +115,26 @@
 
 const members = (seen: Seen): Row[] =>
   live(seen.postmasters).flatMap(([name, status]) =>
-    list(status['members']).map((member) => ({ seenBy: name, ...member })),
+    list(status.members).map((member) => ({ seenBy: name, ...member })),
   );
 
 const leases = (seen: Seen): Row[] =>
   live(seen.postmasters).flatMap(([name, status]) =>
-    list(status['leases']).map((lease) => ({
-      duty: lease['duty'],
+    list(status.leases).map((lease) => ({
+      duty: lease.duty,
       holder: name,
-      fence: lease['fence'],
-      leftMs: lease['leftMs'],
+      fence: lease.fence,
+      leftMs: lease.leftMs,
     })),
   );
 
 const watchers = (seen: Seen): Row[] =>
   live(seen.postmasters).flatMap(([name, status]) =>
-    list(status['watch']).map((line) => ({
+    list(status.watch).map((line) => ({
       toldBy: name,
-      node: line['node'],
-      suspectedBy: list(line['suspectedBy']).join(' '),
-      down: line['isDown'],
+      node: line.node,
+      suspectedBy: list(line.suspectedBy).join(' '),
+      down: line.isDown,
     })),
   );
 
@@ -221,27 +221,27 @@
       const seen = await look(ask, addresses);
       const counter = seen === null ? undefined : live(seen.counters)[0];
       if (counter === undefined) return { rows: [], code: codes.unreachable, note: 'no counter answers' };
-      const told = await ask(String(counter[1]['http']), '/why', {
+      const told = await ask(String(counter[1].http), '/why', {
         method: 'POST',
         body: { lane, tenant, prompt: textOf(prompt.join(' ')) },
       });
       if (told?.status !== 200) return { rows: told === null ? [] : [told.body], code: codes.refused, note: null };
-      return { rows: list(told.body['candidates']), code: codes.fine, note: `as ${counter[0]} sees it` };
+      return { rows: list(told.body.candidates), code: codes.fine, note: `as ${counter[0]} sees it` };
     }
     case 'plan': {
       const ops = rest[0] === undefined ? null : opsOf(rest[0]);
       if (ops === null) return { rows: [], code: codes.usage, note: 'plan FILE: a JSON Patch' };
       const told = await first('/operator/plans', { method: 'POST', body: ops, headers: patchHeaders });
       if (told?.status !== 200) return replyOf(told);
-      const note = `plan ${String(told.body['planId'])} on generation ${String(told.body['base'])}; touches ${JSON.stringify(told.body['touches'])}`;
-      return { rows: list(told.body['changes']), code: codes.fine, note };
+      const note = `plan ${String(told.body.planId)} on generation ${String(told.body.base)}; touches ${JSON.stringify(told.body.touches)}`;
+      return { rows: list(told.body.changes), code: codes.fine, note };
     }
     case 'apply': {
       const ops = rest[0] === undefined ? null : opsOf(rest[0]);
       if (ops === null || rest[1] === undefined) return { rows: [], code: codes.usage, note: 'apply FILE PLAN-ID' };
       const plan = await first('/operator/plans', { method: 'POST', body: ops, headers: patchHeaders });
       if (plan?.status !== 200) return replyOf(plan);
-      if (plan.body['planId'] !== rest[1])
+      if (plan.body.planId !== rest[1])
         return {
           rows: [plan.body],
           code: codes.refused,
@@ -253,7 +253,7 @@
           body: ops,
           headers: {
             ...patchHeaders,
-            'if-match': `"${String(plan.body['base'])}"`,
+            'if-match': `"${String(plan.body.base)}"`,
             'plan-id': rest[1],
             'change-id': `plan-${rest[1]}`,
           },
--- a/packages/inspector/src/reader.ts
+++ b/packages/inspector/src/reader.ts
@@ -44,8 +44,8 @@
   for (const address of addresses) {
     const told = await ask(address, '/operator/status');
     if (told?.status !== 200) continue;
-    for (const one of rowsOf(told.body['postmasters'])) postmasterAt.set(String(one['name']), String(one['http']));
-    for (const one of rowsOf(told.body['counters'])) counterAt.set(String(one['counter']), String(one['http']));
+    for (const one of rowsOf(told.body.postmasters)) postmasterAt.set(String(one.name), String(one.http));
+    for (const one of rowsOf(told.body.counters)) counterAt.set(String(one.counter), String(one.http));
   }
   if (postmasterAt.size === 0) return null;
   const read = async (at: ReadonlyMap<string, string>, path: string): Promise<Map<string, Row | null>> =>
@@ -59,6 +59,6 @@
     );
   const postmasters = await read(postmasterAt, '/operator/status');
   for (const status of postmasters.values())
-    for (const one of rowsOf(status?.['counters'])) counterAt.set(String(one['counter']), String(one['http']));
+    for (const one of rowsOf(status?.counters)) counterAt.set(String(one.counter), String(one.http));
   return { postmasters, counters: await read(counterAt, '/status') };
 };
--- a/packages/inspector/test/inspector.test.ts
+++ b/packages/inspector/test/inspector.test.ts
@@ -23,8 +23,8 @@
     const { fleet, see } = await raised();
     const whole = await see('nodes');
     expect(whole.code).to.equal(codes.fine);
-    expect(whole.rows.map((row) => row['state'])).to.deep.equal(['voter', 'voter', 'voter', 'fresh', 'fresh']);
-    expect(new Set((await see('acks')).rows.map((row) => row['acked']))).to.deep.equal(new Set([9]));
+    expect(whole.rows.map((row) => row.state)).to.deep.equal(['voter', 'voter', 'voter', 'fresh', 'fresh']);
+    expect(new Set((await see('acks')).rows.map((row) => row.acked))).to.deep.equal(new Set([9]));
     expect((await see('nonsense')).code).to.equal(codes.usage);
     fleet.killPostmaster(2);
     const partly = await see('nodes');
@@ -37,7 +37,7 @@
     const { see } = await raised();
     const told = await see('why', 'query', 'north', 'a prompt that is short');
     expect(told.rows.length).to.equal(5);
-    const costs = told.rows.map((row) => row['costMs']).filter((cost) => cost !== null) as number[];
+    const costs = told.rows.map((row) => row.costMs).filter((cost) => cost !== null) as number[];
     expect(costs.length).to.be.greaterThan(0);
     expect(costs).to.deep.equal([...costs].sort((a, b) => a - b));
     expect((await see('why', 'query', 'nobody', 'x')).code).to.equal(codes.refused);
@@ -55,7 +55,7 @@
     );
     const planIdOf = (outcome: Outcome): string => /plan ([0-9a-f]+)/.exec(outcome.note ?? '')?.[1] ?? '';
     const first = await see('plan', file);
-    expect(first.rows.map((row) => [row['op'], row['path'], row['after']])).to.deep.equal([
+    expect(first.rows.map((row) => [row.op, row.path, row.after])).to.deep.equal([
       ['add', '/lanes/chat', { pool: 'main', repeat: 'freely' }],
       ['replace', '/pools/main/weights', 'weights-2'],
     ]);
@@ -66,7 +66,7 @@
     expect((await see('apply', file, planIdOf(first))).code).to.equal(codes.refused);
     const second = planIdOf(await see('plan', file));
     expect((await see('apply', file, second)).code).to.equal(codes.fine);
-    const layout = (await see('layout')).rows[0]?.['layout'] as {
+    const layout = (await see('layout')).rows[0]?.layout as {
       pools: { main: { weights: string } };
       tiers: Record<string, unknown>;
     };
@@ -74,7 +74,7 @@
     writeFileSync(file, JSON.stringify([{ op: 'remove', path: '/pools/main' }]));
     const broken = await see('plan', file);
     expect(broken.code).to.equal(codes.refused);
-    expect((broken.rows[0]?.['complaints'] as { path: string }[])[0]?.path).to.match(/^\/lanes\//);
+    expect((broken.rows[0] as { complaints: { path: string }[] }).complaints[0]?.path).to.match(/^\/lanes\//);
     writeFileSync(file, JSON.stringify([{ op: 'replace', path: '/absent/thing', value: 1 }]));
     expect((await see('plan', file)).code).to.equal(codes.refused);
   });
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -113,14 +113,25 @@
           theirs: frame.hello.release,
           ours: wireRelease,
         });
-        return this.close();
+        this.close();
+        return;
+      }
+      if (this.neighbour !== null) {
+        this.close();
+        return;
       }
-      if (this.neighbour !== null) return this.close();
       this.neighbour = frame.hello;
-      return this.handlers.joined(this);
+      this.handlers.joined(this);
+      return;
+    }
+    if (this.neighbour === null) {
+      this.close();
+      return;
+    }
+    if (frame.f === 'tell') {
+      this.handlers.told(this, frame.topic, frame.body);
+      return;
     }
-    if (this.neighbour === null) return this.close();
-    if (frame.f === 'tell') return this.handlers.told(this, frame.topic, frame.body);
     if (frame.f === 'ask') {
       void this.handlers
         .asked(this, frame.topic, frame.body)
--- a/packages/mailcoach/src/frames.ts
+++ b/packages/mailcoach/src/frames.ts
@@ -43,7 +43,10 @@
         break;
       }
       const length = new DataView(rest.buffer, rest.byteOffset).getUint32(0);
-      if (length > frameLimit) return this.complain('frame over the limit');
+      if (length > frameLimit) {
+        this.complain('frame over the limit');
+        return;
+      }
       this.wanted = headBytes + length;
       if (rest.length < this.wanted) break;
       const body = rest.subarray(headBytes, this.wanted);
@@ -52,7 +55,8 @@
       try {
         message = coder.decode(body);
       } catch {
-        return this.complain('frame is not CBOR');
+        this.complain('frame is not CBOR');
+        return;
       }
       this.deliver(message);
     }
--- a/packages/postmaster/src/cardReader.ts
+++ b/packages/postmaster/src/cardReader.ts
@@ -77,5 +77,7 @@
 
   readonly ageMs = (): number | null => (this.readAt === null ? null : Math.round(this.clock.now() - this.readAt));
 
-  readonly stop = (): void => void (this.isStopped = true);
+  readonly stop = (): void => {
+    this.isStopped = true;
+  };
 }
--- a/packages/postmaster/src/claims.ts
+++ b/packages/postmaster/src/claims.ts
@@ -49,7 +49,7 @@
   private readonly put = (key: string, state: ClaimState): void => {
     const held = this.entries.get(key);
     if (held !== undefined) this.entries.delete(key);
-    this.entries.set(key, { state, touchedAt: this.clock.now(), serial: (this.serial += 1) });
+    this.entries.set(key, { state, touchedAt: this.clock.now(), serial: ++this.serial });
   };
 
   private readonly stateOf = (key: string): ClaimState => this.entries.get(key)?.state ?? empty;
--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -153,7 +153,7 @@
   readonly slot = (): number => (this.state === null ? -1 : this.state.generation + 1);
 
   readonly isVoter = (): boolean =>
-    this.state !== null && this.state.members.some((member) => member.incarnation === this.incarnation);
+    this.state?.members.some((member) => member.incarnation === this.incarnation) === true;
 
   readonly unsettledFor = (): number | null =>
     this.live.accepted === null ? null : this.clock.now() - this.acceptedAt;
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -94,7 +94,8 @@
     const loads: Record<string, [number, number]> = {};
     for (const { replicas } of this.others(coach)) {
       for (const [replica, [running, tokens]] of Object.entries(replicas)) {
-        const held = (loads[replica] ??= [0, 0]);
+        const held = loads[replica] ?? [0, 0];
+        loads[replica] = held;
         held[0] += running;
         held[1] += tokens;
       }
@@ -106,7 +107,8 @@
     const contention: Record<string, [number, number]> = {};
     for (const { pools } of this.others(coach)) {
       for (const [pool, [waiting, running]] of Object.entries(pools)) {
-        const held = (contention[pool] ??= [0, 0]);
+        const held = contention[pool] ?? [0, 0];
+        contention[pool] = held;
         if (waiting > 0) held[0] += 1;
         else held[1] += running;
       }
--- a/packages/postmaster/test/control.test.ts
+++ b/packages/postmaster/test/control.test.ts
@@ -20,7 +20,7 @@
   });
 
 const baseOf = async (fleet: SimFleet, at = 0): Promise<number> =>
-  Number((await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/layout'))).body['generation']);
+  Number((await fleet.finish(fleet.onPostmaster(at, 'GET', '/operator/layout'))).body.generation);
 
 const allHold = (fleet: SimFleet, generation: number): boolean =>
   fleet.counters.every(
@@ -30,7 +30,9 @@
 describe('founding', () => {
   it('given one seed address down, when the fleet starts, then counters still find all postmasters', async () => {
     const fleet = new SimFleet({ seed: 1, ...small });
-    fleet.postmasterHosts.forEach((host) => fleet.world.machine(host));
+    fleet.postmasterHosts.forEach((host) => {
+      fleet.world.machine(host);
+    });
     await Promise.all([0, 1, 2].map((at) => fleet.startPostmaster(at)));
     await fleet.world.until('the founding', () => fleet.postmasters.every((one) => one?.isReady() === true));
     fleet.killPostmaster(0);
@@ -42,7 +44,9 @@
 
   it('given only two of three postmasters, when they wait, then they found nothing; and with the third they do', async () => {
     const fleet = new SimFleet({ seed: 2, ...small });
-    fleet.postmasterHosts.forEach((host) => fleet.world.machine(host));
+    fleet.postmasterHosts.forEach((host) => {
+      fleet.world.machine(host);
+    });
     await fleet.startPostmaster(0);
     await fleet.startPostmaster(1);
     await fleet.world.run(20_000);
@@ -50,7 +54,7 @@
     const told = await fleet.finish(
       fleet.onPostmaster(0, 'PUT', '/operator/layout', plans.layout('weights-1'), { 'if-match': '"0"' }),
     );
-    expect([told.status, told.body['outcome'], told.retryAfter]).to.deep.equal([503, 'not accepted', '1']);
+    expect([told.status, told.body.outcome, told.retryAfter]).to.deep.equal([503, 'not accepted', '1']);
     await fleet.startPostmaster(2);
     await fleet.world.until('the founding', () => fleet.postmasters.every((one) => one?.isReady() === true), 5_000);
   });
@@ -58,7 +62,9 @@
   it('given a postmaster that loses its disk in the midst of founding, when it is back, then exactly one fleet is founded', async () => {
     for (let seed = 10; seed < 22; seed += 1) {
       const fleet = new SimFleet({ seed, ...small });
-      fleet.postmasterHosts.forEach((host) => fleet.world.machine(host));
+      fleet.postmasterHosts.forEach((host) => {
+        fleet.world.machine(host);
+      });
       await Promise.all([0, 1, 2].map((at) => fleet.startPostmaster(at)));
       await fleet.world.run(60 + (seed - 10) * 25);
       fleet.killPostmaster(seed % 3, true);
@@ -106,7 +112,7 @@
     );
     const after = await fleet.finish(patch(fleet, 1, tier(18_000), await baseOf(fleet, 1), 'after-recovery'));
     expect(after.status).to.equal(200);
-    await fleet.world.until('in force on every counter', () => allHold(fleet, Number(after.body['generation'])), 2_000);
+    await fleet.world.until('in force on every counter', () => allHold(fleet, Number(after.body.generation)), 2_000);
   });
 
   it('given a postmaster lost for good, when an empty one of another name and address comes, then it is swapped in and no accepted change is lost', async () => {
@@ -119,13 +125,11 @@
     fleet.postmasterNames[2] = 'postmaster-9';
     await fleet.startPostmaster(2);
     await fleet.world.until('the swap', () => fleet.postmasters[2]?.decrees.isVoter() === true, 30_000);
-    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds['kept']?.generation).to.equal(
-      Number(kept.body['generation']),
-    );
+    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds.kept?.generation).to.equal(Number(kept.body.generation));
     fleet.killPostmaster(0);
     const more = await fleet.finish(patch(fleet, 2, tier(16_000), await baseOf(fleet, 2), 'by-the-new'));
     expect(more.status).to.equal(200);
-    await fleet.world.until('in force on every counter', () => allHold(fleet, Number(more.body['generation'])), 2_000);
+    await fleet.world.until('in force on every counter', () => allHold(fleet, Number(more.body.generation)), 2_000);
   });
 });
 
@@ -145,7 +149,7 @@
     };
     const rejected = await fleet.finish(patch(fleet, 0, wrong, base, 'faulty'));
     expect(rejected.status).to.equal(422);
-    expect((rejected.body['complaints'] as { path: string }[]).map((one) => one.path)).to.include.members([
+    expect((rejected.body.complaints as { path: string }[]).map((one) => one.path)).to.include.members([
       '/lanes/odd/repeat',
       '/tiers/steady/rank',
     ]);
@@ -158,7 +162,7 @@
         'dangling',
       ),
     );
-    expect((dangling.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal([
+    expect((dangling.body.complaints as { path: string }[]).map((one) => one.path)).to.deep.equal([
       '/lanes/bad/pool',
       '/tenants/north/tier',
     ]);
@@ -189,10 +193,10 @@
       for (const counter of fleet.counters) {
         const layout = counter?.book.agreed()?.layout;
         seen.add(
-          `${layout?.tiers['prompt']?.horizonMs} ${Object.keys(layout?.lanes ?? {}).length} ${layout?.pools['main']?.weights}`,
+          `${layout?.tiers.prompt?.horizonMs} ${Object.keys(layout?.lanes ?? {}).length} ${layout?.pools.main?.weights}`,
         );
       }
-      return allHold(fleet, Number(accepted.body['generation']));
+      return allHold(fleet, Number(accepted.body.generation));
     });
     expect(waited).to.be.lessThan(2_000);
     expect([...seen].every((one) => ['10000 4 weights-1', '9999 304 weights-2'].includes(one))).to.equal(true);
@@ -203,11 +207,11 @@
     const base = await baseOf(fleet);
     const first = await fleet.finish(patch(fleet, 0, tier(15_000), base, 'once'));
     const again = await fleet.finish(patch(fleet, 2, tier(15_000), base, 'once'));
-    expect([first.status, again.status, again.body['repeated'], again.body['generation']]).to.deep.equal([
+    expect([first.status, again.status, again.body.repeated, again.body.generation]).to.deep.equal([
       200,
       200,
       true,
-      first.body['generation'],
+      first.body.generation,
     ]);
     const other = await fleet.finish(patch(fleet, 1, tier(14_000), base, 'once'));
     expect(other.status).to.equal(409);
@@ -224,7 +228,7 @@
       const told = await fleet.finish(call, 20_000);
       if (told.status === 504) unknowns += 1;
       expect([200, 503, 504]).to.include(told.status);
-      if (told.status === 504) expect(told.body['changeId']).to.equal('half');
+      if (told.status === 504) expect(told.body.changeId).to.equal('half');
       fleet.world.healAll();
       await fleet.world.run(3_000);
       const truths = await Promise.all(
@@ -264,7 +268,7 @@
       }),
     );
     expect(granted.status).to.equal(200);
-    await fleet.world.until('in force', () => allHold(fleet, Number(granted.body['generation'])), 2_000);
+    await fleet.world.until('in force', () => allHold(fleet, Number(granted.body.generation)), 2_000);
     const ask = {
       ...plans.ask(fleet.world.random, 1),
       kind: 'query' as const,
--- a/packages/postmaster/test/platform.test.ts
+++ b/packages/postmaster/test/platform.test.ts
@@ -20,7 +20,7 @@
         }),
       );
       expect(told.status).to.equal(200);
-      const { state, incarnation } = (told.body['replicas'] as Shown[])[0] as Shown;
+      const { state, incarnation } = (told.body.replicas as Shown[])[0] as Shown;
       return { state, incarnation };
     };
     expect(await tell({})).to.deep.equal({ state: 'ready', incarnation: 1 });
@@ -36,7 +36,7 @@
       fleet.onPostmaster(0, 'POST', '/platform/replicas', [{ name: 'x y', address: 'nowhere' }]),
     );
     expect(faulty.status).to.equal(422);
-    expect((faulty.body['complaints'] as { path: string }[]).map((one) => one.path)).to.deep.equal([
+    expect((faulty.body.complaints as { path: string }[]).map((one) => one.path)).to.deep.equal([
       '/0/address',
       '/0/name',
     ]);
--- a/packages/postmaster/test/upkeep.test.ts
+++ b/packages/postmaster/test/upkeep.test.ts
@@ -22,9 +22,7 @@
     const judge = new Judge(fleet);
     judge.traffic(40, 45_000);
     for (let round = 0; round < 3; round += 1) {
-      const base = Number(
-        (await fleet.finish(fleet.onPostmaster(round, 'GET', '/operator/layout'))).body['generation'],
-      );
+      const base = Number((await fleet.finish(fleet.onPostmaster(round, 'GET', '/operator/layout'))).body.generation);
       const put = await fleet.finish(
         fleet.onPostmaster(
           round,
@@ -35,7 +33,7 @@
         ),
       );
       expect(put.status).to.equal(200);
-      judge.acceptedIds.set(`roll-${round}`, Number(put.body['generation']));
+      judge.acceptedIds.set(`roll-${round}`, Number(put.body.generation));
       await fleet.finish(fleet.rollPostmaster(round));
       await fleet.world.until('the postmaster is back', () => fleet.postmasters[round]?.isReady() === true);
       await fleet.finish(fleet.rollCounter(round), 60_000);
@@ -43,7 +41,7 @@
     }
     await fleet.world.run(60_000);
     const tally = judge.tally();
-    expect(tally['cut'] ?? 0, JSON.stringify(tally)).to.equal(0);
+    expect(tally.cut ?? 0, JSON.stringify(tally)).to.equal(0);
     for (const call of judge.calls) {
       if (call.verdict === 'lost') expect(call.code).to.equal('ECONNREFUSED');
       if (call.verdict === 'denied')
@@ -53,7 +51,7 @@
           false,
         ]);
     }
-    expect(tally['whole'] ?? 0).to.be.greaterThan(judge.calls.length * 0.9);
+    expect(tally.whole ?? 0).to.be.greaterThan(judge.calls.length * 0.9);
     expect([...judge.complaints(), ...statePlaints(fleet, judge)]).to.deep.equal([]);
   });
 
@@ -73,7 +71,7 @@
     for (const coach of fleet.counters[2]?.lines.open() ?? []) coach.close();
     await fleet.world.run(10_000);
     expect(fleet.counters.map((counter) => counter?.freshness.isFresh())).to.deep.equal([true, true, false]);
-    expect(fleet.world.lines.some((line) => line.context['cause'] === 'another wire release')).to.equal(true);
+    expect(fleet.world.lines.some((line) => line.context.cause === 'another wire release')).to.equal(true);
     const judge = new Judge(fleet);
     const ask = { ...plans.ask(fleet.world.random, 1), kind: 'query' as const, tenant: 'north', key: keyOf('north') };
     const calls = [0, 1, 2].map((at) => judge.send(ask, at));
@@ -102,7 +100,7 @@
         ),
       );
       expect(put.status, JSON.stringify(put.body)).to.equal(200);
-      base = Number(put.body['generation']);
+      base = Number(put.body.generation);
       largest = Math.max(largest, ...[0, 1, 2].map((at) => sizeOf(fleet.machineOf('postmaster', at).disk)));
     }
     expect(largest).to.be.lessThan(12 * 1024 * 1024);
--- a/packages/postrider/src/flags.ts
+++ b/packages/postrider/src/flags.ts
@@ -39,13 +39,13 @@
     } catch (cause) {
       return { isHelp: false, env: err([{ path: 'flags', message: String((cause as Error).message) }]) };
     }
-    if (values['help'] === true) return { isHelp: true, env: err([]) };
+    if (values.help === true) return { isHelp: true, env: err([]) };
     const given: Record<string, string> = {};
     for (const field of fields) {
       const value = values[kebab(field)];
       if (typeof value === 'string') given[field] = value;
     }
-    const path = values['env'];
+    const path = values.env;
     const file = typeof path === 'string' ? readJson(path) : ok<unknown, Complaint[]>({});
     if (file.isErr()) return { isHelp: false, env: err(file.error) };
     const table = fieldsOf(file.value);
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -15,7 +15,9 @@
 const told: Record<string, number> = { changes: 0, loads: 0, kv: 0, kvBatches: 0, shelves: 0, left: 0, replicas: 0 };
 let isReal = false;
 
-const note = (what: string, by = 1): void => void (told[what] = (told[what] ?? 0) + by);
+const note = (what: string, by = 1): void => {
+  told[what] = (told[what] ?? 0) + by;
+};
 
 const dial = async (address: string, at: number, role: 'counter' | 'postmaster'): Promise<void> => {
   const dialed = await coaches.dial(net, machine.clock, logs.silent(), rig.helloOf(role, at, '127.0.0.1:1'), address, {
@@ -73,33 +75,33 @@
 const obey = async (order: Order): Promise<Record<string, number>> => {
   const number = (name: string): number => Number(order[name] ?? 0);
   if (order.verb === 'dial') {
-    isReal = order['real'] === true;
+    isReal = order.real === true;
     await many(number('count'), 40, (at) =>
-      dial(String(order['address']), number('from') + at, order['role'] === 'postmaster' ? 'postmaster' : 'counter'),
+      dial(String(order.address), number('from') + at, order.role === 'postmaster' ? 'postmaster' : 'counter'),
     );
     return { held: held.length };
   }
   if (order.verb === 'tell') {
-    for (const coach of held) coach.tell(String(order['topic']), order['body'] ?? null);
+    for (const coach of held) coach.tell(String(order.topic), order.body ?? null);
     return {};
   }
   if (order.verb === 'pings') {
     const asks = held.map(
-      (coach, at) => [coach, order['body'] ?? report(at, number('running'), number('replicas'))] as const,
+      (coach, at) => [coach, order.body ?? report(at, number('running'), number('replicas'))] as const,
     );
     const [began, got, sent] = [rig.cpuUs(), meter.got, meter.sent];
     const pings = number('count');
     await many(pings, 20, async (at) => {
       const [coach, body] = asks[at % asks.length] as (typeof asks)[number];
       const pong = await coach.ask('ping', body, 30_000);
-      if (pong.isOk() && order['body'] === undefined) tracks.toldOthers((pong.value as Pong).loads);
+      if (pong.isOk() && order.body === undefined) tracks.toldOthers((pong.value as Pong).loads);
     });
     return { us: (rig.cpuUs() - began) / pings, got: (meter.got - got) / pings, sent: (meter.sent - sent) / pings };
   }
   if (order.verb === 'heavy') {
-    const before = [told['loads'] ?? 0, meter.got] as const;
+    const before = [told.loads ?? 0, meter.got] as const;
     held[0]?.tell('heavyNews', report(0, number('running'), number('replicas')));
-    await rig.until(() => (told['loads'] ?? 0) - before[0] >= held.length - 1, 20_000);
+    await rig.until(() => (told.loads ?? 0) - before[0] >= held.length - 1, 20_000);
     return { got: meter.got - before[1] };
   }
   if (order.verb === 'claims') {
@@ -118,7 +120,7 @@
     return {};
   }
   if (order.verb === 'asks') {
-    await many(number('count'), 1, () => (held[0] as Coach).ask(String(order['topic']), order['body'] ?? null, 30_000));
+    await many(number('count'), 1, () => (held[0] as Coach).ask(String(order.topic), order.body ?? null, 30_000));
     return {};
   }
   if (order.verb === 'gauge') return { ...told, got: meter.got, sent: meter.sent, us: rig.cpuUs() };
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -69,18 +69,18 @@
         const told = await peers.ask({ verb: 'pings', count, ...order });
         const us = (rig.cpuUs() - began) / count;
         if (!isHeavy) {
-          byReplicas.add(replicas, told['got'] as number);
+          byReplicas.add(replicas, told.got as number);
           continue;
         }
         coreUs.add(fronts, us);
-        pongBytes.add(fronts, told['got'] as number);
-        askBytes.add(fronts, told['sent'] as number);
-        frontUs.add(fronts, told['us'] as number);
+        pongBytes.add(fronts, told.got as number);
+        askBytes.add(fronts, told.sent as number);
+        frontUs.add(fronts, told.us as number);
         if (fronts > 100 && repeat === 2) continue;
         const heavyBegan = rig.cpuUs();
         const heavy = await peers.ask({ verb: 'heavy', ...order });
         heavyMs.add(fronts, (rig.cpuUs() - heavyBegan) / 1_000);
-        heavyBytes.add(fronts, heavy['got'] as number);
+        heavyBytes.add(fronts, heavy.got as number);
       }
       await peers.ask({ verb: 'hangUp' });
       await core.close();
@@ -170,7 +170,7 @@
         const generation = (state?.generation ?? 0) + 1;
         const settled: Settled = {
           generation,
-          change: layoutChange(tenants, (edition += 1), state?.layoutGeneration ?? 0),
+          change: layoutChange(tenants, ++edition, state?.layoutGeneration ?? 0),
         };
         const [began, sent, at] = [rig.cpuUs(), core.meter.sent, performance.now()];
         await core.decrees.settle(settled);
@@ -504,7 +504,10 @@
     const records = rig.records(Math.ceil(target / blocksPerReplica));
     framed.reconcile(records, () => 0);
     const unpacker = new Unpacker(
-      (message) => (message as { body: KvNews[] }).body.forEach((one) => framed.take(one, 0)),
+      (message) =>
+        (message as { body: KvNews[] }).body.forEach((one) => {
+          framed.take(one, 0);
+        }),
       () => {},
     );
     while (toldCount < target) {
@@ -530,7 +533,7 @@
       const replica = shelves[Math.floor(held / blocksPerReplica)] as string;
       const seq = (seqs.get(replica) ?? hole.seqOf(replica, 1)) + 1;
       seqs.set(replica, seq);
-      hole.take(rig.stored(replica, seq, [Buffer.from(rig.blockName((name += 1))).toString('latin1')]), 0);
+      hole.take(rig.stored(replica, seq, [Buffer.from(rig.blockName(++name)).toString('latin1')]), 0);
     }
     memory.add(target, rig.heap() - empty);
     for (let repeat = 0; repeat < 3; repeat += 1) {
@@ -636,12 +639,12 @@
         for (let wait = 0, last = -1; wait < 40; wait += 1) {
           await rig.pauseMs(100);
           const now = await peers.ask({ verb: 'gauge' });
-          if (now['got'] === last && wait > 1) break;
-          last = now['got'] as number;
+          if (now.got === last && wait > 1) break;
+          last = now.got as number;
         }
         const after = await peers.ask({ verb: 'gauge' });
-        got.add(target, ((after['got'] as number) - (before['got'] as number)) / bytes);
-        stays.add(target, (after['left'] as number) > (before['left'] as number) ? 0 : 1);
+        got.add(target, ((after.got as number) - (before.got as number)) / bytes);
+        stays.add(target, (after.left as number) > (before.left as number) ? 0 : 1);
         await peers.ask({ verb: 'hangUp' });
         await core.close();
       }
@@ -760,12 +763,13 @@
         const texts = new Array<string>(replicas).fill('');
         for (let at = 0; at < perTick; at += 1) {
           const replica = (tick * perTick + at) % replicas;
-          const seq = (seqs[replica] = (seqs[replica] ?? 0) + 1);
+          const seq = (seqs[replica] ?? 0) + 1;
+          seqs[replica] = seq;
           texts[replica] += sse(
             rig.stored(
               (records[replica] as ReplicaRecord).name,
               seq,
-              Array.from({ length: blocksEach }, () => rig.blockName((name += 1))),
+              Array.from({ length: blocksEach }, () => rig.blockName(++name)),
             ),
           );
         }
@@ -787,7 +791,7 @@
       const us = (rig.cpuUs() - began) / told;
       const sentEach = fronts > 0 ? (core.meter.sent - sent) / told / fronts : 0;
       const after = fronts > 0 ? await peers.ask({ verb: 'gauge' }) : {};
-      const frontUs = ((after['us'] ?? 0) - (before['us'] ?? 0)) / told / Math.max(1, fronts);
+      const frontUs = ((after.us ?? 0) - (before.us ?? 0)) / told / Math.max(1, fronts);
       desk.stop();
       if (fronts > 0) await peers.ask({ verb: 'hangUp' });
       await core.close();
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -286,7 +286,8 @@
     keptNews: async (address) => {
       const news = pages.get(address) ?? [];
       pages.delete(address);
-      return ok({ epoch: 'e', next: (next += news.length), isLost: false, news });
+      next += news.length;
+      return ok({ epoch: 'e', next, isLost: false, news });
     },
   });
   const emptyDesk = rig.heap();
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -187,8 +187,12 @@
     rmSync(this.folder, { recursive: true, force: true });
     await this.startStandIns();
     await Promise.all([...this.coachRelays, ...this.replicaRelays.values()].map((relay) => relay.open()));
-    this.postmasterHosts.forEach((_, at) => this.startPostmaster(at));
-    this.counterHosts.forEach((_, at) => this.startCounter(at));
+    this.postmasterHosts.forEach((_, at) => {
+      this.startPostmaster(at);
+    });
+    this.counterHosts.forEach((_, at) => {
+      this.startCounter(at);
+    });
     await this.until('the founding', async () =>
       (await Promise.all(this.postmasterHosts.map(this.isReady))).every(Boolean),
     );
@@ -219,7 +223,7 @@
     const relay = this.replicaRelays.get(name);
     if (relay === undefined) return;
     this.incarnations.set(name, this.incarnationOf(name) + 1);
-    const listen = `${addresses.split(this.directOf(name)).host}:${10_000 + (this.risen += 1)}`;
+    const listen = `${addresses.split(this.directOf(name)).host}:${10_000 + ++this.risen}`;
     const risen = await this.call(this.controls[0] as string, 'POST', '/rise', {
       env: this.standInEnv(name),
       listen,
@@ -231,7 +235,7 @@
 
   readonly lives = async (): Promise<Life[]> =>
     (await Promise.all(this.controls.map((control) => this.call(control, 'GET', '/lives')))).flatMap(
-      ({ body }) => body['lives'] as Life[],
+      ({ body }) => body.lives as Life[],
     );
 
   readonly wipePostmaster = (at: number): void =>
@@ -246,7 +250,7 @@
   readonly operatorPuts = async (layout: Record<string, unknown>, at = 0): Promise<Reply> => {
     const held = await this.call(`${this.postmasterHosts[at]}:7101`, 'GET', '/operator/layout');
     const put = await this.call(`${this.postmasterHosts[at]}:7101`, 'PUT', '/operator/layout', layout, {
-      'if-match': `"${String(held.body['generation'])}"`,
+      'if-match': `"${String(held.body.generation)}"`,
     });
     if (put.status !== 200) throw new Error(`layout: ${put.status} ${JSON.stringify(put.body)}`);
     return put;
@@ -279,7 +283,7 @@
       ...this.postmasterHosts.map((host) => `${host}:7101`),
       ...this.counterHosts.map((host) => `${host}:7102`),
     ]) {
-      const text = String((await this.call(address, 'GET', '/metrics')).body['text']);
+      const text = String((await this.call(address, 'GET', '/metrics')).body.text);
       const read = (name: string): string => new RegExp(`^martenworks_${name} (.*)$`, 'm').exec(text)?.[1] ?? '-';
       rows.push(
         `${address.padEnd(17)} cpu ${read('cpu_seconds')} s  resident ${Math.round(Number(read('resident_bytes')) / 1e6)} MB  loop delay p50 ${read('event_loop_delay_p50_ms')} p99 ${read('event_loop_delay_p99_ms')} max ${read('event_loop_delay_max_ms')} ms`,
--- a/packages/proving/src/realTrialsCommand.ts
+++ b/packages/proving/src/realTrialsCommand.ts
@@ -130,21 +130,21 @@
   for (;;) {
     const at = pick(3);
     const held = await ask(at, 'GET', '/operator/layout');
-    if (held.status === 200) return { at, base: Number(held.body['generation']) };
+    if (held.status === 200) return { at, base: Number(held.body.generation) };
     await sleep(100);
   }
 };
 
 const change = async (part: Record<string, unknown>, isLastWord = false): Promise<boolean> => {
   const { at, base } = await baseAt();
-  const id = `real-${(changes += 1)}`;
+  const id = `real-${++changes}`;
   for (let shot = 0; ; shot += 1) {
     const told = await ask(shot === 0 ? at : pick(3), 'PATCH', '/operator/layout', part, {
       'if-match': `"${base}"`,
       'change-id': id,
     });
     if (told.status === 200) {
-      judge.acceptedIds.set(id, Number(told.body['generation']));
+      judge.acceptedIds.set(id, Number(told.body.generation));
       if (isLastWord && shot === 0) await restartPostmaster(at, false);
       return true;
     }
@@ -163,7 +163,7 @@
   fleet.startPostmaster(at);
   await fleet.until(
     `postmaster ${at + 1} votes`,
-    async () => (await ask(at, 'GET', '/operator/status')).body['voter'] === true,
+    async () => (await ask(at, 'GET', '/operator/status')).body.voter === true,
     40_000,
   );
 };
@@ -181,7 +181,7 @@
 
 const grantAndRevoke = async (): Promise<void> => {
   const tenant = plans.tenantNames[pick(8)] as string;
-  const key = `held-key-${(changes += 1)}`;
+  const key = `held-key-${++changes}`;
   const grant = judge.grant(key, tenant);
   await untilTaken((at) => ask(at, 'POST', '/platform/clients', { tenant, key }, { 'change-id': `grant-${key}` }));
   const stopAt = now() + 9_000;
@@ -202,7 +202,7 @@
 };
 
 const probe = async (): Promise<void> => {
-  const name = `probe-${(changes += 1)}`;
+  const name = `probe-${++changes}`;
   const tier = Object.keys(plans.tiers)[pick(3)] as string;
   const repeat = random() < 0.5 ? 'once' : 'freely';
   const isTaken = await change(judge.probed(name, tier, repeat));
@@ -299,7 +299,9 @@
     case 'counter cut from two postmasters':
       for (const relay of fleet.coachRelays) if (relay !== coach) relay.cut(fleet.counterHosts[counter] as string);
       await sleep(span(1_000, 5_000));
-      return fleet.coachRelays.forEach((relay) => relay.heal());
+      return fleet.coachRelays.forEach((relay) => {
+        relay.heal();
+      });
     case 'whole fleet rolled out':
       return rollOut();
     case 'new weights':
@@ -341,7 +343,7 @@
     if ((await ask(at, 'GET', '/healthz')).status !== 200) continue;
     for (const [id, generation] of judge.acceptedIds) {
       const known = await ask(at, 'GET', `/operator/changes/${id}`);
-      if (known.status !== 200 || known.body['generation'] !== generation)
+      if (known.status !== 200 || known.body.generation !== generation)
         told.push({ rule: 'an accepted change is lost', detail: `${id} at postmaster ${at + 1}: ${known.status}` });
     }
     for (const id of judge.refusedIds)
@@ -355,7 +357,7 @@
 try {
   const layout = plans.layout('weights-1');
   const tenants = {
-    ...(layout['tenants'] as Record<string, unknown>),
+    ...(layout.tenants as Record<string, unknown>),
     [plans.prober]: { tier: 'patient', lanes: ['query'] },
   };
   await fleet.up({ ...layout, tenants }, [...plans.tenantNames, plans.prober]);
--- a/packages/proving/src/roundsCommand.ts
+++ b/packages/proving/src/roundsCommand.ts
@@ -40,11 +40,17 @@
     frozen.freeze();
     await noisy.world.run(freezeMs);
     for (const postmaster of noisy.postmasters)
-      for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
+      for (const line of postmaster?.verdicts.lines() ?? []) {
+        if (line.isDown) alarms += 1;
+        else single += 1;
+      }
     frozen.thaw();
     await noisy.world.run(1_500);
     for (const postmaster of noisy.postmasters)
-      for (const line of postmaster?.verdicts.lines() ?? []) line.isDown ? (alarms += 1) : (single += 1);
+      for (const line of postmaster?.verdicts.lines() ?? []) {
+        if (line.isDown) alarms += 1;
+        else single += 1;
+      }
     noisy.world.healAll();
   }
   process.stdout.write(
--- a/packages/proving/src/runTests.ts
+++ b/packages/proving/src/runTests.ts
@@ -45,7 +45,7 @@
   await mocha.loadFilesAsync();
   const declared = testsIn(mocha.suite).map((test) => test.fullTitle());
   let seen = 0;
-  keep(mocha.suite, (test) => wanted.has(test.file ?? '') && (seen += 1) % shard.count === shard.at);
+  keep(mocha.suite, (test) => wanted.has(test.file ?? '') && ++seen % shard.count === shard.at);
   post({ kind: 'loaded', declared, selected: testsIn(mocha.suite).map((test) => test.fullTitle()) });
   const runner = mocha.run(() => post({ kind: 'done' }));
   const tell = (test: Mocha.Runnable, fault: string | null): void =>
--- a/packages/proving/src/sim/judge.ts
+++ b/packages/proving/src/sim/judge.ts
@@ -99,7 +99,7 @@
     more: { idempotencyKey?: string; horizonMs?: number; signal?: AbortSignal; whole?: boolean } = {},
   ): Call => {
     const call: Call = {
-      requestId: `call-${this.salt}${(this.next += 1)}`,
+      requestId: `call-${this.salt}${++this.next}`,
       ask,
       host: this.scene.counterHosts[counterAt] as string,
       sentAt: this.scene.now(),
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -253,7 +253,9 @@
     ]);
 
   readonly startAll = async (): Promise<void> => {
-    this.replicaHosts.forEach((host, at) => this.startStandIn(this.replicaName(at), host));
+    this.replicaHosts.forEach((host, at) => {
+      this.startStandIn(this.replicaName(at), host);
+    });
     this.startStandIn('app-1', this.appHost);
     if (this.plan.hasStore === true) this.startStandIn('store-1', this.storeHost);
     await Promise.all(this.postmasterHosts.map((_, at) => this.startPostmaster(at)));
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -68,7 +68,7 @@
   readonly plan = (machine: SimMachine | null, delayMs: number, ring: () => void): Planned => {
     const planned: Planned = {
       at: this.time + Math.max(0, delayMs),
-      order: (this.order += 1),
+      order: ++this.order,
       machine,
       life: machine?.life ?? 0,
       ring,
@@ -216,7 +216,11 @@
       after: (delayMs, ring) => {
         if (this.life !== life) return { cancel: () => {} };
         const planned = this.world.plan(this, delayMs, ring);
-        return { cancel: () => void (planned.isCancelled = true) };
+        return {
+          cancel: () => {
+            planned.isCancelled = true;
+          },
+        };
       },
     };
   };
--- a/packages/proving/src/sim/storm/confirmations.ts
+++ b/packages/proving/src/sim/storm/confirmations.ts
@@ -7,22 +7,22 @@
 
   const confirmChange = async (at: number): Promise<void> => {
     const held = await fleet.onPostmaster(at, 'GET', '/operator/layout');
-    const id = `last-word-${(storm.state.changes += 1)}`;
+    const id = `last-word-${++storm.state.changes}`;
     const told = await fleet.onPostmaster(
       at,
       'PATCH',
       '/operator/layout',
       { tiers: { steady: { rank: 1, horizonMs: 20_000 + storm.pick(1_000) } } },
-      { 'if-match': `"${Number(held.body['generation'])}"`, 'change-id': id },
+      { 'if-match': `"${Number(held.body.generation)}"`, 'change-id': id },
     );
     if (told.status !== 200) return;
-    judge.acceptedIds.set(id, Number(told.body['generation']));
-    fleet.world.plan(null, inForceMs, () => storm.checkInForce(id, Number(told.body['generation'])));
+    judge.acceptedIds.set(id, Number(told.body.generation));
+    fleet.world.plan(null, inForceMs, () => storm.checkInForce(id, Number(told.body.generation)));
   };
 
   const confirmRevocation = async (at: number): Promise<void> => {
     const tenant = plans.tenantNames[storm.pick(plans.tenantNames.length)] as string;
-    const key = `last-key-${(storm.state.changes += 1)}`;
+    const key = `last-key-${++storm.state.changes}`;
     const grant = await storm.grant(key, tenant, null);
     const stopAt = fleet.world.time + 8_000;
     const ask = (): void => {
--- a/packages/proving/src/sim/storm/faultContext.ts
+++ b/packages/proving/src/sim/storm/faultContext.ts
@@ -59,7 +59,11 @@
     if (needsCalm) {
       if ([0, 1, 2].some((one) => this.state.busy.has(`postmaster ${one}`))) return null;
       for (const one of [0, 1, 2]) this.claim(`postmaster ${one}`);
-      return work(at).finally(() => [0, 1, 2].forEach((one) => this.free(`postmaster ${one}`)));
+      return work(at).finally(() =>
+        [0, 1, 2].forEach((one) => {
+          this.free(`postmaster ${one}`);
+        }),
+      );
     }
     if (!this.claim(`postmaster ${at}`)) return null;
     return work(at).finally(() => this.free(`postmaster ${at}`));
@@ -83,20 +87,20 @@
     for (;;) {
       const at = this.pick(3);
       const held = await this.fleet.onPostmaster(at, 'GET', '/operator/layout');
-      if (held.status === 200) return { at, base: Number(held.body['generation']) };
+      if (held.status === 200) return { at, base: Number(held.body.generation) };
       await this.wait(200);
     }
   };
 
   readonly change = async (part: Record<string, unknown>, at: number, base: number): Promise<boolean> => {
-    const id = `change-${(this.state.changes += 1)}`;
+    const id = `change-${++this.state.changes}`;
     for (let shot = 0; ; shot += 1) {
       const told = await this.fleet.onPostmaster(shot === 0 ? at : this.pick(3), 'PATCH', '/operator/layout', part, {
         'if-match': `"${base}"`,
         'change-id': id,
       });
       if (told.status === 200) {
-        const generation = Number(told.body['generation']);
+        const generation = Number(told.body.generation);
         this.judge.acceptedIds.set(id, generation);
         this.fleet.world.plan(null, inForceMs, () => this.checkInForce(id, generation));
         return true;
--- a/packages/proving/src/sim/storm/members.ts
+++ b/packages/proving/src/sim/storm/members.ts
@@ -5,7 +5,7 @@
 
   const move = (isStranger: boolean): Promise<void> | null =>
     storm.onPostmaster(async (at) => {
-      const count = (storm.state.moves += 1);
+      const count = ++storm.state.moves;
       await fleet.movePostmaster(
         at,
         `10.0.7.${count}`,
--- a/packages/proving/src/sim/storm/operators.ts
+++ b/packages/proving/src/sim/storm/operators.ts
@@ -14,7 +14,7 @@
       if (!storm.claim('prober')) return null;
       return (async () => {
         const { base } = await storm.layoutOf();
-        const names = [0, 1, 2].map(() => `rival-${(storm.state.probes += 1)}`);
+        const names = [0, 1, 2].map(() => `rival-${++storm.state.probes}`);
         const wins = await Promise.all(
           names.map((name, at) =>
             storm.change(
@@ -28,14 +28,16 @@
         const won = names.findIndex((_, at) => wins[at]);
         if (won >= 0) storm.state.probedLane = names[won] as string;
         await storm.wait(inForceMs);
-        names.forEach((name, at) => judge.probeAll(name, `rival ${name}`, wins[at] === true, 'patient', 'freely'));
+        names.forEach((name, at) => {
+          judge.probeAll(name, `rival ${name}`, wins[at] === true, 'patient', 'freely');
+        });
       })().finally(() => storm.free('prober'));
     },
     'layout is probed': () => {
       if (!storm.claim('prober')) return null;
       return (async () => {
         const { at, base } = await storm.layoutOf();
-        const name = `probe-${(storm.state.probes += 1)}`;
+        const name = `probe-${++storm.state.probes}`;
         const before = storm.state.probedLane;
         const tier = Object.keys(plans.tiers)[storm.pick(3)] as string;
         const repeat = storm.random() < 0.5 ? 'once' : 'freely';
@@ -69,7 +71,7 @@
       if (!storm.claim('weights')) return null;
       return (async () => {
         const { at, base } = await storm.layoutOf();
-        const weights = `weights-${(storm.state.weights += 1)}`;
+        const weights = `weights-${++storm.state.weights}`;
         const marker = { offeredAt: world.time, at: Number.POSITIVE_INFINITY, pool: 'main', weights };
         judge.weightsFrom.push(marker);
         const isTaken = await storm.change({ pools: { main: { weights } } }, at, base);
--- a/packages/proving/src/sim/storm/stormPlan.ts
+++ b/packages/proving/src/sim/storm/stormPlan.ts
@@ -86,7 +86,7 @@
 
 export const stormLayout = (seed: number): Record<string, unknown> => {
   const layout = plans.layout('weights-1');
-  const tenants = layout['tenants'] as Record<string, Record<string, unknown>>;
+  const tenants = layout.tenants as Record<string, Record<string, unknown>>;
   const isApart = seed % isolationEvery !== 0;
   return {
     ...layout,
@@ -95,7 +95,7 @@
       ...Object.fromEntries(
         Object.entries(tenants).map(([name, tenant]) => [
           name,
-          { ...tenant, isolated: isApart && tenant['isolated'] === true },
+          { ...tenant, isolated: isApart && tenant.isolated === true },
         ]),
       ),
       [plans.prober]: { tier: 'patient', lanes: ['query'] },
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -99,8 +99,8 @@
 };
 
 const promptOf = (body: Record<string, unknown>): string => {
-  if (typeof body['prompt'] === 'string') return body['prompt'];
-  const messages = (body['messages'] ?? []) as { role: string; content: string }[];
+  if (typeof body.prompt === 'string') return body.prompt;
+  const messages = (body.messages ?? []) as { role: string; content: string }[];
   return messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('');
 };
 
@@ -183,7 +183,7 @@
 
   private readonly tell = (kind: NewsLine['kind'], tenant: string | null, blocks: readonly string[]): void => {
     if (this.faults.hidesNews) return;
-    const line: NewsLine = { incarnation: this.env.incarnation, seq: (this.seq += 1), kind, tenant, blocks };
+    const line: NewsLine = { incarnation: this.env.incarnation, seq: ++this.seq, kind, tenant, blocks };
     this.newsLines.push(line);
     if (this.newsLines.length > newsLimit) this.newsLines.shift();
     if (this.faults.dropNews) return;
@@ -312,7 +312,7 @@
       return Promise.resolve();
     }
     return new Promise((wake) => {
-      this.waiting.push({ priority, order: (this.order += 1), wake });
+      this.waiting.push({ priority, order: ++this.order, wake });
       this.waiting.sort((a, b) => a.priority - b.priority || a.order - b.order);
     });
   };
@@ -323,7 +323,7 @@
       return Promise.resolve();
     }
     return new Promise((wake) => {
-      this.prefills.push({ priority, order: (this.order += 1), wake });
+      this.prefills.push({ priority, order: ++this.order, wake });
       this.prefills.sort((a, b) => a.priority - b.priority || a.order - b.order);
     });
   };
@@ -358,16 +358,16 @@
     }
     if (request.signal.aborted) return new Response(null, { status: 499 });
     const prompt = promptOf(body);
-    const weights = String(body['model']);
+    const weights = String(body.model);
     const isIsolated = request.headers.get('x-isolated') === '1';
     const tenant = request.headers.get('x-tenant') ?? '';
     const run: Run = {
       requestId: request.headers.get('x-request-id') ?? '',
-      runId: `run-${this.env.name}-${this.env.incarnation}-${(this.runCount += 1)}`,
+      runId: `run-${this.env.name}-${this.env.incarnation}-${++this.runCount}`,
       tenant,
       isIsolated,
       weights,
-      priority: Number(body['priority'] ?? 0),
+      priority: Number(body.priority ?? 0),
       startedAt: this.clock.now(),
       cacheFrom: request.headers.get('cache-from'),
       path,
@@ -381,7 +381,7 @@
     };
     this.runs.push(run);
     if (this.runs.length > runLimit) this.runs.shift();
-    const count = Math.max(1, Math.min(4096, Number(body['max_tokens'] ?? 16)));
+    const count = Math.max(1, Math.min(4096, Number(body.max_tokens ?? 16)));
     const pieces = this.pieces(run, prompt, count, request.signal);
     const stream = new ReadableStream<Uint8Array>(
       {
--- a/packages/proving/src/trialsCommand.ts
+++ b/packages/proving/src/trialsCommand.ts
@@ -63,23 +63,26 @@
     ? Number(raw)
     : plainly(`--${name}: must be a whole number of ${least} or more`);
 
+const readFlags = () =>
+  parseArgs({
+    options: {
+      from: { type: 'string', default: '1' },
+      seeds: { type: 'string', default: '20' },
+      faults: { type: 'string', default: '6' },
+      only: { type: 'string' },
+      each: { type: 'boolean', default: false },
+      final: { type: 'string' },
+      size: { type: 'string', default: 'small' },
+      jobs: { type: 'string', default: String(availableParallelism()) },
+      verbose: { type: 'boolean', default: false },
+      help: { type: 'boolean', short: 'h' },
+    },
+  });
+
 const run = async (): Promise<void> => {
-  let parsed;
+  let parsed: ReturnType<typeof readFlags>;
   try {
-    parsed = parseArgs({
-      options: {
-        from: { type: 'string', default: '1' },
-        seeds: { type: 'string', default: '20' },
-        faults: { type: 'string', default: '6' },
-        only: { type: 'string' },
-        each: { type: 'boolean', default: false },
-        final: { type: 'string' },
-        size: { type: 'string', default: 'small' },
-        jobs: { type: 'string', default: String(availableParallelism()) },
-        verbose: { type: 'boolean', default: false },
-        help: { type: 'boolean', short: 'h' },
-      },
-    });
+    parsed = readFlags();
   } catch (cause) {
     return plainly(String((cause as Error).message));
   }
--- a/packages/proving/src/urgencyCommand.ts
+++ b/packages/proving/src/urgencyCommand.ts
@@ -40,7 +40,9 @@
   await fleet.world.run(Number(values.seconds) * 1_000 + 15_000);
   const byId = new Map(judge.calls.map((call) => [call.requestId, call]));
   const counts: Record<string, number> = {};
-  const note = (what: string): void => void (counts[what] = (counts[what] ?? 0) + 1);
+  const note = (what: string): void => {
+    counts[what] = (counts[what] ?? 0) + 1;
+  };
   let prefilled = 0;
   let cold = 0;
   for (const run of judge.runs()) {
--- a/packages/proving/test/capacity.test.ts
+++ b/packages/proving/test/capacity.test.ts
@@ -2,8 +2,8 @@
 import { capacityLines, fits, models, plots, tables } from '@martenworks/proving';
 import type { Measured, Point } from '@martenworks/proving';
 
-const points = (at: readonly number[], valueOf: (x: number) => number): Point[] =>
-  at.map((x) => ({ x, values: [valueOf(x)] }));
+const points = (at: readonly number[], measure: (x: number) => number): Point[] =>
+  at.map((x) => ({ x, values: [measure(x)] }));
 const xs = [10, 50, 100, 200, 400];
 
 const measured = (more: Partial<Measured> = {}): Measured => ({
--- a/packages/proving/test/judge.test.ts
+++ b/packages/proving/test/judge.test.ts
@@ -52,8 +52,9 @@
         portsFor: carriageBroken((carriage) => ({
           carry: async (request) => (await carriage.carry(request)).mapErr((fault) => ({ ...fault, isUnsent: true })),
         })),
-        onCounter: (counter) =>
-          void (loosened(counter.stages.sending)['again'] = (parcel: never) => counter.stages.placing.queue(parcel)),
+        onCounter: (counter) => {
+          loosened(counter.stages.sending).again = (parcel: never) => counter.stages.placing.queue(parcel);
+        },
       },
     },
   },
@@ -64,11 +65,12 @@
     plan: {
       faults: 2,
       breakage: {
-        onCounter: (counter) =>
-          void (loosened(counter.claims).take = async (key, digest) => ({
+        onCounter: (counter) => {
+          loosened(counter.claims).take = async (key, digest) => ({
             k: 'claimed',
             claim: { key, turn: 0, claimant: { id: key, counter: '', address: '', digest } },
-          })),
+          });
+        },
       },
     },
   },
@@ -77,7 +79,11 @@
     rule: 'runs twice',
     kinds: ['counter dies', 'counters die in a herd'],
     plan: {
-      breakage: { onCounter: (counter) => void (loosened(counter.claims)['inquire'] = async () => ({ k: 'not run' })) },
+      breakage: {
+        onCounter: (counter) => {
+          loosened(counter.claims).inquire = async () => ({ k: 'not run' });
+        },
+      },
     },
   },
   {
@@ -104,10 +110,8 @@
     plan: {
       breakage: {
         onCounter: (counter) => {
-          const next = loosened(counter.stages.relaying)['nextPiece'] as (
-            ...args: unknown[]
-          ) => Promise<{ kind: string }>;
-          loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
+          const next = loosened(counter.stages.relaying).nextPiece as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages.relaying).nextPiece = async (...args: unknown[]) => {
             const piece = await next(...args);
             return piece.kind === 'cut' ? { kind: 'done' } : piece;
           };
@@ -123,10 +127,8 @@
       breakage: {
         onCounter: (counter) => {
           let count = 0;
-          const next = loosened(counter.stages.relaying)['nextPiece'] as (
-            ...args: unknown[]
-          ) => Promise<{ kind: string }>;
-          loosened(counter.stages.relaying)['nextPiece'] = async (...args: unknown[]) => {
+          const next = loosened(counter.stages.relaying).nextPiece as (...args: unknown[]) => Promise<{ kind: string }>;
+          loosened(counter.stages.relaying).nextPiece = async (...args: unknown[]) => {
             const piece = await next(...args);
             count += 1;
             return count % 100 === 0 && piece.kind === 'piece' ? next(...args) : piece;
@@ -263,11 +265,12 @@
     kinds: ['replica leaves'],
     plan: {
       breakage: {
-        onCounter: (counter) =>
-          void (loosened(counter.book).takeReplicas = (
+        onCounter: (counter) => {
+          loosened(counter.book).takeReplicas = (
             (take) => (records: Parameters<typeof take>[0]) =>
               take(records.map((record) => ({ ...record, state: 'ready' as const })))
-          )(counter.book.takeReplicas)),
+          )(counter.book.takeReplicas);
+        },
       },
     },
   },
@@ -279,12 +282,13 @@
       ratePerSecond: 60,
       faults: 3,
       breakage: {
-        onCounter: (counter) =>
-          void (loosened(counter.stages.sending)['budgetOf'] = () => ({
+        onCounter: (counter) => {
+          loosened(counter.stages.sending).budgetOf = () => ({
             take: () => true,
             firstShot: () => {},
             left: () => 1,
-          })),
+          });
+        },
       },
     },
   },
@@ -295,7 +299,9 @@
     plan: {
       faults: 3,
       breakage: {
-        onCounter: (counter) => void (loosened(counter.lines).stop = () => {}),
+        onCounter: (counter) => {
+          loosened(counter.lines).stop = () => {};
+        },
         portsFor: (role, ports) =>
           role === 'counter'
             ? {
@@ -475,12 +481,13 @@
       spanMs: 24_000,
       longShare: 0,
       breakage: {
-        onCounter: (counter) =>
-          void (loosened(counter.stages.sending)['budgetOf'] = ((budgetOf) => (pool: string) => {
+        onCounter: (counter) => {
+          loosened(counter.stages.sending).budgetOf = ((budgetOf) => (pool: string) => {
             const budget = budgetOf(pool) as { tokens: number; isFilled?: boolean };
             if (budget.isFilled !== true) Object.assign(budget, { isFilled: true, tokens: 40, firstShot: () => {} });
             return budget;
-          })(loosened(counter.stages.sending)['budgetOf'] as (pool: string) => unknown)),
+          })(loosened(counter.stages.sending).budgetOf as (pool: string) => unknown);
+        },
       },
     },
   },
@@ -492,7 +499,9 @@
       faults: 1,
       final: 'postmaster lost for good',
       breakage: {
-        onCounter: (counter) => void (loosened(counter.freshness).isFresh = () => counter.freshness.voiceCount() === 3),
+        onCounter: (counter) => {
+          loosened(counter.freshness).isFresh = () => counter.freshness.voiceCount() === 3;
+        },
       },
     },
   },
--- a/packages/roundsman/src/lines.ts
+++ b/packages/roundsman/src/lines.ts
@@ -122,8 +122,7 @@
     else this.align();
   };
 
-  readonly open = (): Coach[] =>
-    [...this.lines.values()].flatMap((line) => (line.coach !== null && line.coach.isLive() ? [line.coach] : []));
+  readonly open = (): Coach[] => [...this.lines.values()].flatMap((line) => (line.coach?.isLive() ? [line.coach] : []));
 
   readonly to = (incarnation: string): Coach | undefined =>
     this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
--- a/packages/roundsman/test/leaseTerms.test.ts
+++ b/packages/roundsman/test/leaseTerms.test.ts
@@ -17,12 +17,15 @@
       () => ['weights'],
       async (ask: LeaseAsk): Promise<LeaseReply[]> =>
         Promise.all(reached().map((at) => (books[at] as LeaseBook).grant(ask))),
-      (ask) => books.forEach((book) => book.release(ask)),
+      (ask) =>
+        books.forEach((book) => {
+          book.release(ask);
+        }),
       () => 2,
       () => {},
       terms,
     );
-  return { world, books, terms, dutiesOf, clock, raise: () => (generation += 1) };
+  return { world, books, terms, dutiesOf, clock, raise: () => ++generation };
 };
 
 const turn = async (
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -122,7 +122,10 @@
   private readonly take = (coach: Coach, news: StateNews): void => {
     if (this.held !== null && news.generation <= this.held.generation) return;
     const book = news.book ?? this.patched(news);
-    if (book === null && news.edition !== 0) return this.askState(coach, 0);
+    if (book === null && news.edition !== 0) {
+      this.askState(coach, 0);
+      return;
+    }
     this.held = { ...news, book, patch: null };
     this.ears.state(this.held);
     coach.tell('ack', this.stateHeld());
@@ -170,7 +173,7 @@
       (found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found),
       null,
     );
-    const isHeld = this.content !== null && this.content.isLive();
+    const isHeld = this.content?.isLive();
     if (best === null || best === this.content || (isHeld && this.worth(best) <= this.worth(this.content as Coach)))
       return;
     if (this.worth(best) === 0 && isHeld) return;
--- a/packages/throughpost/src/extraBudget.ts
+++ b/packages/throughpost/src/extraBudget.ts
@@ -41,7 +41,9 @@
     return fresh;
   };
 
-  readonly first = (pool: string): void => void (this.bucket(pool).first += 1);
+  readonly first = (pool: string): void => {
+    this.bucket(pool).first += 1;
+  };
 
   readonly left = (pool: string): number => {
     this.bucket(pool);
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -119,7 +119,7 @@
 
   private readings = 0;
 
-  readonly readingId = (): string => `${this.label}${((this.readings += 1)).toString(36)}`;
+  readonly readingId = (): string => `${this.label}${(++this.readings).toString(36)}`;
 
   private readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -97,7 +97,10 @@
       shots: this.shots,
       ms: Math.round(this.front.ports.clock.now() - this.arrivedAt),
     });
-    if (this.reply !== null) return this.reply.cut();
+    if (this.reply !== null) {
+      this.reply.cut();
+      return;
+    }
     const comeBackMs = comesBack
       ? (this.comeBackMs ?? shortestComeBackMs + comeBackSpreadMs * this.front.ports.random.fraction())
       : null;
@@ -105,7 +108,10 @@
   };
 
   private readonly giveUp = (message: string): void => {
-    if (!this.mayHaveRun) return this.deny(statuses.unavailable, message, true);
+    if (!this.mayHaveRun) {
+      this.deny(statuses.unavailable, message, true);
+      return;
+    }
     this.deny(this.left() <= leastLeftMs ? statuses.lateGateway : statuses.badGateway, message, false);
   };
 
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -187,10 +187,13 @@
     this.note(track, tokens);
   };
 
-  readonly given = (track: Track, tokens: number): void =>
-    void (track.pendingTokens = Math.max(0, track.pendingTokens - tokens));
+  readonly given = (track: Track, tokens: number): void => {
+    track.pendingTokens = Math.max(0, track.pendingTokens - tokens);
+  };
 
-  readonly ended = (track: Track): void => void (track.running = Math.max(0, track.running - 1));
+  readonly ended = (track: Track): void => {
+    track.running = Math.max(0, track.running - 1);
+  };
 
   /** How much of what was sent there lately failed, 0 to 1, forgotten by half every four seconds: a replica may look well and fail a part of its requests. */
   readonly illness = (track: Track): number =>
@@ -228,8 +231,9 @@
     track.suspicionMs = Math.min(longestSuspicionMs, track.suspicionMs * 2);
   };
 
-  readonly full = (track: Track, forMs: number): void =>
-    void (track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs));
+  readonly full = (track: Track, forMs: number): void => {
+    track.fullUntil = Math.max(track.fullUntil, this.clock.now() + forMs);
+  };
 
   /** The reading rate follows quick answers at once and slow ones hardly: what a front does not see can only make an answer slower, and in a crowded pool every answer is slow. */
   readonly measured = (tokens: number, spentMs: number): void => {
--- a/packages/throughpost/src/webCall.ts
+++ b/packages/throughpost/src/webCall.ts
@@ -59,7 +59,10 @@
   readonly body = (limitBytes: number): Promise<Result<Uint8Array, BodyFault>> => bodyOf(this.request, limitBytes);
 
   readonly whenGone = (verb: () => void): void => {
-    if (this.request.signal.aborted) return verb();
+    if (this.request.signal.aborted) {
+      verb();
+      return;
+    }
     this.leavers.push(verb);
   };
 
@@ -67,7 +70,9 @@
     const list = pairsOf(isLast ? [...headers, 'Connection', 'close'] : headers);
     let pipe: ReadableStreamDefaultController<Uint8Array> | null = null;
     const stream = new ReadableStream<Uint8Array>({
-      start: (controller) => void (pipe = controller),
+      start: (controller) => {
+        pipe = controller;
+      },
       pull: () => this.wake(),
       cancel: this.left,
     });
