Rename package envelope to core-types

Cause: the package was called by a house word; newcomers look for the field's name. The tree and its tests compile.

--- a/packages/counter/src/admit.ts
+++ b/packages/counter/src/admit.ts
@@ -1,4 +1,4 @@
-import { keys } from '@martenworks/envelope';
+import { keys } from '@martenworks/core-types';
 import type { Bench } from './bench.js';
 import type { Denying } from './denying.js';
 import type { Parcel } from './parcel.js';
--- a/packages/counter/src/bench.ts
+++ b/packages/counter/src/bench.ts
@@ -1,4 +1,4 @@
-import type { Ports } from '@martenworks/envelope';
+import type { Ports } from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
 import type { Book } from './book.js';
 import type { Claims } from './claims.js';
--- a/packages/counter/src/book.ts
+++ b/packages/counter/src/book.ts
@@ -1,5 +1,5 @@
-import { agreed as agreedState, replicas } from '@martenworks/envelope';
-import type { Agreed, Change, Clock, KvNews, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
+import { agreed as agreedState, replicas } from '@martenworks/core-types';
+import type { Agreed, Change, Clock, KvNews, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/core-types';
 import { Pigeonhole, Quarters } from '@martenworks/pigeonhole';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Door } from './layoutView.js';
--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -1,8 +1,8 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import { deny, pause } from '@martenworks/envelope';
-import type { Deny } from '@martenworks/envelope';
+import { deny, pause } from '@martenworks/core-types';
+import type { Deny } from '@martenworks/core-types';
 import { backWire } from '@martenworks/courier';
 import type { CompletionPath, Piece } from '@martenworks/courier';
 import type { Counter } from './counter.js';
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -1,5 +1,5 @@
-import { claimBallots, pause } from '@martenworks/envelope';
-import type { Claimant, ClaimAccepted, ClaimBallot, ClaimVote, Member, Ports } from '@martenworks/envelope';
+import { claimBallots, pause } from '@martenworks/core-types';
+import type { Claimant, ClaimAccepted, ClaimBallot, ClaimVote, Member, Ports } from '@martenworks/core-types';
 import { coaches } from '@martenworks/mailcoach';
 import type { Hello } from '@martenworks/mailcoach';
 import type { Lines } from '@martenworks/roundsman';
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Repeating, pause } from '@martenworks/envelope';
+import { Repeating, pause } from '@martenworks/core-types';
 import type {
   Agreed,
   Change,
@@ -14,7 +14,7 @@
   ReplicaRecord,
   SideClaim,
   SideStanding,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
 import { coaches, hellos } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
--- a/packages/counter/src/denying.ts
+++ b/packages/counter/src/denying.ts
@@ -1,5 +1,5 @@
-import { deny } from '@martenworks/envelope';
-import type { Deny, DenyCode } from '@martenworks/envelope';
+import { deny } from '@martenworks/core-types';
+import type { Deny, DenyCode } from '@martenworks/core-types';
 import type { Bench } from './bench.js';
 import type { Parcel } from './parcel.js';
 
--- a/packages/counter/src/freshness.ts
+++ b/packages/counter/src/freshness.ts
@@ -1,4 +1,4 @@
-import type { Clock, Member, Pong } from '@martenworks/envelope';
+import type { Clock, Member, Pong } from '@martenworks/core-types';
 
 const freshMs = 1_500;
 const pendingMs = 500;
--- a/packages/counter/src/layoutView.ts
+++ b/packages/counter/src/layoutView.ts
@@ -1,5 +1,5 @@
-import { DenseIndex } from '@martenworks/envelope';
-import type { Agreed, Lane, Pool, Tenant, Tier } from '@martenworks/envelope';
+import { DenseIndex } from '@martenworks/core-types';
+import type { Agreed, Lane, Pool, Tenant, Tier } from '@martenworks/core-types';
 
 export interface LaneView {
   readonly index: number;
--- a/packages/counter/src/match.ts
+++ b/packages/counter/src/match.ts
@@ -1,4 +1,4 @@
-import { digests, prompts } from '@martenworks/envelope';
+import { digests, prompts } from '@martenworks/core-types';
 import { backWire } from '@martenworks/courier';
 import type { Piece } from '@martenworks/courier';
 import type { Bench } from './bench.js';
--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -1,4 +1,4 @@
-import type { Deny } from '@martenworks/envelope';
+import type { Deny } from '@martenworks/core-types';
 import type { CompletionPath, Piece } from '@martenworks/courier';
 import type { Claim } from './claims.js';
 import type { LaneView, TenantView } from './layoutView.js';
--- a/packages/counter/src/placing.ts
+++ b/packages/counter/src/placing.ts
@@ -1,5 +1,5 @@
-import { prompts } from '@martenworks/envelope';
-import type { Contention, PoolDemands, ReplicaRecord } from '@martenworks/envelope';
+import { prompts } from '@martenworks/core-types';
+import type { Contention, PoolDemands, ReplicaRecord } from '@martenworks/core-types';
 import { place, weigh } from '@martenworks/pigeonhole';
 import type { Placement, PlaceQuestion } from '@martenworks/pigeonhole';
 import type { Bench } from './bench.js';
--- a/packages/counter/src/relaying.ts
+++ b/packages/counter/src/relaying.ts
@@ -1,4 +1,4 @@
-import { pause } from '@martenworks/envelope';
+import { pause } from '@martenworks/core-types';
 import type { Piece } from '@martenworks/courier';
 import type { Bench } from './bench.js';
 import type { Parcel } from './parcel.js';
--- a/packages/counter/src/sending.ts
+++ b/packages/counter/src/sending.ts
@@ -1,4 +1,4 @@
-import type { DenyCode, ReplicaRecord } from '@martenworks/envelope';
+import type { DenyCode, ReplicaRecord } from '@martenworks/core-types';
 import { backWire } from '@martenworks/courier';
 import type { Piece, ShotFault } from '@martenworks/courier';
 import type { Placement } from '@martenworks/pigeonhole';
--- a/packages/counter/src/standing.ts
+++ b/packages/counter/src/standing.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { DenyCode } from '@martenworks/envelope';
+import type { DenyCode } from '@martenworks/core-types';
 import type { LaneView, LayoutView, TenantView } from './layoutView.js';
 import type { Parcel } from './parcel.js';
 
--- a/packages/counter/src/tracks.ts
+++ b/packages/counter/src/tracks.ts
@@ -1,4 +1,4 @@
-import type { Clock, Loads } from '@martenworks/envelope';
+import type { Clock, Loads } from '@martenworks/core-types';
 
 const firstSuspicionMs = 500;
 const longestSuspicionMs = 5_000;
--- a/packages/courier/src/backWire.ts
+++ b/packages/courier/src/backWire.ts
@@ -1,7 +1,7 @@
 import { createParser } from 'eventsource-parser';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Carriage, CarriageReceipt } from '@martenworks/envelope';
+import type { Carriage, CarriageReceipt } from '@martenworks/core-types';
 
 export type CompletionPath = '/v1/completions' | '/v1/chat/completions';
 
--- a/packages/courier/src/carriage.ts
+++ b/packages/courier/src/carriage.ts
@@ -1,7 +1,7 @@
 import { Readable } from 'node:stream';
 import { Agent } from 'undici';
 import { err, ok } from 'neverthrow';
-import type { Carriage } from '@martenworks/envelope';
+import type { Carriage } from '@martenworks/core-types';
 
 const headerList = (raw: unknown): readonly string[] =>
   Array.isArray(raw)
--- a/packages/courier/src/kvFollow.ts
+++ b/packages/courier/src/kvFollow.ts
@@ -1,5 +1,5 @@
-import { pause } from '@martenworks/envelope';
-import type { Carriage, Clock, KvNews, Log, Random } from '@martenworks/envelope';
+import { pause } from '@martenworks/core-types';
+import type { Carriage, Clock, KvNews, Log, Random } from '@martenworks/core-types';
 import { backWire } from './backWire.js';
 
 const newsKinds = new Set(['hello', 'stored', 'removed', 'cleared']);
--- a/packages/courier/test/carriage.test.ts
+++ b/packages/courier/test/carriage.test.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { carriages } from '@martenworks/courier';
-import type { CarriageReceipt, NetFault } from '@martenworks/envelope';
+import type { CarriageReceipt, NetFault } from '@martenworks/core-types';
 import type { Result } from 'neverthrow';
 
 const opened = (
--- a/packages/franking/src/layoutCheck.ts
+++ b/packages/franking/src/layoutCheck.ts
@@ -1,7 +1,7 @@
 import { type } from 'arktype';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Layout } from '@martenworks/envelope';
+import type { Layout } from '@martenworks/core-types';
 
 export interface Complaint {
   readonly path: string;
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -2,8 +2,8 @@
 import { Encoder } from 'cbor-x';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Owner } from '@martenworks/envelope';
-import type { Disk, DiskFault, DiskFile } from '@martenworks/envelope';
+import { Owner } from '@martenworks/core-types';
+import type { Disk, DiskFault, DiskFile } from '@martenworks/core-types';
 
 const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 const headBytes = 8;
--- a/packages/mailcoach/src/coach.ts
+++ b/packages/mailcoach/src/coach.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Clock, ClockEvent, Listener, Log, Net, NetFault, Wire } from '@martenworks/envelope';
+import type { Clock, ClockEvent, Listener, Log, Net, NetFault, Wire } from '@martenworks/core-types';
 import { Unpacker, frames } from './frames.js';
 
 export const wireRelease = 2;
--- a/packages/pigeonhole/src/pigeonhole.ts
+++ b/packages/pigeonhole/src/pigeonhole.ts
@@ -1,5 +1,5 @@
-import type { KvNews, ReplicaRecord } from '@martenworks/envelope';
-import { DenseIndex } from '@martenworks/envelope';
+import type { KvNews, ReplicaRecord } from '@martenworks/core-types';
+import { DenseIndex } from '@martenworks/core-types';
 
 const wildTenant = -2;
 const sharedTenant = -1;
--- a/packages/pigeonhole/src/place.ts
+++ b/packages/pigeonhole/src/place.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
-import type { Pool, ReplicaRecord } from '@martenworks/envelope';
-import { prompts } from '@martenworks/envelope';
+import type { Pool, ReplicaRecord } from '@martenworks/core-types';
+import { prompts } from '@martenworks/core-types';
 import type { Pigeonhole } from './pigeonhole.js';
 
 export interface Candidate {
--- a/packages/pigeonhole/src/quarters.ts
+++ b/packages/pigeonhole/src/quarters.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Agreed, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
+import type { Agreed, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/core-types';
 
 const usedGraceMs = 9_000;
 const unusedGraceMs = 3_000;
--- a/packages/postmaster/src/cardReader.ts
+++ b/packages/postmaster/src/cardReader.ts
@@ -1,5 +1,5 @@
-import { pause } from '@martenworks/envelope';
-import type { BackEnds, CardsNews, Clock, Log, Random, ReplicaCard } from '@martenworks/envelope';
+import { pause } from '@martenworks/core-types';
+import type { BackEnds, CardsNews, Clock, Log, Random, ReplicaCard } from '@martenworks/core-types';
 
 /** Milliseconds between two readings, and calls a second that all readers may make together. */
 export interface ReadingPace {
--- a/packages/postmaster/src/claims.ts
+++ b/packages/postmaster/src/claims.ts
@@ -1,7 +1,16 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { claimBallots } from '@martenworks/envelope';
-import type { Claimant, ClaimBallot, ClaimPage, ClaimState, ClaimVote, Clock, Disk, Log } from '@martenworks/envelope';
+import { claimBallots } from '@martenworks/core-types';
+import type {
+  Claimant,
+  ClaimBallot,
+  ClaimPage,
+  ClaimState,
+  ClaimVote,
+  Clock,
+  Disk,
+  Log,
+} from '@martenworks/core-types';
 import { ledgers } from '@martenworks/ledger';
 import type { Ledger, LedgerFault } from '@martenworks/ledger';
 
--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Owner, agreed as agreedState } from '@martenworks/envelope';
-import type { Agreed, Change, Clock, Disk, Log, Member, Random } from '@martenworks/envelope';
+import { Owner, agreed as agreedState } from '@martenworks/core-types';
+import type { Agreed, Change, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
 import { ledgers } from '@martenworks/ledger';
 import type { Ledger, LedgerFault } from '@martenworks/ledger';
 
--- a/packages/postmaster/src/desk.ts
+++ b/packages/postmaster/src/desk.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { digests } from '@martenworks/envelope';
-import type { Agreed, Change, ChangeBody, KeyGrant, Layout, Tenant } from '@martenworks/envelope';
+import { digests } from '@martenworks/core-types';
+import type { Agreed, Change, ChangeBody, KeyGrant, Layout, Tenant } from '@martenworks/core-types';
 import { layouts } from '@martenworks/franking';
 import { editLayout } from './plan.js';
 import type { LayoutEdit } from './plan.js';
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -1,5 +1,5 @@
-import { agreed as agreedState } from '@martenworks/envelope';
-import type { Log, Member } from '@martenworks/envelope';
+import { agreed as agreedState } from '@martenworks/core-types';
+import type { Log, Member } from '@martenworks/core-types';
 import type { Coach, Hello } from '@martenworks/mailcoach';
 import type { Lines } from '@martenworks/roundsman';
 import type { Decrees, Since } from './decrees.js';
--- a/packages/postmaster/src/kvDesk.ts
+++ b/packages/postmaster/src/kvDesk.ts
@@ -1,5 +1,5 @@
-import { Repeating } from '@martenworks/envelope';
-import type { KvNews, Ports, ReplicaRecord } from '@martenworks/envelope';
+import { Repeating } from '@martenworks/core-types';
+import type { KvNews, Ports, ReplicaRecord } from '@martenworks/core-types';
 import { kvFollow } from '@martenworks/courier';
 import type { Follower } from '@martenworks/courier';
 import { Pigeonhole } from '@martenworks/pigeonhole';
--- a/packages/postmaster/src/leases.ts
+++ b/packages/postmaster/src/leases.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Clock, Disk, Log } from '@martenworks/envelope';
+import type { Clock, Disk, Log } from '@martenworks/core-types';
 import { ledgers } from '@martenworks/ledger';
 import type { Ledger, LedgerFault } from '@martenworks/ledger';
 import { LeaseBook } from '@martenworks/roundsman';
--- a/packages/postmaster/src/membership.ts
+++ b/packages/postmaster/src/membership.ts
@@ -1,6 +1,6 @@
 import { ok } from 'neverthrow';
-import type { Clock, Log, Member } from '@martenworks/envelope';
-import { digests } from '@martenworks/envelope';
+import type { Clock, Log, Member } from '@martenworks/core-types';
+import { digests } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/mailcoach';
 import type { Lines } from '@martenworks/roundsman';
 import type { Decrees } from './decrees.js';
--- a/packages/postmaster/src/plan.ts
+++ b/packages/postmaster/src/plan.ts
@@ -2,8 +2,8 @@
 import type { Operation } from 'fast-json-patch';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { digests } from '@martenworks/envelope';
-import type { Agreed, Layout } from '@martenworks/envelope';
+import { digests } from '@martenworks/core-types';
+import type { Agreed, Layout } from '@martenworks/core-types';
 import { layouts } from '@martenworks/franking';
 import type { Complaint } from '@martenworks/franking';
 
--- a/packages/postmaster/src/platformWire.ts
+++ b/packages/postmaster/src/platformWire.ts
@@ -1,8 +1,8 @@
 import { type } from 'arktype';
 import { Hono } from 'hono';
 import type { Context } from 'hono';
-import { keys } from '@martenworks/envelope';
-import type { ReplicaRecord, Tenant } from '@martenworks/envelope';
+import { keys } from '@martenworks/core-types';
+import type { ReplicaRecord, Tenant } from '@martenworks/core-types';
 import { layouts } from '@martenworks/franking';
 import { bodyOf, changeIdOf, replyTo } from './operatorWire.js';
 import type { Postmaster } from './postmaster.js';
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Repeating } from '@martenworks/envelope';
+import { Repeating } from '@martenworks/core-types';
 import type {
   Agreed,
   Change,
@@ -13,7 +13,7 @@
   Ports,
   ReplicaRecord,
   SideClaim,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
--- a/packages/postmaster/src/proposer.ts
+++ b/packages/postmaster/src/proposer.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Owner, agreed as agreedState, pause } from '@martenworks/envelope';
-import type { Agreed, Change, Clock, Log, Member, Random } from '@martenworks/envelope';
+import { Owner, agreed as agreedState, pause } from '@martenworks/core-types';
+import type { Agreed, Change, Clock, Log, Member, Random } from '@martenworks/core-types';
 import type { Complaint } from '@martenworks/franking';
 import { ballots } from './decrees.js';
 import type { Accepted, Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -1,4 +1,4 @@
-import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/envelope';
+import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/core-types';
 import type { Coach } from '@martenworks/mailcoach';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import type { Decrees, Settled } from './decrees.js';
--- a/packages/postmaster/src/readingRelay.ts
+++ b/packages/postmaster/src/readingRelay.ts
@@ -1,4 +1,4 @@
-import type { Clock, ReadingNews } from '@martenworks/envelope';
+import type { Clock, ReadingNews } from '@martenworks/core-types';
 
 const bundleMs = 15;
 const bundleLimit = 2_000;
--- a/packages/postmaster/src/recovery.ts
+++ b/packages/postmaster/src/recovery.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/envelope';
+import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
 import type { LedgerFault } from '@martenworks/ledger';
 import { decreeBooks } from './decrees.js';
 
--- a/packages/postmaster/src/replicaDesk.ts
+++ b/packages/postmaster/src/replicaDesk.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { ClaimPage, ReplicaRecord } from '@martenworks/envelope';
+import type { ClaimPage, ReplicaRecord } from '@martenworks/core-types';
 import type { Lines } from '@martenworks/roundsman';
 import type { ClaimTable } from './claims.js';
 import type { Decrees } from './decrees.js';
--- a/packages/postmaster/src/replicaTable.ts
+++ b/packages/postmaster/src/replicaTable.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Owner, replicas } from '@martenworks/envelope';
-import type { Disk, Log, ReplicaRecord } from '@martenworks/envelope';
+import { Owner, replicas } from '@martenworks/core-types';
+import type { Disk, Log, ReplicaRecord } from '@martenworks/core-types';
 import { ledgers } from '@martenworks/ledger';
 import type { Ledger, LedgerFault } from '@martenworks/ledger';
 
--- a/packages/postmaster/src/shelfDesk.ts
+++ b/packages/postmaster/src/shelfDesk.ts
@@ -1,5 +1,5 @@
-import { LifePairs, pause } from '@martenworks/envelope';
-import type { BackEnds, Clock, KeptNews, Log, MissedNews, Random, ShelfNews } from '@martenworks/envelope';
+import { LifePairs, pause } from '@martenworks/core-types';
+import type { BackEnds, Clock, KeptNews, Log, MissedNews, Random, ShelfNews } from '@martenworks/core-types';
 
 const leastTokens = 256;
 const holdMs = 1_000;
--- a/packages/postmaster/src/sideDesk.ts
+++ b/packages/postmaster/src/sideDesk.ts
@@ -1,4 +1,4 @@
-import type { Clock, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/envelope';
+import type { Clock, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/core-types';
 import type { ReplicaTable } from './replicaTable.js';
 
 export class SideDesk {
--- a/packages/postmaster/src/wayDesk.ts
+++ b/packages/postmaster/src/wayDesk.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { digests } from '@martenworks/envelope';
-import type { Agreed, Change, ChangeBody, OperatorEdit, WaysInForce } from '@martenworks/envelope';
+import { digests } from '@martenworks/core-types';
+import type { Agreed, Change, ChangeBody, OperatorEdit, WaysInForce } from '@martenworks/core-types';
 import { books } from '@martenworks/waybill';
 import type { BookFault } from '@martenworks/waybill';
 import type { Applied, ProposeFault, Proposer } from './proposer.js';
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Repeating } from '@martenworks/envelope';
+import { Repeating } from '@martenworks/core-types';
 import type {
   Agreed,
   BackEnds,
@@ -16,7 +16,7 @@
   ShelfNews,
   StateHeld,
   Subscription,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
 import { coaches, hellos } from '@martenworks/mailcoach';
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -8,7 +8,7 @@
   StateNews,
   Subscription,
   WaysInForce,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import type { Coach } from '@martenworks/mailcoach';
 import { patches } from '@martenworks/waybill';
 import type { Decrees } from './decrees.js';
--- a/packages/postmaster/src/weightsDesk.ts
+++ b/packages/postmaster/src/weightsDesk.ts
@@ -1,5 +1,5 @@
-import { pause } from '@martenworks/envelope';
-import type { BackEnds, Clock, Log, ReplicaCard, WeightsNews } from '@martenworks/envelope';
+import { pause } from '@martenworks/core-types';
+import type { BackEnds, Clock, Log, ReplicaCard, WeightsNews } from '@martenworks/core-types';
 
 const noticeMs = 70;
 const firstLookMs = 300;
--- a/packages/postmaster/test/since.test.ts
+++ b/packages/postmaster/test/since.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
-import { agreed } from '@martenworks/envelope';
-import type { Change } from '@martenworks/envelope';
+import { agreed } from '@martenworks/core-types';
+import type { Change } from '@martenworks/core-types';
 import { decreeBooks } from '@martenworks/postmaster';
 import type { Decrees } from '@martenworks/postmaster';
 
--- a/packages/postmaster/test/staleIndex.test.ts
+++ b/packages/postmaster/test/staleIndex.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { err, ok } from 'neverthrow';
-import type { BackEnds, KeptNews, KeptPage, ShelfNews } from '@martenworks/envelope';
+import type { BackEnds, KeptNews, KeptPage, ShelfNews } from '@martenworks/core-types';
 import { ShelfDesk } from '@martenworks/postmaster';
 import { SimWorld } from '@martenworks/proving';
 
--- a/packages/postrider/src/door.ts
+++ b/packages/postrider/src/door.ts
@@ -1,8 +1,8 @@
 import { createAdaptorServer } from '@hono/node-server';
 import type { Server } from 'node:http';
 import { err, ok } from 'neverthrow';
-import { addresses } from '@martenworks/envelope';
-import type { Door } from '@martenworks/envelope';
+import { addresses } from '@martenworks/core-types';
+import type { Door } from '@martenworks/core-types';
 
 const keepAliveMs = 65_000;
 
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -1,4 +1,4 @@
-import type { Member, ReplicaRecord } from '@martenworks/envelope';
+import type { Member, ReplicaRecord } from '@martenworks/core-types';
 import { coaches } from '@martenworks/mailcoach';
 import type { Handlers } from '@martenworks/mailcoach';
 import type { Pigeonhole } from '@martenworks/pigeonhole';
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -1,5 +1,5 @@
-import { logs, machine } from '@martenworks/envelope';
-import type { KvNews, Loads, Pong, ReplicaRecord, StateNews } from '@martenworks/envelope';
+import { logs, machine } from '@martenworks/core-types';
+import type { KvNews, Loads, Pong, ReplicaRecord, StateNews } from '@martenworks/core-types';
 import { Book, Tracks } from '@martenworks/counter';
 import { coaches } from '@martenworks/mailcoach';
 import type { Coach } from '@martenworks/mailcoach';
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -1,6 +1,6 @@
 import { ok } from 'neverthrow';
 import { Book } from '@martenworks/counter';
-import { logs, machine } from '@martenworks/envelope';
+import { logs, machine } from '@martenworks/core-types';
 import type {
   Carriage,
   Change,
@@ -10,7 +10,7 @@
   Member,
   Ports,
   ReplicaRecord,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import { Unpacker, coaches, frames } from '@martenworks/mailcoach';
 import type { Coach, Handlers } from '@martenworks/mailcoach';
 import { Pigeonhole, place } from '@martenworks/pigeonhole';
--- a/packages/proving/src/capacity/rig.ts
+++ b/packages/proving/src/capacity/rig.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { agreed as agreedState, logs, machine } from '@martenworks/envelope';
+import { agreed as agreedState, logs, machine } from '@martenworks/core-types';
 import type {
   Agreed,
   Disk,
@@ -17,7 +17,7 @@
   ReplicaRecord,
   Tenant,
   Wire,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import type { Hello } from '@martenworks/mailcoach';
 
 export const poolCount = 10;
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -1,5 +1,5 @@
 import { ok } from 'neverthrow';
-import { logs, machine } from '@martenworks/envelope';
+import { logs, machine } from '@martenworks/core-types';
 import type {
   BackEnds,
   Change,
@@ -10,7 +10,7 @@
   ReplicaCard,
   ShelfNews,
   WayBook,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import { Unpacker, frames } from '@martenworks/mailcoach';
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/postmaster';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
--- a/packages/proving/src/localFleet.ts
+++ b/packages/proving/src/localFleet.ts
@@ -12,7 +12,7 @@
 import type { Life } from './sim/judge.js';
 import type { StandInEnv } from './standIn.js';
 import type { StandInSeat } from './standInsCommand.js';
-import { addresses } from '@martenworks/envelope';
+import { addresses } from '@martenworks/core-types';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const program = join(dirname(createRequire(import.meta.url).resolve('@martenworks/postrider')), 'postrider.js');
--- a/packages/proving/src/relay.ts
+++ b/packages/proving/src/relay.ts
@@ -1,6 +1,6 @@
 import { createConnection, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { addresses } from '@martenworks/envelope';
+import { addresses } from '@martenworks/core-types';
 
 const lookMs = 20;
 
--- a/packages/proving/src/sim/judge.ts
+++ b/packages/proving/src/sim/judge.ts
@@ -3,7 +3,7 @@
 import type { Ask, Kind } from '../firms.js';
 import { speech } from '../standIn.js';
 import type { Breach, Run, Visit } from '../standIn.js';
-import type { Carriage } from '@martenworks/envelope';
+import type { Carriage } from '@martenworks/core-types';
 
 export interface Call {
   readonly requestId: string;
--- a/packages/proving/src/sim/simDisk.ts
+++ b/packages/proving/src/sim/simDisk.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Disk, DiskFault, DiskFile } from '@martenworks/envelope';
+import type { Disk, DiskFault, DiskFile } from '@martenworks/core-types';
 
 interface Held {
   safe: Uint8Array;
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -2,7 +2,7 @@
 import type { Counter } from '@martenworks/counter';
 import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
 import type { Postmaster } from '@martenworks/postmaster';
-import type { Carriage, Ports } from '@martenworks/envelope';
+import type { Carriage, Ports } from '@martenworks/core-types';
 import type { Env, Role } from '@martenworks/franking';
 import { envs } from '@martenworks/franking';
 import { keyOf, plans } from '../firms.js';
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -13,8 +13,8 @@
   Random,
   WebHandler,
   Wire,
-} from '@martenworks/envelope';
-import { logs } from '@martenworks/envelope';
+} from '@martenworks/core-types';
+import { logs } from '@martenworks/core-types';
 import { seeded } from '../firms.js';
 import { SimDisk } from './simDisk.js';
 
--- a/packages/proving/src/standIn.ts
+++ b/packages/proving/src/standIn.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { Hono } from 'hono';
-import { pause, prompts } from '@martenworks/envelope';
-import type { Carriage, Clock } from '@martenworks/envelope';
+import { pause, prompts } from '@martenworks/core-types';
+import type { Carriage, Clock } from '@martenworks/core-types';
 
 export interface StandInEnv {
   readonly name: string;
--- a/packages/proving/src/standInsCommand.ts
+++ b/packages/proving/src/standInsCommand.ts
@@ -1,6 +1,6 @@
 import { carriages } from '@martenworks/courier';
-import { machine } from '@martenworks/envelope';
-import type { Clock, WebHandler } from '@martenworks/envelope';
+import { machine } from '@martenworks/core-types';
+import type { Clock, WebHandler } from '@martenworks/core-types';
 import { realDoor } from '@martenworks/postrider';
 import { StandIn } from './standIn.js';
 import type { StandInEnv } from './standIn.js';
--- a/packages/proving/test/judge.test.ts
+++ b/packages/proving/test/judge.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { err, ok } from 'neverthrow';
 import type { Counter } from '@martenworks/counter';
-import type { Carriage, Disk, Ports } from '@martenworks/envelope';
+import type { Carriage, Disk, Ports } from '@martenworks/core-types';
 import { Storm } from '@martenworks/proving';
 import type { FaultKind, StormPlan } from '@martenworks/proving';
 
--- a/packages/roundsman/src/lease.ts
+++ b/packages/roundsman/src/lease.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Clock } from '@martenworks/envelope';
+import type { Clock } from '@martenworks/core-types';
 
 export const leaseMs = 3_000;
 const marginMs = 600;
--- a/packages/roundsman/src/lines.ts
+++ b/packages/roundsman/src/lines.ts
@@ -1,5 +1,5 @@
-import { Repeating, pause } from '@martenworks/envelope';
-import type { Ports } from '@martenworks/envelope';
+import { Repeating, pause } from '@martenworks/core-types';
+import type { Ports } from '@martenworks/core-types';
 import { coaches } from '@martenworks/mailcoach';
 import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
 import type { Roster, RosterEntry } from './roster.js';
--- a/packages/roundsman/src/roster.ts
+++ b/packages/roundsman/src/roster.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@martenworks/envelope';
+import type { Clock } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/mailcoach';
 
 export interface RosterEntry {
--- a/packages/roundsman/src/rounds.ts
+++ b/packages/roundsman/src/rounds.ts
@@ -1,5 +1,5 @@
-import { Repeating } from '@martenworks/envelope';
-import type { Ports } from '@martenworks/envelope';
+import { Repeating } from '@martenworks/core-types';
+import type { Ports } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/mailcoach';
 import type { Lines } from './lines.js';
 import type { RingNode } from './ring.js';
--- a/packages/roundsman/src/watch.ts
+++ b/packages/roundsman/src/watch.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@martenworks/envelope';
+import type { Clock } from '@martenworks/core-types';
 import type { RingNode } from './ring.js';
 import { ring } from './ring.js';
 
--- a/packages/throughpost/src/callDoor.ts
+++ b/packages/throughpost/src/callDoor.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { addresses } from '@martenworks/envelope';
-import type { CallerLimits, NetFault } from '@martenworks/envelope';
+import { addresses } from '@martenworks/core-types';
+import type { CallerLimits, NetFault } from '@martenworks/core-types';
 import type { BodyFault, Call, Reply } from './call.js';
 
 const largestHeaderBytes = 128 * 1024;
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -1,4 +1,4 @@
-import { Repeating } from '@martenworks/envelope';
+import { Repeating } from '@martenworks/core-types';
 import type {
   CardsNews,
   FrontPong,
@@ -10,7 +10,7 @@
   StateNews,
   WayBook,
   WeightsNews,
-} from '@martenworks/envelope';
+} from '@martenworks/core-types';
 import { patches } from '@martenworks/waybill';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/mailcoach';
--- a/packages/throughpost/src/extraBudget.ts
+++ b/packages/throughpost/src/extraBudget.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@martenworks/envelope';
+import type { Clock } from '@martenworks/core-types';
 
 /** The fleet's bound: in any window, further shots at a pool are at most `ratio` of its requests plus `slack`, over all fronts together. */
 export interface ExtraTerms {
--- a/packages/throughpost/src/front.ts
+++ b/packages/throughpost/src/front.ts
@@ -1,6 +1,14 @@
 import type { Result } from 'neverthrow';
-import { Repeating, keys } from '@martenworks/envelope';
-import type { Customer, MissedNews, NetFault, Ports, ReadingNews, StateNews, ThroughWire } from '@martenworks/envelope';
+import { Repeating, keys } from '@martenworks/core-types';
+import type {
+  Customer,
+  MissedNews,
+  NetFault,
+  Ports,
+  ReadingNews,
+  StateNews,
+  ThroughWire,
+} from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/franking';
 import { BookDoor } from '@martenworks/waybill';
 import type { BookView, WayView } from '@martenworks/waybill';
--- a/packages/throughpost/src/passage.ts
+++ b/packages/throughpost/src/passage.ts
@@ -1,4 +1,11 @@
-import type { CallerOrder, CarriageReceipt, Customer, NetFault, ReadingNews, ReceiptHead } from '@martenworks/envelope';
+import type {
+  CallerOrder,
+  CarriageReceipt,
+  Customer,
+  NetFault,
+  ReadingNews,
+  ReceiptHead,
+} from '@martenworks/core-types';
 import type { Result } from 'neverthrow';
 import { shares } from '@martenworks/waybill';
 import type { WayView } from '@martenworks/waybill';
--- a/packages/throughpost/src/replicaTracks.ts
+++ b/packages/throughpost/src/replicaTracks.ts
@@ -1,4 +1,4 @@
-import type { CardsNews, Clock, ReadingNews, ReplicaCard, WeightsNews } from '@martenworks/envelope';
+import type { CardsNews, Clock, ReadingNews, ReplicaCard, WeightsNews } from '@martenworks/core-types';
 
 const firstSuspicionMs = 400;
 const longestSuspicionMs = 4_000;
--- a/packages/throughpost/src/shelfBook.ts
+++ b/packages/throughpost/src/shelfBook.ts
@@ -1,5 +1,5 @@
-import { LifePairs } from '@martenworks/envelope';
-import type { Clock, ShelfNews } from '@martenworks/envelope';
+import { LifePairs } from '@martenworks/core-types';
+import type { Clock, ShelfNews } from '@martenworks/core-types';
 
 const trustOwnMs = 3_000;
 const readingMs = 2_500;
--- a/packages/throughpost/src/staleWatch.ts
+++ b/packages/throughpost/src/staleWatch.ts
@@ -1,4 +1,4 @@
-import type { Clock, MissedNews } from '@martenworks/envelope';
+import type { Clock, MissedNews } from '@martenworks/core-types';
 
 const missingShare = 0.6;
 const foundShare = 0.4;
--- a/packages/throughpost/src/wayPlacing.ts
+++ b/packages/throughpost/src/wayPlacing.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { CallerOrder, Clock, Customer, Part, WayStore } from '@martenworks/envelope';
+import type { CallerOrder, Clock, Customer, Part, WayStore } from '@martenworks/core-types';
 import { salts } from '@martenworks/waybill';
 import type { BookView } from '@martenworks/waybill';
 import type { ReplicaTracks, Track } from './replicaTracks.js';
--- a/packages/throughpost/src/webCall.ts
+++ b/packages/throughpost/src/webCall.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { WebHandler } from '@martenworks/envelope';
+import type { WebHandler } from '@martenworks/core-types';
 import type { BodyFault, Call, Reply } from './call.js';
 
 const bodiless = new Set([101, 103, 204, 205, 304]);
--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/throughpost/test/parts.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
-import type { CallerOrder, Customer, ReplicaCard, WayBook } from '@martenworks/envelope';
+import type { CallerOrder, Customer, ReplicaCard, WayBook } from '@martenworks/core-types';
 import { BookDoor } from '@martenworks/waybill';
 import { EventCutter, ExtraBudget, ReplicaTracks, ShelfBook, WayPlacing, headerLists } from '@martenworks/throughpost';
 
--- a/packages/throughpost/test/staleIndex.test.ts
+++ b/packages/throughpost/test/staleIndex.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
-import type { ShelfNews } from '@martenworks/envelope';
+import type { ShelfNews } from '@martenworks/core-types';
 import { ReplicaTracks, ShelfBook, StaleWatch, answerTimings } from '@martenworks/throughpost';
 import type { AnswerTiming } from '@martenworks/throughpost';
 
--- a/packages/waybill/src/books.ts
+++ b/packages/waybill/src/books.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { WayBook } from '@martenworks/envelope';
+import type { WayBook } from '@martenworks/core-types';
 
 export interface BookFault {
   readonly path: string;
--- a/packages/waybill/src/match.ts
+++ b/packages/waybill/src/match.ts
@@ -1,5 +1,5 @@
-import { DenseIndex } from '@martenworks/envelope';
-import type { Customer, Way, WayBook, WayPool } from '@martenworks/envelope';
+import { DenseIndex } from '@martenworks/core-types';
+import type { Customer, Way, WayBook, WayPool } from '@martenworks/core-types';
 
 export interface WayView {
   readonly index: number;
--- a/packages/waybill/src/patches.ts
+++ b/packages/waybill/src/patches.ts
@@ -1,4 +1,4 @@
-import type { BookPatch, Way, WayBook } from '@martenworks/envelope';
+import type { BookPatch, Way, WayBook } from '@martenworks/core-types';
 
 const byName = (ways: readonly Way[]): Map<string, Way> => new Map(ways.map((way) => [way.name, way]));
 
--- a/packages/waybill/test/books.test.ts
+++ b/packages/waybill/test/books.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { Way, WayBook } from '@martenworks/envelope';
+import type { Way, WayBook } from '@martenworks/core-types';
 import { BookDoor, books, patches, salts, shares } from '@martenworks/waybill';
 
 const way = (more: Partial<Way> = {}): Way => ({
