Rename package mailcoach to peer-transport

Cause: the package was called by a house word; newcomers look for the field's name. The tree and its tests compile.

--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -1,7 +1,7 @@
 import { claimBallots, pause } from '@martenworks/core-types';
 import type { Claimant, ClaimAccepted, ClaimBallot, ClaimVote, Member, Ports } from '@martenworks/core-types';
-import { coaches } from '@martenworks/mailcoach';
-import type { Hello } from '@martenworks/mailcoach';
+import { coaches } from '@martenworks/peer-transport';
+import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/roundsman';
 
 const votePatienceMs = 1_000;
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -16,8 +16,8 @@
   SideStanding,
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
-import { coaches, hellos } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { coaches, hellos } from '@martenworks/peer-transport';
+import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Lines, Roster, Rounds } from '@martenworks/roundsman';
 import type { RosterEntry } from '@martenworks/roundsman';
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -1,6 +1,6 @@
 import { agreed as agreedState } from '@martenworks/core-types';
 import type { Log, Member } from '@martenworks/core-types';
-import type { Coach, Hello } from '@martenworks/mailcoach';
+import type { Coach, Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/roundsman';
 import type { Decrees, Since } from './decrees.js';
 
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -16,8 +16,8 @@
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
-import { coaches, hellos } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { coaches, hellos } from '@martenworks/peer-transport';
+import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/roundsman';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/roundsman';
--- a/packages/postmaster/src/pushDesk.ts
+++ b/packages/postmaster/src/pushDesk.ts
@@ -1,5 +1,5 @@
 import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/core-types';
-import type { Coach } from '@martenworks/mailcoach';
+import type { Coach } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import type { Decrees, Settled } from './decrees.js';
 
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -19,8 +19,8 @@
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/franking';
 import type { LedgerFault } from '@martenworks/ledger';
-import { coaches, hellos } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { coaches, hellos } from '@martenworks/peer-transport';
+import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import { Duties, Lines, Roster } from '@martenworks/roundsman';
 import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/roundsman';
 import { CardReader } from './cardReader.js';
--- a/packages/postmaster/src/wayPush.ts
+++ b/packages/postmaster/src/wayPush.ts
@@ -9,7 +9,7 @@
   Subscription,
   WaysInForce,
 } from '@martenworks/core-types';
-import type { Coach } from '@martenworks/mailcoach';
+import type { Coach } from '@martenworks/peer-transport';
 import { patches } from '@martenworks/waybill';
 import type { Decrees } from './decrees.js';
 
--- a/packages/postmaster/test/upkeep.test.ts
+++ b/packages/postmaster/test/upkeep.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { ledgers } from '@martenworks/ledger';
 import { decreeBooks } from '@martenworks/postmaster';
-import { wireRelease } from '@martenworks/mailcoach';
+import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
 import type { SimDisk } from '@martenworks/proving';
 
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -1,6 +1,6 @@
 import type { Member, ReplicaRecord } from '@martenworks/core-types';
-import { coaches } from '@martenworks/mailcoach';
-import type { Handlers } from '@martenworks/mailcoach';
+import { coaches } from '@martenworks/peer-transport';
+import type { Handlers } from '@martenworks/peer-transport';
 import type { Pigeonhole } from '@martenworks/pigeonhole';
 import { PushDesk, decreeBooks } from '@martenworks/postmaster';
 import type { Decrees } from '@martenworks/postmaster';
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -1,8 +1,8 @@
 import { logs, machine } from '@martenworks/core-types';
 import type { KvNews, Loads, Pong, ReplicaRecord, StateNews } from '@martenworks/core-types';
 import { Book, Tracks } from '@martenworks/counter';
-import { coaches } from '@martenworks/mailcoach';
-import type { Coach } from '@martenworks/mailcoach';
+import { coaches } from '@martenworks/peer-transport';
+import type { Coach } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
 import { Meter, rig } from './rig.js';
 import type { Order } from './rig.js';
--- a/packages/proving/src/capacity/model.ts
+++ b/packages/proving/src/capacity/model.ts
@@ -1,4 +1,4 @@
-import { frameLimit } from '@martenworks/mailcoach';
+import { frameLimit } from '@martenworks/peer-transport';
 import { fits } from './fit.js';
 import { runningPerFront, size } from './size.js';
 import { tables } from './table.js';
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -11,8 +11,8 @@
   Ports,
   ReplicaRecord,
 } from '@martenworks/core-types';
-import { Unpacker, coaches, frames } from '@martenworks/mailcoach';
-import type { Coach, Handlers } from '@martenworks/mailcoach';
+import { Unpacker, coaches, frames } from '@martenworks/peer-transport';
+import type { Coach, Handlers } from '@martenworks/peer-transport';
 import { Pigeonhole, place } from '@martenworks/pigeonhole';
 import { KvDesk, Proposer, claimTables, decreeBooks, leaseBooks, replicaTables } from '@martenworks/postmaster';
 import type { Ballot, Decrees, Settled, Since, Vote } from '@martenworks/postmaster';
--- a/packages/proving/src/capacity/rig.ts
+++ b/packages/proving/src/capacity/rig.ts
@@ -18,7 +18,7 @@
   Tenant,
   Wire,
 } from '@martenworks/core-types';
-import type { Hello } from '@martenworks/mailcoach';
+import type { Hello } from '@martenworks/peer-transport';
 
 export const poolCount = 10;
 export const isolatedShare = 0.01;
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -11,7 +11,7 @@
   ShelfNews,
   WayBook,
 } from '@martenworks/core-types';
-import { Unpacker, frames } from '@martenworks/mailcoach';
+import { Unpacker, frames } from '@martenworks/peer-transport';
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/postmaster';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
 import type { WayQuestion } from '@martenworks/throughpost';
--- a/packages/roundsman/src/lines.ts
+++ b/packages/roundsman/src/lines.ts
@@ -1,7 +1,7 @@
 import { Repeating, pause } from '@martenworks/core-types';
 import type { Ports } from '@martenworks/core-types';
-import { coaches } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { coaches } from '@martenworks/peer-transport';
+import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { Roster, RosterEntry } from './roster.js';
 
 const firstWaitMs = 50;
--- a/packages/roundsman/src/roster.ts
+++ b/packages/roundsman/src/roster.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@martenworks/core-types';
-import type { Hello } from '@martenworks/mailcoach';
+import type { Hello } from '@martenworks/peer-transport';
 
 export interface RosterEntry {
   readonly hello: Hello;
--- a/packages/roundsman/src/rounds.ts
+++ b/packages/roundsman/src/rounds.ts
@@ -1,6 +1,6 @@
 import { Repeating } from '@martenworks/core-types';
 import type { Ports } from '@martenworks/core-types';
-import type { Hello } from '@martenworks/mailcoach';
+import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from './lines.js';
 import type { RingNode } from './ring.js';
 import type { Roster } from './roster.js';
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -13,8 +13,8 @@
 } from '@martenworks/core-types';
 import { patches } from '@martenworks/waybill';
 import type { WayEnv } from '@martenworks/franking';
-import { hellos } from '@martenworks/mailcoach';
-import type { Coach, Handlers, Hello } from '@martenworks/mailcoach';
+import { hellos } from '@martenworks/peer-transport';
+import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import { Lines, Roster } from '@martenworks/roundsman';
 import type { RosterEntry } from '@martenworks/roundsman';
 
