--- a/packages/postmaster/src/claims.ts
+++ b/packages/postmaster/src/claims.ts
@@ -11,8 +11,8 @@
   Disk,
   Log,
 } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/ledger';
-import type { Ledger, LedgerFault } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
+import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
 
 const pageSize = 4_000;
 const empty: ClaimState = { turn: 0, promised: null, accepted: null };
--- a/packages/postmaster/src/decrees.ts
+++ b/packages/postmaster/src/decrees.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'neverthrow';
 import { Owner, agreed as agreedState } from '@martenworks/core-types';
 import type { Agreed, Change, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/ledger';
-import type { Ledger, LedgerFault } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
+import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
 
 export type Ballot = readonly [number, string];
 
--- a/packages/postmaster/src/leases.ts
+++ b/packages/postmaster/src/leases.ts
@@ -1,8 +1,8 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, Disk, Log } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/ledger';
-import type { Ledger, LedgerFault } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
+import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
 import { LeaseBook } from '@martenworks/roundsman';
 import type { LeaseTerms } from '@martenworks/roundsman';
 
--- a/packages/postmaster/src/postmaster.ts
+++ b/packages/postmaster/src/postmaster.ts
@@ -15,7 +15,7 @@
   SideClaim,
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/franking';
-import type { LedgerFault } from '@martenworks/ledger';
+import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
--- a/packages/postmaster/src/recovery.ts
+++ b/packages/postmaster/src/recovery.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
-import type { LedgerFault } from '@martenworks/ledger';
+import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { decreeBooks } from './decrees.js';
 
 const generationLeap = 1_000;
--- a/packages/postmaster/src/replicaTable.ts
+++ b/packages/postmaster/src/replicaTable.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'neverthrow';
 import { Owner, replicas } from '@martenworks/core-types';
 import type { Disk, Log, ReplicaRecord } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/ledger';
-import type { Ledger, LedgerFault } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
+import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
 
 const segmentsBeforeCheckpoint = 4;
 
--- a/packages/postmaster/src/wayPostmaster.ts
+++ b/packages/postmaster/src/wayPostmaster.ts
@@ -18,7 +18,7 @@
   Subscription,
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/franking';
-import type { LedgerFault } from '@martenworks/ledger';
+import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import { Duties, Lines, Roster } from '@martenworks/roundsman';
--- a/packages/postmaster/test/upkeep.test.ts
+++ b/packages/postmaster/test/upkeep.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { ledgers } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
 import { decreeBooks } from '@martenworks/postmaster';
 import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
--- a/packages/ledger/test/ledger.test.ts
+++ b/packages/write-ahead-log/test/ledger.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { ledgers } from '@martenworks/ledger';
-import type { Opened } from '@martenworks/ledger';
+import { ledgers } from '@martenworks/write-ahead-log';
+import type { Opened } from '@martenworks/write-ahead-log';
 import { SimDisk } from '@martenworks/proving';
 
 const live = (): boolean => true;
