--- a/packages/roundsman/test/leaseTerms.test.ts
+++ b/packages/cluster-membership/test/leaseTerms.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
-import { Duties, LeaseBook } from '@martenworks/roundsman';
-import type { LeaseAsk, LeaseReply, LeaseTerms } from '@martenworks/roundsman';
+import { Duties, LeaseBook } from '@martenworks/cluster-membership';
+import type { LeaseAsk, LeaseReply, LeaseTerms } from '@martenworks/cluster-membership';
 
 const office = (gapMs: number) => {
   const world = new SimWorld(11);
--- a/packages/roundsman/test/rounds.test.ts
+++ b/packages/cluster-membership/test/rounds.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { LeaseBook, ring } from '@martenworks/roundsman';
+import { LeaseBook, ring } from '@martenworks/cluster-membership';
 import { Judge, SimFleet, SimWorld } from '@martenworks/proving';
 
 const kvHolders = (fleet: SimFleet, replica: string): number[] =>
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -2,7 +2,7 @@
 import type { Claimant, ClaimAccepted, ClaimBallot, ClaimVote, Member, Ports } from '@martenworks/core-types';
 import { coaches } from '@martenworks/peer-transport';
 import type { Hello } from '@martenworks/peer-transport';
-import type { Lines } from '@martenworks/roundsman';
+import type { Lines } from '@martenworks/cluster-membership';
 
 const votePatienceMs = 1_000;
 const askPatienceMs = 700;
--- a/packages/postmaster/src/founding.ts
+++ b/packages/postmaster/src/founding.ts
@@ -1,7 +1,7 @@
 import { agreed as agreedState } from '@martenworks/core-types';
 import type { Log, Member } from '@martenworks/core-types';
 import type { Coach, Hello } from '@martenworks/peer-transport';
-import type { Lines } from '@martenworks/roundsman';
+import type { Lines } from '@martenworks/cluster-membership';
 import type { Decrees, Since } from './decrees.js';
 
 export interface Standing {
--- a/packages/postmaster/src/kvDesk.ts
+++ b/packages/postmaster/src/kvDesk.ts
@@ -4,7 +4,7 @@
 import type { Follower } from '@martenworks/courier';
 import { Pigeonhole } from '@martenworks/pigeonhole';
 import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
-import { FenceGate } from '@martenworks/roundsman';
+import { FenceGate } from '@martenworks/cluster-membership';
 
 const bundleMs = 20;
 const ageLimitMs = 3_600_000;
--- a/packages/postmaster/src/leases.ts
+++ b/packages/postmaster/src/leases.ts
@@ -3,8 +3,8 @@
 import type { Clock, Disk, Log } from '@martenworks/core-types';
 import { ledgers } from '@martenworks/write-ahead-log';
 import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
-import { LeaseBook } from '@martenworks/roundsman';
-import type { LeaseTerms } from '@martenworks/roundsman';
+import { LeaseBook } from '@martenworks/cluster-membership';
+import type { LeaseTerms } from '@martenworks/cluster-membership';
 
 const segmentsBeforeCheckpoint = 4;
 
--- a/packages/postmaster/src/membership.ts
+++ b/packages/postmaster/src/membership.ts
@@ -2,7 +2,7 @@
 import type { Clock, Log, Member } from '@martenworks/core-types';
 import { digests } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/peer-transport';
-import type { Lines } from '@martenworks/roundsman';
+import type { Lines } from '@martenworks/cluster-membership';
 import type { Decrees } from './decrees.js';
 import type { Standing } from './founding.js';
 import type { Proposer } from './proposer.js';
--- a/packages/postmaster/src/replicaDesk.ts
+++ b/packages/postmaster/src/replicaDesk.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { ClaimPage, ReplicaRecord } from '@martenworks/core-types';
-import type { Lines } from '@martenworks/roundsman';
+import type { Lines } from '@martenworks/cluster-membership';
 import type { ClaimTable } from './claims.js';
 import type { Decrees } from './decrees.js';
 import type { ReplicaTable } from './replicaTable.js';
--- a/packages/throughpost/src/coreTouch.ts
+++ b/packages/throughpost/src/coreTouch.ts
@@ -15,8 +15,8 @@
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
-import { Lines, Roster } from '@martenworks/roundsman';
-import type { RosterEntry } from '@martenworks/roundsman';
+import { Lines, Roster } from '@martenworks/cluster-membership';
+import type { RosterEntry } from '@martenworks/cluster-membership';
 
 const pingMs = 500;
 const pingPatienceMs = 900;
