--- a/packages/postmaster/test/control.test.ts
+++ b/packages/control-plane/test/control.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { recovery } from '@martenworks/postmaster';
+import { recovery } from '@martenworks/control-plane';
 import { Judge, keyOf, plans, SimFleet } from '@martenworks/proving';
 import type { Told } from '@martenworks/proving';
 
--- a/packages/postmaster/test/since.test.ts
+++ b/packages/control-plane/test/since.test.ts
@@ -2,8 +2,8 @@
 import { SimWorld } from '@martenworks/proving';
 import { agreed } from '@martenworks/core-types';
 import type { Change } from '@martenworks/core-types';
-import { decreeBooks } from '@martenworks/postmaster';
-import type { Decrees } from '@martenworks/postmaster';
+import { decreeBooks } from '@martenworks/control-plane';
+import type { Decrees } from '@martenworks/control-plane';
 
 const bookOf = async (world: SimWorld, host: string): Promise<Decrees> => {
   const { disk, clock, random, log } = world.machine(host).ports();
--- a/packages/postmaster/test/staleIndex.test.ts
+++ b/packages/control-plane/test/staleIndex.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { err, ok } from 'neverthrow';
 import type { BackEnds, KeptNews, KeptPage, ShelfNews } from '@martenworks/core-types';
-import { ShelfDesk } from '@martenworks/postmaster';
+import { ShelfDesk } from '@martenworks/control-plane';
 import { SimWorld } from '@martenworks/proving';
 
 const address = '10.2.0.1:8080';
--- a/packages/postmaster/test/upkeep.test.ts
+++ b/packages/control-plane/test/upkeep.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { ledgers } from '@martenworks/write-ahead-log';
-import { decreeBooks } from '@martenworks/postmaster';
+import { decreeBooks } from '@martenworks/control-plane';
 import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
 import type { SimDisk } from '@martenworks/proving';
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -6,7 +6,7 @@
 import type { Listener, Log, Ports, WebHandler } from '@martenworks/core-types';
 import { envs, layouts } from '@martenworks/franking';
 import type { Complaint, Env, Role } from '@martenworks/franking';
-import { operatorWire, platformWire, postmasters, recovery } from '@martenworks/postmaster';
+import { operatorWire, platformWire, postmasters, recovery } from '@martenworks/control-plane';
 import { realDoor } from './door.js';
 import { flags, readJson } from './flags.js';
 import { watchVitals } from './vitals.js';
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -2,8 +2,8 @@
 import { coaches } from '@martenworks/peer-transport';
 import type { Handlers } from '@martenworks/peer-transport';
 import type { Pigeonhole } from '@martenworks/pigeonhole';
-import { PushDesk, decreeBooks } from '@martenworks/postmaster';
-import type { Decrees } from '@martenworks/postmaster';
+import { PushDesk, decreeBooks } from '@martenworks/control-plane';
+import type { Decrees } from '@martenworks/control-plane';
 import { HollowPeers, Meter, rig } from './rig.js';
 
 export interface Core {
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -14,8 +14,8 @@
 import { Unpacker, coaches, frames } from '@martenworks/peer-transport';
 import type { Coach, Handlers } from '@martenworks/peer-transport';
 import { Pigeonhole, place } from '@martenworks/pigeonhole';
-import { KvDesk, Proposer, claimTables, decreeBooks, leaseBooks, replicaTables } from '@martenworks/postmaster';
-import type { Ballot, Decrees, Settled, Since, Vote } from '@martenworks/postmaster';
+import { KvDesk, Proposer, claimTables, decreeBooks, leaseBooks, replicaTables } from '@martenworks/control-plane';
+import type { Ballot, Decrees, Settled, Since, Vote } from '@martenworks/control-plane';
 import { Duties, Roster, Watch, ring } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import { asMember, openCore, withPeers } from './core.js';
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -12,7 +12,7 @@
   WayBook,
 } from '@martenworks/core-types';
 import { Unpacker, frames } from '@martenworks/peer-transport';
-import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/postmaster';
+import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/control-plane';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
 import type { WayQuestion } from '@martenworks/throughpost';
 import { BookDoor, salts } from '@martenworks/waybill';
--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -1,7 +1,7 @@
 import { callerWire, counters, operatorPages } from '@martenworks/counter';
 import type { Counter } from '@martenworks/counter';
-import { operatorWire, platformWire, postmasters } from '@martenworks/postmaster';
-import type { Postmaster } from '@martenworks/postmaster';
+import { operatorWire, platformWire, postmasters } from '@martenworks/control-plane';
+import type { Postmaster } from '@martenworks/control-plane';
 import type { Carriage, Ports } from '@martenworks/core-types';
 import type { Env, Role } from '@martenworks/franking';
 import { envs } from '@martenworks/franking';
