Rename package throughpost to edge-proxy

Cause: the package was called by a house word; newcomers look for the field's name. A script renamed folder, imports, references and pages; no behaviour is in this commit. The tree and its tests compile.

--- a/packages/throughpost/test/parts.test.ts
+++ b/packages/edge-proxy/test/parts.test.ts
@@ -2,7 +2,7 @@
 import { SimWorld } from '@martenworks/proving';
 import type { CallerOrder, Customer, ReplicaCard, WayBook } from '@martenworks/core-types';
 import { BookDoor } from '@martenworks/waybill';
-import { EventCutter, ExtraBudget, ReplicaTracks, ShelfBook, WayPlacing, headerLists } from '@martenworks/throughpost';
+import { EventCutter, ExtraBudget, ReplicaTracks, ShelfBook, WayPlacing, headerLists } from '@martenworks/edge-proxy';
 
 const bytes = (text: string): Uint8Array => Buffer.from(text, 'utf8');
 const text = (part: Uint8Array): string => Buffer.from(part).toString('utf8');
--- a/packages/throughpost/test/staleIndex.test.ts
+++ b/packages/edge-proxy/test/staleIndex.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
 import type { ShelfNews } from '@martenworks/core-types';
-import { ReplicaTracks, ShelfBook, StaleWatch, answerTimings } from '@martenworks/throughpost';
-import type { AnswerTiming } from '@martenworks/throughpost';
+import { ReplicaTracks, ShelfBook, StaleWatch, answerTimings } from '@martenworks/edge-proxy';
+import type { AnswerTiming } from '@martenworks/edge-proxy';
 
 const address = '10.2.0.1:8080';
 const [salt, part, tokens] = ['m@1', 'manual', 13_300];
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -13,8 +13,8 @@
 } from '@martenworks/core-types';
 import { Unpacker, frames } from '@martenworks/peer-transport';
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/control-plane';
-import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/throughpost';
-import type { WayQuestion } from '@martenworks/throughpost';
+import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/edge-proxy';
+import type { WayQuestion } from '@martenworks/edge-proxy';
 import { BookDoor, salts } from '@martenworks/waybill';
 import { openCore, withPeers } from './core.js';
 import { poolCount, rig } from './rig.js';
