Rename package waybill to route-table

Cause: the package was called by a house word; newcomers look for the field's name. A script renamed folder, imports, references and pages; no behaviour is in this commit.

--- a/packages/control-plane/src/wayDesk.ts
+++ b/packages/control-plane/src/wayDesk.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'neverthrow';
 import { digests } from '@martenworks/core-types';
 import type { Agreed, Change, ChangeBody, OperatorEdit, WaysInForce } from '@martenworks/core-types';
-import { books } from '@martenworks/waybill';
-import type { BookFault } from '@martenworks/waybill';
+import { books } from '@martenworks/route-table';
+import type { BookFault } from '@martenworks/route-table';
 import type { Applied, ProposeFault, Proposer } from './proposer.js';
 
 const patienceMs = 3_000;
--- a/packages/control-plane/src/wayPush.ts
+++ b/packages/control-plane/src/wayPush.ts
@@ -10,7 +10,7 @@
   WaysInForce,
 } from '@martenworks/core-types';
 import type { Coach } from '@martenworks/peer-transport';
-import { patches } from '@martenworks/waybill';
+import { patches } from '@martenworks/route-table';
 import type { Decrees } from './decrees.js';
 
 const silentMs = 4_000;
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -11,7 +11,7 @@
   WayBook,
   WeightsNews,
 } from '@martenworks/core-types';
-import { patches } from '@martenworks/waybill';
+import { patches } from '@martenworks/route-table';
 import type { WayEnv } from '@martenworks/franking';
 import { hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
--- a/packages/edge-proxy/src/front.ts
+++ b/packages/edge-proxy/src/front.ts
@@ -10,8 +10,8 @@
   ThroughWire,
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/franking';
-import { BookDoor } from '@martenworks/waybill';
-import type { BookView, WayView } from '@martenworks/waybill';
+import { BookDoor } from '@martenworks/route-table';
+import type { BookView, WayView } from '@martenworks/route-table';
 import { headerLists } from './call.js';
 import type { Call } from './call.js';
 import { CallDoor } from './callDoor.js';
--- a/packages/edge-proxy/src/passage.ts
+++ b/packages/edge-proxy/src/passage.ts
@@ -7,8 +7,8 @@
   ReceiptHead,
 } from '@martenworks/core-types';
 import type { Result } from 'neverthrow';
-import { shares } from '@martenworks/waybill';
-import type { WayView } from '@martenworks/waybill';
+import { shares } from '@martenworks/route-table';
+import type { WayView } from '@martenworks/route-table';
 import { headerLists } from './call.js';
 import type { Call, Reply } from './call.js';
 import { EventCutter } from './events.js';
--- a/packages/edge-proxy/src/wayPlacing.ts
+++ b/packages/edge-proxy/src/wayPlacing.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import type { CallerOrder, Clock, Customer, Part, WayStore } from '@martenworks/core-types';
-import { salts } from '@martenworks/waybill';
-import type { BookView } from '@martenworks/waybill';
+import { salts } from '@martenworks/route-table';
+import type { BookView } from '@martenworks/route-table';
 import type { ReplicaTracks, Track } from './replicaTracks.js';
 import type { ShelfBook } from './shelfBook.js';
 import type { KeptClaim } from './staleWatch.js';
--- a/packages/edge-proxy/test/parts.test.ts
+++ b/packages/edge-proxy/test/parts.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { SimWorld } from '@martenworks/proving';
 import type { CallerOrder, Customer, ReplicaCard, WayBook } from '@martenworks/core-types';
-import { BookDoor } from '@martenworks/waybill';
+import { BookDoor } from '@martenworks/route-table';
 import { EventCutter, ExtraBudget, ReplicaTracks, ShelfBook, WayPlacing, headerLists } from '@martenworks/edge-proxy';
 
 const bytes = (text: string): Uint8Array => Buffer.from(text, 'utf8');
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -15,7 +15,7 @@
 import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/control-plane';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/edge-proxy';
 import type { WayQuestion } from '@martenworks/edge-proxy';
-import { BookDoor, salts } from '@martenworks/waybill';
+import { BookDoor, salts } from '@martenworks/route-table';
 import { openCore, withPeers } from './core.js';
 import { poolCount, rig } from './rig.js';
 import { nodeCounts, replicaCounts, series, size, tenantCounts } from './size.js';
--- a/packages/waybill/test/books.test.ts
+++ b/packages/route-table/test/books.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { Way, WayBook } from '@martenworks/core-types';
-import { BookDoor, books, patches, salts, shares } from '@martenworks/waybill';
+import { BookDoor, books, patches, salts, shares } from '@martenworks/route-table';
 
 const way = (more: Partial<Way> = {}): Way => ({
   name: 'w',
