Rename package pigeonhole to prefix-index

Cause: the package was called by a house word; newcomers look for the field's name. A script renamed folder, imports, references and pages; no behaviour is in this commit. The tree and its tests compile.

--- a/packages/control-plane/src/kvDesk.ts
+++ b/packages/control-plane/src/kvDesk.ts
@@ -2,8 +2,8 @@
 import type { KvNews, Ports, ReplicaRecord } from '@martenworks/core-types';
 import { kvFollow } from '@martenworks/courier';
 import type { Follower } from '@martenworks/courier';
-import { Pigeonhole } from '@martenworks/pigeonhole';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import { Pigeonhole } from '@martenworks/prefix-index';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { FenceGate } from '@martenworks/cluster-membership';
 
 const bundleMs = 20;
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -18,7 +18,7 @@
 import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import { decreeBooks } from './decrees.js';
--- a/packages/control-plane/src/pushDesk.ts
+++ b/packages/control-plane/src/pushDesk.ts
@@ -1,6 +1,6 @@
 import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/core-types';
 import type { Coach } from '@martenworks/peer-transport';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import type { Decrees, Settled } from './decrees.js';
 
 const reportAgeMs = 2_000;
--- a/packages/counter/src/book.ts
+++ b/packages/counter/src/book.ts
@@ -1,7 +1,7 @@
 import { agreed as agreedState, replicas } from '@martenworks/core-types';
 import type { Agreed, Change, Clock, KvNews, ReplicaRecord, SideClaim, SideStanding } from '@martenworks/core-types';
-import { Pigeonhole, Quarters } from '@martenworks/pigeonhole';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import { Pigeonhole, Quarters } from '@martenworks/prefix-index';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Door } from './layoutView.js';
 import type { LayoutView } from './layoutView.js';
 
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -18,7 +18,7 @@
 import type { Env } from '@martenworks/franking';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Lines, Roster, Rounds } from '@martenworks/cluster-membership';
 import type { RosterEntry } from '@martenworks/cluster-membership';
 import { Book } from './book.js';
--- a/packages/counter/src/placing.ts
+++ b/packages/counter/src/placing.ts
@@ -1,7 +1,7 @@
 import { prompts } from '@martenworks/core-types';
 import type { Contention, PoolDemands, ReplicaRecord } from '@martenworks/core-types';
-import { place, weigh } from '@martenworks/pigeonhole';
-import type { Placement, PlaceQuestion } from '@martenworks/pigeonhole';
+import { place, weigh } from '@martenworks/prefix-index';
+import type { Placement, PlaceQuestion } from '@martenworks/prefix-index';
 import type { Bench } from './bench.js';
 import type { Denying } from './denying.js';
 import { Parcel, scopes } from './parcel.js';
--- a/packages/counter/src/sending.ts
+++ b/packages/counter/src/sending.ts
@@ -1,7 +1,7 @@
 import type { DenyCode, ReplicaRecord } from '@martenworks/core-types';
 import { backWire } from '@martenworks/courier';
 import type { Piece, ShotFault } from '@martenworks/courier';
-import type { Placement } from '@martenworks/pigeonhole';
+import type { Placement } from '@martenworks/prefix-index';
 import type { Bench } from './bench.js';
 import { ExtraBudget } from './budget.js';
 import type { Denying } from './denying.js';
--- a/packages/pigeonhole/test/holders.test.ts
+++ b/packages/prefix-index/test/holders.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Pigeonhole } from '@martenworks/pigeonhole';
+import { Pigeonhole } from '@martenworks/prefix-index';
 import { Judge, keyOf, kinds, plans, SimFleet } from '@martenworks/proving';
 import type { Ask, Run } from '@martenworks/proving';
 
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -1,7 +1,7 @@
 import type { Member, ReplicaRecord } from '@martenworks/core-types';
 import { coaches } from '@martenworks/peer-transport';
 import type { Handlers } from '@martenworks/peer-transport';
-import type { Pigeonhole } from '@martenworks/pigeonhole';
+import type { Pigeonhole } from '@martenworks/prefix-index';
 import { PushDesk, decreeBooks } from '@martenworks/control-plane';
 import type { Decrees } from '@martenworks/control-plane';
 import { HollowPeers, Meter, rig } from './rig.js';
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -3,7 +3,7 @@
 import { Book, Tracks } from '@martenworks/counter';
 import { coaches } from '@martenworks/peer-transport';
 import type { Coach } from '@martenworks/peer-transport';
-import type { ShelfCheckpoint } from '@martenworks/pigeonhole';
+import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Meter, rig } from './rig.js';
 import type { Order } from './rig.js';
 
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -13,7 +13,7 @@
 } from '@martenworks/core-types';
 import { Unpacker, coaches, frames } from '@martenworks/peer-transport';
 import type { Coach, Handlers } from '@martenworks/peer-transport';
-import { Pigeonhole, place } from '@martenworks/pigeonhole';
+import { Pigeonhole, place } from '@martenworks/prefix-index';
 import { KvDesk, Proposer, claimTables, decreeBooks, leaseBooks, replicaTables } from '@martenworks/control-plane';
 import type { Ballot, Decrees, Settled, Since, Vote } from '@martenworks/control-plane';
 import { Duties, Roster, Watch, ring } from '@martenworks/cluster-membership';
