Rename package franking to settings

Cause: the package was called by a house word; newcomers look for the field's name. A script renamed folder, imports, references and pages; no behaviour is in this commit. The tree and its tests compile.

--- a/packages/control-plane/src/desk.ts
+++ b/packages/control-plane/src/desk.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { digests } from '@martenworks/core-types';
 import type { Agreed, Change, ChangeBody, KeyGrant, Layout, Tenant } from '@martenworks/core-types';
-import { layouts } from '@martenworks/franking';
+import { layouts } from '@martenworks/settings';
 import { editLayout } from './plan.js';
 import type { LayoutEdit } from './plan.js';
 import type { Proposer, Applied, ProposeFault } from './proposer.js';
--- a/packages/control-plane/src/plan.ts
+++ b/packages/control-plane/src/plan.ts
@@ -4,8 +4,8 @@
 import type { Result } from 'neverthrow';
 import { digests } from '@martenworks/core-types';
 import type { Agreed, Layout } from '@martenworks/core-types';
-import { layouts } from '@martenworks/franking';
-import type { Complaint } from '@martenworks/franking';
+import { layouts } from '@martenworks/settings';
+import type { Complaint } from '@martenworks/settings';
 
 export type LayoutEdit = { readonly kind: 'whole' | 'part' | 'ops'; readonly given: unknown };
 
--- a/packages/control-plane/src/platformWire.ts
+++ b/packages/control-plane/src/platformWire.ts
@@ -3,7 +3,7 @@
 import type { Context } from 'hono';
 import { keys } from '@martenworks/core-types';
 import type { ReplicaRecord, Tenant } from '@martenworks/core-types';
-import { layouts } from '@martenworks/franking';
+import { layouts } from '@martenworks/settings';
 import { bodyOf, changeIdOf, replyTo } from './operatorWire.js';
 import type { Postmaster } from './postmaster.js';
 
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -14,7 +14,7 @@
   ReplicaRecord,
   SideClaim,
 } from '@martenworks/core-types';
-import type { Env } from '@martenworks/franking';
+import type { Env } from '@martenworks/settings';
 import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { Owner, agreed as agreedState, pause } from '@martenworks/core-types';
 import type { Agreed, Change, Clock, Log, Member, Random } from '@martenworks/core-types';
-import type { Complaint } from '@martenworks/franking';
+import type { Complaint } from '@martenworks/settings';
 import { ballots } from './decrees.js';
 import type { Accepted, Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
 
--- a/packages/control-plane/src/wayPostmaster.ts
+++ b/packages/control-plane/src/wayPostmaster.ts
@@ -17,7 +17,7 @@
   StateHeld,
   Subscription,
 } from '@martenworks/core-types';
-import type { WayEnv } from '@martenworks/franking';
+import type { WayEnv } from '@martenworks/settings';
 import type { LedgerFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
--- a/packages/counter/src/bench.ts
+++ b/packages/counter/src/bench.ts
@@ -1,5 +1,5 @@
 import type { Ports } from '@martenworks/core-types';
-import type { Env } from '@martenworks/franking';
+import type { Env } from '@martenworks/settings';
 import type { Book } from './book.js';
 import type { Claims } from './claims.js';
 import type { Freshness } from './freshness.js';
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -15,7 +15,7 @@
   SideClaim,
   SideStanding,
 } from '@martenworks/core-types';
-import type { Env } from '@martenworks/franking';
+import type { Env } from '@martenworks/settings';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -12,7 +12,7 @@
   WeightsNews,
 } from '@martenworks/core-types';
 import { patches } from '@martenworks/route-table';
-import type { WayEnv } from '@martenworks/franking';
+import type { WayEnv } from '@martenworks/settings';
 import { hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import { Lines, Roster } from '@martenworks/cluster-membership';
--- a/packages/edge-proxy/src/front.ts
+++ b/packages/edge-proxy/src/front.ts
@@ -9,7 +9,7 @@
   StateNews,
   ThroughWire,
 } from '@martenworks/core-types';
-import type { WayEnv } from '@martenworks/franking';
+import type { WayEnv } from '@martenworks/settings';
 import { BookDoor } from '@martenworks/route-table';
 import type { BookView, WayView } from '@martenworks/route-table';
 import { headerLists } from './call.js';
--- a/packages/postrider/src/flags.ts
+++ b/packages/postrider/src/flags.ts
@@ -2,8 +2,8 @@
 import { readFileSync } from 'node:fs';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { envFields, envs } from '@martenworks/franking';
-import type { Complaint, Env, Role } from '@martenworks/franking';
+import { envFields, envs } from '@martenworks/settings';
+import type { Complaint, Env, Role } from '@martenworks/settings';
 
 const kebab = (field: string): string => field.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
 const fields = Object.keys(envFields) as (keyof typeof envFields)[];
--- a/packages/franking/test/env.test.ts
+++ b/packages/settings/test/env.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { envs } from '@martenworks/franking';
-import type { Role } from '@martenworks/franking';
+import { envs } from '@martenworks/settings';
+import type { Role } from '@martenworks/settings';
 
 const sound = {
   name: 'n-1',
