Rename package courier to upstream

Cause: the package was called by a house word; newcomers look for the field's name. A script renamed folder, imports, references and pages; no behaviour is in this commit. The tree and its tests compile.

--- a/packages/control-plane/src/kvDesk.ts
+++ b/packages/control-plane/src/kvDesk.ts
@@ -1,7 +1,7 @@
 import { Repeating } from '@martenworks/core-types';
 import type { KvNews, Ports, ReplicaRecord } from '@martenworks/core-types';
-import { kvFollow } from '@martenworks/courier';
-import type { Follower } from '@martenworks/courier';
+import { kvFollow } from '@martenworks/upstream';
+import type { Follower } from '@martenworks/upstream';
 import { Pigeonhole } from '@martenworks/prefix-index';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { FenceGate } from '@martenworks/cluster-membership';
--- a/packages/counter/src/callerWire.ts
+++ b/packages/counter/src/callerWire.ts
@@ -3,8 +3,8 @@
 import { bodyLimit } from 'hono/body-limit';
 import { deny, pause } from '@martenworks/core-types';
 import type { Deny } from '@martenworks/core-types';
-import { backWire } from '@martenworks/courier';
-import type { CompletionPath, Piece } from '@martenworks/courier';
+import { backWire } from '@martenworks/upstream';
+import type { CompletionPath, Piece } from '@martenworks/upstream';
 import type { Counter } from './counter.js';
 import type { StreamReceipt } from './parcel.js';
 
--- a/packages/counter/src/match.ts
+++ b/packages/counter/src/match.ts
@@ -1,6 +1,6 @@
 import { digests, prompts } from '@martenworks/core-types';
-import { backWire } from '@martenworks/courier';
-import type { Piece } from '@martenworks/courier';
+import { backWire } from '@martenworks/upstream';
+import type { Piece } from '@martenworks/upstream';
 import type { Bench } from './bench.js';
 import { RateShare } from './budget.js';
 import type { ShelfState } from './claims.js';
--- a/packages/counter/src/parcel.ts
+++ b/packages/counter/src/parcel.ts
@@ -1,5 +1,5 @@
 import type { Deny } from '@martenworks/core-types';
-import type { CompletionPath, Piece } from '@martenworks/courier';
+import type { CompletionPath, Piece } from '@martenworks/upstream';
 import type { Claim } from './claims.js';
 import type { LaneView, TenantView } from './layoutView.js';
 
--- a/packages/counter/src/relaying.ts
+++ b/packages/counter/src/relaying.ts
@@ -1,5 +1,5 @@
 import { pause } from '@martenworks/core-types';
-import type { Piece } from '@martenworks/courier';
+import type { Piece } from '@martenworks/upstream';
 import type { Bench } from './bench.js';
 import type { Parcel } from './parcel.js';
 
--- a/packages/counter/src/sending.ts
+++ b/packages/counter/src/sending.ts
@@ -1,6 +1,6 @@
 import type { DenyCode, ReplicaRecord } from '@martenworks/core-types';
-import { backWire } from '@martenworks/courier';
-import type { Piece, ShotFault } from '@martenworks/courier';
+import { backWire } from '@martenworks/upstream';
+import type { Piece, ShotFault } from '@martenworks/upstream';
 import type { Placement } from '@martenworks/prefix-index';
 import type { Bench } from './bench.js';
 import { ExtraBudget } from './budget.js';
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -1,5 +1,5 @@
 import { parseArgs } from 'node:util';
-import { carriages } from '@martenworks/courier';
+import { carriages } from '@martenworks/upstream';
 import { callerWire, counters, operatorPages } from '@martenworks/counter';
 import { runInspector } from '@martenworks/inspector';
 import { addresses, logs, machine } from '@martenworks/core-types';
--- a/packages/proving/src/realTrialsCommand.ts
+++ b/packages/proving/src/realTrialsCommand.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
-import { carriages } from '@martenworks/courier';
+import { carriages } from '@martenworks/upstream';
 import { firms, keyOf, plans, seeded } from './firms.js';
 import { LocalFleet } from './localFleet.js';
 import type { Reply } from './localFleet.js';
--- a/packages/proving/src/standInsCommand.ts
+++ b/packages/proving/src/standInsCommand.ts
@@ -1,4 +1,4 @@
-import { carriages } from '@martenworks/courier';
+import { carriages } from '@martenworks/upstream';
 import { machine } from '@martenworks/core-types';
 import type { Clock, WebHandler } from '@martenworks/core-types';
 import { realDoor } from '@martenworks/postrider';
--- a/packages/courier/test/carriage.test.ts
+++ b/packages/upstream/test/carriage.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { carriages } from '@martenworks/courier';
+import { carriages } from '@martenworks/upstream';
 import type { CarriageReceipt, NetFault } from '@martenworks/core-types';
 import type { Result } from 'neverthrow';
 
