--- a/packages/cluster-membership/test/rounds.test.ts
+++ b/packages/cluster-membership/test/rounds.test.ts
@@ -88,7 +88,7 @@
     fleet.postmasters.push(null);
     await fleet.startPostmaster(3);
     await fleet.world.run(30_000);
-    expect(fleet.postmasters.map((one) => one?.decrees.isVoter())).to.deep.equal([true, true, true, false]);
+    expect(fleet.postmasters.map((one) => one?.acceptor.isVoter())).to.deep.equal([true, true, true, false]);
   });
 });
 
--- a/packages/control-plane/src/decrees.ts
+++ b/packages/control-plane/src/acceptor.ts
@@ -43,7 +43,7 @@
   | { readonly t: 'accepted'; readonly slot: number; readonly accepted: Accepted }
   | { readonly t: 'settled'; readonly settled: Settled };
 
-interface DecreesCheckpoint {
+interface AcceptorSnapshot {
   readonly incarnation: string;
   readonly isFresh?: boolean;
   readonly vow: readonly Member[] | null;
@@ -59,7 +59,7 @@
   compare: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
 };
 
-export class Decrees {
+export class Acceptor {
   private readonly owner = new Owner();
   private readonly recent: Settled[] = [];
   private readonly watchers: ((settled: Settled | null) => void)[] = [];
@@ -76,7 +76,7 @@
     private readonly log: Log,
   ) {}
 
-  readonly replay = (checkpoint: DecreesCheckpoint | null, records: readonly LedgerRecord[]): void => {
+  readonly replay = (checkpoint: AcceptorSnapshot | null, records: readonly LedgerRecord[]): void => {
     if (checkpoint !== null) {
       this.incarnation = checkpoint.incarnation;
       this.isFresh = checkpoint.isFresh ?? true;
@@ -135,7 +135,7 @@
     return written;
   };
 
-  private readonly capture = (): DecreesCheckpoint => ({
+  private readonly capture = (): AcceptorSnapshot => ({
     incarnation: this.incarnation,
     isFresh: this.isFresh,
     vow: this.vowed,
@@ -238,21 +238,21 @@
   readonly close = (): Promise<void> => this.ledger.close();
 }
 
-export const decreeBooks = {
+export const acceptors = {
   open: async (
     disk: Disk,
     clock: Clock,
     random: Random,
     log: Log,
     isFresh = true,
-  ): Promise<Result<Decrees, LedgerFault>> => {
+  ): Promise<Result<Acceptor, LedgerFault>> => {
     const opened = await ledgers.open(disk, 'decrees');
     if (opened.isErr()) return err(opened.error);
     const { ledger, checkpoint, records, cutBytes } = opened.value;
     if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'decrees', cutBytes });
-    const decrees = new Decrees(ledger, clock, log);
-    decrees.replay(checkpoint as DecreesCheckpoint | null, records as LedgerRecord[]);
-    const identified = await decrees.identify(random, isFresh);
-    return identified.isErr() ? err(identified.error) : ok(decrees);
+    const acceptor = new Acceptor(ledger, clock, log);
+    acceptor.replay(checkpoint as AcceptorSnapshot | null, records as LedgerRecord[]);
+    const identified = await acceptor.identify(random, isFresh);
+    return identified.isErr() ? err(identified.error) : ok(acceptor);
   },
 };
--- a/packages/control-plane/src/founding.ts
+++ b/packages/control-plane/src/founding.ts
@@ -2,7 +2,7 @@
 import type { Log, Member } from '@martenworks/core-types';
 import type { Coach, Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
-import type { Decrees, Since } from './decrees.js';
+import type { Acceptor, Since } from './acceptor.js';
 
 export interface Standing {
   readonly incarnation: string;
@@ -28,7 +28,7 @@
 
 export class Founding {
   constructor(
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly own: () => Hello,
     private readonly lines: () => Lines,
     private readonly known: () => readonly Hello[],
@@ -47,7 +47,7 @@
     );
 
   readonly step = async (): Promise<void> => {
-    if (this.decrees.agreed() !== null) return;
+    if (this.acceptor.agreed() !== null) return;
     const reached = this.postmasters();
     const standings = new Map<string, Standing>();
     for (const [incarnation, coach] of reached) {
@@ -64,18 +64,18 @@
       .slice(0, this.coreSize);
     if (!members.some((member) => member.incarnation === this.own().incarnation)) return;
     if (new Set(members.map((member) => member.name)).size !== this.coreSize) return;
-    const vows = [this.decrees.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter(
+    const vows = [this.acceptor.vowHeld(), ...[...standings.values()].map((standing) => standing.vow)].filter(
       (vow) => vow !== null,
     );
     const texts = vows.map((vow) => JSON.stringify(vow));
     const shared = vows.find((_, at) => texts.filter((text) => text === texts[at]).length > this.coreSize / 2);
     if (shared !== undefined && JSON.stringify(shared) !== JSON.stringify(members)) return this.found(shared);
-    if (texts.some((text) => text !== JSON.stringify(members)) || !this.decrees.isFresh) return;
+    if (texts.some((text) => text !== JSON.stringify(members)) || !this.acceptor.isFresh) return;
     await this.collect(members, reached);
   };
 
   private readonly collect = async (members: readonly Member[], reached: Map<string, Coach>): Promise<void> => {
-    const own = await this.decrees.vow(members);
+    const own = await this.acceptor.vow(members);
     if (!own.isVowed) return;
     for (const [incarnation, coach] of reached) {
       if (!members.some((member) => member.incarnation === incarnation)) continue;
@@ -86,7 +86,7 @@
   };
 
   private readonly found = async (members: readonly Member[]): Promise<void> => {
-    const isFounded = await this.decrees.adopt(agreedState.founded(members));
+    const isFounded = await this.acceptor.adopt(agreedState.founded(members));
     if (isFounded) this.log.info('the fleet is founded', { members: members.map((member) => member.name) });
   };
 
--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -1,4 +1,4 @@
-export * from './decrees.js';
+export * from './acceptor.js';
 export * from './proposer.js';
 export * from './pushDesk.js';
 export * from './postmaster.js';
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -3,7 +3,7 @@
 import { digests } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
-import type { Decrees } from './decrees.js';
+import type { Acceptor } from './acceptor.js';
 import type { Standing } from './founding.js';
 import type { Proposer } from './proposer.js';
 
@@ -15,7 +15,7 @@
   private readonly lostAt = new Map<string, number>();
 
   constructor(
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly lines: () => Lines,
@@ -27,7 +27,7 @@
   private readonly noteLost = (members: readonly Member[]): void => {
     const now = this.clock.now();
     for (const member of members) {
-      if (member.incarnation === this.decrees.incarnation || this.lines().to(member.incarnation) !== undefined)
+      if (member.incarnation === this.acceptor.incarnation || this.lines().to(member.incarnation) !== undefined)
         this.lostAt.delete(member.incarnation);
       else if (!this.lostAt.has(member.incarnation)) this.lostAt.set(member.incarnation, now);
     }
@@ -47,8 +47,8 @@
   };
 
   readonly step = async (): Promise<void> => {
-    const state = this.decrees.agreed();
-    if (state === null || !this.decrees.isVoter()) return;
+    const state = this.acceptor.agreed();
+    if (state === null || !this.acceptor.isVoter()) return;
     this.noteLost(state.members);
     const seated = new Set(state.members.map((member) => member.incarnation));
     for (const coach of this.lines().open()) {
--- a/packages/control-plane/src/operatorWire.ts
+++ b/packages/control-plane/src/operatorWire.ts
@@ -125,15 +125,15 @@
     );
   });
   app.get('/operator/status', (c) => {
-    const state = postmaster.decrees.agreed();
+    const state = postmaster.acceptor.agreed();
     return c.json({
       name: postmaster.env.name,
       zone: postmaster.env.zone,
-      incarnation: postmaster.decrees.incarnation,
+      incarnation: postmaster.acceptor.incarnation,
       generation: state?.generation ?? null,
       layoutGeneration: state?.layoutGeneration ?? null,
       members: state?.members ?? [],
-      voter: postmaster.decrees.isVoter(),
+      voter: postmaster.acceptor.isVoter(),
       reachable: postmaster.reachable(),
       postmasters: postmaster.roster
         .entries()
@@ -152,7 +152,7 @@
       watch: postmaster.verdicts.lines(),
       replicas: postmaster.table.records(),
       index: postmaster.kv.sizes(),
-      ledgerSegments: postmaster.decrees.ledgerSegments(),
+      ledgerSegments: postmaster.acceptor.ledgerSegments(),
     });
   });
   app.get('/healthz', (c) => c.json({ status: 'ok' }));
@@ -162,12 +162,12 @@
       : c.json({ status: 'not ready', detail: 'no majority of postmasters' }, 503, { 'retry-after': '1' }),
   );
   app.get('/metrics', (c) => {
-    const state = postmaster.decrees.agreed();
+    const state = postmaster.acceptor.agreed();
     const lines = [
       `martenworks_generation ${state?.generation ?? -1}`,
       `martenworks_members_reachable ${postmaster.reachable()}`,
       `martenworks_subscribed_counters ${postmaster.push.acks().length}`,
-      `martenworks_ledger_segments ${postmaster.decrees.ledgerSegments()}`,
+      `martenworks_ledger_segments ${postmaster.acceptor.ledgerSegments()}`,
       ...vitals(),
       ...postmaster.push
         .acks()
--- a/packages/control-plane/src/platformWire.ts
+++ b/packages/control-plane/src/platformWire.ts
@@ -103,7 +103,7 @@
       c,
       postmaster,
       checked.map((one) =>
-        recordOf(one, postmaster.table.find(one.name), postmaster.decrees.agreed()?.generation ?? 0),
+        recordOf(one, postmaster.table.find(one.name), postmaster.acceptor.agreed()?.generation ?? 0),
       ),
     );
   });
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -21,8 +21,8 @@
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
-import { decreeBooks } from './decrees.js';
-import type { Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
+import { acceptors } from './acceptor.js';
+import type { Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
 import { claimTables } from './claims.js';
 import type { ClaimTable } from './claims.js';
 import { ChangeDesk } from './desk.js';
@@ -78,7 +78,7 @@
   constructor(
     readonly env: Env,
     readonly ports: Ports,
-    readonly decrees: Decrees,
+    readonly acceptor: Acceptor,
     readonly table: ReplicaTable,
     readonly claims: ClaimTable,
     private readonly leases: KeptLeases,
@@ -98,14 +98,14 @@
       this.hello,
       env.seeds,
       this.roster,
-      () => [...(decrees.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()],
+      () => [...(acceptor.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()],
       this.handlers(),
     );
-    this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
+    this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.changes = new ChangeDesk(this.proposer);
     this.duties = new Duties(
       clock,
-      () => decrees.incarnation,
+      () => acceptor.incarnation,
       () => this.reachableVoters(),
       () =>
         table
@@ -117,7 +117,7 @@
         this.leases.book.release(ask);
         this.tellPostmasters('leaseDrop', ask);
       },
-      () => Math.floor((decrees.agreed()?.members.length ?? 0) / 2) + 1,
+      () => Math.floor((acceptor.agreed()?.members.length ?? 0) / 2) + 1,
       () => this.kv.align(table.records()),
     );
     this.kv = new KvDesk(
@@ -126,24 +126,24 @@
       (relayed) => this.tellPostmasters('kvRelay', relayed),
       (replica) => this.duties.fenceOf(kvDuty(replica)),
     );
-    this.push = new PushDesk(decrees, clock, table.records, this.kv.shelves);
+    this.push = new PushDesk(acceptor, clock, table.records, this.kv.shelves);
     this.sides = new SideDesk(table, clock);
-    this.replicas = new ReplicaDesk(table, claims, decrees, () => this.lines);
+    this.replicas = new ReplicaDesk(table, claims, acceptor, () => this.lines);
     this.founding = new Founding(
-      decrees,
+      acceptor,
       this.hello,
       () => this.lines,
       () => this.roster.neighbours('postmaster'),
       this.proposer.learn,
       log,
     );
-    this.membership = new Membership(decrees, this.proposer, clock, () => this.lines, this.verdicts.isDown, log);
+    this.membership = new Membership(acceptor, this.proposer, clock, () => this.lines, this.verdicts.isDown, log);
     table.watch((records) => {
       this.push.tellReplicas(records);
       this.kv.align(table.records());
     });
     this.kv.align(table.records());
-    decrees.watch(() => this.lines.align());
+    acceptor.watch(() => this.lines.align());
     this.repeats.push(
       new Repeating(clock, () => foundingMs * (0.5 + random.fraction()), this.stepFounding),
       new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
@@ -162,7 +162,7 @@
     );
   }
 
-  readonly hello = (): Hello => hellos.of('postmaster', this.env, this.decrees.incarnation);
+  readonly hello = (): Hello => hellos.of('postmaster', this.env, this.acceptor.incarnation);
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
@@ -173,7 +173,7 @@
   };
 
   private readonly stepFounding = (): void => {
-    if (this.isStepping || this.decrees.agreed() !== null) return;
+    if (this.isStepping || this.acceptor.agreed() !== null) return;
     this.isStepping = true;
     void this.founding.step().finally(() => (this.isStepping = false));
   };
@@ -192,7 +192,7 @@
   };
 
   private readonly catchUp = async (): Promise<void> => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     if (state === null) return;
     for (const coach of this.lines.open()) {
       if (coach.neighbour?.role !== 'postmaster') continue;
@@ -204,13 +204,13 @@
           this.table.records().map((record) => record.name),
         );
       }
-      const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
+      const told = await coach.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
       if (told.isOk()) await this.proposer.learn(told.value as Since);
     }
   };
 
   private readonly settleRival = (): void => {
-    const age = this.decrees.unsettledFor();
+    const age = this.acceptor.unsettledFor();
     if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
   };
 
@@ -227,14 +227,14 @@
   };
 
   private readonly reachableVoters = (): string[] =>
-    (this.decrees.agreed()?.members ?? [])
+    (this.acceptor.agreed()?.members ?? [])
       .map((member) => member.incarnation)
-      .filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
+      .filter((incarnation) => incarnation === this.acceptor.incarnation || this.lines.to(incarnation) !== undefined);
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
-      (this.decrees.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
-        if (member.incarnation === this.decrees.incarnation) return this.leases.book.grant(ask);
+      (this.acceptor.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
+        if (member.incarnation === this.acceptor.incarnation) return this.leases.book.grant(ask);
         const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
         return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
       }),
@@ -257,7 +257,7 @@
   };
 
   private readonly voters = (): Voters => {
-    const isSelf = (member: Member): boolean => member.incarnation === this.decrees.incarnation;
+    const isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
     const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
       const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, votePatienceMs);
       return receipt?.isOk() === true ? receipt.value : null;
@@ -265,18 +265,18 @@
     return {
       prepare: (member, slot, ballot) =>
         isSelf(member)
-          ? this.decrees.prepare(slot, ballot)
+          ? this.acceptor.prepare(slot, ballot)
           : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
       accept: (member, slot, ballot, change) =>
         isSelf(member)
-          ? this.decrees.accept(slot, ballot, change)
+          ? this.acceptor.accept(slot, ballot, change)
           : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
       settle: (settled) => {
         this.tellPostmasters('settled', settled);
       },
       since: (member, generation) =>
         isSelf(member)
-          ? Promise.resolve(this.decrees.since(generation))
+          ? Promise.resolve(this.acceptor.since(generation))
           : (asked(member, 'since', generation) as Promise<Since | null>),
       supply: async (member, since) => void (await asked(member, 'supply', since)),
     };
@@ -291,7 +291,7 @@
       if (coach.neighbour !== null) this.replicas.syncedFrom.delete(coach.neighbour.incarnation);
     },
     told: (coach, topic, body) => {
-      if (topic === 'settled') void this.decrees.settle(body as Settled);
+      if (topic === 'settled') void this.acceptor.settle(body as Settled);
       else if (topic === 'subscribe') this.push.subscribe(coach, body as number);
       else if (topic === 'ack') this.push.acked(coach, body as number);
       else if (topic === 'heavyNews') this.push.heavyNews(coach, body as LoadReport);
@@ -310,7 +310,7 @@
         case 'beat':
           return true;
         case 'leaseAsk':
-          return this.decrees.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
+          return this.acceptor.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
         case 'shelves':
           return this.kv.shelves(body as string[]);
         case 'roster':
@@ -319,29 +319,29 @@
         case 'standing':
           return this.standing();
         case 'vow':
-          return this.decrees.vow(body as Member[]);
+          return this.acceptor.vow(body as Member[]);
         case 'prepare': {
           const { slot, ballot } = body as { slot: number; ballot: Ballot };
-          return this.decrees.prepare(slot, ballot);
+          return this.acceptor.prepare(slot, ballot);
         }
         case 'accept': {
           const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
-          return this.decrees.accept(slot, ballot, change);
+          return this.acceptor.accept(slot, ballot, change);
         }
         case 'since':
-          return this.decrees.since(body as number);
+          return this.acceptor.since(body as number);
         case 'supply':
           await this.proposer.learn(body as Since);
           return true;
         case 'admitSides':
-          return this.decrees.isVoter() ? this.sides.admit(body as SideClaim[]) : null;
+          return this.acceptor.isVoter() ? this.sides.admit(body as SideClaim[]) : null;
         case 'replicaLook':
           return this.replicas.look(body as string[]);
         case 'replicaNews':
           return this.replicas.takeNews(body as ReplicaRecord[]);
         case 'claimPrepare': {
           const { key, turn, ballot } = body as { key: string; turn: number; ballot: ClaimBallot };
-          return this.decrees.isVoter() ? this.claims.prepare(key, turn, ballot) : null;
+          return this.acceptor.isVoter() ? this.claims.prepare(key, turn, ballot) : null;
         }
         case 'claimAccept': {
           const { key, turn, ballot, claimant } = body as {
@@ -350,11 +350,11 @@
             ballot: ClaimBallot;
             claimant: Claimant;
           };
-          return this.decrees.isVoter() ? this.claims.accept(key, turn, ballot, claimant) : null;
+          return this.acceptor.isVoter() ? this.claims.accept(key, turn, ballot, claimant) : null;
         }
         case 'claimRelease': {
           const { key, turn } = body as { key: string; turn: number };
-          const isKept = this.decrees.isVoter() && (await this.claims.release(key, turn));
+          const isKept = this.acceptor.isVoter() && (await this.claims.release(key, turn));
           return isKept
             ? { k: 'state', isGranted: true, state: { turn: turn + 1, promised: null, accepted: null } }
             : null;
@@ -371,30 +371,30 @@
   });
 
   private readonly standing = (): Standing => ({
-    incarnation: this.decrees.incarnation,
-    generation: this.decrees.agreed()?.generation ?? -1,
-    isVoter: this.decrees.isVoter(),
-    vow: this.decrees.vowHeld(),
+    incarnation: this.acceptor.incarnation,
+    generation: this.acceptor.agreed()?.generation ?? -1,
+    isVoter: this.acceptor.isVoter(),
+    vow: this.acceptor.vowHeld(),
     syncedFrom: [...this.replicas.syncedFrom],
   });
 
   readonly confirmed = async (): Promise<{ state: Agreed; isConfirmed: boolean } | null> => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    const others = state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
     const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
     for (const since of told) if (since !== null) await this.proposer.learn(since);
-    const heard = told.filter((since) => since !== null).length + (this.decrees.isVoter() ? 1 : 0);
-    return { state: this.decrees.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
+    const heard = told.filter((since) => since !== null).length + (this.acceptor.isVoter() ? 1 : 0);
+    return { state: this.acceptor.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
   };
 
   readonly reachable = (): number =>
-    (this.decrees.agreed()?.members ?? []).filter(
-      (member) => member.incarnation === this.decrees.incarnation || this.lines.to(member.incarnation) !== undefined,
+    (this.acceptor.agreed()?.members ?? []).filter(
+      (member) => member.incarnation === this.acceptor.incarnation || this.lines.to(member.incarnation) !== undefined,
     ).length;
 
   readonly isReady = (): boolean => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     return state !== null && this.reachable() > state.members.length / 2;
   };
 
@@ -405,7 +405,7 @@
     this.kv.stop();
     this.lines.stop();
     await this.listener?.close();
-    await this.decrees.close();
+    await this.acceptor.close();
     await this.table.close();
     await this.claims.close();
     await this.leases.close();
@@ -414,15 +414,15 @@
 
 export const postmasters = {
   start: async (env: Env, ports: Ports): Promise<Result<Postmaster, StartFault>> => {
-    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log);
-    if (decrees.isErr()) return err(decrees.error);
+    const acceptor = await acceptors.open(ports.disk, ports.clock, ports.random, ports.log);
+    if (acceptor.isErr()) return err(acceptor.error);
     const table = await replicaTables.open(ports.disk, ports.log);
     if (table.isErr()) return err(table.error);
     const claims = await claimTables.open(ports.disk, ports.clock, ports.log, env.claimRetentionMs);
     if (claims.isErr()) return err(claims.error);
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log);
     if (leases.isErr()) return err(leases.error);
-    const postmaster = new Postmaster(env, ports, decrees.value, table.value, claims.value, leases.value);
+    const postmaster = new Postmaster(env, ports, acceptor.value, table.value, claims.value, leases.value);
     const opened = await postmaster.open();
     return opened.isErr() ? err(opened.error) : ok(postmaster);
   },
--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -3,8 +3,8 @@
 import { Owner, agreed as agreedState, pause } from '@martenworks/core-types';
 import type { Agreed, Change, Clock, Log, Member, Random } from '@martenworks/core-types';
 import type { Complaint } from '@martenworks/settings';
-import { ballots } from './decrees.js';
-import type { Accepted, Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
+import { ballots } from './acceptor.js';
+import type { Accepted, Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
 
 export type ProposeFault =
   | { readonly kind: 'conflict'; readonly layoutGeneration: number; readonly detail: string }
@@ -40,7 +40,7 @@
   private readonly owner = new Owner();
 
   constructor(
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly voters: Voters,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -60,8 +60,8 @@
 
   readonly finishRival = (): Promise<void> =>
     this.owner.run(async () => {
-      const state = this.decrees.agreed();
-      if (state === null || this.decrees.unsettledFor() === null) return;
+      const state = this.acceptor.agreed();
+      if (state === null || this.acceptor.unsettledFor() === null) return;
       await this.round(state, null);
     });
 
@@ -70,7 +70,7 @@
     this.owner.run(async () => {
       const until = this.clock.now() + patienceMs;
       for (let shot = 0; shot === 0 || this.clock.now() < until; shot += 1) {
-        const state = this.decrees.agreed();
+        const state = this.acceptor.agreed();
         if (state === null) return false;
         const outcome = await this.round(state, null);
         if (outcome.k === 'nothing to settle') return true;
@@ -91,7 +91,7 @@
     const giveUp = (detail: string): Result<Applied, ProposeFault> =>
       err(wasOffered ? { kind: 'unknown', changeId } : { kind: 'unavailable', detail });
     for (let shot = 0; ; shot += 1) {
-      const state = this.decrees.agreed();
+      const state = this.acceptor.agreed();
       if (state === null) return giveUp('no fleet is founded yet');
       const known = state.changeIds[changeId];
       if (known !== undefined) {
@@ -107,7 +107,7 @@
       const checked = check(state);
       if (checked.isErr()) {
         if (shot === 0 && !(await this.catchUp(state))) return giveUp('no majority of postmasters can be reached');
-        const newest = this.decrees.agreed() as Agreed;
+        const newest = this.acceptor.agreed() as Agreed;
         if (newest.generation !== state.generation) continue;
         return err(checked.error);
       }
@@ -127,16 +127,16 @@
     const told = await Promise.all(this.others(state).map((member) => this.voters.since(member, state.generation)));
     const heard = told.filter((since) => since !== null);
     for (const since of heard) await this.learn(since);
-    return heard.length + (this.decrees.isVoter() ? 1 : 0) > state.members.length / 2;
+    return heard.length + (this.acceptor.isVoter() ? 1 : 0) > state.members.length / 2;
   };
 
   readonly learn = async (since: Since): Promise<void> => {
-    if (since.k === 'checkpoint') await this.decrees.adopt(since.agreed);
-    if (since.k === 'changes') for (const settled of since.settled) await this.decrees.settle(settled);
+    if (since.k === 'checkpoint') await this.acceptor.adopt(since.agreed);
+    if (since.k === 'changes') for (const settled of since.settled) await this.acceptor.settle(settled);
   };
 
   private readonly others = (state: Agreed): Member[] =>
-    state.members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
 
   private readonly vote = async (
     state: Agreed,
@@ -179,14 +179,14 @@
   ): Promise<Vote | null> => {
     const vote = await call(member);
     if (vote?.k !== 'behind') return vote;
-    await this.voters.supply(member, this.decrees.since(vote.generation));
+    await this.voters.supply(member, this.acceptor.since(vote.generation));
     return call(member);
   };
 
   private readonly round = async (state: Agreed, own: Change | null): Promise<Round> => {
     const slot = state.generation + 1;
-    this.seenRound = Math.max(this.seenRound, this.decrees.highestRound()) + 1;
-    const ballot: Ballot = [this.seenRound, this.decrees.incarnation];
+    this.seenRound = Math.max(this.seenRound, this.acceptor.highestRound()) + 1;
+    const ballot: Ballot = [this.seenRound, this.acceptor.incarnation];
     const promises = await this.vote(state, (member) => this.voters.prepare(member, slot, ballot), 'promised');
     if (promises === 'again' || promises === 'no majority') return { k: promises, wasOffered: false };
     let highest: Accepted | null = null;
@@ -205,7 +205,7 @@
     if (accepts === 'again' || accepts === 'no majority') return { k: accepts, wasOffered: isOwn };
     const settled: Settled = { generation: slot, change };
     this.voters.settle(settled);
-    const isKept = await this.decrees.settle(settled);
+    const isKept = await this.acceptor.settle(settled);
     this.log.info('a generation is settled', {
       generation: slot,
       changeId: change.id,
--- a/packages/control-plane/src/pushDesk.ts
+++ b/packages/control-plane/src/pushDesk.ts
@@ -1,7 +1,7 @@
 import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/core-types';
 import type { Coach } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
-import type { Decrees, Settled } from './decrees.js';
+import type { Acceptor, Settled } from './acceptor.js';
 
 const reportAgeMs = 2_000;
 const silentMs = 6_000;
@@ -26,12 +26,12 @@
   private readonly subscribers = new Map<Coach, Subscriber>();
 
   constructor(
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly clock: Clock,
     private readonly records: () => readonly ReplicaRecord[],
     private readonly shelves: () => readonly ShelfCheckpoint[],
   ) {
-    decrees.watch(this.bring);
+    acceptor.watch(this.bring);
   }
 
   readonly subscribe = (coach: Coach, generation: number): void => {
@@ -58,7 +58,7 @@
   private readonly bringTo = (coach: Coach): void => {
     const subscriber = this.subscribers.get(coach);
     if (subscriber === undefined) return;
-    const since = this.decrees.since(subscriber.sent);
+    const since = this.acceptor.since(subscriber.sent);
     if (since.k === 'nothing') return;
     if (since.k === 'checkpoint') {
       coach.tell('checkpoint', since.agreed);
@@ -124,9 +124,9 @@
   readonly pong = (coach: Coach, report: LoadReport): Pong => {
     this.report(coach, report);
     return {
-      generation: this.decrees.agreed()?.generation ?? -1,
-      acceptedSlot: this.decrees.acceptedSlot(),
-      incarnation: this.decrees.incarnation,
+      generation: this.acceptor.agreed()?.generation ?? -1,
+      acceptedSlot: this.acceptor.acceptedSlot(),
+      incarnation: this.acceptor.incarnation,
       loads: this.loadsFor(coach),
       contention: this.contentionFor(coach),
       counters: this.subscribers.size,
--- a/packages/control-plane/src/recovery.ts
+++ b/packages/control-plane/src/recovery.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
 import type { LedgerFault } from '@martenworks/write-ahead-log';
-import { decreeBooks } from './decrees.js';
+import { acceptors } from './acceptor.js';
 
 const generationLeap = 1_000;
 
@@ -16,21 +16,21 @@
     log: Log,
     members: readonly Member[],
   ): Promise<Result<Agreed, RecoveryFault>> => {
-    const opened = await decreeBooks.open(disk, clock, random, log);
+    const opened = await acceptors.open(disk, clock, random, log);
     if (opened.isErr()) return err(opened.error);
-    const decrees = opened.value;
-    const state = decrees.agreed();
+    const acceptor = opened.value;
+    const state = acceptor.agreed();
     if (state === null) return err({ kind: 'recovery', detail: 'this data folder holds no agreed state' });
-    if (!members.some((member) => member.incarnation === decrees.incarnation))
+    if (!members.some((member) => member.incarnation === acceptor.incarnation))
       return err({
         kind: 'recovery',
-        detail: `the new members must include this one, incarnation ${decrees.incarnation}`,
+        detail: `the new members must include this one, incarnation ${acceptor.incarnation}`,
       });
     if (new Set(members.map((member) => member.incarnation)).size !== members.length)
       return err({ kind: 'recovery', detail: 'the new members must differ' });
     const recovered: Agreed = { ...state, generation: state.generation + generationLeap, members };
-    const isKept = await decrees.adopt(recovered);
-    await decrees.close();
+    const isKept = await acceptor.adopt(recovered);
+    await acceptor.close();
     return isKept ? ok(recovered) : err({ kind: 'recovery', detail: 'the disk did not take the recovered state' });
   },
 };
--- a/packages/control-plane/src/replicaDesk.ts
+++ b/packages/control-plane/src/replicaDesk.ts
@@ -3,7 +3,7 @@
 import type { ClaimPage, ReplicaRecord } from '@martenworks/core-types';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { ClaimTable } from './claims.js';
-import type { Decrees } from './decrees.js';
+import type { Acceptor } from './acceptor.js';
 import type { ReplicaTable } from './replicaTable.js';
 
 export type ReplicaFault = { readonly kind: 'disk' } | { readonly kind: 'unknown' };
@@ -16,7 +16,7 @@
   constructor(
     private readonly table: ReplicaTable,
     private readonly claims: ClaimTable,
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly lines: () => Lines,
   ) {}
 
@@ -25,11 +25,11 @@
     body: unknown,
     isHeard: (told: unknown) => boolean | Promise<boolean>,
   ): Promise<boolean> => {
-    const members = this.decrees.agreed()?.members ?? [];
+    const members = this.acceptor.agreed()?.members ?? [];
     const majority = Math.floor(members.length / 2) + 1;
-    const others = members.filter((member) => member.incarnation !== this.decrees.incarnation);
+    const others = members.filter((member) => member.incarnation !== this.acceptor.incarnation);
     return new Promise((settle) => {
-      let heard = this.decrees.isVoter() ? 1 : 0;
+      let heard = this.acceptor.isVoter() ? 1 : 0;
       let open = others.length;
       const tally = (isOne: boolean): void => {
         open -= 1;
@@ -66,7 +66,7 @@
     );
 
   readonly look = (names: readonly string[]): ReplicaRecord[] | null =>
-    this.decrees.isVoter() ? names.flatMap((name) => this.table.find(name) ?? []) : null;
+    this.acceptor.isVoter() ? names.flatMap((name) => this.table.find(name) ?? []) : null;
 
   readonly takeNews = async (records: readonly ReplicaRecord[]): Promise<boolean> =>
     (await this.table.take(records)).isOk();
--- a/packages/control-plane/src/wayPostmaster.ts
+++ b/packages/control-plane/src/wayPostmaster.ts
@@ -24,8 +24,8 @@
 import { Duties, Lines, Roster } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/cluster-membership';
 import { CardReader } from './cardReader.js';
-import { decreeBooks } from './decrees.js';
-import type { Ballot, Decrees, Settled, Since, Vote } from './decrees.js';
+import { acceptors } from './acceptor.js';
+import type { Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
 import { Founding } from './founding.js';
 import type { Standing } from './founding.js';
 import { leaseBooks } from './leases.js';
@@ -93,7 +93,7 @@
     readonly env: WayEnv,
     readonly ports: Ports,
     readonly backEnds: BackEnds,
-    readonly decrees: Decrees,
+    readonly acceptor: Acceptor,
     private readonly leases: KeptLeases,
     terms: LeaseTerms,
     seeds: readonly string[],
@@ -105,23 +105,23 @@
       this.hello,
       seeds,
       this.roster,
-      () => (decrees.agreed()?.members ?? []).map((member) => member.address),
+      () => (acceptor.agreed()?.members ?? []).map((member) => member.address),
       this.handlers(),
       wayPace,
     );
-    this.proposer = new Proposer(decrees, this.voters(), clock, random, log);
+    this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.changes = new WayDesk(this.proposer);
     this.duties = new Duties(
       clock,
-      () => decrees.incarnation,
+      () => acceptor.incarnation,
       this.reachableVoters,
-      () => (decrees.isVoter() ? [weightsDuty] : []),
+      () => (acceptor.isVoter() ? [weightsDuty] : []),
       this.askLeases,
       (ask) => {
         this.leases.book.release(ask);
         this.tellPostmasters('leaseDrop', ask);
       },
-      () => Math.floor((decrees.agreed()?.members.length ?? 0) / 2) + 1,
+      () => Math.floor((acceptor.agreed()?.members.length ?? 0) / 2) + 1,
       () => {},
       terms,
     );
@@ -133,7 +133,7 @@
       {
         everyMs: env.listEveryMs,
         perSecond: env.listPerSecond,
-        readers: () => decrees.agreed()?.members.length ?? env.voters,
+        readers: () => acceptor.agreed()?.members.length ?? env.voters,
       },
       (news) => {
         this.push.tellContent('cards', news);
@@ -152,7 +152,7 @@
       this.push.tellContent('reading', bundle);
       this.tellPostmasters('readingRelay', bundle);
     });
-    this.push = new WayPush(decrees, clock, this.cards.ageMs, (coach) => {
+    this.push = new WayPush(acceptor, clock, this.cards.ageMs, (coach) => {
       if (this.cards.ageMs() !== null) coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
       coach.tell('shelves', this.shelves.whole());
     });
@@ -168,7 +168,7 @@
       this.cards.holds,
     );
     this.founding = new Founding(
-      decrees,
+      acceptor,
       this.hello,
       () => this.lines,
       () => this.roster.neighbours('postmaster'),
@@ -177,7 +177,7 @@
       env.voters,
     );
     this.membership = new Membership(
-      decrees,
+      acceptor,
       this.proposer,
       clock,
       () => this.lines,
@@ -185,7 +185,7 @@
       log,
       strangerWaitMs,
     );
-    decrees.watch(() => {
+    acceptor.watch(() => {
       this.lines.align();
       this.alignShelves();
     });
@@ -208,7 +208,7 @@
     hellos.of(
       'postmaster',
       { name: this.env.name, coach: this.env.coach, http: this.env.http, operators: null, zone: this.env.zone },
-      this.decrees.incarnation,
+      this.acceptor.incarnation,
     );
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
@@ -220,7 +220,7 @@
   };
 
   private readonly wantedWeights = (): { pool: string; model: string; version: number }[] => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     return (state?.ways?.book.pools ?? []).flatMap(({ name, engine }) =>
       (engine?.models ?? []).flatMap((model) => {
         const version = state?.named[model];
@@ -230,12 +230,12 @@
   };
 
   private readonly alignShelves = (): void => {
-    const book = this.decrees.agreed()?.ways?.book;
+    const book = this.acceptor.agreed()?.ways?.book;
     if (book === undefined) return;
     const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
     const voters = this.reachableVoters();
     const isMine = (address: string): boolean =>
-      !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.decrees.incarnation));
+      !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.acceptor.incarnation));
     this.shelves.align(
       new Set([
         ...this.cards
@@ -253,7 +253,7 @@
   };
 
   private readonly stepFounding = (): void => {
-    if (this.isStepping || this.decrees.agreed() !== null) return;
+    if (this.isStepping || this.acceptor.agreed() !== null) return;
     this.isStepping = true;
     void this.founding.step().finally(() => (this.isStepping = false));
   };
@@ -267,11 +267,11 @@
   private readonly mind = async (): Promise<void> => {
     this.push.dropSilent();
     this.alignShelves();
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     if (state === null) return;
     await Promise.all(
       this.postmasters().map(async (coach) => {
-        const told = await coach.ask('since', this.decrees.agreed()?.generation ?? -1, votePatienceMs);
+        const told = await coach.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
         if (told.isOk() && told.value !== null) await this.proposer.learn(told.value as Since);
       }),
     );
@@ -282,7 +282,7 @@
     this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
 
   private readonly settleRival = (): void => {
-    const age = this.decrees.unsettledFor();
+    const age = this.acceptor.unsettledFor();
     if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
   };
 
@@ -299,14 +299,14 @@
   };
 
   private readonly reachableVoters = (): string[] =>
-    (this.decrees.agreed()?.members ?? [])
+    (this.acceptor.agreed()?.members ?? [])
       .map((member) => member.incarnation)
-      .filter((incarnation) => incarnation === this.decrees.incarnation || this.lines.to(incarnation) !== undefined);
+      .filter((incarnation) => incarnation === this.acceptor.incarnation || this.lines.to(incarnation) !== undefined);
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
-      (this.decrees.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
-        if (member.incarnation === this.decrees.incarnation) return this.leases.book.grant(ask);
+      (this.acceptor.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
+        if (member.incarnation === this.acceptor.incarnation) return this.leases.book.grant(ask);
         const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
         return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
       }),
@@ -315,7 +315,7 @@
   };
 
   private readonly voters = (): Voters => {
-    const isSelf = (member: Member): boolean => member.incarnation === this.decrees.incarnation;
+    const isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
     const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
       const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, votePatienceMs);
       return receipt?.isOk() === true ? receipt.value : null;
@@ -323,16 +323,16 @@
     return {
       prepare: (member, slot, ballot) =>
         isSelf(member)
-          ? this.decrees.prepare(slot, ballot)
+          ? this.acceptor.prepare(slot, ballot)
           : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
       accept: (member, slot, ballot, change) =>
         isSelf(member)
-          ? this.decrees.accept(slot, ballot, change)
+          ? this.acceptor.accept(slot, ballot, change)
           : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
       settle: (settled) => this.tellPostmasters('settled', settled),
       since: (member, generation) =>
         isSelf(member)
-          ? Promise.resolve(this.decrees.since(generation))
+          ? Promise.resolve(this.acceptor.since(generation))
           : (asked(member, 'since', generation) as Promise<Since | null>),
       supply: async (member, since) => void (await asked(member, 'supply', since)),
     };
@@ -346,7 +346,7 @@
     },
     left: (coach) => this.push.drop(coach),
     told: (coach, topic, body) => {
-      if (topic === 'settled') void this.decrees.settle(body as Settled);
+      if (topic === 'settled') void this.acceptor.settle(body as Settled);
       else if (topic === 'subscribe') this.push.subscribe(coach, body as Subscription);
       else if (topic === 'ack') this.push.acked(coach, body as StateHeld);
       else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
@@ -371,24 +371,24 @@
         case 'beat':
           return true;
         case 'leaseAsk':
-          return this.decrees.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
+          return this.acceptor.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
         case 'roster':
           this.roster.merge(body as RosterEntry[]);
           return this.roster.entries().filter(({ hello }) => hello.role === 'postmaster');
         case 'standing':
           return this.standing();
         case 'vow':
-          return this.decrees.vow(body as Member[]);
+          return this.acceptor.vow(body as Member[]);
         case 'prepare': {
           const { slot, ballot } = body as { slot: number; ballot: Ballot };
-          return this.decrees.prepare(slot, ballot);
+          return this.acceptor.prepare(slot, ballot);
         }
         case 'accept': {
           const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
-          return this.decrees.accept(slot, ballot, change);
+          return this.acceptor.accept(slot, ballot, change);
         }
         case 'since':
-          return this.decrees.since(body as number);
+          return this.acceptor.since(body as number);
         case 'supply':
           await this.proposer.learn(body as Since);
           return true;
@@ -399,33 +399,33 @@
   });
 
   private readonly standing = (): Standing => ({
-    incarnation: this.decrees.incarnation,
-    generation: this.decrees.agreed()?.generation ?? -1,
-    isVoter: this.decrees.isVoter(),
-    vow: this.decrees.vowHeld(),
-    syncedFrom: (this.decrees.agreed()?.members ?? []).map((member) => member.incarnation),
+    incarnation: this.acceptor.incarnation,
+    generation: this.acceptor.agreed()?.generation ?? -1,
+    isVoter: this.acceptor.isVoter(),
+    vow: this.acceptor.vowHeld(),
+    syncedFrom: (this.acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
   });
 
   /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
   readonly confirmed = async (): Promise<Agreed | null> =>
-    (await this.proposer.confirm(confirmPatienceMs)) ? this.decrees.agreed() : null;
+    (await this.proposer.confirm(confirmPatienceMs)) ? this.acceptor.agreed() : null;
 
   readonly isReady = (): boolean => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     return state !== null && this.reachableVoters().length > state.members.length / 2;
   };
 
   readonly status = (): Record<string, unknown> => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     return {
       name: this.env.name,
       zone: this.env.zone,
-      incarnation: this.decrees.incarnation,
+      incarnation: this.acceptor.incarnation,
       generation: state?.generation ?? null,
       edition: state?.ways?.edition ?? null,
       named: state?.named ?? {},
       members: state?.members ?? [],
-      voter: this.decrees.isVoter(),
+      voter: this.acceptor.isVoter(),
       reachable: this.reachableVoters().length,
       fronts: this.push.lines(),
       leases: this.duties.lines(),
@@ -444,7 +444,7 @@
     this.duties.resign();
     this.lines.stop();
     await this.listener?.close();
-    await this.decrees.close();
+    await this.acceptor.close();
     await this.leases.close();
   };
 }
@@ -456,17 +456,17 @@
     backEnds: BackEnds,
     seeds: readonly string[],
   ): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
-    const decrees = await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
-    if (decrees.isErr()) return err(decrees.error);
+    const acceptor = await acceptors.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
+    if (acceptor.isErr()) return err(acceptor.error);
     const terms: LeaseTerms = {
       leaseMs,
       marginMs: leaseMarginMs,
       gapMs: env.orderGapMs,
-      floor: () => (decrees.value.agreed()?.generation ?? 0) * fencesPerGeneration,
+      floor: () => (acceptor.value.agreed()?.generation ?? 0) * fencesPerGeneration,
     };
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
     if (leases.isErr()) return err(leases.error);
-    const postmaster = new WayPostmaster(env, ports, backEnds, decrees.value, leases.value, terms, seeds);
+    const postmaster = new WayPostmaster(env, ports, backEnds, acceptor.value, leases.value, terms, seeds);
     const opened = await postmaster.open();
     return opened.isErr() ? err(opened.error) : ok(postmaster);
   },
--- a/packages/control-plane/src/wayPush.ts
+++ b/packages/control-plane/src/wayPush.ts
@@ -11,7 +11,7 @@
 } from '@martenworks/core-types';
 import type { Coach } from '@martenworks/peer-transport';
 import { patches } from '@martenworks/route-table';
-import type { Decrees } from './decrees.js';
+import type { Acceptor } from './acceptor.js';
 
 const silentMs = 4_000;
 const agesKept = 8;
@@ -44,26 +44,26 @@
   private patch: BookPatch | null = null;
 
   constructor(
-    private readonly decrees: Decrees,
+    private readonly acceptor: Acceptor,
     private readonly clock: Clock,
     private readonly listAgeMs: () => number | null,
     private readonly greet: (coach: Coach) => void,
   ) {
-    this.lastWays = decrees.agreed()?.ways ?? null;
+    this.lastWays = acceptor.agreed()?.ways ?? null;
     this.noteNamed();
-    decrees.watch(this.bring);
+    acceptor.watch(this.bring);
   }
 
   private readonly noteNamed = (): void => {
     const at = this.clock.now();
-    for (const [model, version] of Object.entries(this.decrees.agreed()?.named ?? {})) {
+    for (const [model, version] of Object.entries(this.acceptor.agreed()?.named ?? {})) {
       const held = this.named.get(model) ?? [];
       if ((held.at(-1)?.version ?? 0) < version) this.named.set(model, [...held, { version, at }].slice(-agesKept));
     }
   };
 
   private readonly noteEdition = (): void => {
-    const ways = this.decrees.agreed()?.ways ?? null;
+    const ways = this.acceptor.agreed()?.ways ?? null;
     if (ways === null || ways.edition === this.lastWays?.edition) return;
     const patch = this.lastWays === null ? null : patches.between(this.lastWays.edition, this.lastWays.book, ways.book);
     this.patch = patch !== null && patches.isSmaller(patch, ways.book) ? patch : null;
@@ -109,7 +109,7 @@
 
   private readonly bringTo = (coach: Coach): void => {
     const subscriber = this.subscribers.get(coach);
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
     if (!subscriber.wantsContent) return void coach.tell('news', state.generation);
     const news = this.stateNews(state, subscriber);
@@ -119,7 +119,7 @@
   };
 
   readonly stateFor = (held: StateHeld): StateNews | null => {
-    const state = this.decrees.agreed();
+    const state = this.acceptor.agreed();
     return state === null ? null : this.stateNews(state, held);
   };
 
@@ -134,7 +134,7 @@
   readonly pong = (coach: Coach, ping: FrontPing, isSettled: boolean): FrontPong => {
     this.acked(coach, ping);
     return {
-      generation: this.decrees.agreed()?.generation ?? -1,
+      generation: this.acceptor.agreed()?.generation ?? -1,
       fronts: this.fronts(),
       isSettled,
       listAgeMs: this.listAgeMs(),
--- a/packages/control-plane/test/control.test.ts
+++ b/packages/control-plane/test/control.test.ts
@@ -50,7 +50,7 @@
     await fleet.startPostmaster(0);
     await fleet.startPostmaster(1);
     await fleet.world.run(20_000);
-    expect(fleet.postmasters.map((one) => one?.decrees.agreed() ?? null)).to.deep.equal([null, null, null]);
+    expect(fleet.postmasters.map((one) => one?.acceptor.agreed() ?? null)).to.deep.equal([null, null, null]);
     const told = await fleet.finish(
       fleet.onPostmaster(0, 'PUT', '/operator/layout', plans.layout('weights-1'), { 'if-match': '"0"' }),
     );
@@ -72,10 +72,10 @@
       await fleet.bootPostmaster(seed % 3);
       await fleet.world.until(
         'one fleet of three voters',
-        () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true),
+        () => fleet.postmasters.every((one) => one?.acceptor.isVoter() === true),
         40_000,
       );
-      const lists = new Set(fleet.postmasters.map((one) => JSON.stringify(one?.decrees.agreed()?.members)));
+      const lists = new Set(fleet.postmasters.map((one) => JSON.stringify(one?.acceptor.agreed()?.members)));
       expect(lists.size, `seed ${seed}`).to.equal(1);
     }
   });
@@ -89,14 +89,14 @@
     await fleet.bootPostmaster(1);
     await fleet.bootPostmaster(2);
     await fleet.world.run(20_000);
-    expect(fleet.postmasters.map((one) => one?.decrees.isVoter())).to.deep.equal([true, false, false]);
+    expect(fleet.postmasters.map((one) => one?.acceptor.isVoter())).to.deep.equal([true, false, false]);
     const told = await fleet.finish(patch(fleet, 0, tier(19_000), base, 'while-lost'));
     expect(told.status).to.equal(503);
     expect(fleet.counters[0]?.freshness.isFresh()).to.equal(false);
     const members = fleet.postmasters.map((one) => ({
       name: one?.env.name ?? '',
       address: one?.env.coach ?? '',
-      incarnation: one?.decrees.incarnation ?? '',
+      incarnation: one?.acceptor.incarnation ?? '',
     }));
     fleet.killPostmaster(0);
     const machine = fleet.machineOf('postmaster', 0);
@@ -107,7 +107,7 @@
     await fleet.startPostmaster(0);
     await fleet.world.until(
       'three voters',
-      () => fleet.postmasters.every((one) => one?.decrees.isVoter() === true),
+      () => fleet.postmasters.every((one) => one?.acceptor.isVoter() === true),
       10_000,
     );
     const after = await fleet.finish(patch(fleet, 1, tier(18_000), await baseOf(fleet, 1), 'after-recovery'));
@@ -124,8 +124,8 @@
     fleet.postmasterHosts[2] = '10.0.0.9';
     fleet.postmasterNames[2] = 'postmaster-9';
     await fleet.startPostmaster(2);
-    await fleet.world.until('the swap', () => fleet.postmasters[2]?.decrees.isVoter() === true, 30_000);
-    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds.kept?.generation).to.equal(Number(kept.body.generation));
+    await fleet.world.until('the swap', () => fleet.postmasters[2]?.acceptor.isVoter() === true, 30_000);
+    expect(fleet.postmasters[2]?.acceptor.agreed()?.changeIds.kept?.generation).to.equal(Number(kept.body.generation));
     fleet.killPostmaster(0);
     const more = await fleet.finish(patch(fleet, 2, tier(16_000), await baseOf(fleet, 2), 'by-the-new'));
     expect(more.status).to.equal(200);
--- a/packages/control-plane/test/since.test.ts
+++ b/packages/control-plane/test/since.test.ts
@@ -2,15 +2,15 @@
 import { SimWorld } from '@martenworks/proving';
 import { agreed } from '@martenworks/core-types';
 import type { Change } from '@martenworks/core-types';
-import { decreeBooks } from '@martenworks/control-plane';
-import type { Decrees } from '@martenworks/control-plane';
+import { acceptors } from '@martenworks/control-plane';
+import type { Acceptor } from '@martenworks/control-plane';
 
-const bookOf = async (world: SimWorld, host: string): Promise<Decrees> => {
+const bookOf = async (world: SimWorld, host: string): Promise<Acceptor> => {
   const { disk, clock, random, log } = world.machine(host).ports();
-  let opened: Decrees | null = null;
-  void decreeBooks.open(disk, clock, random, log).then((outcome) => (opened = outcome._unsafeUnwrap()));
+  let opened: Acceptor | null = null;
+  void acceptors.open(disk, clock, random, log).then((outcome) => (opened = outcome._unsafeUnwrap()));
   await world.until('the ledger', () => opened !== null);
-  return opened as unknown as Decrees;
+  return opened as unknown as Acceptor;
 };
 
 const done = async <T>(world: SimWorld, work: Promise<T>): Promise<T> => {
--- a/packages/control-plane/test/upkeep.test.ts
+++ b/packages/control-plane/test/upkeep.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { ledgers } from '@martenworks/write-ahead-log';
-import { decreeBooks } from '@martenworks/control-plane';
+import { acceptors } from '@martenworks/control-plane';
 import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
 import type { SimDisk } from '@martenworks/proving';
@@ -106,8 +106,8 @@
     expect(largest).to.be.lessThan(12 * 1024 * 1024);
     fleet.killPostmaster(1);
     await fleet.bootPostmaster(1);
-    expect(fleet.postmasters[1]?.decrees.agreed()?.layoutGeneration).to.equal(base);
-    expect(Object.keys(fleet.postmasters[1]?.decrees.agreed()?.changeIds ?? {}).length).to.be.greaterThan(300);
+    expect(fleet.postmasters[1]?.acceptor.agreed()?.layoutGeneration).to.equal(base);
+    expect(Object.keys(fleet.postmasters[1]?.acceptor.agreed()?.changeIds ?? {}).length).to.be.greaterThan(300);
   });
 
   it('given an empty machine, when it joins in place of a lost one, then it is rebuilt from the others and votes within six seconds', async () => {
@@ -115,10 +115,10 @@
     fleet.killPostmaster(2, true);
     await fleet.world.run(3_000);
     await fleet.bootPostmaster(2);
-    const waited = await fleet.world.until('it votes', () => fleet.postmasters[2]?.decrees.isVoter() === true);
+    const waited = await fleet.world.until('it votes', () => fleet.postmasters[2]?.acceptor.isVoter() === true);
     expect(waited).to.be.lessThan(6_000);
     expect(fleet.postmasters[2]?.table.records().length).to.equal(5);
-    expect(fleet.postmasters[2]?.decrees.agreed()?.changeIds['first-layout']).to.not.equal(undefined);
+    expect(fleet.postmasters[2]?.acceptor.agreed()?.changeIds['first-layout']).to.not.equal(undefined);
   });
 
   it('given a damaged ledger, when its postmaster starts, then it names the file and the place, and does not start', async () => {
@@ -130,7 +130,7 @@
     held.safe[20] = (held.safe[20] ?? 0) ^ 0x55;
     machine.boot();
     const ports = machine.ports();
-    const opened = await fleet.finish(decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log));
+    const opened = await fleet.finish(acceptors.open(ports.disk, ports.clock, ports.random, ports.log));
     expect(opened._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name });
   });
 
--- a/packages/postrider/src/main.ts
+++ b/packages/postrider/src/main.ts
@@ -68,7 +68,7 @@
     coach: env.coach,
     http: env.http,
     zone: env.zone,
-    incarnation: postmaster.decrees.incarnation,
+    incarnation: postmaster.acceptor.incarnation,
   });
   log.info('closing', { signal: await asked });
   await door.value.close();
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -2,14 +2,14 @@
 import { coaches } from '@martenworks/peer-transport';
 import type { Handlers } from '@martenworks/peer-transport';
 import type { Pigeonhole } from '@martenworks/prefix-index';
-import { PushDesk, decreeBooks } from '@martenworks/control-plane';
-import type { Decrees } from '@martenworks/control-plane';
+import { PushDesk, acceptors } from '@martenworks/control-plane';
+import type { Acceptor } from '@martenworks/control-plane';
 import { HollowPeers, Meter, rig } from './rig.js';
 
 export interface Core {
   readonly address: string;
   readonly meter: Meter;
-  readonly decrees: Decrees;
+  readonly acceptor: Acceptor;
   readonly push: PushDesk;
   readonly close: () => Promise<void>;
 }
@@ -28,17 +28,17 @@
 ): Promise<Core> => {
   const meter = new Meter();
   const ports = rig.ports(meter);
-  const decrees = (await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
-  await decrees.adopt(rig.stateOf(tenantCount, 0, [asMember(1), asMember(2), asMember(3)]));
+  const acceptor = (await acceptors.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
+  await acceptor.adopt(rig.stateOf(tenantCount, 0, [asMember(1), asMember(2), asMember(3)]));
   const standingClock = { ...ports.clock, now: () => 0 };
-  const push = new PushDesk(decrees, standingClock, () => records, shelves);
+  const push = new PushDesk(acceptor, standingClock, () => records, shelves);
   const address = await rig.freeAddress();
   const handlers: Handlers = {
     joined: () => {},
     left: push.drop,
     told: (coach, topic, body) => {
       if (topic === 'subscribe')
-        push.subscribe(coach, body === null ? (decrees.agreed()?.generation ?? -1) : (body as number));
+        push.subscribe(coach, body === null ? (acceptor.agreed()?.generation ?? -1) : (body as number));
       else if (topic === 'ack') push.acked(coach, body as number);
       else if (topic === 'heavyNews') push.heavyNews(coach, body as Parameters<PushDesk['heavyNews']>[1]);
     },
@@ -58,9 +58,9 @@
   )._unsafeUnwrap();
   const close = async (): Promise<void> => {
     await listener.close();
-    await decrees.close();
+    await acceptor.close();
   };
-  return { address, meter, decrees, push, close };
+  return { address, meter, acceptor, push, close };
 };
 
 export const withPeers = async <T>(work: (peers: HollowPeers) => Promise<T>): Promise<T> => {
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -14,8 +14,8 @@
 import { Unpacker, coaches, frames } from '@martenworks/peer-transport';
 import type { Coach, Handlers } from '@martenworks/peer-transport';
 import { Pigeonhole, place } from '@martenworks/prefix-index';
-import { KvDesk, Proposer, claimTables, decreeBooks, leaseBooks, replicaTables } from '@martenworks/control-plane';
-import type { Ballot, Decrees, Settled, Since, Vote } from '@martenworks/control-plane';
+import { KvDesk, Proposer, claimTables, acceptors, leaseBooks, replicaTables } from '@martenworks/control-plane';
+import type { Ballot, Acceptor, Settled, Since, Vote } from '@martenworks/control-plane';
 import { Duties, Roster, Watch, ring } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import { asMember, openCore, withPeers } from './core.js';
@@ -166,14 +166,14 @@
       await peers.ask({ verb: 'tell', topic: 'subscribe' });
       await rig.until(() => core.push.acks().length === fronts, 10_000);
       for (let repeat = 0; repeat < 4; repeat += 1) {
-        const state = core.decrees.agreed();
+        const state = core.acceptor.agreed();
         const generation = (state?.generation ?? 0) + 1;
         const settled: Settled = {
           generation,
           change: layoutChange(tenants, ++edition, state?.layoutGeneration ?? 0),
         };
         const [began, sent, at] = [rig.cpuUs(), core.meter.sent, performance.now()];
-        await core.decrees.settle(settled);
+        await core.acceptor.settle(settled);
         await rig.until(() => core.push.acks().every((one) => one.generation === generation), 30_000, 10);
         if (repeat > 0) note((rig.cpuUs() - began) / 1_000, performance.now() - at, (core.meter.sent - sent) / fronts);
       }
@@ -215,24 +215,24 @@
   );
   for (const tenants of tenantCounts) {
     const meter = new Meter();
-    const books: Decrees[] = [];
+    const books: Acceptor[] = [];
     const addresses: string[] = [];
     const closers: (() => Promise<void>)[] = [];
     const members: Member[] = [];
     for (let at = 0; at < size.voters; at += 1) {
       const ports = rig.ports(meter);
-      const decrees = (await decreeBooks.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
+      const acceptor = (await acceptors.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
       const address = await rig.freeAddress();
       const asked = async (_coach: Coach, topic: string, body: unknown): Promise<unknown> => {
         const { slot, ballot, change } = (body ?? {}) as { slot: number; ballot: Ballot; change: Change };
-        if (topic === 'prepare') return decrees.prepare(slot, ballot);
-        if (topic === 'accept') return decrees.accept(slot, ballot, change);
-        return decrees.since(body as number);
+        if (topic === 'prepare') return acceptor.prepare(slot, ballot);
+        if (topic === 'accept') return acceptor.accept(slot, ballot, change);
+        return acceptor.since(body as number);
       };
       const handlers: Handlers = {
         joined: () => {},
         left: () => {},
-        told: (_coach, topic, body) => void (topic === 'settled' && decrees.settle(body as Settled)),
+        told: (_coach, topic, body) => void (topic === 'settled' && acceptor.settle(body as Settled)),
         asked,
       };
       const listener = (
@@ -245,16 +245,16 @@
           handlers,
         )
       )._unsafeUnwrap();
-      books.push(decrees);
+      books.push(acceptor);
       addresses.push(address);
-      members.push({ name: `postmaster-${at}`, address, incarnation: decrees.incarnation });
+      members.push({ name: `postmaster-${at}`, address, incarnation: acceptor.incarnation });
       closers.push(async () => {
         await listener.close();
-        await decrees.close();
+        await acceptor.close();
       });
     }
     for (const book of books) await book.adopt(rig.stateOf(tenants, 0, members));
-    const own = books[0] as Decrees;
+    const own = books[0] as Acceptor;
     const ports = rig.ports(meter);
     const quiet: Handlers = { joined: () => {}, left: () => {}, told: () => {}, asked: async () => null };
     const lines = new Map<string, Coach>();
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -145,13 +145,13 @@
           topic === 'ping' ? (holder.push?.pong(coach, body as Parameters<WayPush['pong']>[1], true) ?? null) : null,
       });
       const push = new WayPush(
-        core.decrees,
+        core.acceptor,
         machine.clock,
         () => 100,
         () => {},
       );
       holder.push = push;
-      const state = core.decrees.agreed();
+      const state = core.acceptor.agreed();
       const held = { generation: state?.generation ?? 0, edition: 0 };
       await peers.ask({ verb: 'dial', address: core.address, from: 0, count: fronts });
       await peers.ask({ verb: 'tell', topic: 'subscribe', body: { ...held, wantsContent } });
@@ -179,14 +179,14 @@
       }
       const book = bookOf(customers);
       for (let repeat = 0; repeat < 4; repeat += 1) {
-        const generation = (core.decrees.agreed()?.generation ?? 0) + 1;
+        const generation = (core.acceptor.agreed()?.generation ?? 0) + 1;
         const change: Change = {
           id: `book-${repeat}`,
           digest: '0',
           body: { kind: 'ways', base: repeat, ways: { edition: repeat + 1, book, source: '' } },
         };
         const [began, sent] = [rig.cpuUs(), core.meter.sent];
-        await core.decrees.settle({ generation, change });
+        await core.acceptor.settle({ generation, change });
         if (wantsContent) await rig.until(() => push.lines().every((one) => one.acked >= generation), 20_000, 10);
         else await rig.pauseMs(20);
         if (repeat > 0) note((rig.cpuUs() - began) / 1_000, (core.meter.sent - sent) / fronts);
--- a/packages/proving/src/sim/statePlaints.ts
+++ b/packages/proving/src/sim/statePlaints.ts
@@ -4,7 +4,7 @@
 export const statePlaints = (fleet: SimFleet, judge: Judge): Told[] => {
   const told: Told[] = [];
   fleet.postmasters.forEach((postmaster, at) => {
-    const state = postmaster?.decrees.agreed();
+    const state = postmaster?.acceptor.agreed();
     if (postmaster === null || state === null || state === undefined) return;
     for (const [id, generation] of judge.acceptedIds) {
       const known = state.changeIds[id];
--- a/packages/proving/src/sim/storm/disks.ts
+++ b/packages/proving/src/sim/storm/disks.ts
@@ -18,9 +18,9 @@
         fleet.killPostmaster(at, true);
         await storm.wait(storm.span(100, 3_000));
         await fleet.bootPostmaster(at);
-        for (let shot = 0; shot < 300 && fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1)
+        for (let shot = 0; shot < 300 && fleet.postmasters[at]?.acceptor.isVoter() !== true; shot += 1)
           await storm.wait(100);
-        if (fleet.postmasters[at]?.decrees.isVoter() !== true)
+        if (fleet.postmasters[at]?.acceptor.isVoter() !== true)
           throw new Error('the empty postmaster was never swapped in');
       }, true),
     'disk stalls': () =>
--- a/packages/proving/src/sim/storm/faultContext.ts
+++ b/packages/proving/src/sim/storm/faultContext.ts
@@ -143,9 +143,9 @@
   };
 
   readonly untilVoter = async (at: number, shots: number): Promise<void> => {
-    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.decrees.isVoter() !== true; shot += 1)
+    for (let shot = 0; shot < shots && this.fleet.postmasters[at]?.acceptor.isVoter() !== true; shot += 1)
       await this.wait(100);
-    if (this.fleet.postmasters[at]?.decrees.isVoter() !== true)
+    if (this.fleet.postmasters[at]?.acceptor.isVoter() !== true)
       throw new Error('the empty postmaster was never swapped in');
   };
 }
