Call the core node of the opaque path ControlNode, with ConfigService and StatePublisher

A script renamed whole words, files and imports; strings on the wire and names on disk stay. No behaviour is in this commit; the tree and its tests compile and the linter is clean.

--- a/packages/control-plane/src/wayDesk.ts
+++ b/packages/control-plane/src/configService.ts
@@ -13,7 +13,7 @@
 const rejected = (complaints: readonly BookFault[]): ProposeFault => ({ kind: 'rejected', complaints });
 
 /** Takes the operator's changes of ways and names of weights; each is one agreed change, told apart by what was asked, so that the same one sent again is the same change. */
-export class WayDesk {
+export class ConfigService {
   constructor(private readonly proposer: Proposer) {}
 
   private readonly put = (
--- a/packages/control-plane/src/wayPostmaster.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -35,8 +35,8 @@
 import type { Voters } from './proposer.js';
 import { ReadingRelay } from './readingRelay.js';
 import { ShelfDesk } from './shelfDesk.js';
-import { WayDesk } from './wayDesk.js';
-import { WayPush } from './wayPush.js';
+import { ConfigService } from './configService.js';
+import { StatePublisher } from './statePublisher.js';
 import { WeightsDesk } from './weightsDesk.js';
 
 const votePatienceMs = 800;
@@ -71,12 +71,12 @@
 
 export const wayPace = { patienceMs: 700, longestWaitMs: 400 };
 
-export class WayPostmaster {
+export class ControlNode {
   readonly roster: Roster;
   readonly lines: Lines;
   readonly proposer: Proposer;
-  readonly changes: WayDesk;
-  readonly push: WayPush;
+  readonly changes: ConfigService;
+  readonly push: StatePublisher;
   readonly cards: CardReader;
   readonly shelves: ShelfDesk;
   readonly readings: ReadingRelay;
@@ -110,7 +110,7 @@
       wayPace,
     );
     this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
-    this.changes = new WayDesk(this.proposer);
+    this.changes = new ConfigService(this.proposer);
     this.duties = new Duties(
       clock,
       () => acceptor.incarnation,
@@ -152,7 +152,7 @@
       this.push.tellContent('reading', bundle);
       this.tellPostmasters('readingRelay', bundle);
     });
-    this.push = new WayPush(acceptor, clock, this.cards.ageMs, (coach) => {
+    this.push = new StatePublisher(acceptor, clock, this.cards.ageMs, (coach) => {
       if (this.cards.ageMs() !== null) coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
       coach.tell('shelves', this.shelves.whole());
     });
@@ -449,13 +449,13 @@
   };
 }
 
-export const wayPostmasters = {
+export const controlNodes = {
   start: async (
     env: WayEnv,
     ports: Ports,
     backEnds: BackEnds,
     seeds: readonly string[],
-  ): Promise<Result<WayPostmaster, NetFault | LedgerFault>> => {
+  ): Promise<Result<ControlNode, NetFault | LedgerFault>> => {
     const acceptor = await acceptors.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
     if (acceptor.isErr()) return err(acceptor.error);
     const terms: LeaseTerms = {
@@ -466,7 +466,7 @@
     };
     const leases = await leaseBooks.open(ports.disk, ports.clock, ports.log, terms);
     if (leases.isErr()) return err(leases.error);
-    const postmaster = new WayPostmaster(env, ports, backEnds, acceptor.value, leases.value, terms, seeds);
+    const postmaster = new ControlNode(env, ports, backEnds, acceptor.value, leases.value, terms, seeds);
     const opened = await postmaster.open();
     return opened.isErr() ? err(opened.error) : ok(postmaster);
   },
--- a/packages/control-plane/src/wayPush.ts
+++ b/packages/control-plane/src/statePublisher.ts
@@ -37,7 +37,7 @@
   readonly at: number;
 }
 
-export class WayPush {
+export class StatePublisher {
   private readonly subscribers = new Map<Coach, Subscriber>();
   private readonly named = new Map<string, readonly Named[]>();
   private lastWays: WaysInForce | null = null;
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -12,7 +12,7 @@
   WayBook,
 } from '@martenworks/core-types';
 import { Unpacker, frames } from '@martenworks/peer-transport';
-import { CardReader, ShelfDesk, WayPush, WeightsDesk } from '@martenworks/control-plane';
+import { CardReader, ShelfDesk, StatePublisher, WeightsDesk } from '@martenworks/control-plane';
 import { ReplicaTracks, ShelfBook, WayPlacing } from '@martenworks/edge-proxy';
 import type { WayQuestion } from '@martenworks/edge-proxy';
 import { BookDoor, salts } from '@martenworks/route-table';
@@ -127,7 +127,7 @@
       'fronts it serves',
       size.nodes / size.voters,
     );
-    const holder: { push: WayPush | null } = { push: null };
+    const holder: { push: StatePublisher | null } = { push: null };
     const measure = async (
       fronts: number,
       customers: number,
@@ -138,13 +138,15 @@
       const core = await openCore(10, [], {
         left: (coach) => holder.push?.drop(coach),
         told: (coach, topic, body) => {
-          if (topic === 'subscribe') holder.push?.subscribe(coach, body as Parameters<WayPush['subscribe']>[1]);
-          else if (topic === 'ack') holder.push?.acked(coach, body as Parameters<WayPush['acked']>[1]);
+          if (topic === 'subscribe') holder.push?.subscribe(coach, body as Parameters<StatePublisher['subscribe']>[1]);
+          else if (topic === 'ack') holder.push?.acked(coach, body as Parameters<StatePublisher['acked']>[1]);
         },
         asked: async (coach, topic, body) =>
-          topic === 'ping' ? (holder.push?.pong(coach, body as Parameters<WayPush['pong']>[1], true) ?? null) : null,
+          topic === 'ping'
+            ? (holder.push?.pong(coach, body as Parameters<StatePublisher['pong']>[1], true) ?? null)
+            : null,
       });
-      const push = new WayPush(
+      const push = new StatePublisher(
         core.acceptor,
         machine.clock,
         () => 100,
