--- a/packages/control-plane/src/acceptor.ts
+++ b/packages/control-plane/src/acceptor.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'neverthrow';
 import { Owner, agreed as agreedState } from '@martenworks/core-types';
 import type { Agreed, Change, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/write-ahead-log';
-import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 
 export type Ballot = readonly [number, string];
 
@@ -35,7 +35,7 @@
   accepted: Accepted | null;
 }
 
-type LedgerRecord =
+type LogRecord =
   | { readonly t: 'identity'; readonly incarnation: string; readonly isFresh?: boolean }
   | { readonly t: 'vow'; readonly members: readonly Member[] }
   | { readonly t: 'adopted'; readonly agreed: Agreed }
@@ -71,12 +71,12 @@
   isFresh = true;
 
   constructor(
-    private readonly ledger: Ledger,
+    private readonly wal: WriteAheadLog,
     private readonly clock: Clock,
     private readonly log: Log,
   ) {}
 
-  readonly replay = (checkpoint: AcceptorSnapshot | null, records: readonly LedgerRecord[]): void => {
+  readonly replay = (checkpoint: AcceptorSnapshot | null, records: readonly LogRecord[]): void => {
     if (checkpoint !== null) {
       this.incarnation = checkpoint.incarnation;
       this.isFresh = checkpoint.isFresh ?? true;
@@ -88,7 +88,7 @@
     this.acceptedAt = this.clock.now();
   };
 
-  private readonly redo = (record: LedgerRecord): void => {
+  private readonly redo = (record: LogRecord): void => {
     switch (record.t) {
       case 'identity':
         this.incarnation = record.incarnation;
@@ -121,15 +121,15 @@
     }
   };
 
-  private readonly keep = async (record: LedgerRecord): Promise<Result<void, LedgerFault>> => {
-    const written = await this.ledger.append(record);
+  private readonly keep = async (record: LogRecord): Promise<Result<void, WriteAheadLogFault>> => {
+    const written = await this.wal.append(record);
     if (written.isErr()) {
       this.log.error('ledger did not take a record', { record: record.t, fault: written.error });
       return written;
     }
     this.redo(record);
-    if (this.ledger.segmentCount() > segmentsBeforeCheckpoint) {
-      const made = await this.ledger.checkpoint(this.capture);
+    if (this.wal.segmentCount() > segmentsBeforeCheckpoint) {
+      const made = await this.wal.checkpoint(this.capture);
       if (made.isErr()) this.log.warn('checkpoint was not written', { fault: made.error });
     }
     return written;
@@ -143,7 +143,7 @@
     live: this.live,
   });
 
-  readonly identify = (random: Random, isFresh: boolean): Promise<Result<void, LedgerFault>> =>
+  readonly identify = (random: Random, isFresh: boolean): Promise<Result<void, WriteAheadLogFault>> =>
     this.owner.run(async () =>
       this.incarnation === '' ? this.keep({ t: 'identity', incarnation: random.token(8), isFresh }) : ok(undefined),
     );
@@ -233,9 +233,9 @@
     return { k: 'checkpoint', agreed: this.state };
   };
 
-  readonly ledgerSegments = (): number => this.ledger.segmentCount();
+  readonly segmentCount = (): number => this.wal.segmentCount();
 
-  readonly close = (): Promise<void> => this.ledger.close();
+  readonly close = (): Promise<void> => this.wal.close();
 }
 
 export const acceptors = {
@@ -245,13 +245,13 @@
     random: Random,
     log: Log,
     isFresh = true,
-  ): Promise<Result<Acceptor, LedgerFault>> => {
-    const opened = await ledgers.open(disk, 'decrees');
+  ): Promise<Result<Acceptor, WriteAheadLogFault>> => {
+    const opened = await writeAheadLogs.open(disk, 'decrees');
     if (opened.isErr()) return err(opened.error);
-    const { ledger, checkpoint, records, cutBytes } = opened.value;
-    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'decrees', cutBytes });
-    const acceptor = new Acceptor(ledger, clock, log);
-    acceptor.replay(checkpoint as AcceptorSnapshot | null, records as LedgerRecord[]);
+    const { wal, checkpoint, records, cutBytes } = opened.value;
+    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'decrees', cutBytes });
+    const acceptor = new Acceptor(wal, clock, log);
+    acceptor.replay(checkpoint as AcceptorSnapshot | null, records as LogRecord[]);
     const identified = await acceptor.identify(random, isFresh);
     return identified.isErr() ? err(identified.error) : ok(acceptor);
   },
--- a/packages/control-plane/src/claims.ts
+++ b/packages/control-plane/src/claims.ts
@@ -11,8 +11,8 @@
   Disk,
   Log,
 } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/write-ahead-log';
-import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 
 const pageSize = 4_000;
 const empty: ClaimState = { turn: 0, promised: null, accepted: null };
@@ -44,7 +44,7 @@
   private serial = 0;
 
   constructor(
-    private readonly ledger: Ledger,
+    private readonly wal: WriteAheadLog,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly retentionMs: number,
@@ -52,7 +52,7 @@
 
   readonly replay = (records: readonly ClaimRecord[]): void => {
     for (const [key, state] of records) this.put(key, state);
-    this.filledAt.set(this.ledger.currentSegment() - 1, this.clock.now());
+    this.filledAt.set(this.wal.currentSegment() - 1, this.clock.now());
   };
 
   private readonly put = (key: string, state: ClaimState): void => {
@@ -65,12 +65,12 @@
 
   private readonly keep = async (key: string, state: ClaimState): Promise<boolean> => {
     this.put(key, state);
-    const written = await this.ledger.append([key, state] satisfies ClaimRecord);
+    const written = await this.wal.append([key, state] satisfies ClaimRecord);
     if (written.isErr()) {
       this.log.error('ledger did not take a claim', { fault: written.error });
       return false;
     }
-    this.filledAt.set(this.ledger.currentSegment(), this.clock.now());
+    this.filledAt.set(this.wal.currentSegment(), this.clock.now());
     return true;
   };
 
@@ -127,24 +127,29 @@
       if (now - entry.touchedAt <= this.retentionMs) break;
       this.entries.delete(key);
     }
-    let keepFrom = this.ledger.currentSegment();
+    let keepFrom = this.wal.currentSegment();
     for (const [segment, at] of this.filledAt) if (now - at <= this.retentionMs) keepFrom = Math.min(keepFrom, segment);
     for (const segment of [...this.filledAt.keys()]) if (segment < keepFrom) this.filledAt.delete(segment);
-    await this.ledger.dropBefore(keepFrom);
+    await this.wal.dropBefore(keepFrom);
   };
 
   readonly size = (): number => this.entries.size;
 
-  readonly close = (): Promise<void> => this.ledger.close();
+  readonly close = (): Promise<void> => this.wal.close();
 }
 
 export const claimTables = {
-  open: async (disk: Disk, clock: Clock, log: Log, retentionMs: number): Promise<Result<ClaimTable, LedgerFault>> => {
-    const opened = await ledgers.open(disk, 'claims');
+  open: async (
+    disk: Disk,
+    clock: Clock,
+    log: Log,
+    retentionMs: number,
+  ): Promise<Result<ClaimTable, WriteAheadLogFault>> => {
+    const opened = await writeAheadLogs.open(disk, 'claims');
     if (opened.isErr()) return err(opened.error);
-    const { ledger, records, cutBytes } = opened.value;
-    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'claims', cutBytes });
-    const table = new ClaimTable(ledger, clock, log, retentionMs);
+    const { wal, records, cutBytes } = opened.value;
+    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'claims', cutBytes });
+    const table = new ClaimTable(wal, clock, log, retentionMs);
     table.replay(records as ClaimRecord[]);
     return ok(table);
   },
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -18,7 +18,7 @@
   Subscription,
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/settings';
-import type { LedgerFault } from '@martenworks/write-ahead-log';
+import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import { Duties, Lines, Roster } from '@martenworks/cluster-membership';
@@ -455,7 +455,7 @@
     ports: Ports,
     backEnds: BackEnds,
     seeds: readonly string[],
-  ): Promise<Result<ControlNode, NetFault | LedgerFault>> => {
+  ): Promise<Result<ControlNode, NetFault | WriteAheadLogFault>> => {
     const acceptor = await acceptors.open(ports.disk, ports.clock, ports.random, ports.log, env.isFresh);
     if (acceptor.isErr()) return err(acceptor.error);
     const terms: LeaseTerms = {
--- a/packages/control-plane/src/leases.ts
+++ b/packages/control-plane/src/leases.ts
@@ -1,8 +1,8 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, Disk, Log } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/write-ahead-log';
-import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { LeaseBook } from '@martenworks/cluster-membership';
 import type { LeaseTerms } from '@martenworks/cluster-membership';
 
@@ -16,16 +16,21 @@
 }
 
 export const leaseBooks = {
-  open: async (disk: Disk, clock: Clock, log: Log, terms?: LeaseTerms): Promise<Result<KeptLeases, LedgerFault>> => {
-    const opened = await ledgers.open(disk, 'leases');
+  open: async (
+    disk: Disk,
+    clock: Clock,
+    log: Log,
+    terms?: LeaseTerms,
+  ): Promise<Result<KeptLeases, WriteAheadLogFault>> => {
+    const opened = await writeAheadLogs.open(disk, 'leases');
     if (opened.isErr()) return err(opened.error);
     const { checkpoint, records } = opened.value;
-    const ledger: Ledger = opened.value.ledger;
+    const wal: WriteAheadLog = opened.value.wal;
     const kept = [...((checkpoint as FenceRecord[] | null) ?? []), ...(records as FenceRecord[])];
     const keep = async (duty: string, fence: number): Promise<boolean> => {
-      const written = await ledger.append([duty, fence] satisfies FenceRecord);
+      const written = await wal.append([duty, fence] satisfies FenceRecord);
       if (written.isErr()) log.error('ledger did not take a lease', { fault: written.error });
-      if (ledger.segmentCount() > segmentsBeforeCheckpoint) await ledger.checkpoint(book.fences);
+      if (wal.segmentCount() > segmentsBeforeCheckpoint) await wal.checkpoint(book.fences);
       return written.isOk();
     };
     const book = new LeaseBook(
@@ -35,6 +40,6 @@
       terms === undefined && checkpoint === null && records.length === 0,
       terms,
     );
-    return ok({ book, close: ledger.close });
+    return ok({ book, close: wal.close });
   },
 };
--- a/packages/control-plane/src/operatorWire.ts
+++ b/packages/control-plane/src/operatorWire.ts
@@ -152,7 +152,7 @@
       watch: postmaster.verdicts.lines(),
       replicas: postmaster.table.records(),
       index: postmaster.kv.sizes(),
-      ledgerSegments: postmaster.acceptor.ledgerSegments(),
+      segmentCount: postmaster.acceptor.segmentCount(),
     });
   });
   app.get('/healthz', (c) => c.json({ status: 'ok' }));
@@ -167,7 +167,7 @@
       `martenworks_generation ${state?.generation ?? -1}`,
       `martenworks_members_reachable ${postmaster.reachable()}`,
       `martenworks_subscribed_counters ${postmaster.push.acks().length}`,
-      `martenworks_ledger_segments ${postmaster.acceptor.ledgerSegments()}`,
+      `martenworks_ledger_segments ${postmaster.acceptor.segmentCount()}`,
       ...vitals(),
       ...postmaster.push
         .acks()
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -15,7 +15,7 @@
   SideClaim,
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/settings';
-import type { LedgerFault } from '@martenworks/write-ahead-log';
+import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { coaches, hellos } from '@martenworks/peer-transport';
 import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
@@ -54,7 +54,7 @@
 const kvDuty = (replica: string): string => `kv/${replica}`;
 const beatPatienceMs = 1_200;
 
-export type StartFault = NetFault | LedgerFault;
+export type StartFault = NetFault | WriteAheadLogFault;
 
 export class Postmaster {
   readonly roster: Roster;
--- a/packages/control-plane/src/recovery.ts
+++ b/packages/control-plane/src/recovery.ts
@@ -1,12 +1,12 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
-import type { LedgerFault } from '@martenworks/write-ahead-log';
+import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { acceptors } from './acceptor.js';
 
 const generationLeap = 1_000;
 
-export type RecoveryFault = LedgerFault | { readonly kind: 'recovery'; readonly detail: string };
+export type RecoveryFault = WriteAheadLogFault | { readonly kind: 'recovery'; readonly detail: string };
 
 export const recovery = {
   recover: async (
--- a/packages/control-plane/src/replicaTable.ts
+++ b/packages/control-plane/src/replicaTable.ts
@@ -2,8 +2,8 @@
 import type { Result } from 'neverthrow';
 import { Owner, replicas } from '@martenworks/core-types';
 import type { Disk, Log, ReplicaRecord } from '@martenworks/core-types';
-import { ledgers } from '@martenworks/write-ahead-log';
-import type { Ledger, LedgerFault } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 
 const segmentsBeforeCheckpoint = 4;
 
@@ -13,7 +13,7 @@
   private readonly watchers: ((records: readonly ReplicaRecord[]) => void)[] = [];
 
   constructor(
-    private readonly ledger: Ledger,
+    private readonly wal: WriteAheadLog,
     private readonly log: Log,
   ) {}
 
@@ -24,14 +24,14 @@
 
   readonly watch = (verb: (records: readonly ReplicaRecord[]) => void): void => void this.watchers.push(verb);
 
-  readonly take = (told: readonly ReplicaRecord[]): Promise<Result<readonly ReplicaRecord[], LedgerFault>> =>
+  readonly take = (told: readonly ReplicaRecord[]): Promise<Result<readonly ReplicaRecord[], WriteAheadLogFault>> =>
     this.owner.run(async () => {
       const news = told
         .filter((record) => replicas.isNews(this.held.get(record.name), record))
         .map((record) => replicas.merge(this.held.get(record.name), record));
       if (news.length === 0) return ok(news);
       for (const record of news) {
-        const written = await this.ledger.append(record);
+        const written = await this.wal.append(record);
         if (written.isErr()) {
           this.log.error('ledger did not take a replica record', { fault: written.error });
           return err(written.error);
@@ -39,7 +39,7 @@
         this.held.set(record.name, record);
       }
       for (const verb of this.watchers) verb(news);
-      if (this.ledger.segmentCount() > segmentsBeforeCheckpoint) await this.ledger.checkpoint(this.records);
+      if (this.wal.segmentCount() > segmentsBeforeCheckpoint) await this.wal.checkpoint(this.records);
       return ok(news);
     });
 
@@ -47,16 +47,16 @@
 
   readonly find = (name: string): ReplicaRecord | undefined => this.held.get(name);
 
-  readonly close = (): Promise<void> => this.ledger.close();
+  readonly close = (): Promise<void> => this.wal.close();
 }
 
 export const replicaTables = {
-  open: async (disk: Disk, log: Log): Promise<Result<ReplicaTable, LedgerFault>> => {
-    const opened = await ledgers.open(disk, 'replicas');
+  open: async (disk: Disk, log: Log): Promise<Result<ReplicaTable, WriteAheadLogFault>> => {
+    const opened = await writeAheadLogs.open(disk, 'replicas');
     if (opened.isErr()) return err(opened.error);
-    const { ledger, checkpoint, records, cutBytes } = opened.value;
-    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { ledger: 'replicas', cutBytes });
-    const table = new ReplicaTable(ledger, log);
+    const { wal, checkpoint, records, cutBytes } = opened.value;
+    if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'replicas', cutBytes });
+    const table = new ReplicaTable(wal, log);
     table.replay([...((checkpoint as ReplicaRecord[] | null) ?? []), ...(records as ReplicaRecord[])]);
     return ok(table);
   },
--- a/packages/control-plane/test/upkeep.test.ts
+++ b/packages/control-plane/test/upkeep.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { ledgers } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import { acceptors } from '@martenworks/control-plane';
 import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
@@ -121,7 +121,7 @@
     expect(fleet.postmasters[2]?.acceptor.agreed()?.changeIds['first-layout']).to.not.equal(undefined);
   });
 
-  it('given a damaged ledger, when its postmaster starts, then it names the file and the place, and does not start', async () => {
+  it('given a damaged wal, when its postmaster starts, then it names the file and the place, and does not start', async () => {
     const fleet = await raised(65);
     fleet.killPostmaster(0);
     const machine = fleet.machineOf('postmaster', 0);
@@ -134,7 +134,7 @@
     expect(opened._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name });
   });
 
-  it("given ledgers of a release that knew no sides and no stores' generations, when all three start with them, then they serve, and name no replica that they know nothing of", async () => {
+  it("given writeAheadLogs of a release that knew no sides and no stores' generations, when all three start with them, then they serve, and name no replica that they know nothing of", async () => {
     const fleet = await raised(67);
     for (const at of [0, 1, 2]) fleet.killPostmaster(at);
     for (const at of [0, 1, 2]) {
@@ -142,17 +142,17 @@
       machine.boot();
       const { disk } = machine.ports();
       for (const prefix of ['decrees', 'replicas']) {
-        const held = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
+        const held = (await fleet.finish(writeAheadLogs.open(disk, prefix)))._unsafeUnwrap();
         const older = JSON.parse(
           JSON.stringify(held.records, (key, value: unknown) =>
             key === 'sides' || key === 'storeSince' ? undefined : value,
           ),
         ) as unknown[];
         for (const name of [...machine.disk.files.keys()]) if (name.startsWith(prefix)) machine.disk.files.delete(name);
-        const { ledger } = (await fleet.finish(ledgers.open(disk, prefix)))._unsafeUnwrap();
+        const { wal } = (await fleet.finish(writeAheadLogs.open(disk, prefix)))._unsafeUnwrap();
         const names = older.map((record) => (record as { name?: string }).name);
         const kept = prefix === 'replicas' ? older.filter((_, index) => names.indexOf(names[index]) === index) : older;
-        for (const record of kept) await fleet.finish(ledger.append(record));
+        for (const record of kept) await fleet.finish(wal.append(record));
       }
       await fleet.startPostmaster(at);
     }
--- a/packages/write-ahead-log/src/index.ts
+++ b/packages/write-ahead-log/src/index.ts
@@ -1,1 +1,1 @@
-export * from './ledger.js';
+export * from './writeAheadLog.js';
--- a/packages/write-ahead-log/src/ledger.ts
+++ b/packages/write-ahead-log/src/writeAheadLog.ts
@@ -18,10 +18,10 @@
   readonly detail: string;
 }
 
-export type LedgerFault = DiskFault | CorruptFault;
+export type WriteAheadLogFault = DiskFault | CorruptFault;
 
 export interface Opened {
-  readonly ledger: Ledger;
+  readonly wal: WriteAheadLog;
   readonly checkpoint: unknown;
   readonly records: readonly unknown[];
   readonly cutBytes: number;
@@ -69,10 +69,10 @@
 
 interface Waiting {
   readonly record: unknown;
-  readonly settle: (receipt: Result<void, LedgerFault>) => void;
+  readonly settle: (receipt: Result<void, WriteAheadLogFault>) => void;
 }
 
-export class Ledger {
+export class WriteAheadLog {
   private readonly writer = new Owner();
   private waiting: Waiting[] = [];
   private file: DiskFile | null = null;
@@ -89,7 +89,7 @@
   private readonly nameOf = (kind: 'segment' | 'checkpoint', number: number): string =>
     names.of(this.prefix, kind, number);
 
-  readonly append = (record: unknown): Promise<Result<void, LedgerFault>> =>
+  readonly append = (record: unknown): Promise<Result<void, WriteAheadLogFault>> =>
     new Promise((settle) => {
       this.waiting.push({ record, settle });
       if (this.waiting.length === 1) void this.writer.run(this.flush);
@@ -103,7 +103,7 @@
     for (const one of batch) one.settle(written);
   };
 
-  private readonly write = async (bytes: Uint8Array): Promise<Result<void, LedgerFault>> => {
+  private readonly write = async (bytes: Uint8Array): Promise<Result<void, WriteAheadLogFault>> => {
     if (this.isSuspect) {
       const mended = await this.mend();
       if (mended.isErr()) return mended;
@@ -125,7 +125,7 @@
     return ok(undefined);
   };
 
-  private readonly mend = async (): Promise<Result<void, LedgerFault>> => {
+  private readonly mend = async (): Promise<Result<void, WriteAheadLogFault>> => {
     const cut = await this.disk.truncate(this.nameOf('segment', this.segment), this.goodSize);
     if (cut.isErr()) return cut;
     await this.roll();
@@ -141,7 +141,7 @@
     this.goodSize = 0;
   };
 
-  readonly checkpoint = (capture: () => unknown): Promise<Result<void, LedgerFault>> =>
+  readonly checkpoint = (capture: () => unknown): Promise<Result<void, WriteAheadLogFault>> =>
     this.writer.run(async () => {
       if (this.isSuspect) {
         const mended = await this.mend();
@@ -162,7 +162,7 @@
 
   readonly currentSegment = (): number => this.segment;
 
-  readonly dropBefore = (segment: number): Promise<Result<void, LedgerFault>> =>
+  readonly dropBefore = (segment: number): Promise<Result<void, WriteAheadLogFault>> =>
     this.writer.run(async () => {
       for (; this.firstSegment < Math.min(segment, this.segment); this.firstSegment += 1) {
         const removed = await this.disk.remove(this.nameOf('segment', this.firstSegment));
@@ -191,8 +191,8 @@
   },
 };
 
-export const ledgers = {
-  open: async (disk: Disk, prefix: string): Promise<Result<Opened, LedgerFault>> => {
+export const writeAheadLogs = {
+  open: async (disk: Disk, prefix: string): Promise<Result<Opened, WriteAheadLogFault>> => {
     const listed = await disk.list();
     if (listed.isErr()) return err(listed.error);
     const files = listed.value.map((name) => names.parse(prefix, name)).filter((file) => file !== null);
@@ -241,6 +241,6 @@
     }
     const last = segments[segments.length - 1];
     const next = last === undefined ? first : last + 1;
-    return ok({ ledger: new Ledger(disk, prefix, next, segments[0] ?? first), checkpoint, records, cutBytes });
+    return ok({ wal: new WriteAheadLog(disk, prefix, next, segments[0] ?? first), checkpoint, records, cutBytes });
   },
 };
--- a/packages/write-ahead-log/test/ledger.test.ts
+++ b/packages/write-ahead-log/test/ledger.test.ts
@@ -1,12 +1,12 @@
 import { expect } from 'chai';
-import { ledgers } from '@martenworks/write-ahead-log';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import type { Opened } from '@martenworks/write-ahead-log';
 import { SimDisk } from '@martenworks/proving';
 
 const live = (): boolean => true;
 
 const opened = async (disk: SimDisk): Promise<Opened> => {
-  const outcome = await ledgers.open(disk.view(live), 'book');
+  const outcome = await writeAheadLogs.open(disk.view(live), 'book');
   if (outcome.isErr()) throw new Error(JSON.stringify(outcome.error));
   return outcome.value;
 };
@@ -23,10 +23,10 @@
 describe('a ledger', () => {
   it('given records kept one by one, when its last file is cut at any byte, then it opens with a prefix that holds every record wholly before the cut', async () => {
     const disk = new SimDisk();
-    const { ledger } = await opened(disk);
+    const { wal } = await opened(disk);
     const ends: number[] = [];
     for (let at = 0; at < 6; at += 1) {
-      expect((await ledger.append({ at, text: 'x'.repeat(at * 7) })).isOk()).to.equal(true);
+      expect((await wal.append({ at, text: 'x'.repeat(at * 7) })).isOk()).to.equal(true);
       ends.push(disk.files.get(segmentsOf(disk)[0] as string)?.safe.length ?? 0);
     }
     const name = segmentsOf(disk)[0] as string;
@@ -41,7 +41,7 @@
       expect(again.records.map((record) => (record as { at: number }).at)).to.deep.equal(
         Array.from({ length: wanted }, (_, at) => at),
       );
-      expect((await again.ledger.append({ at: 99 })).isOk()).to.equal(true);
+      expect((await again.wal.append({ at: 99 })).isOk()).to.equal(true);
       const third = await opened(copy);
       expect(third.records.length).to.equal(wanted + 1);
     }
@@ -49,24 +49,24 @@
 
   it('given a damaged byte before the tail, when it is opened, then the damage is named and nothing is served', async () => {
     const disk = new SimDisk();
-    const { ledger } = await opened(disk);
-    for (let at = 0; at < 3; at += 1) await ledger.append({ at, text: 'abcdefgh' });
+    const { wal } = await opened(disk);
+    for (let at = 0; at < 3; at += 1) await wal.append({ at, text: 'abcdefgh' });
     const name = segmentsOf(disk)[0] as string;
     const held = disk.files.get(name);
     if (held === undefined) throw new Error('no file');
     held.safe[12] = (held.safe[12] ?? 0) ^ 0xff;
-    const outcome = await ledgers.open(disk.view(live), 'book');
+    const outcome = await writeAheadLogs.open(disk.view(live), 'book');
     expect(outcome._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: name, offset: 0 });
   });
 
   it('given a full disk, when a record is refused half written, then later records are kept and the refused one is absent', async () => {
     const disk = new SimDisk();
-    const { ledger } = await opened(disk);
-    await ledger.append({ at: 0 });
+    const { wal } = await opened(disk);
+    await wal.append({ at: 0 });
     disk.mood.isFull = true;
-    expect((await ledger.append({ at: 1 })).isErr()).to.equal(true);
+    expect((await wal.append({ at: 1 })).isErr()).to.equal(true);
     disk.mood.isFull = false;
-    expect((await ledger.append({ at: 2 })).isOk()).to.equal(true);
+    expect((await wal.append({ at: 2 })).isOk()).to.equal(true);
     disk.crash(1);
     const again = await opened(disk);
     expect(again.records).to.deep.equal([{ at: 0 }, { at: 2 }]);
@@ -75,11 +75,11 @@
   it('given a crash, when unsynced bytes survive in part, then every acknowledged record is there', async () => {
     for (const share of [0, 0.3, 0.9, 1]) {
       const disk = new SimDisk();
-      const { ledger } = await opened(disk);
-      await ledger.append({ at: 0 });
-      await ledger.append({ at: 1 });
+      const { wal } = await opened(disk);
+      await wal.append({ at: 0 });
+      await wal.append({ at: 1 });
       disk.mood.failsSync = true;
-      expect((await ledger.append({ at: 2, text: 'y'.repeat(100) })).isErr()).to.equal(true);
+      expect((await wal.append({ at: 2, text: 'y'.repeat(100) })).isErr()).to.equal(true);
       disk.mood.failsSync = false;
       disk.crash(share);
       const again = await opened(disk);
@@ -89,10 +89,10 @@
 
   it('given a checkpoint, when it is opened again, then older files are gone and state is checkpoint plus later records', async () => {
     const disk = new SimDisk();
-    const { ledger } = await opened(disk);
-    for (let at = 0; at < 5; at += 1) await ledger.append({ at });
-    expect((await ledger.checkpoint(() => ({ sum: 10 }))).isOk()).to.equal(true);
-    await ledger.append({ at: 5 });
+    const { wal } = await opened(disk);
+    for (let at = 0; at < 5; at += 1) await wal.append({ at });
+    expect((await wal.checkpoint(() => ({ sum: 10 }))).isOk()).to.equal(true);
+    await wal.append({ at: 5 });
     const again = await opened(disk);
     expect(again.checkpoint).to.deep.equal({ sum: 10 });
     expect(again.records).to.deep.equal([{ at: 5 }]);
