Call one request on its way through an edge ForwardedRequest

A script renamed whole words, files and imports; strings on the wire and names on disk stay. No behaviour is in this commit; the tree and its tests compile and the linter is clean.

--- a/packages/edge-proxy/src/passage.ts
+++ b/packages/edge-proxy/src/forwardedRequest.ts
@@ -52,7 +52,7 @@
 const statuses = { badGateway: 502, unavailable: 503, lateGateway: 504 } as const;
 
 /** One caller's request on its way: placed, sent, answered once. `mayHaveRun` turns true as the body leaves and back only where a replica says that it didn't run. */
-export class Passage {
+export class ForwardedRequest {
   private readonly arrivedAt: number;
   private readonly horizonAt: number;
   private readonly avoided = new Set<string>();
--- a/packages/edge-proxy/src/front.ts
+++ b/packages/edge-proxy/src/front.ts
@@ -17,7 +17,7 @@
 import { CallDoor } from './callDoor.js';
 import { CoreTouch } from './coreTouch.js';
 import { ExtraBudget } from './extraBudget.js';
-import { Passage } from './passage.js';
+import { ForwardedRequest } from './forwardedRequest.js';
 import { ReplicaTracks } from './replicaTracks.js';
 import { ShelfBook } from './shelfBook.js';
 import { StaleWatch } from './staleWatch.js';
@@ -57,7 +57,7 @@
   readonly touch: CoreTouch;
   readonly door: CallDoor;
   readonly tally = new Tally();
-  readonly live = new Set<Passage>();
+  readonly live = new Set<ForwardedRequest>();
   private readonly placing: WayPlacing;
   private readonly label: string;
   private readonly tallier: Repeating;
@@ -223,8 +223,8 @@
       return body.error === 'too large' ? this.deny(call, 413, 'the body is too large', null, true) : undefined;
     const again = this.standingOf(call, order.value.key);
     if ('status' in again) return this.deny(call, again.status, again.message, null);
-    const pool = Passage.poolFor(again.view, this.ports.random.fraction());
-    await new Passage(this, call, again.view, order.value, again.customer, body.value, pool).run();
+    const pool = ForwardedRequest.poolFor(again.view, this.ports.random.fraction());
+    await new ForwardedRequest(this, call, again.view, order.value, again.customer, body.value, pool).run();
   };
 
   private readonly drop = ({ address, salt, parts, barMs }: MissedNews): void => {
