--- a/packages/cluster-membership/src/lines.ts
+++ b/packages/cluster-membership/src/lines.ts
@@ -1,7 +1,7 @@
 import { Repeating, pause } from '@martenworks/core-types';
 import type { Ports } from '@martenworks/core-types';
-import { coaches } from '@martenworks/peer-transport';
-import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
+import { peerConnections } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
 import type { Roster, RosterEntry } from './roster.js';
 
 const firstWaitMs = 50;
@@ -19,7 +19,7 @@
 const usualPace: DialPace = { patienceMs: 2_000, longestWaitMs };
 
 interface Line {
-  coach: Coach | null;
+  coach: PeerConnection | null;
   isStopped: boolean;
 }
 
@@ -76,7 +76,7 @@
     while (!line.isStopped && !this.isStopped) {
       let hangUp = (): void => {};
       const ended = new Promise<void>((end) => (hangUp = end));
-      const dialed = await coaches.dial(
+      const dialed = await peerConnections.dial(
         net,
         clock,
         log,
@@ -108,7 +108,7 @@
     }
   };
 
-  private readonly learnFrom = async (coach: Coach): Promise<void> => {
+  private readonly learnFrom = async (coach: PeerConnection): Promise<void> => {
     const told = await coach.ask('roster', this.roster.entries(), rosterPatienceMs);
     if (told.isOk()) this.roster.merge(told.value as RosterEntry[]);
     if (coach.neighbour !== null && told.isOk()) this.roster.heard(coach.neighbour);
@@ -122,9 +122,10 @@
     else this.align();
   };
 
-  readonly open = (): Coach[] => [...this.lines.values()].flatMap((line) => (line.coach?.isLive() ? [line.coach] : []));
+  readonly open = (): PeerConnection[] =>
+    [...this.lines.values()].flatMap((line) => (line.coach?.isLive() ? [line.coach] : []));
 
-  readonly to = (incarnation: string): Coach | undefined =>
+  readonly to = (incarnation: string): PeerConnection | undefined =>
     this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
 
   readonly stop = (): void => {
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -19,8 +19,8 @@
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/settings';
 import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
-import { coaches, hellos } from '@martenworks/peer-transport';
-import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
+import { peerConnections, hellos } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
 import { Duties, Lines, Roster } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/cluster-membership';
 import { CardReader } from './cardReader.js';
@@ -213,7 +213,7 @@
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
-    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
+    const opened = await peerConnections.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
     if (opened.isErr()) return err(opened.error);
     this.listener = opened.value;
     return ok(undefined);
@@ -278,7 +278,7 @@
     await this.membership.step();
   };
 
-  private readonly postmasters = (): Coach[] =>
+  private readonly postmasters = (): PeerConnection[] =>
     this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
 
   private readonly settleRival = (): void => {
--- a/packages/control-plane/src/founding.ts
+++ b/packages/control-plane/src/founding.ts
@@ -1,6 +1,6 @@
 import { agreed as agreedState } from '@martenworks/core-types';
 import type { Log, Member } from '@martenworks/core-types';
-import type { Coach, Hello } from '@martenworks/peer-transport';
+import type { PeerConnection, Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { Acceptor, Since } from './acceptor.js';
 
@@ -37,7 +37,7 @@
     private readonly coreSize = usualCoreSize,
   ) {}
 
-  private readonly postmasters = (): Map<string, Coach> =>
+  private readonly postmasters = (): Map<string, PeerConnection> =>
     new Map(
       this.lines()
         .open()
@@ -74,7 +74,10 @@
     await this.collect(members, reached);
   };
 
-  private readonly collect = async (members: readonly Member[], reached: Map<string, Coach>): Promise<void> => {
+  private readonly collect = async (
+    members: readonly Member[],
+    reached: Map<string, PeerConnection>,
+  ): Promise<void> => {
     const own = await this.acceptor.vow(members);
     if (!own.isVowed) return;
     for (const [incarnation, coach] of reached) {
@@ -90,7 +93,7 @@
     if (isFounded) this.log.info('the fleet is founded', { members: members.map((member) => member.name) });
   };
 
-  private readonly joinLate = async (coach: Coach): Promise<void> => {
+  private readonly joinLate = async (coach: PeerConnection): Promise<void> => {
     const told = await coach.ask('since', -1, patienceMs);
     if (told.isOk()) await this.learn(told.value as Since);
   };
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -16,8 +16,8 @@
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/settings';
 import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
-import { coaches, hellos } from '@martenworks/peer-transport';
-import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
+import { peerConnections, hellos } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
@@ -166,7 +166,7 @@
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
-    const opened = await coaches.listen(net, clock, log, this.hello, this.env.coachListen, this.handlers());
+    const opened = await peerConnections.listen(net, clock, log, this.hello, this.env.coachListen, this.handlers());
     if (opened.isErr()) return err(opened.error);
     this.listener = opened.value;
     return ok(undefined);
@@ -242,7 +242,7 @@
     return replies.filter((reply) => reply !== null);
   };
 
-  private readonly borrowShelves = async (coach: Coach, names: readonly string[]): Promise<void> => {
+  private readonly borrowShelves = async (coach: PeerConnection, names: readonly string[]): Promise<void> => {
     const told = await coach.ask('shelves', names, votePatienceMs);
     if (told.isOk()) this.push.tellShelves(this.kv.takeShelves(told.value as ShelfCheckpoint[]));
   };
--- a/packages/control-plane/src/pushDesk.ts
+++ b/packages/control-plane/src/pushDesk.ts
@@ -1,5 +1,5 @@
 import type { Clock, KvNews, Contention, LoadReport, Loads, Pong, ReplicaRecord } from '@martenworks/core-types';
-import type { Coach } from '@martenworks/peer-transport';
+import type { PeerConnection } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import type { Acceptor, Settled } from './acceptor.js';
 
@@ -23,7 +23,7 @@
 }
 
 export class PushDesk {
-  private readonly subscribers = new Map<Coach, Subscriber>();
+  private readonly subscribers = new Map<PeerConnection, Subscriber>();
 
   constructor(
     private readonly acceptor: Acceptor,
@@ -34,7 +34,7 @@
     acceptor.watch(this.bring);
   }
 
-  readonly subscribe = (coach: Coach, generation: number): void => {
+  readonly subscribe = (coach: PeerConnection, generation: number): void => {
     this.subscribers.set(coach, {
       sent: generation,
       acked: generation,
@@ -47,7 +47,7 @@
     this.bringTo(coach);
   };
 
-  readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
+  readonly drop = (coach: PeerConnection): void => void this.subscribers.delete(coach);
 
   private readonly bring = (settled: Settled | null): void => {
     if (settled === null)
@@ -55,7 +55,7 @@
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
-  private readonly bringTo = (coach: Coach): void => {
+  private readonly bringTo = (coach: PeerConnection): void => {
     const subscriber = this.subscribers.get(coach);
     if (subscriber === undefined) return;
     const since = this.acceptor.since(subscriber.sent);
@@ -71,26 +71,26 @@
     }
   };
 
-  readonly acked = (coach: Coach, generation: number): void => {
+  readonly acked = (coach: PeerConnection, generation: number): void => {
     const subscriber = this.subscribers.get(coach);
     if (subscriber === undefined) return;
     subscriber.acked = generation;
     subscriber.ackedAt = this.clock.now();
   };
 
-  private readonly report = (coach: Coach, report: LoadReport): void => {
+  private readonly report = (coach: PeerConnection, report: LoadReport): void => {
     const subscriber = this.subscribers.get(coach);
     if (subscriber !== undefined) Object.assign(subscriber, { report, heardAt: this.clock.now() });
   };
 
-  private readonly others = (coach: Coach): LoadReport[] => {
+  private readonly others = (coach: PeerConnection): LoadReport[] => {
     const now = this.clock.now();
     return [...this.subscribers].flatMap(([other, { report, heardAt }]) =>
       other === coach || now - heardAt > reportAgeMs ? [] : [report],
     );
   };
 
-  private readonly loadsFor = (coach: Coach): Loads => {
+  private readonly loadsFor = (coach: PeerConnection): Loads => {
     const loads: Record<string, [number, number]> = {};
     for (const { replicas } of this.others(coach)) {
       for (const [replica, [running, tokens]] of Object.entries(replicas)) {
@@ -103,7 +103,7 @@
     return loads;
   };
 
-  private readonly contentionFor = (coach: Coach): Contention => {
+  private readonly contentionFor = (coach: PeerConnection): Contention => {
     const contention: Record<string, [number, number]> = {};
     for (const { pools } of this.others(coach)) {
       for (const [pool, [waiting, running]] of Object.entries(pools)) {
@@ -116,12 +116,12 @@
     return contention;
   };
 
-  readonly heavyNews = (coach: Coach, report: LoadReport): void => {
+  readonly heavyNews = (coach: PeerConnection, report: LoadReport): void => {
     this.report(coach, report);
     for (const other of this.subscribers.keys()) if (other !== coach) other.tell('loads', this.loadsFor(other));
   };
 
-  readonly pong = (coach: Coach, report: LoadReport): Pong => {
+  readonly pong = (coach: PeerConnection, report: LoadReport): Pong => {
     this.report(coach, report);
     return {
       generation: this.acceptor.agreed()?.generation ?? -1,
--- a/packages/control-plane/src/statePublisher.ts
+++ b/packages/control-plane/src/statePublisher.ts
@@ -9,7 +9,7 @@
   Subscription,
   WaysInForce,
 } from '@martenworks/core-types';
-import type { Coach } from '@martenworks/peer-transport';
+import type { PeerConnection } from '@martenworks/peer-transport';
 import { patches } from '@martenworks/route-table';
 import type { Acceptor } from './acceptor.js';
 
@@ -38,7 +38,7 @@
 }
 
 export class StatePublisher {
-  private readonly subscribers = new Map<Coach, Subscriber>();
+  private readonly subscribers = new Map<PeerConnection, Subscriber>();
   private readonly named = new Map<string, readonly Named[]>();
   private lastWays: WaysInForce | null = null;
   private patch: BookPatch | null = null;
@@ -47,7 +47,7 @@
     private readonly acceptor: Acceptor,
     private readonly clock: Clock,
     private readonly listAgeMs: () => number | null,
-    private readonly greet: (coach: Coach) => void,
+    private readonly greet: (coach: PeerConnection) => void,
   ) {
     this.lastWays = acceptor.agreed()?.ways ?? null;
     this.noteNamed();
@@ -92,14 +92,14 @@
     };
   };
 
-  readonly subscribe = (coach: Coach, { generation, edition, wantsContent }: Subscription): void => {
+  readonly subscribe = (coach: PeerConnection, { generation, edition, wantsContent }: Subscription): void => {
     const wasContent = this.subscribers.get(coach)?.wantsContent === true;
     this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
     this.bringTo(coach);
     if (wantsContent && !wasContent) this.greet(coach);
   };
 
-  readonly drop = (coach: Coach): void => void this.subscribers.delete(coach);
+  readonly drop = (coach: PeerConnection): void => void this.subscribers.delete(coach);
 
   private readonly bring = (): void => {
     this.noteEdition();
@@ -107,7 +107,7 @@
     for (const coach of this.subscribers.keys()) this.bringTo(coach);
   };
 
-  private readonly bringTo = (coach: Coach): void => {
+  private readonly bringTo = (coach: PeerConnection): void => {
     const subscriber = this.subscribers.get(coach);
     const state = this.acceptor.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
@@ -123,7 +123,7 @@
     return state === null ? null : this.stateNews(state, held);
   };
 
-  readonly acked = (coach: Coach, { generation, edition }: StateHeld): void => {
+  readonly acked = (coach: PeerConnection, { generation, edition }: StateHeld): void => {
     const subscriber = this.subscribers.get(coach);
     if (subscriber === undefined) return;
     Object.assign(subscriber, { acked: generation, heardAt: this.clock.now() });
@@ -131,7 +131,7 @@
     subscriber.edition = Math.max(subscriber.edition, edition);
   };
 
-  readonly pong = (coach: Coach, ping: FrontPing, isSettled: boolean): FrontPong => {
+  readonly pong = (coach: PeerConnection, ping: FrontPing, isSettled: boolean): FrontPong => {
     this.acked(coach, ping);
     return {
       generation: this.acceptor.agreed()?.generation ?? -1,
@@ -154,7 +154,7 @@
     for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent) coach.tell(topic, body);
   };
 
-  readonly tellOthers = (sender: Coach, topic: string, body: unknown): void => {
+  readonly tellOthers = (sender: PeerConnection, topic: string, body: unknown): void => {
     for (const [coach, { wantsContent }] of this.subscribers)
       if (wantsContent && coach !== sender) coach.tell(topic, body);
   };
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -1,6 +1,6 @@
 import { claimBallots, pause } from '@martenworks/core-types';
 import type { Claimant, ClaimAccepted, ClaimBallot, ClaimVote, Member, Ports } from '@martenworks/core-types';
-import { coaches } from '@martenworks/peer-transport';
+import { peerConnections } from '@martenworks/peer-transport';
 import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 
@@ -162,7 +162,7 @@
   private readonly inquire = async (claimant: Claimant): Promise<ShelfState> => {
     if (claimant.counter === this.own().incarnation) return this.shelf.stateOf(claimant.id);
     const { net, clock, log } = this.ports;
-    const dialed = await coaches.dial(net, clock, log, this.own(), claimant.address, {
+    const dialed = await peerConnections.dial(net, clock, log, this.own(), claimant.address, {
       told: () => {},
       asked: async () => null,
       joined: () => {},
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -16,8 +16,8 @@
   SideStanding,
 } from '@martenworks/core-types';
 import type { Env } from '@martenworks/settings';
-import { coaches, hellos } from '@martenworks/peer-transport';
-import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
+import { peerConnections, hellos } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Lines, Roster, Rounds } from '@martenworks/cluster-membership';
 import type { RosterEntry } from '@martenworks/cluster-membership';
@@ -46,7 +46,7 @@
   readonly claims: Claims;
   readonly stages: Stages;
   private readonly pinger: Repeating;
-  private readonly pinged = new Set<Coach>();
+  private readonly pinged = new Set<PeerConnection>();
   private listener: Listener | null = null;
   private isAdmitting = false;
 
@@ -97,7 +97,7 @@
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
-    const opened = await coaches.listen(
+    const opened = await peerConnections.listen(
       net,
       clock,
       log,
@@ -175,7 +175,7 @@
     for (const coach of this.lines.open()) void this.ping(coach);
   };
 
-  private readonly ping = async (coach: Coach): Promise<void> => {
+  private readonly ping = async (coach: PeerConnection): Promise<void> => {
     if (coach.neighbour?.role !== 'postmaster' || this.pinged.has(coach)) return;
     this.pinged.add(coach);
     const stamp = this.freshness.stamp();
@@ -192,13 +192,13 @@
     this.stages.placing.pumpAll();
   };
 
-  private readonly joinPostmaster = (coach: Coach): void => {
+  private readonly joinPostmaster = (coach: PeerConnection): void => {
     if (coach.neighbour?.role !== 'postmaster') return;
     coach.tell('subscribe', this.book.generation());
     void this.ping(coach);
   };
 
-  private readonly handlers = (joined: (coach: Coach) => void): Handlers => ({
+  private readonly handlers = (joined: (coach: PeerConnection) => void): Handlers => ({
     joined: (coach) => {
       if (coach.neighbour === null) return;
       this.roster.heard(coach.neighbour);
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -14,7 +14,7 @@
 import { patches } from '@martenworks/route-table';
 import type { WayEnv } from '@martenworks/settings';
 import { hellos } from '@martenworks/peer-transport';
-import type { Coach, Handlers, Hello } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
 import { Lines, Roster } from '@martenworks/cluster-membership';
 import type { RosterEntry } from '@martenworks/cluster-membership';
 
@@ -47,9 +47,9 @@
   private readonly roster: Roster;
   private readonly lines: Lines;
   private readonly repeats: Repeating[];
-  private readonly heard = new Map<Coach, Heard>();
-  private readonly asking = new Set<Coach>();
-  private content: Coach | null = null;
+  private readonly heard = new Map<PeerConnection, Heard>();
+  private readonly asking = new Set<PeerConnection>();
+  private content: PeerConnection | null = null;
   private held: StateNews | null = null;
   private lastHeardAt: number;
   private told = { fronts: 1, at: 0 };
@@ -119,7 +119,7 @@
 
   readonly stateHeld = (): StateHeld => ({ generation: this.held?.generation ?? -1, edition: this.held?.edition ?? 0 });
 
-  private readonly take = (coach: Coach, news: StateNews): void => {
+  private readonly take = (coach: PeerConnection, news: StateNews): void => {
     if (this.held !== null && news.generation <= this.held.generation) return;
     const book = news.book ?? this.patched(news);
     if (book === null && news.edition !== 0) {
@@ -139,7 +139,7 @@
     return patch !== null && patch.from === held.edition ? patches.apply(held.book, patch) : null;
   };
 
-  private readonly hearOf = (coach: Coach, generation: number): void => {
+  private readonly hearOf = (coach: PeerConnection, generation: number): void => {
     if (generation <= (this.held?.generation ?? -1)) return;
     const waitMs = coach === this.content || this.content === null ? 0 : newsGraceMs;
     this.ports.clock.after(waitMs, () => {
@@ -147,7 +147,7 @@
     });
   };
 
-  private readonly askState = (coach: Coach, edition: number): void => {
+  private readonly askState = (coach: PeerConnection, edition: number): void => {
     if (this.asking.has(coach) || !coach.isLive()) return;
     this.asking.add(coach);
     void coach.ask('state', { generation: this.held?.generation ?? -1, edition }, askPatienceMs).then((receipt) => {
@@ -156,11 +156,12 @@
     });
   };
 
-  private readonly cores = (): Coach[] => this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+  private readonly cores = (): PeerConnection[] =>
+    this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
 
   private readonly listLimitMs = (): number => this.env.listEveryMs * staleListFactor + this.env.listPatienceMs;
 
-  private readonly worth = (coach: Coach): number => {
+  private readonly worth = (coach: PeerConnection): number => {
     const heard = this.heard.get(coach);
     if (heard === undefined) return 0;
     const isCurrent = heard.pong.listAgeMs !== null && heard.pong.listAgeMs <= this.listLimitMs();
@@ -169,12 +170,16 @@
 
   private readonly choose = (): void => {
     const cores = this.cores();
-    const best = cores.reduce<Coach | null>(
+    const best = cores.reduce<PeerConnection | null>(
       (found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found),
       null,
     );
     const isHeld = this.content?.isLive();
-    if (best === null || best === this.content || (isHeld && this.worth(best) <= this.worth(this.content as Coach)))
+    if (
+      best === null ||
+      best === this.content ||
+      (isHeld && this.worth(best) <= this.worth(this.content as PeerConnection))
+    )
       return;
     if (this.worth(best) === 0 && isHeld) return;
     if (isHeld) this.content?.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
--- a/packages/peer-transport/src/index.ts
+++ b/packages/peer-transport/src/index.ts
@@ -1,2 +1,2 @@
 export * from './frames.js';
-export * from './coach.js';
+export * from './peerConnection.js';
--- a/packages/peer-transport/src/coach.ts
+++ b/packages/peer-transport/src/peerConnection.ts
@@ -45,24 +45,24 @@
   | { readonly f: 'ask'; readonly id: number; readonly topic: string; readonly body: unknown }
   | { readonly f: 'reply'; readonly id: number; readonly body: unknown };
 
-export interface CoachFault {
+export interface PeerFault {
   readonly kind: 'coach';
   readonly code: 'closed' | 'late' | 'full' | 'unreachable' | 'release';
 }
 
 export interface Handlers {
-  readonly told: (from: Coach, topic: string, body: unknown) => void;
-  readonly asked: (from: Coach, topic: string, body: unknown) => Promise<unknown>;
-  readonly joined: (coach: Coach) => void;
-  readonly left: (coach: Coach) => void;
+  readonly told: (from: PeerConnection, topic: string, body: unknown) => void;
+  readonly asked: (from: PeerConnection, topic: string, body: unknown) => Promise<unknown>;
+  readonly joined: (coach: PeerConnection) => void;
+  readonly left: (coach: PeerConnection) => void;
 }
 
 interface Call {
-  readonly settle: (receipt: Result<unknown, CoachFault>) => void;
+  readonly settle: (receipt: Result<unknown, PeerFault>) => void;
   readonly clockEvent: ClockEvent;
 }
 
-export class Coach {
+export class PeerConnection {
   private readonly calls = new Map<number, Call>();
   private nextCall = 1;
   private isOpen = true;
@@ -147,7 +147,7 @@
 
   readonly tell = (topic: string, body: unknown): boolean => this.send({ f: 'tell', topic, body });
 
-  readonly ask = (topic: string, body: unknown, patienceMs: number): Promise<Result<unknown, CoachFault>> => {
+  readonly ask = (topic: string, body: unknown, patienceMs: number): Promise<Result<unknown, PeerFault>> => {
     if (!this.isOpen) return Promise.resolve(err({ kind: 'coach', code: 'closed' }));
     if (this.calls.size >= callLimit) return Promise.resolve(err({ kind: 'coach', code: 'full' }));
     const id = this.nextCall++;
@@ -178,7 +178,7 @@
 
 const helloPatienceMs = 2000;
 
-export const coaches = {
+export const peerConnections = {
   listen: (
     net: Net,
     clock: Clock,
@@ -188,7 +188,7 @@
     handlers: Handlers,
   ): Promise<Result<Listener, NetFault>> =>
     net.listen(address, (wire) => {
-      const coach = new Coach(wire, clock, log, own(), handlers);
+      const coach = new PeerConnection(wire, clock, log, own(), handlers);
       clock.after(helloPatienceMs, () => {
         if (coach.neighbour === null) coach.close();
       });
@@ -202,11 +202,11 @@
     address: string,
     handlers: Handlers,
     patienceMs = helloPatienceMs,
-  ): Promise<Result<Coach, CoachFault>> => {
+  ): Promise<Result<PeerConnection, PeerFault>> => {
     const wire = await net.dial(address, patienceMs);
     if (wire.isErr()) return err({ kind: 'coach', code: 'unreachable' });
     return new Promise((settle) => {
-      const coach: Coach = new Coach(wire.value, clock, log, own, {
+      const coach: PeerConnection = new PeerConnection(wire.value, clock, log, own, {
         ...handlers,
         joined: (joined) => {
           clockEvent.cancel();
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -1,5 +1,5 @@
 import type { Member, ReplicaRecord } from '@martenworks/core-types';
-import { coaches } from '@martenworks/peer-transport';
+import { peerConnections } from '@martenworks/peer-transport';
 import type { Handlers } from '@martenworks/peer-transport';
 import type { Pigeonhole } from '@martenworks/prefix-index';
 import { PushDesk, acceptors } from '@martenworks/control-plane';
@@ -47,7 +47,7 @@
     ...more,
   };
   const listener = (
-    await coaches.listen(
+    await peerConnections.listen(
       ports.net,
       ports.clock,
       ports.log,
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -1,8 +1,8 @@
 import { logs, machine } from '@martenworks/core-types';
 import type { KvNews, Loads, Pong, ReplicaRecord, StateNews } from '@martenworks/core-types';
 import { Book, Tracks } from '@martenworks/counter';
-import { coaches } from '@martenworks/peer-transport';
-import type { Coach } from '@martenworks/peer-transport';
+import { peerConnections } from '@martenworks/peer-transport';
+import type { PeerConnection } from '@martenworks/peer-transport';
 import type { ShelfCheckpoint } from '@martenworks/prefix-index';
 import { Meter, rig } from './rig.js';
 import type { Order } from './rig.js';
@@ -11,7 +11,7 @@
 const net = rig.metered(machine.net(null), meter);
 const book = new Book(machine.clock, () => {});
 const tracks = new Tracks(machine.clock);
-const held: Coach[] = [];
+const held: PeerConnection[] = [];
 const told: Record<string, number> = { changes: 0, loads: 0, kv: 0, kvBatches: 0, shelves: 0, left: 0, replicas: 0 };
 let isReal = false;
 
@@ -20,32 +20,39 @@
 };
 
 const dial = async (address: string, at: number, role: 'counter' | 'postmaster'): Promise<void> => {
-  const dialed = await coaches.dial(net, machine.clock, logs.silent(), rig.helloOf(role, at, '127.0.0.1:1'), address, {
-    joined: () => {},
-    left: () => note('left'),
-    asked: async () => null,
-    told: (coach, topic, body) => {
-      if (topic === 'change' || topic === 'checkpoint') {
-        note('changes');
-        coach.tell('ack', (body as { generation: number }).generation);
-      } else if (topic === 'state') {
-        const { generation, edition } = body as StateNews;
-        note('changes');
-        coach.tell('ack', { generation, edition });
-      } else if (topic === 'loads') note('loads');
-      else if (topic === 'replicas') {
-        note('replicas');
-        if (isReal) book.takeReplicas(body as ReplicaRecord[]);
-      } else if (topic === 'shelf') {
-        note('shelves');
-        if (isReal) book.takeShelf(body as ShelfCheckpoint);
-      } else if (topic === 'kv') {
-        note('kvBatches');
-        note('kv', (body as KvNews[]).length);
-        if (isReal) book.takeKv(body as KvNews[]);
-      }
+  const dialed = await peerConnections.dial(
+    net,
+    machine.clock,
+    logs.silent(),
+    rig.helloOf(role, at, '127.0.0.1:1'),
+    address,
+    {
+      joined: () => {},
+      left: () => note('left'),
+      asked: async () => null,
+      told: (coach, topic, body) => {
+        if (topic === 'change' || topic === 'checkpoint') {
+          note('changes');
+          coach.tell('ack', (body as { generation: number }).generation);
+        } else if (topic === 'state') {
+          const { generation, edition } = body as StateNews;
+          note('changes');
+          coach.tell('ack', { generation, edition });
+        } else if (topic === 'loads') note('loads');
+        else if (topic === 'replicas') {
+          note('replicas');
+          if (isReal) book.takeReplicas(body as ReplicaRecord[]);
+        } else if (topic === 'shelf') {
+          note('shelves');
+          if (isReal) book.takeShelf(body as ShelfCheckpoint);
+        } else if (topic === 'kv') {
+          note('kvBatches');
+          note('kv', (body as KvNews[]).length);
+          if (isReal) book.takeKv(body as KvNews[]);
+        }
+      },
     },
-  });
+  );
   if (dialed.isOk()) held.push(dialed.value);
 };
 
@@ -112,7 +119,7 @@
       digest: key.padStart(32, '0'),
     });
     await many(number('count'), number('width'), async (at) => {
-      const coach = held[at % held.length] as Coach;
+      const coach = held[at % held.length] as PeerConnection;
       const key = `tenant-0001/${number('from') + at}`;
       await coach.ask('claimPrepare', { key, turn: 0, ballot: [1, `id-${key}`] }, 30_000);
       await coach.ask('claimAccept', { key, turn: 0, ballot: [1, `id-${key}`], claimant: claimant(key) }, 30_000);
@@ -120,7 +127,9 @@
     return {};
   }
   if (order.verb === 'asks') {
-    await many(number('count'), 1, () => (held[0] as Coach).ask(String(order.topic), order.body ?? null, 30_000));
+    await many(number('count'), 1, () =>
+      (held[0] as PeerConnection).ask(String(order.topic), order.body ?? null, 30_000),
+    );
     return {};
   }
   if (order.verb === 'gauge') return { ...told, got: meter.got, sent: meter.sent, us: rig.cpuUs() };
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -11,8 +11,8 @@
   Ports,
   ReplicaRecord,
 } from '@martenworks/core-types';
-import { Unpacker, coaches, frames } from '@martenworks/peer-transport';
-import type { Coach, Handlers } from '@martenworks/peer-transport';
+import { Unpacker, peerConnections, frames } from '@martenworks/peer-transport';
+import type { PeerConnection, Handlers } from '@martenworks/peer-transport';
 import { Pigeonhole, place } from '@martenworks/prefix-index';
 import { KvDesk, Proposer, claimTables, acceptors, leaseBooks, replicaTables } from '@martenworks/control-plane';
 import type { Ballot, Acceptor, Settled, Since, Vote } from '@martenworks/control-plane';
@@ -223,7 +223,7 @@
       const ports = rig.ports(meter);
       const acceptor = (await acceptors.open(ports.disk, ports.clock, ports.random, ports.log))._unsafeUnwrap();
       const address = await rig.freeAddress();
-      const asked = async (_coach: Coach, topic: string, body: unknown): Promise<unknown> => {
+      const asked = async (_coach: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
         const { slot, ballot, change } = (body ?? {}) as { slot: number; ballot: Ballot; change: Change };
         if (topic === 'prepare') return acceptor.prepare(slot, ballot);
         if (topic === 'accept') return acceptor.accept(slot, ballot, change);
@@ -236,7 +236,7 @@
         asked,
       };
       const listener = (
-        await coaches.listen(
+        await peerConnections.listen(
           ports.net,
           ports.clock,
           ports.log,
@@ -257,12 +257,12 @@
     const own = books[0] as Acceptor;
     const ports = rig.ports(meter);
     const quiet: Handlers = { joined: () => {}, left: () => {}, told: () => {}, asked: async () => null };
-    const lines = new Map<string, Coach>();
+    const lines = new Map<string, PeerConnection>();
     for (const member of members.slice(1))
       lines.set(
         member.incarnation,
         (
-          await coaches.dial(
+          await peerConnections.dial(
             ports.net,
             ports.clock,
             ports.log,
@@ -273,7 +273,7 @@
         )._unsafeUnwrap(),
       );
     const ask = async (member: Member, topic: string, body: unknown): Promise<unknown> =>
-      (await (lines.get(member.incarnation) as Coach).ask(topic, body, 5_000)).unwrapOr(null);
+      (await (lines.get(member.incarnation) as PeerConnection).ask(topic, body, 5_000)).unwrapOr(null);
     const isOwn = (member: Member): boolean => member.incarnation === own.incarnation;
     const proposer = new Proposer(
       own,
@@ -354,7 +354,7 @@
       const meter = new Meter();
       const ports = rig.ports(meter);
       const table = (await claimTables.open(ports.disk, ports.clock, ports.log, 3_600_000))._unsafeUnwrap();
-      const asked = async (_coach: Coach, topic: string, body: unknown): Promise<unknown> => {
+      const asked = async (_coach: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
         const { key, turn, ballot, claimant } = body as {
           key: string;
           turn: number;
@@ -916,10 +916,10 @@
     const quiet = { joined: () => {}, left: () => {}, told: () => {} };
     const listeners = await Promise.all(
       addresses.map(async (address, at) => {
-        const asked = async (_coach: Coach, _topic: string, body: unknown): Promise<unknown> =>
+        const asked = async (_coach: PeerConnection, _topic: string, body: unknown): Promise<unknown> =>
           books[at]?.book.grant(body as LeaseAsk);
         return (
-          await coaches.listen(
+          await peerConnections.listen(
             net,
             machine.clock,
             logs.silent(),
@@ -932,14 +932,14 @@
     );
     const wanted = rig.records(replicas).map((record) => `kv/${record.name}`);
     const held: Duties[] = [];
-    const coachesHeld: Coach[] = [];
+    const coachesHeld: PeerConnection[] = [];
     for (const [at, name] of names.entries()) {
-      const lines: Coach[] = [];
+      const lines: PeerConnection[] = [];
       for (const [other, address] of addresses.entries()) {
         if (other === at) continue;
         lines.push(
           (
-            await coaches.dial(net, machine.clock, logs.silent(), rig.helloOf('postmaster', at, ''), address, {
+            await peerConnections.dial(net, machine.clock, logs.silent(), rig.helloOf('postmaster', at, ''), address, {
               ...quiet,
               asked: async () => null,
             })
