--- a/packages/cluster-membership/src/lines.ts
+++ b/packages/cluster-membership/src/lines.ts
@@ -19,7 +19,7 @@
 const usualPace: DialPace = { patienceMs: 2_000, longestWaitMs };
 
 interface Line {
-  coach: PeerConnection | null;
+  connection: PeerConnection | null;
   isStopped: boolean;
 }
 
@@ -46,7 +46,7 @@
       ...this.agreedAddresses(),
       ...this.roster.neighbours('postmaster').map((hello) => hello.address),
     ]);
-    const livePostmasters = this.open().filter((coach) => coach.neighbour?.role === 'postmaster').length;
+    const livePostmasters = this.open().filter((connection) => connection.neighbour?.role === 'postmaster').length;
     const addresses = livePostmasters >= enoughPostmasters ? postmasters : new Set([...postmasters, ...this.seeds]);
     addresses.delete(this.own().address);
     return addresses;
@@ -59,13 +59,13 @@
     for (const [address, line] of this.lines) {
       if (wanted.has(address)) continue;
       line.isStopped = true;
-      line.coach?.close();
+      line.connection?.close();
       this.lines.delete(address);
     }
   };
 
   private readonly start = (address: string): void => {
-    const line: Line = { coach: null, isStopped: false };
+    const line: Line = { connection: null, isStopped: false };
     this.lines.set(address, line);
     void this.hold(address, line);
   };
@@ -84,22 +84,22 @@
         address,
         {
           ...this.handlers,
-          left: (coach) => {
-            this.handlers.left(coach);
+          left: (connection) => {
+            this.handlers.left(connection);
             hangUp();
           },
         },
         this.pace.patienceMs,
       );
       if (dialed.isOk()) {
-        const coach = dialed.value;
-        if (line.isStopped || this.isStopped) coach.close();
-        line.coach = coach;
-        if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
-        void this.learnFrom(coach);
+        const connection = dialed.value;
+        if (line.isStopped || this.isStopped) connection.close();
+        line.connection = connection;
+        if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
+        void this.learnFrom(connection);
         const openedAt = clock.now();
         await ended;
-        line.coach = null;
+        line.connection = null;
         if (clock.now() - openedAt > this.pace.longestWaitMs) waitMs = firstWaitMs;
       }
       if (line.isStopped || this.isStopped) return;
@@ -108,29 +108,29 @@
     }
   };
 
-  private readonly learnFrom = async (coach: PeerConnection): Promise<void> => {
-    const told = await coach.ask('roster', this.roster.entries(), rosterPatienceMs);
+  private readonly learnFrom = async (connection: PeerConnection): Promise<void> => {
+    const told = await connection.ask('roster', this.roster.entries(), rosterPatienceMs);
     if (told.isOk()) this.roster.merge(told.value as RosterEntry[]);
-    if (coach.neighbour !== null && told.isOk()) this.roster.heard(coach.neighbour);
+    if (connection.neighbour !== null && told.isOk()) this.roster.heard(connection.neighbour);
     this.align();
   };
 
   private readonly refresh = (): void => {
     const live = this.open();
-    const coach = live[Math.floor(this.ports.random.fraction() * live.length)];
-    if (coach !== undefined) void this.learnFrom(coach);
+    const connection = live[Math.floor(this.ports.random.fraction() * live.length)];
+    if (connection !== undefined) void this.learnFrom(connection);
     else this.align();
   };
 
   readonly open = (): PeerConnection[] =>
-    [...this.lines.values()].flatMap((line) => (line.coach?.isLive() ? [line.coach] : []));
+    [...this.lines.values()].flatMap((line) => (line.connection?.isLive() ? [line.connection] : []));
 
   readonly to = (incarnation: string): PeerConnection | undefined =>
-    this.open().find((coach) => coach.neighbour?.incarnation === incarnation);
+    this.open().find((connection) => connection.neighbour?.incarnation === incarnation);
 
   readonly stop = (): void => {
     this.isStopped = true;
     this.refresher.stop();
-    for (const line of this.lines.values()) line.coach?.close();
+    for (const line of this.lines.values()) line.connection?.close();
   };
 }
--- a/packages/cluster-membership/src/rounds.ts
+++ b/packages/cluster-membership/src/rounds.ts
@@ -49,10 +49,10 @@
     this.beatAt = now;
     const watchers = new Set(this.watch.watchers());
     const suspects = this.watch.suspects();
-    for (const coach of this.lines().open()) {
-      if (coach.neighbour === null) continue;
-      if (watchers.has(coach.neighbour.name)) coach.tell('heart', this.own().name);
-      if (coach.neighbour.role === 'postmaster') coach.tell('suspects', suspects);
+    for (const connection of this.lines().open()) {
+      if (connection.neighbour === null) continue;
+      if (watchers.has(connection.neighbour.name)) connection.tell('heart', this.own().name);
+      if (connection.neighbour.role === 'postmaster') connection.tell('suspects', suspects);
     }
     this.reportLocally(suspects);
   };
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -152,9 +152,9 @@
       this.push.tellContent('reading', bundle);
       this.tellPostmasters('readingRelay', bundle);
     });
-    this.push = new StatePublisher(acceptor, clock, this.cards.ageMs, (coach) => {
-      if (this.cards.ageMs() !== null) coach.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
-      coach.tell('shelves', this.shelves.whole());
+    this.push = new StatePublisher(acceptor, clock, this.cards.ageMs, (connection) => {
+      if (this.cards.ageMs() !== null) connection.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
+      connection.tell('shelves', this.shelves.whole());
     });
     this.weights = new WeightsDesk(
       backEnds,
@@ -270,8 +270,8 @@
     const state = this.acceptor.agreed();
     if (state === null) return;
     await Promise.all(
-      this.postmasters().map(async (coach) => {
-        const told = await coach.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
+      this.postmasters().map(async (connection) => {
+        const told = await connection.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
         if (told.isOk() && told.value !== null) await this.proposer.learn(told.value as Since);
       }),
     );
@@ -279,7 +279,7 @@
   };
 
   private readonly postmasters = (): PeerConnection[] =>
-    this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+    this.lines.open().filter((connection) => connection.neighbour?.role === 'postmaster');
 
   private readonly settleRival = (): void => {
     const age = this.acceptor.unsettledFor();
@@ -287,15 +287,15 @@
   };
 
   private readonly beat = (): void => {
-    for (const coach of this.lines.open()) {
-      void coach.ask('beat', null, beatPatienceMs).then((receipt) => {
-        if (receipt.isErr() && receipt.error.code === 'late') coach.close();
+    for (const connection of this.lines.open()) {
+      void connection.ask('beat', null, beatPatienceMs).then((receipt) => {
+        if (receipt.isErr() && receipt.error.code === 'late') connection.close();
       });
     }
   };
 
   private readonly tellPostmasters = (topic: string, body: unknown): void => {
-    for (const coach of this.postmasters()) coach.tell(topic, body);
+    for (const connection of this.postmasters()) connection.tell(topic, body);
   };
 
   private readonly reachableVoters = (): string[] =>
@@ -339,33 +339,33 @@
   };
 
   private readonly handlers = (): Handlers => ({
-    joined: (coach) => {
-      if (coach.neighbour === null) return;
-      this.roster.heard(coach.neighbour);
-      if (coach.neighbour.role === 'postmaster') coach.tell('shelfRelay', this.shelves.followed());
+    joined: (connection) => {
+      if (connection.neighbour === null) return;
+      this.roster.heard(connection.neighbour);
+      if (connection.neighbour.role === 'postmaster') connection.tell('shelfRelay', this.shelves.followed());
     },
-    left: (coach) => this.push.drop(coach),
-    told: (coach, topic, body) => {
+    left: (connection) => this.push.drop(connection),
+    told: (connection, topic, body) => {
       if (topic === 'settled') void this.acceptor.settle(body as Settled);
-      else if (topic === 'subscribe') this.push.subscribe(coach, body as Subscription);
-      else if (topic === 'ack') this.push.acked(coach, body as StateHeld);
+      else if (topic === 'subscribe') this.push.subscribe(connection, body as Subscription);
+      else if (topic === 'ack') this.push.acked(connection, body as StateHeld);
       else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
       else if (topic === 'reading') this.readings.take(body as ReadingNews);
       else if (topic === 'readingRelay') this.push.tellContent('reading', body);
       else if (topic === 'missed') {
         this.shelves.missed(body as MissedNews);
-        this.push.tellOthers(coach, 'missed', body);
+        this.push.tellOthers(connection, 'missed', body);
         this.tellPostmasters('missedRelay', body);
       } else if (topic === 'missedRelay') {
         this.shelves.missed(body as MissedNews);
         this.push.tellContent('missed', body);
       } else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
     },
-    asked: async (coach, topic, body) => {
-      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    asked: async (connection, topic, body) => {
+      if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
       switch (topic) {
         case 'ping':
-          return this.push.pong(coach, body as FrontPing, this.isReady());
+          return this.push.pong(connection, body as FrontPing, this.isReady());
         case 'state':
           return this.push.stateFor(body as StateHeld);
         case 'beat':
--- a/packages/control-plane/src/founding.ts
+++ b/packages/control-plane/src/founding.ts
@@ -41,8 +41,8 @@
     new Map(
       this.lines()
         .open()
-        .flatMap((coach) =>
-          coach.neighbour?.role === 'postmaster' ? [[coach.neighbour.incarnation, coach] as const] : [],
+        .flatMap((connection) =>
+          connection.neighbour?.role === 'postmaster' ? [[connection.neighbour.incarnation, connection] as const] : [],
         ),
     );
 
@@ -50,15 +50,15 @@
     if (this.acceptor.agreed() !== null) return;
     const reached = this.postmasters();
     const standings = new Map<string, Standing>();
-    for (const [incarnation, coach] of reached) {
-      const told = await coach.ask('standing', null, patienceMs);
+    for (const [incarnation, connection] of reached) {
+      const told = await connection.ask('standing', null, patienceMs);
       if (told.isErr()) return;
       const standing = told.value as Standing;
-      if (standing.generation >= 0) return this.joinLate(coach);
+      if (standing.generation >= 0) return this.joinLate(connection);
       standings.set(incarnation, standing);
     }
     if (reached.size < this.coreSize - 1 || this.known().length !== reached.size) return;
-    const members = [this.own(), ...[...reached.values()].flatMap((coach) => coach.neighbour ?? [])]
+    const members = [this.own(), ...[...reached.values()].flatMap((connection) => connection.neighbour ?? [])]
       .map(memberOf)
       .sort((a, b) => (a.name < b.name ? -1 : 1))
       .slice(0, this.coreSize);
@@ -80,9 +80,9 @@
   ): Promise<void> => {
     const own = await this.acceptor.vow(members);
     if (!own.isVowed) return;
-    for (const [incarnation, coach] of reached) {
+    for (const [incarnation, connection] of reached) {
       if (!members.some((member) => member.incarnation === incarnation)) continue;
-      const told = await coach.ask('vow', members, patienceMs);
+      const told = await connection.ask('vow', members, patienceMs);
       if (told.isErr() || !(told.value as VowReply).isVowed) return;
     }
     await this.found(members);
@@ -93,8 +93,8 @@
     if (isFounded) this.log.info('the fleet is founded', { members: members.map((member) => member.name) });
   };
 
-  private readonly joinLate = async (coach: PeerConnection): Promise<void> => {
-    const told = await coach.ask('since', -1, patienceMs);
+  private readonly joinLate = async (connection: PeerConnection): Promise<void> => {
+    const told = await connection.ask('since', -1, patienceMs);
     if (told.isOk()) await this.learn(told.value as Since);
   };
 }
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -51,12 +51,12 @@
     if (state === null || !this.acceptor.isVoter()) return;
     this.noteLost(state.members);
     const seated = new Set(state.members.map((member) => member.incarnation));
-    for (const coach of this.lines().open()) {
-      const newcomer = coach.neighbour;
+    for (const connection of this.lines().open()) {
+      const newcomer = connection.neighbour;
       if (newcomer === null || newcomer.role !== 'postmaster' || seated.has(newcomer.incarnation)) continue;
       const outgoing = this.outgoingFor(newcomer, state.members);
       if (outgoing === undefined) continue;
-      const told = await coach.ask('standing', null, patienceMs);
+      const told = await connection.ask('standing', null, patienceMs);
       if (told.isErr()) continue;
       const standing = told.value as Standing;
       const isReady =
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -194,17 +194,17 @@
   private readonly catchUp = async (): Promise<void> => {
     const state = this.acceptor.agreed();
     if (state === null) return;
-    for (const coach of this.lines.open()) {
-      if (coach.neighbour?.role !== 'postmaster') continue;
-      const { incarnation } = coach.neighbour;
+    for (const connection of this.lines.open()) {
+      if (connection.neighbour?.role !== 'postmaster') continue;
+      const { incarnation } = connection.neighbour;
       if (!this.replicas.syncedFrom.has(incarnation)) {
         await this.replicas.reconcile(incarnation, this.lines);
         await this.borrowShelves(
-          coach,
+          connection,
           this.table.records().map((record) => record.name),
         );
       }
-      const told = await coach.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
+      const told = await connection.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
       if (told.isOk()) await this.proposer.learn(told.value as Since);
     }
   };
@@ -215,15 +215,16 @@
   };
 
   private readonly beat = (): void => {
-    for (const coach of this.lines.open()) {
-      void coach.ask('beat', null, beatPatienceMs).then((receipt) => {
-        if (receipt.isErr() && receipt.error.code === 'late') coach.close();
+    for (const connection of this.lines.open()) {
+      void connection.ask('beat', null, beatPatienceMs).then((receipt) => {
+        if (receipt.isErr() && receipt.error.code === 'late') connection.close();
       });
     }
   };
 
   private readonly tellPostmasters = (topic: string, body: unknown): void => {
-    for (const coach of this.lines.open()) if (coach.neighbour?.role === 'postmaster') coach.tell(topic, body);
+    for (const connection of this.lines.open())
+      if (connection.neighbour?.role === 'postmaster') connection.tell(topic, body);
   };
 
   private readonly reachableVoters = (): string[] =>
@@ -242,17 +243,17 @@
     return replies.filter((reply) => reply !== null);
   };
 
-  private readonly borrowShelves = async (coach: PeerConnection, names: readonly string[]): Promise<void> => {
-    const told = await coach.ask('shelves', names, votePatienceMs);
+  private readonly borrowShelves = async (connection: PeerConnection, names: readonly string[]): Promise<void> => {
+    const told = await connection.ask('shelves', names, votePatienceMs);
     if (told.isOk()) this.push.tellShelves(this.kv.takeShelves(told.value as ShelfCheckpoint[]));
   };
 
   private readonly repairIndex = async (): Promise<void> => {
     const broken = this.kv.broken();
     if (broken.length === 0) return;
-    for (const coach of this.lines.open()) {
-      if (coach.neighbour?.role !== 'postmaster') continue;
-      await this.borrowShelves(coach, broken);
+    for (const connection of this.lines.open()) {
+      if (connection.neighbour?.role !== 'postmaster') continue;
+      await this.borrowShelves(connection, broken);
     }
   };
 
@@ -283,30 +284,30 @@
   };
 
   private readonly handlers = (): Handlers => ({
-    joined: (coach) => {
-      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    joined: (connection) => {
+      if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
     },
-    left: (coach) => {
-      this.push.drop(coach);
-      if (coach.neighbour !== null) this.replicas.syncedFrom.delete(coach.neighbour.incarnation);
+    left: (connection) => {
+      this.push.drop(connection);
+      if (connection.neighbour !== null) this.replicas.syncedFrom.delete(connection.neighbour.incarnation);
     },
-    told: (coach, topic, body) => {
+    told: (connection, topic, body) => {
       if (topic === 'settled') void this.acceptor.settle(body as Settled);
-      else if (topic === 'subscribe') this.push.subscribe(coach, body as number);
-      else if (topic === 'ack') this.push.acked(coach, body as number);
-      else if (topic === 'heavyNews') this.push.heavyNews(coach, body as LoadReport);
+      else if (topic === 'subscribe') this.push.subscribe(connection, body as number);
+      else if (topic === 'ack') this.push.acked(connection, body as number);
+      else if (topic === 'heavyNews') this.push.heavyNews(connection, body as LoadReport);
       else if (topic === 'heart') this.rounds.watch.heart(body as string);
-      else if (topic === 'suspects') this.verdicts.report(coach.neighbour?.name ?? '', body as string[]);
+      else if (topic === 'suspects') this.verdicts.report(connection.neighbour?.name ?? '', body as string[]);
       else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
       else if (topic === 'kvRelay') this.kv.takeRelayed(body as RelayedKv);
       else if (topic === 'shelvesPlease')
-        for (const shelf of this.kv.shelves(body as string[])) coach.tell('shelf', shelf);
+        for (const shelf of this.kv.shelves(body as string[])) connection.tell('shelf', shelf);
     },
-    asked: async (coach, topic, body) => {
-      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    asked: async (connection, topic, body) => {
+      if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
       switch (topic) {
         case 'ping':
-          return this.push.pong(coach, body as LoadReport);
+          return this.push.pong(connection, body as LoadReport);
         case 'beat':
           return true;
         case 'leaseAsk':
--- a/packages/control-plane/src/pushDesk.ts
+++ b/packages/control-plane/src/pushDesk.ts
@@ -34,65 +34,65 @@
     acceptor.watch(this.bring);
   }
 
-  readonly subscribe = (coach: PeerConnection, generation: number): void => {
-    this.subscribers.set(coach, {
+  readonly subscribe = (connection: PeerConnection, generation: number): void => {
+    this.subscribers.set(connection, {
       sent: generation,
       acked: generation,
       ackedAt: this.clock.now(),
       heardAt: this.clock.now(),
       report: { replicas: {}, pools: {} },
     });
-    coach.tell('replicas', this.records());
-    for (const shelf of this.shelves()) coach.tell('shelf', shelf);
-    this.bringTo(coach);
+    connection.tell('replicas', this.records());
+    for (const shelf of this.shelves()) connection.tell('shelf', shelf);
+    this.bringTo(connection);
   };
 
-  readonly drop = (coach: PeerConnection): void => void this.subscribers.delete(coach);
+  readonly drop = (connection: PeerConnection): void => void this.subscribers.delete(connection);
 
   private readonly bring = (settled: Settled | null): void => {
     if (settled === null)
       for (const subscriber of this.subscribers.values()) subscriber.sent = Math.min(subscriber.sent, -1);
-    for (const coach of this.subscribers.keys()) this.bringTo(coach);
+    for (const connection of this.subscribers.keys()) this.bringTo(connection);
   };
 
-  private readonly bringTo = (coach: PeerConnection): void => {
-    const subscriber = this.subscribers.get(coach);
+  private readonly bringTo = (connection: PeerConnection): void => {
+    const subscriber = this.subscribers.get(connection);
     if (subscriber === undefined) return;
     const since = this.acceptor.since(subscriber.sent);
     if (since.k === 'nothing') return;
     if (since.k === 'checkpoint') {
-      coach.tell('checkpoint', since.agreed);
+      connection.tell('checkpoint', since.agreed);
       subscriber.sent = since.agreed.generation;
       return;
     }
     for (const settled of since.settled) {
-      coach.tell('change', settled);
+      connection.tell('change', settled);
       subscriber.sent = settled.generation;
     }
   };
 
-  readonly acked = (coach: PeerConnection, generation: number): void => {
-    const subscriber = this.subscribers.get(coach);
+  readonly acked = (connection: PeerConnection, generation: number): void => {
+    const subscriber = this.subscribers.get(connection);
     if (subscriber === undefined) return;
     subscriber.acked = generation;
     subscriber.ackedAt = this.clock.now();
   };
 
-  private readonly report = (coach: PeerConnection, report: LoadReport): void => {
-    const subscriber = this.subscribers.get(coach);
+  private readonly report = (connection: PeerConnection, report: LoadReport): void => {
+    const subscriber = this.subscribers.get(connection);
     if (subscriber !== undefined) Object.assign(subscriber, { report, heardAt: this.clock.now() });
   };
 
-  private readonly others = (coach: PeerConnection): LoadReport[] => {
+  private readonly others = (connection: PeerConnection): LoadReport[] => {
     const now = this.clock.now();
     return [...this.subscribers].flatMap(([other, { report, heardAt }]) =>
-      other === coach || now - heardAt > reportAgeMs ? [] : [report],
+      other === connection || now - heardAt > reportAgeMs ? [] : [report],
     );
   };
 
-  private readonly loadsFor = (coach: PeerConnection): Loads => {
+  private readonly loadsFor = (connection: PeerConnection): Loads => {
     const loads: Record<string, [number, number]> = {};
-    for (const { replicas } of this.others(coach)) {
+    for (const { replicas } of this.others(connection)) {
       for (const [replica, [running, tokens]] of Object.entries(replicas)) {
         const held = loads[replica] ?? [0, 0];
         loads[replica] = held;
@@ -103,9 +103,9 @@
     return loads;
   };
 
-  private readonly contentionFor = (coach: PeerConnection): Contention => {
+  private readonly contentionFor = (connection: PeerConnection): Contention => {
     const contention: Record<string, [number, number]> = {};
-    for (const { pools } of this.others(coach)) {
+    for (const { pools } of this.others(connection)) {
       for (const [pool, [waiting, running]] of Object.entries(pools)) {
         const held = contention[pool] ?? [0, 0];
         contention[pool] = held;
@@ -116,46 +116,46 @@
     return contention;
   };
 
-  readonly heavyNews = (coach: PeerConnection, report: LoadReport): void => {
-    this.report(coach, report);
-    for (const other of this.subscribers.keys()) if (other !== coach) other.tell('loads', this.loadsFor(other));
+  readonly heavyNews = (connection: PeerConnection, report: LoadReport): void => {
+    this.report(connection, report);
+    for (const other of this.subscribers.keys()) if (other !== connection) other.tell('loads', this.loadsFor(other));
   };
 
-  readonly pong = (coach: PeerConnection, report: LoadReport): Pong => {
-    this.report(coach, report);
+  readonly pong = (connection: PeerConnection, report: LoadReport): Pong => {
+    this.report(connection, report);
     return {
       generation: this.acceptor.agreed()?.generation ?? -1,
       acceptedSlot: this.acceptor.acceptedSlot(),
       incarnation: this.acceptor.incarnation,
-      loads: this.loadsFor(coach),
-      contention: this.contentionFor(coach),
+      loads: this.loadsFor(connection),
+      contention: this.contentionFor(connection),
       counters: this.subscribers.size,
     };
   };
 
   readonly tellReplicas = (records: readonly ReplicaRecord[]): void => {
-    for (const coach of this.subscribers.keys()) coach.tell('replicas', records);
+    for (const connection of this.subscribers.keys()) connection.tell('replicas', records);
   };
 
   readonly tellShelves = (shelves: readonly ShelfCheckpoint[]): void => {
-    for (const coach of this.subscribers.keys()) for (const shelf of shelves) coach.tell('shelf', shelf);
+    for (const connection of this.subscribers.keys()) for (const shelf of shelves) connection.tell('shelf', shelf);
   };
 
   readonly tellKv = (news: readonly KvNews[]): void => {
-    for (const coach of this.subscribers.keys()) coach.tell('kv', news);
+    for (const connection of this.subscribers.keys()) connection.tell('kv', news);
   };
 
   readonly dropSilent = (): void => {
     const now = this.clock.now();
-    for (const [coach, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) coach.close();
+    for (const [connection, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) connection.close();
   };
 
   readonly acks = (): AckLine[] => {
     const now = this.clock.now();
-    return [...this.subscribers].map(([coach, one]) => ({
-      counter: coach.neighbour?.name ?? '',
-      http: coach.neighbour?.http ?? '',
-      zone: coach.neighbour?.zone ?? '',
+    return [...this.subscribers].map(([connection, one]) => ({
+      counter: connection.neighbour?.name ?? '',
+      http: connection.neighbour?.http ?? '',
+      zone: connection.neighbour?.zone ?? '',
       generation: one.acked,
       ackAgeMs: Math.round(now - one.ackedAt),
     }));
--- a/packages/control-plane/src/replicaDesk.ts
+++ b/packages/control-plane/src/replicaDesk.ts
@@ -39,10 +39,10 @@
       };
       if (others.length === 0) settle(false);
       for (const member of others) {
-        const coach = this.lines().to(member.incarnation);
-        if (coach === undefined) tally(false);
+        const connection = this.lines().to(member.incarnation);
+        if (connection === undefined) tally(false);
         else
-          void coach
+          void connection
             .ask(topic, body, patienceMs)
             .then(async (receipt) => tally(receipt.isOk() && (await isHeard(receipt.value))));
       }
@@ -72,14 +72,14 @@
     (await this.table.take(records)).isOk();
 
   readonly reconcile = async (incarnation: string, lines: Lines): Promise<void> => {
-    const coach = lines.to(incarnation);
-    if (coach === undefined) return;
-    const told = await coach.ask('replicaTable', this.table.records(), patienceMs);
+    const connection = lines.to(incarnation);
+    if (connection === undefined) return;
+    const told = await connection.ask('replicaTable', this.table.records(), patienceMs);
     if (told.isErr()) return;
     const kept = await this.table.take(told.value as ReplicaRecord[]);
     if (kept.isErr()) return;
     for (let from: number | null = 0; from !== null; ) {
-      const page = await coach.ask('claimPage', from, patienceMs);
+      const page = await connection.ask('claimPage', from, patienceMs);
       if (page.isErr() || !(await this.claims.takePage(page.value as ClaimPage))) return;
       from = (page.value as ClaimPage).next;
     }
--- a/packages/control-plane/src/statePublisher.ts
+++ b/packages/control-plane/src/statePublisher.ts
@@ -47,7 +47,7 @@
     private readonly acceptor: Acceptor,
     private readonly clock: Clock,
     private readonly listAgeMs: () => number | null,
-    private readonly greet: (coach: PeerConnection) => void,
+    private readonly greet: (connection: PeerConnection) => void,
   ) {
     this.lastWays = acceptor.agreed()?.ways ?? null;
     this.noteNamed();
@@ -92,28 +92,34 @@
     };
   };
 
-  readonly subscribe = (coach: PeerConnection, { generation, edition, wantsContent }: Subscription): void => {
-    const wasContent = this.subscribers.get(coach)?.wantsContent === true;
-    this.subscribers.set(coach, { generation, edition, acked: generation, heardAt: this.clock.now(), wantsContent });
-    this.bringTo(coach);
-    if (wantsContent && !wasContent) this.greet(coach);
+  readonly subscribe = (connection: PeerConnection, { generation, edition, wantsContent }: Subscription): void => {
+    const wasContent = this.subscribers.get(connection)?.wantsContent === true;
+    this.subscribers.set(connection, {
+      generation,
+      edition,
+      acked: generation,
+      heardAt: this.clock.now(),
+      wantsContent,
+    });
+    this.bringTo(connection);
+    if (wantsContent && !wasContent) this.greet(connection);
   };
 
-  readonly drop = (coach: PeerConnection): void => void this.subscribers.delete(coach);
+  readonly drop = (connection: PeerConnection): void => void this.subscribers.delete(connection);
 
   private readonly bring = (): void => {
     this.noteEdition();
     this.noteNamed();
-    for (const coach of this.subscribers.keys()) this.bringTo(coach);
+    for (const connection of this.subscribers.keys()) this.bringTo(connection);
   };
 
-  private readonly bringTo = (coach: PeerConnection): void => {
-    const subscriber = this.subscribers.get(coach);
+  private readonly bringTo = (connection: PeerConnection): void => {
+    const subscriber = this.subscribers.get(connection);
     const state = this.acceptor.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
-    if (!subscriber.wantsContent) return void coach.tell('news', state.generation);
+    if (!subscriber.wantsContent) return void connection.tell('news', state.generation);
     const news = this.stateNews(state, subscriber);
-    coach.tell('state', news);
+    connection.tell('state', news);
     subscriber.generation = news.generation;
     subscriber.edition = news.edition;
   };
@@ -123,16 +129,16 @@
     return state === null ? null : this.stateNews(state, held);
   };
 
-  readonly acked = (coach: PeerConnection, { generation, edition }: StateHeld): void => {
-    const subscriber = this.subscribers.get(coach);
+  readonly acked = (connection: PeerConnection, { generation, edition }: StateHeld): void => {
+    const subscriber = this.subscribers.get(connection);
     if (subscriber === undefined) return;
     Object.assign(subscriber, { acked: generation, heardAt: this.clock.now() });
     subscriber.generation = Math.max(subscriber.generation, generation);
     subscriber.edition = Math.max(subscriber.edition, edition);
   };
 
-  readonly pong = (coach: PeerConnection, ping: FrontPing, isSettled: boolean): FrontPong => {
-    this.acked(coach, ping);
+  readonly pong = (connection: PeerConnection, ping: FrontPing, isSettled: boolean): FrontPong => {
+    this.acked(connection, ping);
     return {
       generation: this.acceptor.agreed()?.generation ?? -1,
       fronts: this.fronts(),
@@ -147,28 +153,28 @@
   };
 
   readonly tellAll = (topic: string, body: unknown): void => {
-    for (const coach of this.subscribers.keys()) coach.tell(topic, body);
+    for (const connection of this.subscribers.keys()) connection.tell(topic, body);
   };
 
   readonly tellContent = (topic: string, body: unknown): void => {
-    for (const [coach, { wantsContent }] of this.subscribers) if (wantsContent) coach.tell(topic, body);
+    for (const [connection, { wantsContent }] of this.subscribers) if (wantsContent) connection.tell(topic, body);
   };
 
   readonly tellOthers = (sender: PeerConnection, topic: string, body: unknown): void => {
-    for (const [coach, { wantsContent }] of this.subscribers)
-      if (wantsContent && coach !== sender) coach.tell(topic, body);
+    for (const [connection, { wantsContent }] of this.subscribers)
+      if (wantsContent && connection !== sender) connection.tell(topic, body);
   };
 
   readonly dropSilent = (): void => {
     const now = this.clock.now();
-    for (const [coach, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) coach.close();
+    for (const [connection, { heardAt }] of [...this.subscribers]) if (now - heardAt > silentMs) connection.close();
   };
 
   readonly lines = (): FrontLine[] => {
     const now = this.clock.now();
-    return [...this.subscribers].map(([coach, one]) => ({
-      front: coach.neighbour?.name ?? '',
-      zone: coach.neighbour?.zone ?? '',
+    return [...this.subscribers].map(([connection, one]) => ({
+      front: connection.neighbour?.name ?? '',
+      zone: connection.neighbour?.zone ?? '',
       acked: one.acked,
       isContent: one.wantsContent,
       heardMsAgo: Math.round(now - one.heardAt),
--- a/packages/control-plane/test/upkeep.test.ts
+++ b/packages/control-plane/test/upkeep.test.ts
@@ -68,7 +68,7 @@
     fleet.killCounter(2);
     await fleet.bootCounter(2);
     await fleet.world.run(100);
-    for (const coach of fleet.counters[2]?.lines.open() ?? []) coach.close();
+    for (const connection of fleet.counters[2]?.lines.open() ?? []) connection.close();
     await fleet.world.run(10_000);
     expect(fleet.counters.map((counter) => counter?.freshness.isFresh())).to.deep.equal([true, true, false]);
     expect(fleet.world.lines.some((line) => line.context.cause === 'another wire release')).to.equal(true);
--- a/packages/counter/src/claims.ts
+++ b/packages/counter/src/claims.ts
@@ -95,10 +95,10 @@
       };
       if (members.length === 0) settle({ granted: 0, states: [] });
       for (const member of members) {
-        const coach = this.lines().to(member.incarnation);
-        if (coach === undefined) tally(null);
+        const connection = this.lines().to(member.incarnation);
+        if (connection === undefined) tally(null);
         else
-          void coach
+          void connection
             .ask(topic, body, votePatienceMs)
             .then((receipt) => tally(receipt.isOk() ? (receipt.value as ClaimVote | null) : null));
       }
@@ -169,12 +169,12 @@
       left: () => {},
     });
     if (dialed.isErr()) return { k: 'unknown' };
-    const coach = dialed.value;
+    const connection = dialed.value;
     const receipt =
-      coach.neighbour?.incarnation === claimant.counter
-        ? await coach.ask('claimState', claimant.id, askPatienceMs)
+      connection.neighbour?.incarnation === claimant.counter
+        ? await connection.ask('claimState', claimant.id, askPatienceMs)
         : null;
-    coach.close();
+    connection.close();
     return receipt?.isOk() === true ? (receipt.value as ShelfState) : { k: 'unknown' };
   };
 
--- a/packages/counter/src/counter.ts
+++ b/packages/counter/src/counter.ts
@@ -111,7 +111,7 @@
   };
 
   private readonly changed = (): void => {
-    for (const coach of this.lines?.open() ?? []) coach.tell('ack', this.book.generation());
+    for (const connection of this.lines?.open() ?? []) connection.tell('ack', this.book.generation());
     this.stages?.recheck();
     if (this.lines !== undefined) void this.admitSides();
     this.lines?.align();
@@ -149,10 +149,10 @@
       };
       if (members.length === 0) settle([]);
       for (const member of members) {
-        const coach = this.lines.to(member.incarnation);
-        if (coach === undefined) tally([]);
+        const connection = this.lines.to(member.incarnation);
+        if (connection === undefined) tally([]);
         else
-          void coach
+          void connection
             .ask('admitSides', claims, admitPatienceMs)
             .then((receipt) => tally(receipt.isOk() ? ((receipt.value as SideStanding[] | null) ?? []) : []));
       }
@@ -166,56 +166,57 @@
 
   private readonly tellHeavy = (): void => {
     const report = this.report();
-    for (const coach of this.lines.open()) if (coach.neighbour?.role === 'postmaster') coach.tell('heavyNews', report);
+    for (const connection of this.lines.open())
+      if (connection.neighbour?.role === 'postmaster') connection.tell('heavyNews', report);
   };
 
   private readonly pingAll = (): void => {
     this.stages.placing.sweep();
     void this.admitSides();
-    for (const coach of this.lines.open()) void this.ping(coach);
+    for (const connection of this.lines.open()) void this.ping(connection);
   };
 
-  private readonly ping = async (coach: PeerConnection): Promise<void> => {
-    if (coach.neighbour?.role !== 'postmaster' || this.pinged.has(coach)) return;
-    this.pinged.add(coach);
+  private readonly ping = async (connection: PeerConnection): Promise<void> => {
+    if (connection.neighbour?.role !== 'postmaster' || this.pinged.has(connection)) return;
+    this.pinged.add(connection);
     const stamp = this.freshness.stamp();
-    const receipt = await coach.ask('ping', this.report(), pingPatienceMs);
-    this.pinged.delete(coach);
-    if (receipt.isErr()) return coach.close();
+    const receipt = await connection.ask('ping', this.report(), pingPatienceMs);
+    this.pinged.delete(connection);
+    if (receipt.isErr()) return connection.close();
     const pong = receipt.value as Pong;
     this.freshness.heard(stamp, pong);
     this.tracks.toldOthers(pong.loads);
     this.stages.placing.contention = pong.contention;
     const broken = this.book.index.broken();
-    if (broken.length > 0) coach.tell('shelvesPlease', broken);
-    if (pong.generation > this.book.generation()) coach.tell('subscribe', this.book.generation());
+    if (broken.length > 0) connection.tell('shelvesPlease', broken);
+    if (pong.generation > this.book.generation()) connection.tell('subscribe', this.book.generation());
     this.stages.placing.pumpAll();
   };
 
-  private readonly joinPostmaster = (coach: PeerConnection): void => {
-    if (coach.neighbour?.role !== 'postmaster') return;
-    coach.tell('subscribe', this.book.generation());
-    void this.ping(coach);
+  private readonly joinPostmaster = (connection: PeerConnection): void => {
+    if (connection.neighbour?.role !== 'postmaster') return;
+    connection.tell('subscribe', this.book.generation());
+    void this.ping(connection);
   };
 
-  private readonly handlers = (joined: (coach: PeerConnection) => void): Handlers => ({
-    joined: (coach) => {
-      if (coach.neighbour === null) return;
-      this.roster.heard(coach.neighbour);
-      joined(coach);
+  private readonly handlers = (joined: (connection: PeerConnection) => void): Handlers => ({
+    joined: (connection) => {
+      if (connection.neighbour === null) return;
+      this.roster.heard(connection.neighbour);
+      joined(connection);
     },
     left: () => {},
-    told: (coach, topic, body) => {
+    told: (connection, topic, body) => {
       switch (topic) {
         case 'heart':
           return this.rounds.watch.heart(body as string);
         case 'change': {
           const { generation, change } = body as { generation: number; change: Change };
-          if (!this.book.takeChange(generation, change)) coach.tell('ack', this.book.generation());
+          if (!this.book.takeChange(generation, change)) connection.tell('ack', this.book.generation());
           return;
         }
         case 'checkpoint':
-          if (!this.book.takeCheckpoint(body as Agreed)) coach.tell('ack', this.book.generation());
+          if (!this.book.takeCheckpoint(body as Agreed)) connection.tell('ack', this.book.generation());
           return;
         case 'replicas':
           this.book.takeReplicas(body as ReplicaRecord[]);
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -87,29 +87,29 @@
     );
 
   private readonly handlers = (): Handlers => ({
-    joined: (coach) => {
-      if (coach.neighbour?.role !== 'postmaster') return;
-      this.roster.heard(coach.neighbour);
-      coach.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
+    joined: (connection) => {
+      if (connection.neighbour?.role !== 'postmaster') return;
+      this.roster.heard(connection.neighbour);
+      connection.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
       this.choose();
     },
-    left: (coach) => {
-      this.heard.delete(coach);
-      if (this.content === coach) this.content = null;
+    left: (connection) => {
+      this.heard.delete(connection);
+      if (this.content === connection) this.content = null;
       this.choose();
     },
-    told: (coach, topic, body) => {
-      if (topic === 'state') this.take(coach, body as StateNews);
-      else if (topic === 'news') this.hearOf(coach, body as number);
+    told: (connection, topic, body) => {
+      if (topic === 'state') this.take(connection, body as StateNews);
+      else if (topic === 'news') this.hearOf(connection, body as number);
       else if (topic === 'weights') this.ears.weights(body as WeightsNews);
-      else if (coach !== this.content) return;
+      else if (connection !== this.content) return;
       else if (topic === 'reading') this.ears.reading(body as ReadingNews[]);
       else if (topic === 'missed') this.ears.missed(body as MissedNews);
       else if (topic === 'cards') this.ears.cards(body as CardsNews);
       else if (topic === 'shelves') this.ears.shelves(body as ShelfNews[]);
     },
-    asked: async (coach, topic, body) => {
-      if (coach.neighbour !== null) this.roster.heard(coach.neighbour);
+    asked: async (connection, topic, body) => {
+      if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
       if (topic === 'beat') return true;
       if (topic !== 'roster') return null;
       this.roster.merge(body as RosterEntry[]);
@@ -119,16 +119,16 @@
 
   readonly stateHeld = (): StateHeld => ({ generation: this.held?.generation ?? -1, edition: this.held?.edition ?? 0 });
 
-  private readonly take = (coach: PeerConnection, news: StateNews): void => {
+  private readonly take = (connection: PeerConnection, news: StateNews): void => {
     if (this.held !== null && news.generation <= this.held.generation) return;
     const book = news.book ?? this.patched(news);
     if (book === null && news.edition !== 0) {
-      this.askState(coach, 0);
+      this.askState(connection, 0);
       return;
     }
     this.held = { ...news, book, patch: null };
     this.ears.state(this.held);
-    coach.tell('ack', this.stateHeld());
+    connection.tell('ack', this.stateHeld());
     this.lines.align();
   };
 
@@ -139,39 +139,43 @@
     return patch !== null && patch.from === held.edition ? patches.apply(held.book, patch) : null;
   };
 
-  private readonly hearOf = (coach: PeerConnection, generation: number): void => {
+  private readonly hearOf = (connection: PeerConnection, generation: number): void => {
     if (generation <= (this.held?.generation ?? -1)) return;
-    const waitMs = coach === this.content || this.content === null ? 0 : newsGraceMs;
+    const waitMs = connection === this.content || this.content === null ? 0 : newsGraceMs;
     this.ports.clock.after(waitMs, () => {
-      if (generation > (this.held?.generation ?? -1)) this.askState(coach, this.held?.edition ?? 0);
+      if (generation > (this.held?.generation ?? -1)) this.askState(connection, this.held?.edition ?? 0);
     });
   };
 
-  private readonly askState = (coach: PeerConnection, edition: number): void => {
-    if (this.asking.has(coach) || !coach.isLive()) return;
-    this.asking.add(coach);
-    void coach.ask('state', { generation: this.held?.generation ?? -1, edition }, askPatienceMs).then((receipt) => {
-      this.asking.delete(coach);
-      if (receipt.isOk() && receipt.value !== null) this.take(coach, receipt.value as StateNews);
-    });
+  private readonly askState = (connection: PeerConnection, edition: number): void => {
+    if (this.asking.has(connection) || !connection.isLive()) return;
+    this.asking.add(connection);
+    void connection
+      .ask('state', { generation: this.held?.generation ?? -1, edition }, askPatienceMs)
+      .then((receipt) => {
+        this.asking.delete(connection);
+        if (receipt.isOk() && receipt.value !== null) this.take(connection, receipt.value as StateNews);
+      });
   };
 
   private readonly cores = (): PeerConnection[] =>
-    this.lines.open().filter((coach) => coach.neighbour?.role === 'postmaster');
+    this.lines.open().filter((connection) => connection.neighbour?.role === 'postmaster');
 
   private readonly listLimitMs = (): number => this.env.listEveryMs * staleListFactor + this.env.listPatienceMs;
 
-  private readonly worth = (coach: PeerConnection): number => {
-    const heard = this.heard.get(coach);
+  private readonly worth = (connection: PeerConnection): number => {
+    const heard = this.heard.get(connection);
     if (heard === undefined) return 0;
     const isCurrent = heard.pong.listAgeMs !== null && heard.pong.listAgeMs <= this.listLimitMs();
-    return 1 + (isCurrent ? 4 : 0) + (heard.pong.isSettled ? 2 : 0) + (coach.neighbour?.zone === this.env.zone ? 1 : 0);
+    return (
+      1 + (isCurrent ? 4 : 0) + (heard.pong.isSettled ? 2 : 0) + (connection.neighbour?.zone === this.env.zone ? 1 : 0)
+    );
   };
 
   private readonly choose = (): void => {
     const cores = this.cores();
     const best = cores.reduce<PeerConnection | null>(
-      (found, coach) => (found === null || this.worth(coach) > this.worth(found) ? coach : found),
+      (found, connection) => (found === null || this.worth(connection) > this.worth(found) ? connection : found),
       null,
     );
     const isHeld = this.content?.isLive();
@@ -188,19 +192,21 @@
   };
 
   private readonly ping = (): void => {
-    for (const coach of this.cores()) {
-      void coach.ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs).then((receipt) => {
-        if (receipt.isErr()) {
-          if (receipt.error.code === 'late') coach.close();
-          return;
-        }
-        const pong = receipt.value as FrontPong | null;
-        if (pong === null) return;
-        this.lastHeardAt = this.ports.clock.now();
-        this.heard.set(coach, { at: this.lastHeardAt, pong });
-        this.noteFronts(pong.fronts);
-        this.hearOf(coach, pong.generation);
-      });
+    for (const connection of this.cores()) {
+      void connection
+        .ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs)
+        .then((receipt) => {
+          if (receipt.isErr()) {
+            if (receipt.error.code === 'late') connection.close();
+            return;
+          }
+          const pong = receipt.value as FrontPong | null;
+          if (pong === null) return;
+          this.lastHeardAt = this.ports.clock.now();
+          this.heard.set(connection, { at: this.lastHeardAt, pong });
+          this.noteFronts(pong.fronts);
+          this.hearOf(connection, pong.generation);
+        });
     }
   };
 
@@ -223,10 +229,10 @@
 
   readonly status = (): Record<string, unknown> => ({
     content: this.content?.neighbour?.name ?? null,
-    cores: this.cores().map((coach) => ({
-      name: coach.neighbour?.name ?? '',
-      zone: coach.neighbour?.zone ?? '',
-      generation: this.heard.get(coach)?.pong.generation ?? null,
+    cores: this.cores().map((connection) => ({
+      name: connection.neighbour?.name ?? '',
+      zone: connection.neighbour?.zone ?? '',
+      generation: this.heard.get(connection)?.pong.generation ?? null,
     })),
     held: this.stateHeld(),
   });
--- a/packages/peer-transport/src/peerConnection.ts
+++ b/packages/peer-transport/src/peerConnection.ts
@@ -53,8 +53,8 @@
 export interface Handlers {
   readonly told: (from: PeerConnection, topic: string, body: unknown) => void;
   readonly asked: (from: PeerConnection, topic: string, body: unknown) => Promise<unknown>;
-  readonly joined: (coach: PeerConnection) => void;
-  readonly left: (coach: PeerConnection) => void;
+  readonly joined: (connection: PeerConnection) => void;
+  readonly left: (connection: PeerConnection) => void;
 }
 
 interface Call {
@@ -188,11 +188,11 @@
     handlers: Handlers,
   ): Promise<Result<Listener, NetFault>> =>
     net.listen(address, (wire) => {
-      const coach = new PeerConnection(wire, clock, log, own(), handlers);
+      const connection = new PeerConnection(wire, clock, log, own(), handlers);
       clock.after(helloPatienceMs, () => {
-        if (coach.neighbour === null) coach.close();
+        if (connection.neighbour === null) connection.close();
       });
-      coach.begin();
+      connection.begin();
     }),
   dial: async (
     net: Net,
@@ -206,7 +206,7 @@
     const wire = await net.dial(address, patienceMs);
     if (wire.isErr()) return err({ kind: 'coach', code: 'unreachable' });
     return new Promise((settle) => {
-      const coach: PeerConnection = new PeerConnection(wire.value, clock, log, own, {
+      const connection: PeerConnection = new PeerConnection(wire.value, clock, log, own, {
         ...handlers,
         joined: (joined) => {
           clockEvent.cancel();
@@ -215,10 +215,10 @@
         },
       });
       const clockEvent = clock.after(patienceMs, () => {
-        if (coach.neighbour === null) coach.close();
+        if (connection.neighbour === null) connection.close();
         settle(err({ kind: 'coach', code: 'unreachable' }));
       });
-      coach.begin();
+      connection.begin();
     });
   },
 };
--- a/packages/proving/src/capacity/core.ts
+++ b/packages/proving/src/capacity/core.ts
@@ -36,14 +36,14 @@
   const handlers: Handlers = {
     joined: () => {},
     left: push.drop,
-    told: (coach, topic, body) => {
+    told: (connection, topic, body) => {
       if (topic === 'subscribe')
-        push.subscribe(coach, body === null ? (acceptor.agreed()?.generation ?? -1) : (body as number));
-      else if (topic === 'ack') push.acked(coach, body as number);
-      else if (topic === 'heavyNews') push.heavyNews(coach, body as Parameters<PushDesk['heavyNews']>[1]);
+        push.subscribe(connection, body === null ? (acceptor.agreed()?.generation ?? -1) : (body as number));
+      else if (topic === 'ack') push.acked(connection, body as number);
+      else if (topic === 'heavyNews') push.heavyNews(connection, body as Parameters<PushDesk['heavyNews']>[1]);
     },
-    asked: async (coach, topic, body) =>
-      topic === 'ping' ? push.pong(coach, body as Parameters<PushDesk['pong']>[1]) : null,
+    asked: async (connection, topic, body) =>
+      topic === 'ping' ? push.pong(connection, body as Parameters<PushDesk['pong']>[1]) : null,
     ...more,
   };
   const listener = (
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -30,14 +30,14 @@
       joined: () => {},
       left: () => note('left'),
       asked: async () => null,
-      told: (coach, topic, body) => {
+      told: (connection, topic, body) => {
         if (topic === 'change' || topic === 'checkpoint') {
           note('changes');
-          coach.tell('ack', (body as { generation: number }).generation);
+          connection.tell('ack', (body as { generation: number }).generation);
         } else if (topic === 'state') {
           const { generation, edition } = body as StateNews;
           note('changes');
-          coach.tell('ack', { generation, edition });
+          connection.tell('ack', { generation, edition });
         } else if (topic === 'loads') note('loads');
         else if (topic === 'replicas') {
           note('replicas');
@@ -89,18 +89,18 @@
     return { held: held.length };
   }
   if (order.verb === 'tell') {
-    for (const coach of held) coach.tell(String(order.topic), order.body ?? null);
+    for (const connection of held) connection.tell(String(order.topic), order.body ?? null);
     return {};
   }
   if (order.verb === 'pings') {
     const asks = held.map(
-      (coach, at) => [coach, order.body ?? report(at, number('running'), number('replicas'))] as const,
+      (connection, at) => [connection, order.body ?? report(at, number('running'), number('replicas'))] as const,
     );
     const [began, got, sent] = [rig.cpuUs(), meter.got, meter.sent];
     const pings = number('count');
     await many(pings, 20, async (at) => {
-      const [coach, body] = asks[at % asks.length] as (typeof asks)[number];
-      const pong = await coach.ask('ping', body, 30_000);
+      const [connection, body] = asks[at % asks.length] as (typeof asks)[number];
+      const pong = await connection.ask('ping', body, 30_000);
       if (pong.isOk() && order.body === undefined) tracks.toldOthers((pong.value as Pong).loads);
     });
     return { us: (rig.cpuUs() - began) / pings, got: (meter.got - got) / pings, sent: (meter.sent - sent) / pings };
@@ -119,10 +119,10 @@
       digest: key.padStart(32, '0'),
     });
     await many(number('count'), number('width'), async (at) => {
-      const coach = held[at % held.length] as PeerConnection;
+      const connection = held[at % held.length] as PeerConnection;
       const key = `tenant-0001/${number('from') + at}`;
-      await coach.ask('claimPrepare', { key, turn: 0, ballot: [1, `id-${key}`] }, 30_000);
-      await coach.ask('claimAccept', { key, turn: 0, ballot: [1, `id-${key}`], claimant: claimant(key) }, 30_000);
+      await connection.ask('claimPrepare', { key, turn: 0, ballot: [1, `id-${key}`] }, 30_000);
+      await connection.ask('claimAccept', { key, turn: 0, ballot: [1, `id-${key}`], claimant: claimant(key) }, 30_000);
     });
     return {};
   }
@@ -134,7 +134,7 @@
   }
   if (order.verb === 'gauge') return { ...told, got: meter.got, sent: meter.sent, us: rig.cpuUs() };
   if (order.verb === 'hangUp') {
-    for (const coach of held.splice(0)) coach.close();
+    for (const connection of held.splice(0)) connection.close();
     for (const name of Object.keys(told)) told[name] = 0;
     return {};
   }
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -287,7 +287,7 @@
             ? own.accept(slot, ballot, change)
             : (ask(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
         settle: (settled) => {
-          for (const coach of lines.values()) coach.tell('settled', settled);
+          for (const connection of lines.values()) connection.tell('settled', settled);
         },
         since: (member, generation) =>
           isOwn(member)
@@ -319,7 +319,7 @@
       cpu.add(tenants, (rig.cpuUs() - began) / 1_000 / changes / size.voters);
       wire.add(tenants, (meter.sent - sent) / changes);
     }
-    for (const coach of lines.values()) coach.close();
+    for (const connection of lines.values()) connection.close();
     for (const close of closers) await close();
   }
   return [wall, cpu, wire].map((one) => one.told());
@@ -950,7 +950,7 @@
       const askAll = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
         const own = books[at]?.book.grant(ask);
         const others = await Promise.all(
-          lines.map(async (coach) => (await coach.ask('leaseAsk', ask, 5_000)).unwrapOr(null)),
+          lines.map(async (connection) => (await connection.ask('leaseAsk', ask, 5_000)).unwrapOr(null)),
         );
         return [await own, ...others].filter((reply) => reply !== undefined && reply !== null) as LeaseReply[];
       };
@@ -981,7 +981,7 @@
       cpu.add(replicas, (rig.cpuUs() - cpuBegan) / 1_000);
       bytes.add(replicas, meter.sent - sent);
     }
-    for (const coach of coachesHeld) coach.close();
+    for (const connection of coachesHeld) connection.close();
     for (const listener of listeners) await listener.close();
     for (const book of books) await book.close();
   }
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -136,14 +136,15 @@
       notePing: (us: number, bytesEach: number) => void,
     ): Promise<void> => {
       const core = await openCore(10, [], {
-        left: (coach) => holder.push?.drop(coach),
-        told: (coach, topic, body) => {
-          if (topic === 'subscribe') holder.push?.subscribe(coach, body as Parameters<StatePublisher['subscribe']>[1]);
-          else if (topic === 'ack') holder.push?.acked(coach, body as Parameters<StatePublisher['acked']>[1]);
+        left: (connection) => holder.push?.drop(connection),
+        told: (connection, topic, body) => {
+          if (topic === 'subscribe')
+            holder.push?.subscribe(connection, body as Parameters<StatePublisher['subscribe']>[1]);
+          else if (topic === 'ack') holder.push?.acked(connection, body as Parameters<StatePublisher['acked']>[1]);
         },
-        asked: async (coach, topic, body) =>
+        asked: async (connection, topic, body) =>
           topic === 'ping'
-            ? (holder.push?.pong(coach, body as Parameters<StatePublisher['pong']>[1], true) ?? null)
+            ? (holder.push?.pong(connection, body as Parameters<StatePublisher['pong']>[1], true) ?? null)
             : null,
       });
       const push = new StatePublisher(
--- a/packages/proving/src/realTrialsCommand.ts
+++ b/packages/proving/src/realTrialsCommand.ts
@@ -244,7 +244,7 @@
   const counter = pick(9);
   const postmaster = pick(3);
   const name = `replica-${pick(firm.replicaCount) + 1}`;
-  const [coach, replica] = [fleet.coachRelays[postmaster], fleet.replicaRelays.get(name)];
+  const [connection, replica] = [fleet.coachRelays[postmaster], fleet.replicaRelays.get(name)];
   switch (kind) {
     case 'counter killed':
       await fleet.signal(`counter-${counter + 1}`, 'SIGKILL');
@@ -289,15 +289,15 @@
       await sleep(span(500, 5_000));
       return replica?.heal();
     case 'postmaster link cut':
-      coach?.cut('*');
+      connection?.cut('*');
       await sleep(span(500, 5_000));
-      return coach?.heal();
+      return connection?.heal();
     case 'postmaster link slow':
-      if (coach !== undefined) coach.slowMs = span(50, 400);
+      if (connection !== undefined) connection.slowMs = span(50, 400);
       await sleep(span(1_000, 5_000));
-      return coach?.heal();
+      return connection?.heal();
     case 'counter cut from two postmasters':
-      for (const relay of fleet.coachRelays) if (relay !== coach) relay.cut(fleet.counterHosts[counter] as string);
+      for (const relay of fleet.coachRelays) if (relay !== connection) relay.cut(fleet.counterHosts[counter] as string);
       await sleep(span(1_000, 5_000));
       return fleet.coachRelays.forEach((relay) => {
         relay.heal();
--- a/packages/settings/src/env.ts
+++ b/packages/settings/src/env.ts
@@ -67,7 +67,7 @@
   name: { form: forms.text, help: "this node's name, unlike any other node's" },
   zone: { form: forms.text, help: 'the zone this machine stands in' },
   coach: { form: forms.text, help: "IP:PORT for the fleet's own connections" },
-  coachListen: { form: forms.text, help: 'IP:PORT to listen on where others dial another (coach)' },
+  coachListen: { form: forms.text, help: 'IP:PORT to listen on where others dial another (connection)' },
   http: { form: forms.text, help: 'IP:PORT for HTTP (callers, or operators and platform)' },
   operators: { form: forms.text, help: "IP:PORT for operators' pages, on a private network (counter only; none)" },
   seeds: { form: forms.list, help: 'three IP:PORT of other nodes, parted by commas' },
