Add an explorer of schedules over the real agreement, package model-check

Cause: the agreement is shown by stories only; no run explores orders of messages, writes, crashes and losses. Change: packages/model-check runs the product's Proposer, Acceptor, log, Membership, LeaseBook and Duties over simulated disks and links under a seeded scheduler, judges them from outside, shrinks and replays counterexamples. control-plane exports Membership and Standing; nothing else of the product is touched.

--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -1,5 +1,7 @@
 export * from './acceptor.js';
 export * from './proposer.js';
+export * from './membership.js';
+export type { Standing } from './founding.js';
 export * from './pushDesk.js';
 export * from './postmaster.js';
 export * from './operatorWire.js';
--- /dev/null
+++ b/packages/model-check/src/breaks.ts
@@ -0,0 +1,176 @@
+import { LeaseBook } from '@martenworks/cluster-membership';
+import type { LeaseTerms } from '@martenworks/cluster-membership';
+import type { Acceptor, Ballot, Proposer, Settled, Standing, Voters } from '@martenworks/control-plane';
+import { agreed as agreedState } from '@martenworks/core-types';
+import type { Agreed, Change, Clock, Member } from '@martenworks/core-types';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { ModelDisk } from './modelDisk.js';
+
+/** A fault put into the product on purpose, from outside, to show that the checker finds it. */
+export interface Break {
+  readonly name: string;
+  readonly what: string;
+  /** Replaces shared functions of the product for one schedule; gives what puts them back. */
+  readonly install?: () => () => void;
+  readonly disk?: (disk: ModelDisk) => void;
+  readonly acceptor?: (acceptor: Acceptor) => void;
+  readonly voters?: (voters: Voters, own: () => string) => Voters;
+  readonly swapProposer?: (proposer: Proposer) => Proposer;
+  readonly confirm?: () => Promise<boolean>;
+  readonly leaseBook?: (clock: Clock, terms: LeaseTerms) => LeaseBook;
+  readonly standing?: (told: Standing, asker: Acceptor) => Standing;
+}
+
+type Overridable<T> = { -readonly [Key in keyof T]: T[Key] };
+
+const overridable = <T>(object: T): Overridable<T> => object as Overridable<T>;
+
+const applyAnySwap = (state: Agreed, change: Change): Agreed => {
+  const { body } = change;
+  if (body.kind !== 'swap') return unbrokenApply(state, change);
+  const members = state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member));
+  return { ...unbrokenApply(state, change), members };
+};
+
+const unbrokenApply = agreedState.apply;
+
+const checkOnce = (proposer: Proposer): Proposer => {
+  const propose: Proposer['propose'] = (check, ...rest) => {
+    let first: ReturnType<typeof check> | null = null;
+    return proposer.propose((state) => (first ??= check(state)), ...rest);
+  };
+  return Object.assign(Object.create(proposer), { propose });
+};
+
+const swapAnySeat: Break = {
+  name: 'swap-any-seat',
+  what: 'a swap is applied whatever seats there are, and its check is not made again before a further try',
+  install: () => {
+    agreedState.apply = applyAnySwap;
+    return () => {
+      agreedState.apply = unbrokenApply;
+    };
+  },
+  swapProposer: checkOnce,
+};
+
+const forgetPromises: Break = {
+  name: 'forget-promises',
+  what: 'a restarted acceptor does not know the newest ballot that it promised',
+  install: () => {
+    const open = writeAheadLogs.open;
+    writeAheadLogs.open = async (disk, prefix) =>
+      (await open(disk, prefix)).map((opened) => ({
+        ...opened,
+        records: opened.records.filter((record) => (record as { t?: string }).t !== 'promised'),
+      }));
+    return () => {
+      writeAheadLogs.open = open;
+    };
+  },
+};
+
+const readAlone: Break = {
+  name: 'read-alone',
+  what: 'a read is confirmed without asking a majority',
+  confirm: async () => true,
+};
+
+const grantUnwritten: Break = {
+  name: 'grant-unwritten',
+  what: 'a lease is granted and its fence is not written',
+  leaseBook: (clock, terms) => new LeaseBook(clock, async () => true, [], false, terms),
+};
+
+const seatWithoutState: Break = {
+  name: 'seat-without-state',
+  what: 'a newcomer is taken to hold the state, and gets its seat, before it has it',
+  standing: (told, asker) => {
+    const state = asker.agreed();
+    if (state === null) return told;
+    return { ...told, generation: state.generation, syncedFrom: state.members.map((member) => member.incarnation) };
+  },
+};
+
+const acceptLowerBallot: Break = {
+  name: 'accept-lower-ballot',
+  what: 'an acceptor takes a change under a lower ballot than it has promised',
+  acceptor: (acceptor) => {
+    const accept = acceptor.accept;
+    overridable(acceptor).accept = async (slot: number, ballot: Ballot, change: Change) => {
+      const vote = await accept(slot, ballot, change);
+      return vote.k === 'denied' ? accept(slot, vote.promised, change) : vote;
+    };
+  },
+};
+
+const countTwice: Break = {
+  name: 'count-twice',
+  what: 'the own vote counts again in the place of each member that does not answer',
+  voters: (voters, own) => {
+    let promised: Awaited<ReturnType<Voters['prepare']>> = null;
+    return {
+      ...voters,
+      prepare: async (member, slot, ballot) => {
+        const vote = await voters.prepare(member, slot, ballot);
+        if (member.incarnation === own()) promised = vote;
+        return vote ?? promised;
+      },
+      accept: async (member, slot, ballot, change) =>
+        (await voters.accept(member, slot, ballot, change)) ??
+        voters.accept({ ...member, incarnation: own() } satisfies Member, slot, ballot, change),
+    };
+  },
+};
+
+const settleEarly: Break = {
+  name: 'settle-early',
+  what: 'a change is told as settled once a single member has accepted it',
+  voters: (voters) => ({
+    ...voters,
+    accept: async (member, slot, ballot, change) => {
+      const vote = await voters.accept(member, slot, ballot, change);
+      if (vote?.k === 'accepted') voters.settle({ generation: slot, change } satisfies Settled);
+      return vote;
+    },
+  }),
+};
+
+const lyingDisk: Break = {
+  name: 'lying-disk',
+  what: 'votes are told before they are durable',
+  disk: (disk) => {
+    disk.isLying = true;
+  },
+};
+
+const ignoreAccepted: Break = {
+  name: 'ignore-accepted',
+  what: 'a proposer offers its own change where a promise told of an accepted one',
+  voters: (voters) => ({
+    ...voters,
+    prepare: async (member, slot, ballot) => {
+      const vote = await voters.prepare(member, slot, ballot);
+      return vote?.k === 'promised' ? { ...vote, accepted: null } : vote;
+    },
+  }),
+};
+
+const all: readonly Break[] = [
+  swapAnySeat,
+  forgetPromises,
+  readAlone,
+  grantUnwritten,
+  seatWithoutState,
+  acceptLowerBallot,
+  countTwice,
+  settleEarly,
+  lyingDisk,
+  ignoreAccepted,
+];
+
+/** The deliberate breaks, by name. */
+export const breaks = {
+  all,
+  find: (name: string | null): Break | null => all.find((one) => one.name === name) ?? null,
+};
--- /dev/null
+++ b/packages/model-check/src/checker.ts
@@ -0,0 +1,226 @@
+import type { Agreed, Change } from '@martenworks/core-types';
+
+/** The rules that a schedule must keep. */
+export type Rule =
+  | 'one change a generation'
+  | 'one history'
+  | 'seats distinct'
+  | 'settled by a majority'
+  | 'stale read'
+  | 'acknowledged change held'
+  | 'acknowledged in force'
+  | 'resend refused'
+  | 'newest base refused'
+  | 'leases disjoint'
+  | 'fences rising'
+  | 'catching up'
+  | 'progress';
+
+export interface Violation {
+  readonly rule: Rule;
+  readonly detail: string;
+}
+
+/** A change of configuration that an operator asked for, built on the version `base`. */
+export interface Order {
+  readonly id: string;
+  readonly base: number;
+  readonly edition: number;
+}
+
+/** What the checker may look at on one node, from outside. */
+export interface Observed {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly isAlive: boolean;
+  /** No disk holds this incarnation any more. */
+  readonly isLost: boolean;
+  /** The state that is durable there, as far as it was seen. */
+  readonly state: Agreed | null;
+  /** The change that is accepted there and not known to be settled. */
+  readonly accepted: { readonly slot: number; readonly changeId: string } | null;
+  /** The fence of the lease that it holds at this moment. */
+  readonly fence: number | null;
+}
+
+interface Vote {
+  readonly ballot: string;
+  readonly changeId: string;
+  readonly voters: Set<string>;
+}
+
+const majorityOf = (count: number): number => Math.floor(count / 2) + 1;
+
+/** Judges one schedule from outside: it counts votes by itself and compares what nodes tell with it. */
+export class Checker {
+  readonly violations: Violation[] = [];
+  private readonly states = new Map<number, Agreed>();
+  private readonly texts = new Map<number, string>();
+  private readonly votes = new Map<number, Vote[]>();
+  private readonly chosen = new Map<number, string>();
+  private readonly lastSeen = new Map<string, Agreed>();
+  private readonly acknowledged = new Map<string, number>();
+  private readonly orders = new Map<string, Order>();
+  private readonly orderAt = new Map<number, string>();
+  private newestAcknowledged = 0;
+  private newestRead = 0;
+  private newestChosenGeneration = 0;
+  private newestChosenEdition = 0;
+  private leader: { node: string; fence: number } | null = null;
+  private highestFence = 0;
+
+  constructor(founded: Agreed) {
+    this.learn(founded, 'the founding');
+  }
+
+  private readonly tell = (rule: Rule, detail: string): void => void this.violations.push({ rule, detail });
+
+  readonly newestGeneration = (): number => this.newestChosenGeneration;
+
+  readonly newestState = (): Agreed => this.states.get(this.newestStateGeneration()) as Agreed;
+
+  private readonly newestStateGeneration = (): number => {
+    let newest = 0;
+    for (const generation of this.states.keys()) newest = Math.max(newest, generation);
+    return newest;
+  };
+
+  /** The state that was agreed as `generation`, where any node has shown it. */
+  readonly stateAt = (generation: number): Agreed | undefined => this.states.get(generation);
+
+  /** Takes note of a state that a node holds durable; states of one generation must be equal. */
+  readonly learn = (state: Agreed, where: string): void => {
+    const text = JSON.stringify([state.members, state.ways, Object.keys(state.changeIds).sort()]);
+    const known = this.texts.get(state.generation);
+    if (known !== undefined) {
+      if (known !== text) this.tell('one history', `generation ${state.generation} at ${where}: ${text}, not ${known}`);
+      return;
+    }
+    this.texts.set(state.generation, text);
+    this.states.set(state.generation, state);
+    const seats = new Set(state.members.map((member) => member.incarnation));
+    if (seats.size !== state.members.length)
+      this.tell('seats distinct', `generation ${state.generation}: ${state.members.map((one) => one.name).join()}`);
+    if (state.generation > 0 && !this.chosen.has(state.generation))
+      this.tell('settled by a majority', `generation ${state.generation} at ${where} was accepted by no majority`);
+    this.newestChosenEdition = Math.max(this.newestChosenEdition, state.ways?.edition ?? 0);
+  };
+
+  /** An acceptor told, or was about to tell, that it has accepted a change. */
+  readonly accepted = (voter: string, slot: number, ballot: string, change: Change): void => {
+    const votes = this.votes.get(slot) ?? [];
+    this.votes.set(slot, votes);
+    let vote = votes.find((one) => one.ballot === ballot && one.changeId === change.id);
+    if (vote === undefined) {
+      vote = { ballot, changeId: change.id, voters: new Set() };
+      votes.push(vote);
+    }
+    vote.voters.add(voter);
+    const members = this.states.get(slot - 1)?.members ?? [];
+    const seats = new Set(members.map((member) => member.incarnation));
+    const held = [...vote.voters].filter((one) => seats.has(one)).length;
+    if (held >= majorityOf(members.length)) this.choose(slot, change);
+  };
+
+  private readonly choose = (slot: number, change: Change): void => {
+    const known = this.chosen.get(slot);
+    if (known !== undefined) {
+      if (known !== change.id) this.tell('one change a generation', `generation ${slot}: ${known} and ${change.id}`);
+      return;
+    }
+    this.chosen.set(slot, change.id);
+    this.orderAt.set(slot, change.id);
+    this.newestChosenGeneration = Math.max(this.newestChosenGeneration, slot);
+    if (change.body.kind === 'ways')
+      this.newestChosenEdition = Math.max(this.newestChosenEdition, change.body.ways.edition);
+  };
+
+  readonly ordered = (order: Order): void => void this.orders.set(order.id, order);
+
+  /** An operator was told that its change was settled as `generation`. */
+  readonly orderAcknowledged = (order: Order, generation: number): void => {
+    const known = this.acknowledged.get(order.id);
+    if (known !== undefined && known !== generation)
+      this.tell('one change a generation', `${order.id} acknowledged as ${known} and as ${generation}`);
+    this.acknowledged.set(order.id, generation);
+    this.newestAcknowledged = Math.max(this.newestAcknowledged, generation);
+    const chosen = this.chosen.get(generation);
+    if (chosen !== order.id)
+      this.tell(
+        'acknowledged in force',
+        `${order.id} acknowledged as ${generation}, which is ${chosen ?? 'not chosen'}`,
+      );
+  };
+
+  /** An operator was told that its change cannot be made on the version it named. */
+  readonly orderRefused = (order: Order, node: string): void => {
+    const isInForce = [...this.chosen.values()].includes(order.id) && this.newestChosenEdition === order.edition;
+    if (isInForce) this.tell('resend refused', `${order.id} is in force and was refused at ${node}`);
+    else if (this.newestChosenEdition <= order.base)
+      this.tell('newest base refused', `${order.id} on ${order.base}, the newest, was refused at ${node}`);
+  };
+
+  /** The generation that a read beginning now may not fall short of. */
+  readonly readFloor = (): number => Math.max(this.newestAcknowledged, this.newestRead);
+
+  readonly readAnswered = (floor: number, generation: number, node: string): void => {
+    if (generation < floor) this.tell('stale read', `${node} confirmed generation ${generation}, ${floor} was known`);
+    this.newestRead = Math.max(this.newestRead, generation);
+  };
+
+  /** Checks what holds between any two steps. */
+  readonly observe = (nodes: readonly Observed[]): void => {
+    for (const node of nodes) {
+      if (node.state === null || this.lastSeen.get(node.node) === node.state) continue;
+      this.lastSeen.set(node.node, node.state);
+      this.learn(node.state, node.node);
+    }
+    this.checkHolders(nodes);
+    this.checkLeases(nodes);
+  };
+
+  private readonly holds = (node: Observed, generation: number): boolean =>
+    (node.state !== null && node.state.generation >= generation) ||
+    (node.accepted?.slot === generation && node.accepted.changeId === this.chosen.get(generation));
+
+  private readonly checkHolders = (nodes: readonly Observed[]): void => {
+    const generation = this.newestAcknowledged;
+    if (generation === 0) return;
+    const members = this.newestState().members;
+    const seats = new Set(members.map((member) => member.incarnation));
+    const without = nodes.filter(
+      (node) => !node.isLost && seats.has(node.incarnation) && !this.holds(node, generation),
+    );
+    if (without.length >= majorityOf(members.length))
+      this.tell(
+        'acknowledged change held',
+        `generation ${generation} is lacking at ${without.map((node) => node.node).join()}, a majority of those who vote next`,
+      );
+  };
+
+  private readonly checkLeases = (nodes: readonly Observed[]): void => {
+    const holders = nodes.filter((node) => node.isAlive && node.fence !== null);
+    if (holders.length > 1)
+      this.tell('leases disjoint', holders.map((node) => `${node.node} with fence ${node.fence}`).join(' and '));
+    for (const { node, fence } of holders) {
+      if (fence === null || (this.leader?.node === node && this.leader.fence === fence)) continue;
+      if (fence <= this.highestFence) this.tell('fences rising', `${node} got ${fence} after ${this.highestFence}`);
+      this.leader = { node, fence };
+      this.highestFence = Math.max(this.highestFence, fence);
+    }
+  };
+
+  /** Checks the end of a schedule, after the bounded number of fair steps. */
+  readonly finish = (nodes: readonly Observed[], isLastOrderAcknowledged: boolean, rounds: number): void => {
+    const members = this.newestState().members;
+    const seats = new Set(members.map((member) => member.incarnation));
+    const living = nodes.filter((node) => node.isAlive && seats.has(node.incarnation));
+    for (const node of living)
+      if ((node.state?.generation ?? -1) < this.newestChosenGeneration)
+        this.tell(
+          'catching up',
+          `${node.node} holds ${node.state?.generation ?? 'nothing'} after ${rounds} fair rounds, ${this.newestChosenGeneration} is the newest`,
+        );
+    if (!isLastOrderAcknowledged) this.tell('progress', `no order was acknowledged in ${rounds} fair rounds`);
+  };
+}
--- /dev/null
+++ b/packages/model-check/src/explorer.ts
@@ -0,0 +1,131 @@
+import { breaks } from './breaks.js';
+import type { Rule, Violation } from './checker.js';
+import type { Choice, ChoiceKind, Script } from './choices.js';
+import { SeededRandom } from './random.js';
+import { Scheduler, profiles } from './scheduler.js';
+import { World } from './world.js';
+
+/** What is explored: `schedules` of `depth` steps each, by the seeds from `seed` on, `stride` apart. */
+export interface Plan {
+  readonly voters: number;
+  readonly depth: number;
+  readonly seed: number;
+  readonly schedules: number;
+  readonly stride: number;
+  readonly breakName: string | null;
+  /** Only a violation of these ends the search; all rules where absent. */
+  readonly rules?: readonly Rule[];
+}
+
+/** A schedule that breaks a rule, with the script that shows it again. */
+export interface Counterexample {
+  readonly script: Script;
+  readonly violation: Violation;
+}
+
+export interface Outcome {
+  readonly schedules: number;
+  readonly steps: Partial<Record<ChoiceKind, number>>;
+  readonly generations: number;
+  readonly counterexample: Counterexample | null;
+}
+
+const schedulerSeedSalt = 0x5bd1e995;
+const shrinkRuns = 1_500;
+
+const firstOf = (world: World, rules?: readonly Rule[]): Violation | null =>
+  world.checker().violations.find((violation) => rules === undefined || rules.includes(violation.rule)) ?? null;
+
+const inWorld = async <T>(
+  voters: number,
+  seed: number,
+  breakName: string | null,
+  work: (world: World) => Promise<T>,
+): Promise<T> => {
+  const broken = breaks.find(breakName);
+  const restore = broken?.install?.();
+  try {
+    const world = new World(voters, seed, broken);
+    await world.found();
+    return await work(world);
+  } finally {
+    restore?.();
+  }
+};
+
+/** Runs one script and ends it fairly; the first violation, or null. */
+const replay = (script: Script, rules?: readonly Rule[]): Promise<Violation | null> =>
+  inWorld(script.voters, script.seed, script.breakName, async (world) => {
+    for (const choice of script.choices) {
+      await world.apply(choice);
+      const violation = firstOf(world, rules);
+      if (violation !== null) return violation;
+    }
+    await world.finish();
+    return firstOf(world, rules);
+  });
+
+/** Runs one schedule drawn by its seed. */
+const runOne = (
+  plan: Plan,
+  seed: number,
+  count: (choice: Choice) => void,
+): Promise<{ counterexample: Counterexample | null; generations: number }> =>
+  inWorld(plan.voters, seed, plan.breakName, async (world) => {
+    const profile = profiles[seed % profiles.length] as (typeof profiles)[number];
+    const scheduler = new Scheduler(world, new SeededRandom(seed ^ schedulerSeedSalt), profile);
+    const choices: Choice[] = [];
+    for (let step = 0; step < plan.depth && firstOf(world, plan.rules) === null; step += 1) {
+      const choice = scheduler.next();
+      if (!(await world.apply(choice))) continue;
+      choices.push(choice);
+      count(choice);
+    }
+    if (firstOf(world, plan.rules) === null) await world.finish();
+    const violation = firstOf(world, plan.rules);
+    const generations = world.checker().newestGeneration();
+    if (violation === null) return { counterexample: null, generations };
+    const script: Script = { voters: plan.voters, seed, breakName: plan.breakName, choices };
+    return { counterexample: { script, violation }, generations };
+  });
+
+/** Explores schedules until one breaks a rule or all are done. */
+const explore = async (plan: Plan): Promise<Outcome> => {
+  const steps: Partial<Record<ChoiceKind, number>> = {};
+  let generations = 0;
+  for (let at = 0; at < plan.schedules; at += 1) {
+    const run = await runOne(plan, plan.seed + at * plan.stride, (choice) => {
+      steps[choice.do] = (steps[choice.do] ?? 0) + 1;
+    });
+    generations += run.generations;
+    if (run.counterexample !== null)
+      return { schedules: at + 1, steps, generations, counterexample: run.counterexample };
+  }
+  return { schedules: plan.schedules, steps, generations, counterexample: null };
+};
+
+/** Drops steps of a script for as long as what is left still breaks the same rule. */
+const shrink = async (found: Counterexample): Promise<Counterexample> => {
+  let best = found;
+  let runs = 0;
+  for (let size = Math.ceil(found.script.choices.length / 2); size >= 1; ) {
+    let hasShrunk = false;
+    for (let at = 0; at < best.script.choices.length && runs < shrinkRuns; runs += 1) {
+      const choices = best.script.choices.toSpliced(at, size);
+      const script = { ...best.script, choices };
+      const violation = await replay(script, [found.violation.rule]);
+      if (violation === null) at += size;
+      else {
+        best = { script, violation };
+        hasShrunk = true;
+      }
+    }
+    if (runs >= shrinkRuns) break;
+    if (size > 1) size = Math.ceil(size / 2);
+    else if (!hasShrunk) break;
+  }
+  return best;
+};
+
+/** The explorer of schedules. */
+export const explorer = { explore, replay, shrink };
--- /dev/null
+++ b/packages/model-check/src/index.ts
@@ -0,0 +1,5 @@
+export * from './breaks.js';
+export * from './checker.js';
+export * from './choices.js';
+export * from './explorer.js';
+export * from './scheduler.js';
--- /dev/null
+++ b/packages/model-check/src/modelCommand.ts
@@ -0,0 +1,97 @@
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
+import { breaks } from './breaks.js';
+import type { Rule } from './checker.js';
+import { choiceKinds } from './choices.js';
+import type { ChoiceKind, Script } from './choices.js';
+import { explorer } from './explorer.js';
+import type { Counterexample, Outcome, Plan } from './explorer.js';
+
+const usage = `npm run model -- [--schedules N] [--depth D] [--seed S] [--voters 3|5] [--break NAME] [--rules A,B] [--jobs N]
+npm run model -- --replay FILE
+
+Explores schedules of the agreement: the product's own proposer, acceptor, log, membership and leases over simulated
+disks and links. Prints counts by kind of step; a counterexample is shrunk and printed as a script.
+breaks: ${breaks.all.map((one) => one.name).join(', ')}
+`;
+
+const { values } = parseArgs({
+  options: {
+    schedules: { type: 'string', default: '4000' },
+    depth: { type: 'string', default: '150' },
+    seed: { type: 'string', default: '1' },
+    voters: { type: 'string', default: '3' },
+    break: { type: 'string' },
+    rules: { type: 'string' },
+    jobs: { type: 'string', default: '1' },
+    replay: { type: 'string' },
+    help: { type: 'boolean', default: false },
+  },
+});
+
+const maximumJobs = 16;
+
+const print = (text: string): void => void process.stdout.write(`${text}\n`);
+
+const replayFile = async (file: string): Promise<number> => {
+  const script = JSON.parse(readFileSync(file, 'utf8')) as Script;
+  const violation = await explorer.replay(script);
+  print(violation === null ? 'no rule is broken' : `${violation.rule}: ${violation.detail}`);
+  return violation === null ? 0 : 1;
+};
+
+const planOf = (job: number, jobs: number): Plan => ({
+  voters: Number(values.voters),
+  depth: Number(values.depth),
+  seed: Number(values.seed) + job,
+  schedules: Math.ceil(Number(values.schedules) / jobs),
+  stride: jobs,
+  breakName: values.break ?? null,
+  ...(values.rules === undefined ? {} : { rules: values.rules.split(',') as Rule[] }),
+});
+
+const inWorker = (plan: Plan): Promise<Outcome> =>
+  new Promise((done, fail) => {
+    const worker = new Worker(new URL(import.meta.url), { workerData: plan, argv: process.argv.slice(2) });
+    worker.once('message', done);
+    worker.once('error', fail);
+  });
+
+const show = async (found: Counterexample): Promise<void> => {
+  const { script, violation } = await explorer.shrink(found);
+  print(`broken, ${violation.rule}: ${violation.detail}`);
+  print(`found by seed ${script.seed}, ${found.script.choices.length} steps, shrunk to ${script.choices.length}:`);
+  print(JSON.stringify(script));
+};
+
+const exploreAll = async (): Promise<number> => {
+  const jobs = Math.max(1, Math.min(maximumJobs, Number(values.jobs)));
+  const startedAt = performance.now();
+  const outcomes = await Promise.all(Array.from({ length: jobs }, (_, job) => inWorker(planOf(job, jobs))));
+  const steps = (kind: ChoiceKind): number => outcomes.reduce((sum, outcome) => sum + (outcome.steps[kind] ?? 0), 0);
+  const schedules = outcomes.reduce((sum, outcome) => sum + outcome.schedules, 0);
+  const generations = outcomes.reduce((sum, outcome) => sum + outcome.generations, 0);
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  print(`${schedules} schedules, ${values.voters} voters, depth ${values.depth}, ${seconds} s, ${jobs} jobs`);
+  print(`changes chosen ${generations}; steps ${choiceKinds.map((kind) => `${kind} ${steps(kind)}`).join(', ')}`);
+  const found = outcomes.flatMap((outcome) => outcome.counterexample ?? []);
+  for (const counterexample of found) await show(counterexample);
+  if (found.length === 0) print('no rule is broken');
+  return found.length === 0 ? 0 : 1;
+};
+
+const main = async (): Promise<number> => {
+  if (values.help) {
+    print(usage);
+    return 0;
+  }
+  if (values.break !== undefined && breaks.find(values.break) === null) {
+    print(usage);
+    return 2;
+  }
+  return values.replay === undefined ? exploreAll() : replayFile(values.replay);
+};
+
+if (isMainThread) process.exitCode = await main();
+else parentPort?.postMessage(await explorer.explore(workerData as Plan));
--- /dev/null
+++ b/packages/model-check/src/modelDisk.ts
@@ -0,0 +1,135 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Disk, DiskFault, DiskFile } from '@martenworks/core-types';
+
+interface StoredFile {
+  readonly durable: Uint8Array;
+  readonly unsynced: Uint8Array;
+}
+
+interface PendingSync {
+  readonly file: string;
+  readonly finish: (outcome: Result<void, DiskFault>) => void;
+}
+
+const empty = new Uint8Array();
+
+const joined = (first: Uint8Array, second: Uint8Array): Uint8Array => {
+  const whole = new Uint8Array(first.length + second.length);
+  whole.set(first);
+  whole.set(second, first.length);
+  return whole;
+};
+
+const fault = (code: string): DiskFault => ({ kind: 'disk', code, detail: code });
+
+/** A disk whose syncs wait for the scheduler, so that a crash can fall before or after each write. */
+export class ModelDisk {
+  private files = new Map<string, StoredFile>();
+  private pending: PendingSync[] = [];
+  /** While false, syncs complete at once: for founding and restarts, which are one step of a schedule. */
+  isGated = false;
+  /** A deliberate fault: syncs are acknowledged and nothing becomes durable. */
+  isLying = false;
+
+  readonly pendingCount = (): number => this.pending.length;
+
+  /** Completes the oldest waiting sync. */
+  readonly completeSync = (): boolean => {
+    const sync = this.pending.shift();
+    if (sync === undefined) return false;
+    this.makeDurable(sync.file);
+    sync.finish(ok(undefined));
+    return true;
+  };
+
+  /** Fails the oldest waiting sync; what it was to make durable may or may not survive a crash. */
+  readonly failSync = (): boolean => {
+    const sync = this.pending.shift();
+    sync?.finish(err(fault('EIO')));
+    return sync !== undefined;
+  };
+
+  private readonly makeDurable = (name: string): void => {
+    const file = this.files.get(name);
+    if (file === undefined || this.isLying) return;
+    this.files.set(name, { durable: joined(file.durable, file.unsynced), unsynced: empty });
+  };
+
+  /** A loss of power: of what was not synced, the given share (0 to 1) has reached the disk. */
+  readonly crash = (keptShare: number): void => {
+    this.pending = [];
+    for (const [name, file] of this.files) {
+      const kept = file.unsynced.subarray(0, Math.floor(file.unsynced.length * keptShare));
+      this.files.set(name, { durable: joined(file.durable, kept), unsynced: empty });
+    }
+  };
+
+  readonly lose = (): void => {
+    this.pending = [];
+    this.files = new Map();
+  };
+
+  /** What a restart would find now, on a disk of its own. */
+  readonly copy = (): ModelDisk => {
+    const copied = new ModelDisk();
+    for (const [name, file] of this.files) copied.files.set(name, file);
+    copied.crash(1);
+    return copied;
+  };
+
+  private readonly sync = (name: string): Promise<Result<void, DiskFault>> => {
+    if (this.isGated) return new Promise((finish) => this.pending.push({ file: name, finish }));
+    this.makeDurable(name);
+    return Promise.resolve(ok(undefined));
+  };
+
+  /** The disk as one run of a process sees it; once `isLive` is false no call of it has an effect or an answer. */
+  readonly view = (isLive: () => boolean): Disk => {
+    const never = new Promise<never>(() => {});
+    const step = async <T>(work: () => Result<T, DiskFault>): Promise<Result<T, DiskFault>> =>
+      isLive() ? work() : never;
+    const fileOf = (name: string): DiskFile => ({
+      append: (bytes) =>
+        step(() => {
+          const file = this.files.get(name);
+          if (file === undefined) return err(fault('ENOENT'));
+          this.files.set(name, { durable: file.durable, unsynced: joined(file.unsynced, bytes) });
+          return ok(undefined);
+        }),
+      sync: () => (isLive() ? this.sync(name) : never),
+      close: async () => {},
+    });
+    return {
+      list: () => step(() => ok([...this.files.keys()])),
+      read: (name) =>
+        step(() => {
+          const file = this.files.get(name);
+          return ok(file === undefined ? null : joined(file.durable, file.unsynced));
+        }),
+      open: (name) =>
+        step(() => {
+          if (!this.files.has(name)) this.files.set(name, { durable: empty, unsynced: empty });
+          return ok(fileOf(name));
+        }),
+      replace: (name, bytes) =>
+        step(() => {
+          this.files.set(name, { durable: bytes.slice(), unsynced: empty });
+          return ok(undefined);
+        }),
+      truncate: (name, size) =>
+        step(() => {
+          const file = this.files.get(name);
+          if (file === undefined) return ok(undefined);
+          const whole = joined(file.durable, file.unsynced);
+          this.files.set(name, { durable: whole.slice(0, size), unsynced: empty });
+          return ok(undefined);
+        }),
+      remove: (name) =>
+        step(() => {
+          this.files.delete(name);
+          return ok(undefined);
+        }),
+    };
+  };
+}
--- /dev/null
+++ b/packages/model-check/src/network.ts
@@ -0,0 +1,85 @@
+import type { VirtualClock } from './virtualClock.js';
+
+/** One run of a node's process, from its start to its crash. */
+export interface Process {
+  readonly node: string;
+  readonly isAlive: () => boolean;
+  readonly handle: (topic: string, body: unknown, from: Process) => Promise<unknown>;
+}
+
+/** A message between two processes that was sent and neither delivered nor dropped yet. */
+export interface Message {
+  readonly from: Process;
+  readonly to: Process;
+  /** `FROM>TO:TOPIC`, with `:reply` after it for an answer: names the message in a script. */
+  readonly label: string;
+  readonly deliver: () => void;
+}
+
+/** Links between all nodes. Messages wait until the scheduler delivers, drops or doubles them, in any order. */
+export class Network {
+  readonly inFlight: Message[] = [];
+  private readonly cuts = new Map<string, { isNoticed: boolean }>();
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  readonly cut = (from: string, to: string, isNoticed: boolean): void =>
+    void this.cuts.set(`${from}>${to}`, { isNoticed });
+
+  readonly heal = (from: string, to: string): boolean => this.cuts.delete(`${from}>${to}`);
+
+  readonly healAll = (): void => this.cuts.clear();
+
+  readonly cutLinks = (): (readonly [from: string, to: string])[] =>
+    [...this.cuts.keys()].map((key) => key.split('>') as [string, string]);
+
+  private readonly isCut = (from: string, to: string): boolean => this.cuts.has(`${from}>${to}`);
+
+  /** Whether both ends still hold their connection: a cut is noticed by both at once, or not at all. */
+  readonly isConnected = (from: string, to: string): boolean =>
+    this.cuts.get(`${from}>${to}`)?.isNoticed !== true && this.cuts.get(`${to}>${from}`)?.isNoticed !== true;
+
+  private readonly send = (from: Process, to: Process, label: string, deliver: () => void): void =>
+    void this.inFlight.push({ from, to, label: `${from.node}>${to.node}:${label}`, deliver });
+
+  /** Asks once. Null where no answer came within `patienceMs`. */
+  readonly ask = (
+    from: Process,
+    to: Process,
+    topic: string,
+    body: unknown,
+    patienceMs: number,
+  ): Promise<unknown | null> =>
+    new Promise((settle) => {
+      const timer = this.clock.after(patienceMs, () => {
+        if (from.isAlive()) settle(null);
+      });
+      const answered = (value: unknown): void => {
+        timer.cancel();
+        settle(value);
+      };
+      this.send(from, to, topic, () => {
+        void to.handle(topic, body, from).then((value) => {
+          if (to.isAlive()) this.send(to, from, `${topic}:reply`, () => answered(value));
+        });
+      });
+    });
+
+  readonly tell = (from: Process, to: Process, topic: string, body: unknown): void =>
+    this.send(from, to, topic, () => void to.handle(topic, body, from));
+
+  /** The message that a script names: the `at`-th of those with this label, the oldest first. */
+  readonly find = (label: string, at: number): Message | undefined =>
+    this.inFlight.filter((message) => message.label === label)[at];
+
+  readonly remove = (message: Message): void => {
+    const place = this.inFlight.indexOf(message);
+    if (place >= 0) this.inFlight.splice(place, 1);
+  };
+
+  /** Hands a message over; it is lost where the link is cut or either process has ended. */
+  readonly deliver = (message: Message): void => {
+    if (!message.to.isAlive() || this.isCut(message.from.node, message.to.node)) return;
+    message.deliver();
+  };
+}
--- /dev/null
+++ b/packages/model-check/src/virtualClock.ts
@@ -0,0 +1,51 @@
+import type { ClockEvent } from '@martenworks/core-types';
+
+interface Timer {
+  readonly at: number;
+  readonly order: number;
+  readonly ring: () => void;
+}
+
+/** Time of one schedule in milliseconds. It stands still until the scheduler moves it on. */
+export class VirtualClock {
+  private timers: Timer[] = [];
+  private created = 0;
+  private time = 1_000;
+
+  readonly now = (): number => this.time;
+
+  readonly after = (delayMs: number, ring: () => void): ClockEvent => {
+    const timer: Timer = { at: this.time + Math.max(0, delayMs), order: ++this.created, ring };
+    this.timers.push(timer);
+    return { cancel: () => this.remove(timer) };
+  };
+
+  private readonly remove = (timer: Timer): void => {
+    this.timers = this.timers.filter((one) => one !== timer);
+  };
+
+  private readonly next = (): Timer | undefined => {
+    let first: Timer | undefined;
+    for (const timer of this.timers)
+      if (first === undefined || timer.at < first.at || (timer.at === first.at && timer.order < first.order))
+        first = timer;
+    return first;
+  };
+
+  readonly hasTimers = (): boolean => this.timers.length > 0;
+
+  /** Moves to the next timer and rings it; false where none is set, or none is due by `until`. */
+  readonly ringNext = (until = Number.POSITIVE_INFINITY): boolean => {
+    const timer = this.next();
+    if (timer === undefined || timer.at > until) return false;
+    this.remove(timer);
+    this.time = Math.max(this.time, timer.at);
+    timer.ring();
+    return true;
+  };
+
+  /** Sets the time without ringing anything; only for the end of a step that rang all that was due. */
+  readonly moveTo = (time: number): void => {
+    this.time = Math.max(this.time, time);
+  };
+}
