--- a/packages/model-check/src/breaks.ts
+++ b/packages/model-check/src/breaks.ts
@@ -82,14 +82,28 @@
   leaseBook: (clock, terms) => new LeaseBook(clock, async () => true, [], false, terms),
 };
 
+/** What the acceptor does with a record once the log has it; private there. */
+interface Redoing {
+  readonly redo: (record: { readonly t: 'adopted'; readonly agreed: Agreed }) => void;
+}
+
 const seatWithoutState: Break = {
   name: 'seat-without-state',
-  what: 'a newcomer is taken to hold the state, and gets its seat, before it has it',
+  what: 'a newcomer is seated before it is known to hold the state, and holds it in memory alone',
   standing: (told, asker) => {
     const state = asker.agreed();
     if (state === null) return told;
     return { ...told, generation: state.generation, syncedFrom: state.members.map((member) => member.incarnation) };
   },
+  acceptor: (acceptor) => {
+    const adopt = acceptor.adopt;
+    overridable(acceptor).adopt = async (agreed) => {
+      if (agreed.generation === 0) return adopt(agreed);
+      if ((acceptor.agreed()?.generation ?? -1) >= agreed.generation) return false;
+      (acceptor as unknown as Redoing).redo({ t: 'adopted', agreed });
+      return true;
+    };
+  },
 };
 
 const acceptLowerBallot: Break = {
--- a/packages/model-check/src/explorer.ts
+++ b/packages/model-check/src/explorer.ts
@@ -3,6 +3,7 @@
 import type { Choice, ChoiceKind, Script } from './choices.js';
 import { SeededRandom } from './random.js';
 import { Scheduler, profiles } from './scheduler.js';
+import type { Profile } from './scheduler.js';
 import { World } from './world.js';
 
 /** What is explored: `schedules` of `depth` steps each, by the seeds from `seed` on, `stride` apart. */
@@ -13,8 +14,10 @@
   readonly schedules: number;
   readonly stride: number;
   readonly breakName: string | null;
-  /** Only a violation of these ends the search; all rules where absent. */
+  /** Only a violation of these ends the search; a schedule that breaks another rule first is passed over. All rules where absent. */
   readonly rules?: readonly Rule[];
+  /** The only profile of steps to draw by; all of them in turn where absent. */
+  readonly profile?: string;
 }
 
 /** A schedule that breaks a rule, with the script that shows it again. */
@@ -26,15 +29,26 @@
 export interface Outcome {
   readonly schedules: number;
   readonly steps: Partial<Record<ChoiceKind, number>>;
+  /** Changes that were chosen, over all schedules. */
   readonly generations: number;
+  /** Schedules that ended at a rule that was not looked for. */
+  readonly passedOver: Partial<Record<Rule, number>>;
   readonly counterexample: Counterexample | null;
 }
 
+interface Run {
+  readonly script: Script;
+  readonly violation: Violation | null;
+  readonly generations: number;
+}
+
 const schedulerSeedSalt = 0x5bd1e995;
 const shrinkRuns = 1_500;
 
-const firstOf = (world: World, rules?: readonly Rule[]): Violation | null =>
-  world.checker().violations.find((violation) => rules === undefined || rules.includes(violation.rule)) ?? null;
+const firstOf = (world: World): Violation | null => world.checker().violations[0] ?? null;
+
+const isWanted = (violation: Violation, rules?: readonly Rule[]): boolean =>
+  rules === undefined || rules.includes(violation.rule);
 
 const inWorld = async <T>(
   voters: number,
@@ -54,54 +68,52 @@
 };
 
 /** Runs one script and ends it fairly; the first violation, or null. */
-const replay = (script: Script, rules?: readonly Rule[]): Promise<Violation | null> =>
+const replay = (script: Script): Promise<Violation | null> =>
   inWorld(script.voters, script.seed, script.breakName, async (world) => {
     for (const choice of script.choices) {
       await world.apply(choice);
-      const violation = firstOf(world, rules);
+      const violation = firstOf(world);
       if (violation !== null) return violation;
     }
     await world.finish();
-    return firstOf(world, rules);
+    return firstOf(world);
   });
 
-/** Runs one schedule drawn by its seed. */
-const runOne = (
-  plan: Plan,
-  seed: number,
-  count: (choice: Choice) => void,
-): Promise<{ counterexample: Counterexample | null; generations: number }> =>
+const profileOf = (plan: Plan, seed: number): Profile =>
+  profiles.find((profile) => profile.name === plan.profile) ?? (profiles[seed % profiles.length] as Profile);
+
+/** Runs one schedule drawn by its seed, up to the first rule that it breaks. */
+const runOne = (plan: Plan, seed: number, count: (choice: Choice) => void): Promise<Run> =>
   inWorld(plan.voters, seed, plan.breakName, async (world) => {
-    const profile = profiles[seed % profiles.length] as (typeof profiles)[number];
-    const scheduler = new Scheduler(world, new SeededRandom(seed ^ schedulerSeedSalt), profile);
+    const scheduler = new Scheduler(world, new SeededRandom(seed ^ schedulerSeedSalt), profileOf(plan, seed));
     const choices: Choice[] = [];
-    for (let step = 0; step < plan.depth && firstOf(world, plan.rules) === null; step += 1) {
+    for (let step = 0; step < plan.depth && firstOf(world) === null; step += 1) {
       const choice = scheduler.next();
       if (!(await world.apply(choice))) continue;
       choices.push(choice);
       count(choice);
     }
-    if (firstOf(world, plan.rules) === null) await world.finish();
-    const violation = firstOf(world, plan.rules);
-    const generations = world.checker().newestGeneration();
-    if (violation === null) return { counterexample: null, generations };
+    if (firstOf(world) === null) await world.finish();
     const script: Script = { voters: plan.voters, seed, breakName: plan.breakName, choices };
-    return { counterexample: { script, violation }, generations };
+    return { script, violation: firstOf(world), generations: world.checker().newestGeneration() };
   });
 
-/** Explores schedules until one breaks a rule or all are done. */
+/** Explores schedules until one breaks a rule that is looked for, or all are done. */
 const explore = async (plan: Plan): Promise<Outcome> => {
   const steps: Partial<Record<ChoiceKind, number>> = {};
+  const passedOver: Partial<Record<Rule, number>> = {};
   let generations = 0;
   for (let at = 0; at < plan.schedules; at += 1) {
-    const run = await runOne(plan, plan.seed + at * plan.stride, (choice) => {
+    const { script, violation, ...run } = await runOne(plan, plan.seed + at * plan.stride, (choice) => {
       steps[choice.do] = (steps[choice.do] ?? 0) + 1;
     });
     generations += run.generations;
-    if (run.counterexample !== null)
-      return { schedules: at + 1, steps, generations, counterexample: run.counterexample };
+    if (violation === null) continue;
+    if (isWanted(violation, plan.rules))
+      return { schedules: at + 1, steps, generations, passedOver, counterexample: { script, violation } };
+    passedOver[violation.rule] = (passedOver[violation.rule] ?? 0) + 1;
   }
-  return { schedules: plan.schedules, steps, generations, counterexample: null };
+  return { schedules: plan.schedules, steps, generations, passedOver, counterexample: null };
 };
 
 /** Drops steps of a script for as long as what is left still breaks the same rule. */
@@ -113,8 +125,8 @@
     for (let at = 0; at < best.script.choices.length && runs < shrinkRuns; runs += 1) {
       const choices = best.script.choices.toSpliced(at, size);
       const script = { ...best.script, choices };
-      const violation = await replay(script, [found.violation.rule]);
-      if (violation === null) at += size;
+      const violation = await replay(script);
+      if (violation?.rule !== found.violation.rule) at += size;
       else {
         best = { script, violation };
         hasShrunk = true;
--- a/packages/model-check/src/modelCommand.ts
+++ b/packages/model-check/src/modelCommand.ts
@@ -3,16 +3,18 @@
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
 import { breaks } from './breaks.js';
 import type { Rule } from './checker.js';
+import { profiles } from './scheduler.js';
 import { choiceKinds } from './choices.js';
 import type { ChoiceKind, Script } from './choices.js';
 import { explorer } from './explorer.js';
 import type { Counterexample, Outcome, Plan } from './explorer.js';
 
-const usage = `npm run model -- [--schedules N] [--depth D] [--seed S] [--voters 3|5] [--break NAME] [--rules A,B] [--jobs N]
+const usage = `npm run model -- [--schedules N] [--depth D] [--seed S] [--voters 3|5] [--break NAME] [--rules A,B] [--profile NAME] [--jobs N]
 npm run model -- --replay FILE
 
 Explores schedules of the agreement: the product's own proposer, acceptor, log, membership and leases over simulated
 disks and links. Prints counts by kind of step; a counterexample is shrunk and printed as a script.
+profiles: ${profiles.map((one) => one.name).join(', ')}
 breaks: ${breaks.all.map((one) => one.name).join(', ')}
 `;
 
@@ -24,6 +26,7 @@
     voters: { type: 'string', default: '3' },
     break: { type: 'string' },
     rules: { type: 'string' },
+    profile: { type: 'string' },
     jobs: { type: 'string', default: '1' },
     replay: { type: 'string' },
     help: { type: 'boolean', default: false },
@@ -48,6 +51,7 @@
   schedules: Math.ceil(Number(values.schedules) / jobs),
   stride: jobs,
   breakName: values.break ?? null,
+  ...(values.profile === undefined ? {} : { profile: values.profile }),
   ...(values.rules === undefined ? {} : { rules: values.rules.split(',') as Rule[] }),
 });
 
@@ -75,6 +79,8 @@
   const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
   print(`${schedules} schedules, ${values.voters} voters, depth ${values.depth}, ${seconds} s, ${jobs} jobs`);
   print(`changes chosen ${generations}; steps ${choiceKinds.map((kind) => `${kind} ${steps(kind)}`).join(', ')}`);
+  for (const { passedOver } of outcomes)
+    for (const [rule, count] of Object.entries(passedOver)) print(`passed over, ${rule}: ${count}`);
   const found = outcomes.flatMap((outcome) => outcome.counterexample ?? []);
   for (const counterexample of found) await show(counterexample);
   if (found.length === 0) print('no rule is broken');
--- a/packages/model-check/src/modelNode.ts
+++ b/packages/model-check/src/modelNode.ts
@@ -34,6 +34,7 @@
   readonly broken: Break | null;
   readonly nodes: () => readonly ModelNode[];
   readonly onAccepted: (voter: Acceptor, slot: number, ballot: Ballot, change: Change) => void;
+  readonly onOffered: (slot: number, change: Change) => void;
 }
 
 interface VoteHeld {
@@ -67,9 +68,7 @@
   constructor(
     readonly name: string,
     private readonly world: Surroundings,
-  ) {
-    world.broken?.disk?.(this.disk);
-  }
+  ) {}
 
   readonly isAlive = (): boolean => this.parts !== null;
 
@@ -168,6 +167,7 @@
   readonly found = async (state: Agreed): Promise<void> => {
     this.disk.isGated = false;
     await this.parts?.acceptor.adopt(state);
+    this.world.broken?.disk?.(this.disk);
     this.lastState = this.parts?.acceptor.agreed() ?? null;
     this.disk.isGated = true;
   };
@@ -304,10 +304,12 @@
         isSelf(member)
           ? acceptor.prepare(slot, ballot)
           : (this.askMember(process, member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
-      accept: (member, slot, ballot, change) =>
-        isSelf(member)
+      accept: (member, slot, ballot, change) => {
+        this.world.onOffered(slot, change);
+        return isSelf(member)
           ? this.accept(acceptor, slot, ballot, change)
-          : (this.askMember(process, member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
+          : (this.askMember(process, member, 'accept', { slot, ballot, change }) as Promise<Vote | null>);
+      },
       settle: (settled) => this.tellOthers(process, 'settled', settled),
       since: (member, generation) =>
         isSelf(member)
--- a/packages/model-check/src/world.ts
+++ b/packages/model-check/src/world.ts
@@ -28,6 +28,12 @@
   sent: number;
 }
 
+/** Who would vote after generation `slot`. */
+interface Seats {
+  readonly slot: number;
+  readonly members: readonly Member[];
+}
+
 /** One schedule's fleet: voters, spare machines and operators, moved on by one choice at a time. */
 export class World {
   readonly clock = new VirtualClock();
@@ -36,6 +42,7 @@
   readonly operators: readonly Operator[];
   private readonly random: SeededRandom;
   private readonly keepsDown: boolean;
+  private readonly offeredSeats = new Map<string, Seats>();
   private judge: Checker | null = null;
 
   constructor(
@@ -52,6 +59,7 @@
       broken,
       nodes: () => this.nodes,
       onAccepted: this.onAccepted,
+      onOffered: this.onOffered,
     };
     this.nodes = Array.from({ length: voterCount + spareCount }, (_, at) => new ModelNode(`n${at}`, surroundings));
     this.operators = Array.from({ length: operatorCount }, (_, number) => ({ number, known: 0, last: null, sent: 0 }));
@@ -68,6 +76,13 @@
     this.checker().accepted(acceptor.incarnation, slot, ballot.join('/'), change);
   };
 
+  private readonly onOffered = (slot: number, { body }: Change): void => {
+    if (body.kind !== 'swap') return;
+    const before = this.checker().stateAt(slot - 1)?.members ?? [];
+    const members = before.map((member) => (member.incarnation === body.outgoing ? body.incoming : member));
+    this.offeredSeats.set(`${slot} ${body.outgoing} ${body.incoming.incarnation}`, { slot, members });
+  };
+
   readonly checker = (): Checker => {
     if (this.judge === null) throw new Error('the world is not founded yet');
     return this.judge;
@@ -89,30 +104,34 @@
 
   private readonly observed = (): Observed[] => this.nodes.map((node) => node.observed());
 
-  /** The configurations whose majority may still be needed: the newest, and older ones until a majority of the newer has settled it. */
-  private readonly configurationsInForce = (): Agreed[] => {
+  /**
+   * The sets of seats whose majority may be needed: the newest, older ones until a majority of the newer has settled
+   * it, and those that a swap would make that was offered to members and may still be chosen.
+   */
+  private readonly seatsInForce = (): Seats[] => {
     const observed = this.observed();
-    const inForce: Agreed[] = [];
-    for (let generation = this.checker().newestState().generation; generation >= 0; generation -= 1) {
-      const state = this.checker().stateAt(generation);
-      if (state === undefined) continue;
-      inForce.push(state);
-      const seats = new Set(state.members.map((member) => member.incarnation));
+    const inForce: Seats[] = [];
+    const newest = this.checker().newestState().generation;
+    for (let generation = newest; generation >= 0; generation -= 1) {
+      const members = this.checker().stateAt(generation)?.members;
+      if (members === undefined) continue;
+      inForce.push({ slot: generation, members });
+      const seats = new Set(members.map((member) => member.incarnation));
       const holders = observed.filter(
         (node) => seats.has(node.incarnation) && (node.state?.generation ?? -1) >= generation,
       );
-      if (holders.length > state.members.length / 2) break;
+      if (holders.length > members.length / 2) break;
     }
-    return inForce;
+    return [...inForce, ...[...this.offeredSeats.values()].filter(({ slot }) => slot > newest)];
   };
 
-  /** Whether what `node` holds may be lost: at most f of 2f+1 seats of each configuration in force. */
+  /** Whether what `node` holds may be lost: at most f of 2f+1 seats of each set in force. */
   readonly mayLose = (node: ModelNode): boolean => node.incarnation() !== '' && this.areMissable([node.incarnation()]);
 
   private readonly areMissable = (missing: readonly string[]): boolean => {
     const held = new Set(this.nodes.map((node) => node.incarnation()));
     for (const incarnation of missing) held.delete(incarnation);
-    return this.configurationsInForce().every(({ members }) => {
+    return this.seatsInForce().every(({ members }) => {
       const lost = members.filter((member) => !held.has(member.incarnation)).length;
       const isConcerned = members.some((member) => missing.includes(member.incarnation));
       return !isConcerned || lost <= (members.length - 1) / 2;
--- /dev/null
+++ b/packages/model-check/test/agreement.test.ts
@@ -0,0 +1,23 @@
+import type { Rule } from '@martenworks/model-check';
+import { expectNoneBroken } from './explored.js';
+
+const rules: readonly Rule[] = [
+  'one change a generation',
+  'one history',
+  'settled by a majority',
+  'stale read',
+  'acknowledged change held',
+  'acknowledged in force',
+  'resend refused',
+  'catching up',
+];
+
+describe('agreement over explored schedules', () => {
+  for (const profile of ['ballots', 'membership', 'leases', 'mixed']) {
+    it(`given three voters, when schedules of ${profile} are explored, then one history holds all that was acknowledged`, () =>
+      expectNoneBroken({ schedules: 150, voters: 3, profile, rules }));
+
+    it(`given five voters, when schedules of ${profile} are explored, then one history holds all that was acknowledged`, () =>
+      expectNoneBroken({ schedules: 100, voters: 5, profile, rules }));
+  }
+});
--- /dev/null
+++ b/packages/model-check/test/breaks.test.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai';
+import { breaks, explorer } from '@martenworks/model-check';
+import { expectFound } from './explored.js';
+
+describe('deliberate breaks of the agreement', () => {
+  it('given a swap applied whatever seats there are, when explored, then one member is found on two seats', () =>
+    expectFound('swap-any-seat', ['seats distinct'], { schedules: 800, profile: 'membership' }));
+
+  it('given promises forgotten by a restart, when explored, then two changes are found chosen for one generation', () =>
+    expectFound('forget-promises', ['one change a generation'], { schedules: 1_000, profile: 'ballots' }));
+
+  it('given a read without a majority, when explored, then a read older than an acknowledged change is found', () =>
+    expectFound('read-alone', ['stale read'], { schedules: 50 }));
+
+  it('given a grant without its write, when explored, then a fence that does not rise is found', () =>
+    expectFound('grant-unwritten', ['fences rising', 'leases disjoint'], { schedules: 200, profile: 'leases' }));
+
+  it('given a seat without its state, when explored, then voters without an acknowledged change are found', () =>
+    expectFound('seat-without-state', ['acknowledged change held'], { schedules: 600, profile: 'membership' }));
+
+  it('given a lower ballot accepted, when explored, then two changes are found chosen for one generation', () =>
+    expectFound('accept-lower-ballot', ['one change a generation'], { schedules: 50, profile: 'ballots' }));
+
+  it('given a majority counted over duplicates, when explored, then a change settled by a minority is found', () =>
+    expectFound('count-twice', ['settled by a majority', 'acknowledged in force'], { schedules: 50 }));
+
+  it('given a change told as settled by one vote, when explored, then a change settled by a minority is found', () =>
+    expectFound('settle-early', ['settled by a majority'], { schedules: 50 }));
+
+  it('given votes told before they are durable, when explored, then a change is found lost or chosen twice', () =>
+    expectFound('lying-disk', ['acknowledged change held', 'one change a generation'], { schedules: 100 }));
+
+  it('given accepted changes ignored by the next ballot, when explored, then two are found chosen for one generation', () =>
+    expectFound('ignore-accepted', ['one change a generation'], { schedules: 100 }));
+
+  it('given five voters and votes told before they are durable, when explored, then the break is found as well', () =>
+    expectFound('lying-disk', ['acknowledged change held', 'one change a generation'], { schedules: 100, voters: 5 }));
+
+  it('given a break, when its schedule is done, then the product is whole again', async () => {
+    const plan = { voters: 3, depth: 40, seed: 1, stride: 1, schedules: 8 };
+    for (const { name } of breaks.all) await explorer.explore({ ...plan, breakName: name });
+    const outcome = await explorer.explore({ ...plan, breakName: null });
+    expect(outcome.counterexample).to.equal(null);
+  });
+});
--- /dev/null
+++ b/packages/model-check/test/explored.ts
@@ -0,0 +1,23 @@
+import { expect } from 'chai';
+import { explorer } from '@martenworks/model-check';
+import type { Plan, Rule } from '@martenworks/model-check';
+
+const usual = { voters: 3, depth: 150, seed: 1, stride: 1, breakName: null };
+
+/** Explores and expects that no schedule breaks one of the rules; a counterexample is shrunk and told as a script. */
+export const expectNoneBroken = async (plan: Partial<Plan> & { schedules: number }): Promise<void> => {
+  const outcome = await explorer.explore({ ...usual, ...plan });
+  if (outcome.counterexample === null) return;
+  const { violation, script } = await explorer.shrink(outcome.counterexample);
+  expect.fail(`${violation.rule}: ${violation.detail}\n${JSON.stringify(script)}`);
+};
+
+/** Explores with a deliberate break and expects that one of `rules` is broken within the budget of schedules. */
+export const expectFound = async (
+  breakName: string,
+  rules: readonly Rule[],
+  plan: Partial<Plan> & { schedules: number },
+): Promise<void> => {
+  const outcome = await explorer.explore({ ...usual, ...plan, rules, breakName });
+  expect(outcome.counterexample, `${breakName} within ${plan.schedules} schedules`).to.not.equal(null);
+};
