--- /dev/null
+++ b/packages/control-plane/src/consensusMember.ts
@@ -0,0 +1,322 @@
+/** One member of the consensus group: agreement, membership, leases and heartbeats, for every kind of core node. */
+import { Repeating } from '@martenworks/core-types';
+import type { Member, Ports } from '@martenworks/core-types';
+import { Duties, Lines } from '@martenworks/cluster-membership';
+import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
+import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
+import type { Acceptor } from './acceptor.js';
+import { consensusMessages } from './consensusMessages.js';
+import type { MessageCheck } from './consensusMessages.js';
+import { Founding } from './founding.js';
+import type { Standing } from './founding.js';
+import type { KeptLeases } from './leases.js';
+import { Membership } from './membership.js';
+import { Proposer } from './proposer.js';
+import type { Voters } from './proposer.js';
+
+const settleAfterMs = 150;
+const settleCheckMs = 100;
+
+/** Milliseconds: how often each step is taken, and how long a reply is waited for. */
+export interface ConsensusPace {
+  readonly votePatienceMs: number;
+  readonly foundingMs: number;
+  readonly upkeepMs: number;
+  readonly beatMs: number;
+  readonly beatPatienceMs: number;
+  readonly dutyMs: number;
+  readonly leasePatienceMs: number;
+  readonly dial?: DialPace;
+  /** How long a member must be lost before a node of another name may take its seat. */
+  readonly strangerWaitMs?: number;
+}
+
+/** What the kind of node adds to the group's own work. */
+export interface ConsensusRole extends Handlers {
+  /** Addresses to hold connections to, besides those of the members. */
+  readonly extraAddresses: () => readonly string[];
+  /** Whether a lost member of this name is known to be down. */
+  readonly isDown: (name: string) => boolean;
+  readonly wantedDuties: () => readonly string[];
+  readonly dutiesChanged: () => void;
+  /** The members, by incarnation, whose data beside the agreed state is held here. */
+  readonly syncedFrom: () => readonly string[];
+  /** Work to be done before each step of membership; catching up is part of it. */
+  readonly prepareUpkeep: () => Promise<void>;
+  /** Entries of the roster that a neighbour is told of. */
+  readonly sharedRoster: (entries: RosterEntry[]) => RosterEntry[];
+}
+
+export interface ConsensusParts {
+  readonly ports: Ports;
+  readonly hello: () => Hello;
+  readonly roster: Roster;
+  readonly seeds: readonly string[];
+  readonly acceptor: Acceptor;
+  readonly leases: KeptLeases;
+  readonly terms?: LeaseTerms;
+  readonly coreSize?: number;
+}
+
+export class ConsensusMember {
+  readonly lines: Lines;
+  readonly proposer: Proposer;
+  readonly duties: Duties;
+  private readonly acceptor: Acceptor;
+  private readonly founding: Founding;
+  private readonly membership: Membership;
+  private readonly repeats: Repeating[] = [];
+  private isFoundingStep = false;
+  private isUpkeepStep = false;
+
+  constructor(
+    private readonly parts: ConsensusParts,
+    private readonly role: ConsensusRole,
+    private readonly pace: ConsensusPace,
+  ) {
+    const { ports, hello, roster, acceptor } = parts;
+    const { clock, random, log } = ports;
+    this.acceptor = acceptor;
+    this.lines = new Lines(
+      ports,
+      hello,
+      parts.seeds,
+      roster,
+      () => [...this.members().map((member) => member.address), ...role.extraAddresses()],
+      this.handlers(),
+      pace.dial,
+    );
+    this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
+    this.duties = new Duties(
+      clock,
+      () => acceptor.incarnation,
+      this.reachableVoters,
+      role.wantedDuties,
+      this.askLeases,
+      this.releaseLeases,
+      () => Math.floor(this.members().length / 2) + 1,
+      role.dutiesChanged,
+      parts.terms,
+    );
+    this.founding = new Founding(
+      acceptor,
+      hello,
+      () => this.lines,
+      () => roster.neighbours('postmaster'),
+      this.proposer.learn,
+      log,
+      parts.coreSize,
+    );
+    this.membership = new Membership(
+      acceptor,
+      this.proposer,
+      clock,
+      () => this.lines,
+      role.isDown,
+      log,
+      pace.strangerWaitMs,
+    );
+  }
+
+  /** Begins the repeated steps. To be called once, when the node is able to answer its neighbours. */
+  readonly start = (): void => {
+    const { clock, random } = this.parts.ports;
+    const { pace } = this;
+    const varied = (everyMs: number) => (): number => everyMs * (0.5 + random.fraction());
+    this.acceptor.watch(() => this.lines.align());
+    this.repeats.push(
+      new Repeating(clock, varied(pace.foundingMs), this.stepFounding),
+      new Repeating(clock, varied(pace.upkeepMs), this.upkeep),
+      new Repeating(clock, varied(settleCheckMs), this.settleRival),
+      new Repeating(clock, () => pace.beatMs, this.beat),
+      new Repeating(
+        clock,
+        () => pace.dutyMs * (0.9 + 0.2 * random.fraction()),
+        () => void this.duties.tick(),
+      ),
+    );
+  };
+
+  /** Ends the repeated steps. */
+  readonly pause = (): void => {
+    for (const repeat of this.repeats) repeat.stop();
+  };
+
+  /** Gives up the leases. */
+  readonly resign = (): void => this.duties.resign();
+
+  /** Closes the held connections. */
+  readonly close = (): void => this.lines.stop();
+
+  private readonly members = (): readonly Member[] => this.acceptor.agreed()?.members ?? [];
+
+  private readonly isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
+
+  /** Open connections to the other core nodes, voters or not. */
+  readonly peers = (): PeerConnection[] =>
+    this.lines.open().filter((connection) => connection.neighbour?.role === 'postmaster');
+
+  readonly tellPeers = (topic: string, body: unknown): void => {
+    for (const connection of this.peers()) connection.tell(topic, body);
+  };
+
+  /** Incarnations of the voters with an open connection, this node's own among them if it is one. */
+  readonly reachableVoters = (): string[] =>
+    this.members()
+      .filter((member) => this.isSelf(member) || this.lines.to(member.incarnation) !== undefined)
+      .map((member) => member.incarnation);
+
+  /** Asks a neighbour for what it holds beyond the state agreed here, and takes it. */
+  readonly learnFrom = async (connection: PeerConnection): Promise<void> => {
+    const generation = this.acceptor.agreed()?.generation ?? -1;
+    const since = await connection.ask('since', generation, this.pace.votePatienceMs);
+    if (since.isOk() && consensusMessages.isSince(since.value)) await this.proposer.learn(since.value);
+  };
+
+  private readonly stepFounding = (): void => {
+    if (this.isFoundingStep || this.acceptor.agreed() !== null) return;
+    this.isFoundingStep = true;
+    void this.founding.step().finally(() => (this.isFoundingStep = false));
+  };
+
+  private readonly upkeep = (): void => {
+    if (this.isUpkeepStep) return;
+    this.isUpkeepStep = true;
+    void this.role
+      .prepareUpkeep()
+      .then(this.membership.step)
+      .finally(() => (this.isUpkeepStep = false));
+  };
+
+  private readonly settleRival = (): void => {
+    const age = this.acceptor.unsettledFor();
+    if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
+  };
+
+  private readonly beat = (): void => {
+    for (const connection of this.lines.open()) {
+      void connection.ask('beat', null, this.pace.beatPatienceMs).then((receipt) => {
+        if (receipt.isErr() && receipt.error.code === 'late') connection.close();
+      });
+    }
+  };
+
+  private readonly askMember = async <T>(
+    member: Member,
+    topic: string,
+    body: unknown,
+    check: MessageCheck<T>,
+    patienceMs = this.pace.votePatienceMs,
+  ): Promise<T | null> => {
+    const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, patienceMs);
+    return receipt?.isOk() === true && check(receipt.value) ? receipt.value : null;
+  };
+
+  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
+    const replies = await Promise.all(
+      this.members().map((member) =>
+        this.isSelf(member)
+          ? this.parts.leases.book.grant(ask)
+          : this.askMember(member, 'leaseAsk', ask, consensusMessages.isLeaseReply, this.pace.leasePatienceMs),
+      ),
+    );
+    return replies.filter((reply) => reply !== null);
+  };
+
+  private readonly releaseLeases = (ask: LeaseAsk): void => {
+    this.parts.leases.book.release(ask);
+    this.tellPeers('leaseDrop', ask);
+  };
+
+  private readonly voters = (): Voters => ({
+    prepare: (member, slot, ballot) =>
+      this.isSelf(member)
+        ? this.acceptor.prepare(slot, ballot)
+        : this.askMember(member, 'prepare', { slot, ballot }, consensusMessages.isVote),
+    accept: (member, slot, ballot, change) =>
+      this.isSelf(member)
+        ? this.acceptor.accept(slot, ballot, change)
+        : this.askMember(member, 'accept', { slot, ballot, change }, consensusMessages.isVote),
+    settle: (settled) => this.tellPeers('settled', settled),
+    since: (member, generation) =>
+      this.isSelf(member)
+        ? Promise.resolve(this.acceptor.since(generation))
+        : this.askMember(member, 'since', generation, consensusMessages.isSince),
+    supply: async (member, since) => {
+      await this.lines.to(member.incarnation)?.ask('supply', since, this.pace.votePatienceMs);
+    },
+  });
+
+  /** Asks the members for what they hold beyond a generation: null for each that did not answer. */
+  readonly since = (members: readonly Member[], generation: number): ReturnType<Voters['since']>[] =>
+    members.map((member) => this.askMember(member, 'since', generation, consensusMessages.isSince));
+
+  private readonly standing = (): Standing => ({
+    incarnation: this.acceptor.incarnation,
+    generation: this.acceptor.agreed()?.generation ?? -1,
+    isVoter: this.acceptor.isVoter(),
+    vow: this.acceptor.vowHeld(),
+    syncedFrom: this.role.syncedFrom(),
+  });
+
+  /** Handlers for every connection of the node: the group's own topics here, all others by the role. */
+  readonly handlers = (): Handlers => ({
+    joined: (connection) => {
+      if (connection.neighbour !== null) this.parts.roster.heard(connection.neighbour);
+      this.role.joined(connection);
+    },
+    left: (connection) => this.role.left(connection),
+    told: (connection, topic, body) => {
+      if (topic === 'settled') this.takeSettled(body);
+      else if (topic === 'leaseDrop') this.takeRelease(body);
+      else this.role.told(connection, topic, body);
+    },
+    asked: (connection, topic, body) => {
+      if (connection.neighbour !== null) this.parts.roster.heard(connection.neighbour);
+      return this.asked(connection, topic, body);
+    },
+  });
+
+  private readonly takeSettled = (body: unknown): void => {
+    if (consensusMessages.isSettled(body)) void this.acceptor.settle(body);
+  };
+
+  private readonly takeRelease = (body: unknown): void => {
+    if (consensusMessages.isLeaseAsk(body)) this.parts.leases.book.release(body);
+  };
+
+  private readonly asked = async (connection: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
+    const { acceptor } = this;
+    const { isAccept, isInteger, isLeaseAsk, isMembers, isPrepare, isSince } = consensusMessages;
+    switch (topic) {
+      case 'beat':
+        return true;
+      case 'standing':
+        return this.standing();
+      case 'roster':
+        return this.exchangeRoster(body);
+      case 'leaseAsk':
+        return isLeaseAsk(body) && acceptor.isVoter() ? this.parts.leases.book.grant(body) : null;
+      case 'vow':
+        return isMembers(body) ? acceptor.vow(body) : null;
+      case 'prepare':
+        return isPrepare(body) ? acceptor.prepare(body.slot, body.ballot) : null;
+      case 'accept':
+        return isAccept(body) ? acceptor.accept(body.slot, body.ballot, body.change) : null;
+      case 'since':
+        return isInteger(body) ? acceptor.since(body) : null;
+      case 'supply':
+        if (!isSince(body)) return null;
+        await this.proposer.learn(body);
+        return true;
+      default:
+        return this.role.asked(connection, topic, body);
+    }
+  };
+
+  private readonly exchangeRoster = (body: unknown): RosterEntry[] => {
+    const { roster } = this.parts;
+    if (consensusMessages.isRosterEntries(body)) roster.merge(body);
+    return this.role.sharedRoster(roster.entries());
+  };
+}
--- /dev/null
+++ b/packages/control-plane/src/consensusMessages.ts
@@ -0,0 +1,147 @@
+/** Shapes of the messages that members of the consensus group send each other, checked as they arrive. */
+import type { Agreed, Change, ChangeBody, Member } from '@martenworks/core-types';
+import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
+import type { Accepted, Ballot, Settled, Since, Vote } from './acceptor.js';
+import type { Standing, VowReply } from './founding.js';
+
+type Shape = Record<string, unknown>;
+
+/** True where a value that came from another process has the type. */
+export type MessageCheck<T> = (value: unknown) => value is T;
+
+export interface PrepareMessage {
+  readonly slot: number;
+  readonly ballot: Ballot;
+}
+
+export interface AcceptMessage extends PrepareMessage {
+  readonly change: Change;
+}
+
+const changeKinds: ReadonlySet<unknown> = new Set<ChangeBody['kind']>([
+  'layout',
+  'grant',
+  'revoke',
+  'swap',
+  'ways',
+  'weights',
+]);
+const muteCauses: ReadonlySet<unknown> = new Set(['unfounded', 'no voter', 'disk']);
+
+const isShape = (value: unknown): value is Shape => typeof value === 'object' && value !== null;
+const isText = (value: unknown): value is string => typeof value === 'string';
+const isNumber = (value: unknown): value is number => typeof value === 'number';
+const isInteger = (value: unknown): value is number => Number.isInteger(value);
+
+const isListOf =
+  <T>(check: MessageCheck<T>): MessageCheck<readonly T[]> =>
+  (value): value is readonly T[] =>
+    Array.isArray(value) && value.every(check);
+
+const isNullOr =
+  <T>(check: MessageCheck<T>): MessageCheck<T | null> =>
+  (value): value is T | null =>
+    value === null || check(value);
+
+const isTexts = isListOf(isText);
+
+const isMember = (value: unknown): value is Member =>
+  isShape(value) && isText(value.name) && isText(value.address) && isText(value.incarnation);
+
+const isMembers = isListOf(isMember);
+
+const isBallot = (value: unknown): value is Ballot =>
+  Array.isArray(value) && value.length === 2 && isNumber(value[0]) && isText(value[1]);
+
+const isChangeBody = (value: unknown): value is ChangeBody => {
+  if (!isShape(value) || !changeKinds.has(value.kind)) return false;
+  return value.kind !== 'swap' || (isText(value.outgoing) && isMember(value.incoming));
+};
+
+const isChange = (value: unknown): value is Change =>
+  isShape(value) && isText(value.id) && isText(value.digest) && isChangeBody(value.body);
+
+const isAccepted = (value: unknown): value is Accepted =>
+  isShape(value) && isBallot(value.ballot) && isChange(value.change);
+
+const isSettled = (value: unknown): value is Settled =>
+  isShape(value) && isInteger(value.generation) && isChange(value.change);
+
+const isAgreed = (value: unknown): value is Agreed =>
+  isShape(value) && isInteger(value.generation) && isMembers(value.members);
+
+const isSince = (value: unknown): value is Since => {
+  if (!isShape(value)) return false;
+  if (value.k === 'changes') return isListOf(isSettled)(value.settled);
+  if (value.k === 'checkpoint') return isAgreed(value.agreed);
+  return value.k === 'nothing';
+};
+
+const isVote = (value: unknown): value is Vote => {
+  if (!isShape(value)) return false;
+  switch (value.k) {
+    case 'promised':
+      return isNullOr(isAccepted)(value.accepted);
+    case 'accepted':
+      return true;
+    case 'denied':
+      return isBallot(value.promised);
+    case 'ahead':
+    case 'behind':
+      return isInteger(value.generation);
+    case 'mute':
+      return muteCauses.has(value.cause);
+    default:
+      return false;
+  }
+};
+
+const isPrepare = (value: unknown): value is PrepareMessage =>
+  isShape(value) && isInteger(value.slot) && isBallot(value.ballot);
+
+const isAccept = (value: unknown): value is AcceptMessage =>
+  isShape(value) && isPrepare(value) && isChange(value.change);
+
+const isStanding = (value: unknown): value is Standing =>
+  isShape(value) &&
+  isText(value.incarnation) &&
+  isInteger(value.generation) &&
+  typeof value.isVoter === 'boolean' &&
+  isNullOr(isMembers)(value.vow) &&
+  isTexts(value.syncedFrom);
+
+const isVowReply = (value: unknown): value is VowReply =>
+  isShape(value) && typeof value.isVowed === 'boolean' && isNullOr(isMembers)(value.members);
+
+const isDutyAsk = (value: unknown): value is LeaseAsk['duties'][number] =>
+  isShape(value) && isText(value.duty) && isNumber(value.fence);
+
+const isLeaseAsk = (value: unknown): value is LeaseAsk =>
+  isShape(value) && isText(value.holder) && isListOf(isDutyAsk)(value.duties);
+
+const isLeaseReply = (value: unknown): value is LeaseReply =>
+  isShape(value) && isTexts(value.granted) && isShape(value.fences) && Object.values(value.fences).every(isNumber);
+
+const isRosterEntry = (value: unknown): value is RosterEntry =>
+  isShape(value) &&
+  isNumber(value.ageMs) &&
+  isShape(value.hello) &&
+  isText(value.hello.name) &&
+  isText(value.hello.role) &&
+  isText(value.hello.address) &&
+  isText(value.hello.incarnation);
+
+export const consensusMessages = {
+  isAccept,
+  isInteger,
+  isLeaseAsk,
+  isLeaseReply,
+  isMembers,
+  isPrepare,
+  isRosterEntries: isListOf(isRosterEntry),
+  isSettled,
+  isSince,
+  isStanding,
+  isVote,
+  isVowReply,
+};
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -5,10 +5,8 @@
 import type {
   Agreed,
   BackEnds,
-  Change,
   FrontPing,
   Listener,
-  Member,
   MissedNews,
   NetFault,
   Ports,
@@ -20,37 +18,25 @@
 import type { WayEnv } from '@martenworks/settings';
 import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { peerConnections, hellos } from '@martenworks/peer-transport';
-import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
-import { Duties, Lines, Roster } from '@martenworks/cluster-membership';
-import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/cluster-membership';
+import type { Hello } from '@martenworks/peer-transport';
+import { Roster } from '@martenworks/cluster-membership';
+import type { Duties, LeaseTerms, Lines } from '@martenworks/cluster-membership';
 import { CardReader } from './cardReader.js';
 import { acceptors } from './acceptor.js';
-import type { Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
-import { Founding } from './founding.js';
-import type { Standing } from './founding.js';
+import type { Acceptor } from './acceptor.js';
+import { ConsensusMember } from './consensusMember.js';
+import type { ConsensusPace, ConsensusRole } from './consensusMember.js';
 import { leaseBooks } from './leases.js';
 import type { KeptLeases } from './leases.js';
-import { Membership } from './membership.js';
-import { Proposer } from './proposer.js';
-import type { Voters } from './proposer.js';
+import type { Proposer } from './proposer.js';
 import { ReadingRelay } from './readingRelay.js';
 import { ShelfDesk } from './shelfDesk.js';
 import { ConfigService } from './configService.js';
 import { StatePublisher } from './statePublisher.js';
 import { WeightsDesk } from './weightsDesk.js';
 
-const votePatienceMs = 800;
 const confirmPatienceMs = 700;
-const foundingMs = 150;
-const upkeepMs = 300;
-const settleAfterMs = 150;
-const settleCheckMs = 100;
-const beatMs = 400;
-const beatPatienceMs = 900;
-const dutyMs = 300;
 const weightsStepMs = 60;
-const leasePatienceMs = 500;
-const strangerWaitMs = 2_500;
 const leaseMs = 1_600;
 const leaseMarginMs = 400;
 const fencesPerGeneration = 1_000;
@@ -71,6 +57,18 @@
 
 export const wayPace = { patienceMs: 700, longestWaitMs: 400 };
 
+const consensusPace: ConsensusPace = {
+  votePatienceMs: 800,
+  foundingMs: 150,
+  upkeepMs: 300,
+  beatMs: 400,
+  beatPatienceMs: 900,
+  dutyMs: 300,
+  leasePatienceMs: 500,
+  dial: wayPace,
+  strangerWaitMs: 2_500,
+};
+
 export class ControlNode {
   readonly roster: Roster;
   readonly lines: Lines;
@@ -82,12 +80,9 @@
   readonly readings: ReadingRelay;
   readonly duties: Duties;
   readonly weights: WeightsDesk;
-  private readonly founding: Founding;
-  private readonly membership: Membership;
-  private readonly repeats: Repeating[] = [];
+  private readonly consensus: ConsensusMember;
+  private readonly weightsStep: Repeating;
   private listener: Listener | null = null;
-  private isStepping = false;
-  private isMinding = false;
 
   constructor(
     readonly env: WayEnv,
@@ -100,31 +95,15 @@
   ) {
     const { clock, random, log } = ports;
     this.roster = new Roster(clock, this.hello);
-    this.lines = new Lines(
-      ports,
-      this.hello,
-      seeds,
-      this.roster,
-      () => (acceptor.agreed()?.members ?? []).map((member) => member.address),
-      this.handlers(),
-      wayPace,
+    this.consensus = new ConsensusMember(
+      { ports, hello: this.hello, roster: this.roster, seeds, acceptor, leases, terms, coreSize: env.voters },
+      this.role(),
+      consensusPace,
     );
-    this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
+    this.lines = this.consensus.lines;
+    this.proposer = this.consensus.proposer;
+    this.duties = this.consensus.duties;
     this.changes = new ConfigService(this.proposer);
-    this.duties = new Duties(
-      clock,
-      () => acceptor.incarnation,
-      this.reachableVoters,
-      () => (acceptor.isVoter() ? [weightsDuty] : []),
-      this.askLeases,
-      (ask) => {
-        this.leases.book.release(ask);
-        this.tellPostmasters('leaseDrop', ask);
-      },
-      () => Math.floor((acceptor.agreed()?.members.length ?? 0) / 2) + 1,
-      () => {},
-      terms,
-    );
     this.cards = new CardReader(
       backEnds,
       clock,
@@ -146,11 +125,11 @@
       random,
       log,
       (news) => this.push.tellContent('shelves', news),
-      (news) => this.tellPostmasters('shelfRelay', news),
+      (news) => this.consensus.tellPeers('shelfRelay', news),
     );
     this.readings = new ReadingRelay(clock, (bundle) => {
       this.push.tellContent('reading', bundle);
-      this.tellPostmasters('readingRelay', bundle);
+      this.consensus.tellPeers('readingRelay', bundle);
     });
     this.push = new StatePublisher(acceptor, clock, this.cards.ageMs, (connection) => {
       if (this.cards.ageMs() !== null) connection.tell('cards', { isWhole: true, put: this.cards.all(), gone: [] });
@@ -167,41 +146,10 @@
       (news) => this.push.tellAll('weights', news),
       this.cards.holds,
     );
-    this.founding = new Founding(
-      acceptor,
-      this.hello,
-      () => this.lines,
-      () => this.roster.neighbours('postmaster'),
-      this.proposer.learn,
-      log,
-      env.voters,
-    );
-    this.membership = new Membership(
-      acceptor,
-      this.proposer,
-      clock,
-      () => this.lines,
-      () => true,
-      log,
-      strangerWaitMs,
-    );
-    acceptor.watch(() => {
-      this.lines.align();
-      this.alignShelves();
-    });
+    this.consensus.start();
+    acceptor.watch(this.alignShelves);
     this.alignShelves();
-    this.repeats.push(
-      new Repeating(clock, () => foundingMs * (0.5 + random.fraction()), this.stepFounding),
-      new Repeating(clock, () => upkeepMs * (0.5 + random.fraction()), this.upkeep),
-      new Repeating(clock, () => settleCheckMs * (0.5 + random.fraction()), this.settleRival),
-      new Repeating(clock, () => beatMs, this.beat),
-      new Repeating(
-        clock,
-        () => dutyMs * (0.9 + 0.2 * random.fraction()),
-        () => void this.duties.tick(),
-      ),
-      new Repeating(clock, () => weightsStepMs, this.weights.step),
-    );
+    this.weightsStep = new Repeating(clock, () => weightsStepMs, this.weights.step);
   }
 
   readonly hello = (): Hello =>
@@ -213,7 +161,7 @@
 
   readonly open = async (): Promise<Result<void, NetFault>> => {
     const { net, clock, log } = this.ports;
-    const opened = await peerConnections.listen(net, clock, log, this.hello, this.env.coach, this.handlers());
+    const opened = await peerConnections.listen(net, clock, log, this.hello, this.env.coach, this.consensus.handlers());
     if (opened.isErr()) return err(opened.error);
     this.listener = opened.value;
     return ok(undefined);
@@ -233,7 +181,7 @@
     const book = this.acceptor.agreed()?.ways?.book;
     if (book === undefined) return;
     const engines = new Set(book.pools.filter((pool) => pool.engine !== null).map((pool) => pool.name));
-    const voters = this.reachableVoters();
+    const voters = this.consensus.reachableVoters();
     const isMine = (address: string): boolean =>
       !voters.some((voter) => scores.of(address, voter) > scores.of(address, this.acceptor.incarnation));
     this.shelves.align(
@@ -252,102 +200,27 @@
     for (const [address, ids] of lives) this.shelves.lives(address, ids);
   };
 
-  private readonly stepFounding = (): void => {
-    if (this.isStepping || this.acceptor.agreed() !== null) return;
-    this.isStepping = true;
-    void this.founding.step().finally(() => (this.isStepping = false));
-  };
-
-  private readonly upkeep = (): void => {
-    if (this.isMinding) return;
-    this.isMinding = true;
-    void this.mind().finally(() => (this.isMinding = false));
-  };
-
-  private readonly mind = async (): Promise<void> => {
+  private readonly prepareUpkeep = async (): Promise<void> => {
     this.push.dropSilent();
     this.alignShelves();
-    const state = this.acceptor.agreed();
-    if (state === null) return;
-    await Promise.all(
-      this.postmasters().map(async (connection) => {
-        const told = await connection.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
-        if (told.isOk() && told.value !== null) await this.proposer.learn(told.value as Since);
-      }),
-    );
-    await this.membership.step();
-  };
-
-  private readonly postmasters = (): PeerConnection[] =>
-    this.lines.open().filter((connection) => connection.neighbour?.role === 'postmaster');
-
-  private readonly settleRival = (): void => {
-    const age = this.acceptor.unsettledFor();
-    if (age !== null && age > settleAfterMs && this.proposer.depth() === 0) void this.proposer.finishRival();
-  };
-
-  private readonly beat = (): void => {
-    for (const connection of this.lines.open()) {
-      void connection.ask('beat', null, beatPatienceMs).then((receipt) => {
-        if (receipt.isErr() && receipt.error.code === 'late') connection.close();
-      });
-    }
-  };
-
-  private readonly tellPostmasters = (topic: string, body: unknown): void => {
-    for (const connection of this.postmasters()) connection.tell(topic, body);
-  };
-
-  private readonly reachableVoters = (): string[] =>
-    (this.acceptor.agreed()?.members ?? [])
-      .map((member) => member.incarnation)
-      .filter((incarnation) => incarnation === this.acceptor.incarnation || this.lines.to(incarnation) !== undefined);
-
-  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
-    const replies = await Promise.all(
-      (this.acceptor.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
-        if (member.incarnation === this.acceptor.incarnation) return this.leases.book.grant(ask);
-        const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
-        return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
-      }),
-    );
-    return replies.filter((reply) => reply !== null);
-  };
-
-  private readonly voters = (): Voters => {
-    const isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
-    const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
-      const receipt = await this.lines.to(member.incarnation)?.ask(topic, body, votePatienceMs);
-      return receipt?.isOk() === true ? receipt.value : null;
-    };
-    return {
-      prepare: (member, slot, ballot) =>
-        isSelf(member)
-          ? this.acceptor.prepare(slot, ballot)
-          : (asked(member, 'prepare', { slot, ballot }) as Promise<Vote | null>),
-      accept: (member, slot, ballot, change) =>
-        isSelf(member)
-          ? this.acceptor.accept(slot, ballot, change)
-          : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
-      settle: (settled) => this.tellPostmasters('settled', settled),
-      since: (member, generation) =>
-        isSelf(member)
-          ? Promise.resolve(this.acceptor.since(generation))
-          : (asked(member, 'since', generation) as Promise<Since | null>),
-      supply: async (member, since) => void (await asked(member, 'supply', since)),
-    };
+    if (this.acceptor.agreed() === null) return;
+    await Promise.all(this.consensus.peers().map(this.consensus.learnFrom));
   };
 
-  private readonly handlers = (): Handlers => ({
+  private readonly role = (): ConsensusRole => ({
+    extraAddresses: () => [],
+    isDown: () => true,
+    wantedDuties: () => (this.acceptor.isVoter() ? [weightsDuty] : []),
+    dutiesChanged: () => {},
+    syncedFrom: () => (this.acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
+    prepareUpkeep: this.prepareUpkeep,
+    sharedRoster: (entries) => entries.filter(({ hello }) => hello.role === 'postmaster'),
     joined: (connection) => {
-      if (connection.neighbour === null) return;
-      this.roster.heard(connection.neighbour);
-      if (connection.neighbour.role === 'postmaster') connection.tell('shelfRelay', this.shelves.followed());
+      if (connection.neighbour?.role === 'postmaster') connection.tell('shelfRelay', this.shelves.followed());
     },
     left: (connection) => this.push.drop(connection),
     told: (connection, topic, body) => {
-      if (topic === 'settled') void this.acceptor.settle(body as Settled);
-      else if (topic === 'subscribe') this.push.subscribe(connection, body as Subscription);
+      if (topic === 'subscribe') this.push.subscribe(connection, body as Subscription);
       else if (topic === 'ack') this.push.acked(connection, body as StateHeld);
       else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
       else if (topic === 'reading') this.readings.take(body as ReadingNews);
@@ -355,64 +228,26 @@
       else if (topic === 'missed') {
         this.shelves.missed(body as MissedNews);
         this.push.tellOthers(connection, 'missed', body);
-        this.tellPostmasters('missedRelay', body);
+        this.consensus.tellPeers('missedRelay', body);
       } else if (topic === 'missedRelay') {
         this.shelves.missed(body as MissedNews);
         this.push.tellContent('missed', body);
-      } else if (topic === 'leaseDrop') this.leases.book.release(body as LeaseAsk);
+      }
     },
     asked: async (connection, topic, body) => {
-      if (connection.neighbour !== null) this.roster.heard(connection.neighbour);
-      switch (topic) {
-        case 'ping':
-          return this.push.pong(connection, body as FrontPing, this.isReady());
-        case 'state':
-          return this.push.stateFor(body as StateHeld);
-        case 'beat':
-          return true;
-        case 'leaseAsk':
-          return this.acceptor.isVoter() ? this.leases.book.grant(body as LeaseAsk) : null;
-        case 'roster':
-          this.roster.merge(body as RosterEntry[]);
-          return this.roster.entries().filter(({ hello }) => hello.role === 'postmaster');
-        case 'standing':
-          return this.standing();
-        case 'vow':
-          return this.acceptor.vow(body as Member[]);
-        case 'prepare': {
-          const { slot, ballot } = body as { slot: number; ballot: Ballot };
-          return this.acceptor.prepare(slot, ballot);
-        }
-        case 'accept': {
-          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
-          return this.acceptor.accept(slot, ballot, change);
-        }
-        case 'since':
-          return this.acceptor.since(body as number);
-        case 'supply':
-          await this.proposer.learn(body as Since);
-          return true;
-        default:
-          return null;
-      }
+      if (topic === 'ping') return this.push.pong(connection, body as FrontPing, this.isReady());
+      if (topic === 'state') return this.push.stateFor(body as StateHeld);
+      return null;
     },
   });
 
-  private readonly standing = (): Standing => ({
-    incarnation: this.acceptor.incarnation,
-    generation: this.acceptor.agreed()?.generation ?? -1,
-    isVoter: this.acceptor.isVoter(),
-    vow: this.acceptor.vowHeld(),
-    syncedFrom: (this.acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
-  });
-
   /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
   readonly confirmed = async (): Promise<Agreed | null> =>
     (await this.proposer.confirm(confirmPatienceMs)) ? this.acceptor.agreed() : null;
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
-    return state !== null && this.reachableVoters().length > state.members.length / 2;
+    return state !== null && this.consensus.reachableVoters().length > state.members.length / 2;
   };
 
   readonly status = (): Record<string, unknown> => {
@@ -426,7 +261,7 @@
       named: state?.named ?? {},
       members: state?.members ?? [],
       voter: this.acceptor.isVoter(),
-      reachable: this.reachableVoters().length,
+      reachable: this.consensus.reachableVoters().length,
       fronts: this.push.lines(),
       leases: this.duties.lines(),
       weights: this.weights.status(),
@@ -438,11 +273,12 @@
   };
 
   readonly stop = async (): Promise<void> => {
-    for (const repeat of this.repeats) repeat.stop();
+    this.consensus.pause();
+    this.weightsStep.stop();
     this.cards.stop();
     this.shelves.stop();
-    this.duties.resign();
-    this.lines.stop();
+    this.consensus.resign();
+    this.consensus.close();
     await this.listener?.close();
     await this.acceptor.close();
     await this.leases.close();
--- a/packages/control-plane/src/founding.ts
+++ b/packages/control-plane/src/founding.ts
@@ -3,6 +3,7 @@
 import type { PeerConnection, Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { Acceptor, Since } from './acceptor.js';
+import { consensusMessages } from './consensusMessages.js';
 
 export interface Standing {
   readonly incarnation: string;
@@ -52,8 +53,8 @@
     const standings = new Map<string, Standing>();
     for (const [incarnation, connection] of reached) {
       const told = await connection.ask('standing', null, patienceMs);
-      if (told.isErr()) return;
-      const standing = told.value as Standing;
+      if (told.isErr() || !consensusMessages.isStanding(told.value)) return;
+      const standing = told.value;
       if (standing.generation >= 0) return this.joinLate(connection);
       standings.set(incarnation, standing);
     }
@@ -83,7 +84,7 @@
     for (const [incarnation, connection] of reached) {
       if (!members.some((member) => member.incarnation === incarnation)) continue;
       const told = await connection.ask('vow', members, patienceMs);
-      if (told.isErr() || !(told.value as VowReply).isVowed) return;
+      if (told.isErr() || !consensusMessages.isVowReply(told.value) || !told.value.isVowed) return;
     }
     await this.found(members);
   };
@@ -95,6 +96,6 @@
 
   private readonly joinLate = async (connection: PeerConnection): Promise<void> => {
     const told = await connection.ask('since', -1, patienceMs);
-    if (told.isOk()) await this.learn(told.value as Since);
+    if (told.isOk() && consensusMessages.isSince(told.value)) await this.learn(told.value);
   };
 }
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -4,7 +4,7 @@
 import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { Acceptor } from './acceptor.js';
-import type { Standing } from './founding.js';
+import { consensusMessages } from './consensusMessages.js';
 import type { Proposer } from './proposer.js';
 
 const usualStrangerWaitMs = 12_000;
@@ -57,8 +57,8 @@
       const outgoing = this.outgoingFor(newcomer, state.members);
       if (outgoing === undefined) continue;
       const told = await connection.ask('standing', null, patienceMs);
-      if (told.isErr()) continue;
-      const standing = told.value as Standing;
+      if (told.isErr() || !consensusMessages.isStanding(told.value)) continue;
+      const standing = told.value;
       const isReady =
         standing.generation === state.generation &&
         state.members.every(
