Keep the record of the configuration in force, and say what was forgotten

Cause: the records of the last 4,096 changes were dropped by age alone. After 4,096 further changes (names of weights, say) the newest configuration, sent again, was refused with 412; and an order whose record was gone was refused as if it had surely not been taken. Ruled out: keeping more records (only moves the point), comparing the text in force (a patch has none). Change: rememberChange keeps by rule the record whose edition is in force, drops the oldest other one without sorting all, and the state tells the newest edition and names of weights whose records were dropped (`forgotten`, filled for older states). digests.ofCanonical gives equal digests for values that differ only in the order of names.

--- a/packages/core-types/src/layout.ts
+++ b/packages/core-types/src/layout.ts
@@ -44,6 +44,22 @@
   readonly incarnation: string;
 }
 
+/** What is kept of a change that was agreed on: by it, the same change sent again is known. */
+export interface ChangeRecord {
+  readonly generation: number;
+  readonly digest: string;
+  /** The edition it brought into force; absent for other kinds of change, and in states of older releases. */
+  readonly edition?: number;
+}
+
+/** The newest changes whose records were dropped: of none up to these can it be told whether it was taken. */
+export interface ForgottenChanges {
+  /** Edition of the book of ways; 0 where none was dropped. */
+  readonly edition: number;
+  /** Version of its weights, by model. */
+  readonly named: Record<string, number>;
+}
+
 export interface Agreed {
   readonly generation: number;
   readonly layoutGeneration: number;
@@ -52,7 +68,8 @@
   readonly storeSince: Record<string, number>;
   readonly keys: Record<string, KeyGrant>;
   readonly members: readonly Member[];
-  readonly changeIds: Record<string, { generation: number; digest: string }>;
+  readonly changeIds: Record<string, ChangeRecord>;
+  readonly forgotten: ForgottenChanges;
   readonly ways: WaysInForce | null;
   readonly named: Record<string, number>;
 }
@@ -99,13 +116,57 @@
 const stateRanks: Record<ReplicaState, number> = { ready: 0, leaving: 1, gone: 2 };
 const keptChangeIds = 4096;
 
-const rememberChange = (agreed: Agreed, change: Change, generation: number): Agreed['changeIds'] => {
-  const entries = Object.entries(agreed.changeIds);
-  const kept =
-    entries.length < keptChangeIds
-      ? entries
-      : entries.sort((a, b) => a[1].generation - b[1].generation).slice(entries.length - keptChangeIds + 1);
-  return { ...Object.fromEntries(kept), [change.id]: { generation, digest: change.digest } };
+const recordOf = (agreed: Agreed, { digest, body }: Change, generation: number): ChangeRecord => {
+  const inForce = agreed.ways?.edition ?? 0;
+  const isWays = body.kind === 'ways' && body.base === inForce && body.ways.edition > inForce;
+  return isWays ? { generation, digest, edition: body.ways.edition } : { generation, digest };
+};
+
+const oldestBeside = (records: Agreed['changeIds'], keptEdition: number): string | null => {
+  let oldest: string | null = null;
+  let generation = Infinity;
+  for (const id of Object.keys(records)) {
+    const record = records[id] as ChangeRecord;
+    if (record.generation >= generation || record.edition === keptEdition) continue;
+    oldest = id;
+    generation = record.generation;
+  }
+  return oldest;
+};
+
+/** A copy; a loop, as deleting from a large object makes every later copy of it slow. */
+const without = (records: Agreed['changeIds'], dropped: string): Agreed['changeIds'] => {
+  const kept: Record<string, ChangeRecord> = {};
+  for (const id of Object.keys(records)) if (id !== dropped) kept[id] = records[id] as ChangeRecord;
+  return kept;
+};
+
+const weightsId = /^weights\/(.+)\/(\d+)$/;
+
+const forget = (forgotten: ForgottenChanges, id: string, { edition }: ChangeRecord): ForgottenChanges => {
+  if (edition !== undefined) return { ...forgotten, edition: Math.max(forgotten.edition, edition) };
+  const [, model, version] = weightsId.exec(id) ?? [];
+  if (model === undefined) return forgotten;
+  const newest = Math.max(forgotten.named[model] ?? 0, Number(version));
+  return { ...forgotten, named: { ...forgotten.named, [model]: newest } };
+};
+
+/** Keeps the records of the last `keptChangeIds` changes, and by rule that of the configuration in force, however many changes of other kinds followed it. */
+const rememberChange = (
+  agreed: Agreed,
+  change: Change,
+  generation: number,
+): Pick<Agreed, 'changeIds' | 'forgotten'> => {
+  const record = recordOf(agreed, change, generation);
+  const keptEdition = record.edition ?? agreed.ways?.edition ?? 0;
+  let { changeIds, forgotten } = agreed;
+  for (let excess = Object.keys(changeIds).length + 1 - keptChangeIds; excess > 0; excess -= 1) {
+    const oldest = oldestBeside(changeIds, keptEdition);
+    if (oldest === null) break;
+    forgotten = forget(forgotten, oldest, changeIds[oldest] as ChangeRecord);
+    changeIds = without(changeIds, oldest);
+  }
+  return { changeIds: { ...changeIds, [change.id]: record }, forgotten };
 };
 
 const weightsSince = (state: Agreed, layout: Layout, generation: number): Agreed['weightsSince'] => ({
@@ -155,6 +216,7 @@
     storeSince: (state.storeSince as Agreed['storeSince'] | undefined) ?? {},
     ways: (state.ways as WaysInForce | null | undefined) ?? null,
     named: (state.named as Agreed['named'] | undefined) ?? {},
+    forgotten: (state.forgotten as ForgottenChanges | undefined) ?? { edition: 0, named: {} },
   }),
   founded: (members: readonly Member[]): Agreed => ({
     generation: 0,
@@ -165,12 +227,13 @@
     keys: {},
     members,
     changeIds: {},
+    forgotten: { edition: 0, named: {} },
     ways: null,
     named: {},
   }),
   apply: (state: Agreed, change: Change): Agreed => {
     const generation = state.generation + 1;
-    const next = { ...state, generation, changeIds: rememberChange(state, change, generation) };
+    const next = { ...state, generation, ...rememberChange(state, change, generation) };
     const { body } = change;
     switch (body.kind) {
       case 'layout':
--- a/packages/core-types/src/prompt.ts
+++ b/packages/core-types/src/prompt.ts
@@ -26,6 +26,20 @@
   hash: (key: string): string => createHash('sha256').update('martenworks-key:').update(key).digest('hex'),
 };
 
+/** JSON of `value` with the names of each object in order, so that equal values give equal text. */
+const canonicalJson = (value: unknown): string => {
+  if (value === null || typeof value !== 'object') return JSON.stringify(value) ?? 'null';
+  if (Array.isArray(value)) return `[${value.map(canonicalJson).join()}]`;
+  const given = value as Record<string, unknown>;
+  const fields = Object.keys(given)
+    .sort()
+    .filter((name) => given[name] !== undefined)
+    .map((name) => `${JSON.stringify(name)}:${canonicalJson(given[name])}`);
+  return `{${fields.join()}}`;
+};
+
 export const digests = {
+  /** 32 hex digits; alike for values that differ only in the order of their objects' names. */
+  ofCanonical: (value: unknown): string => createHash('sha256').update(canonicalJson(value)).digest('hex').slice(0, 32),
   of: (value: unknown): string => createHash('sha256').update(JSON.stringify(value)).digest('hex').slice(0, 32),
 };
