Rest refusals, repeats and reads on one confirmed read, and answer in the caller's time

Ruled out: a ballot for each refusal and read. It writes to disk on a majority and takes the turn of proposals under way. Change: ConfirmedRead asks the members for their positions (generation, slot of an accepted value); a majority without news after the call's start shows that the own state is newest; only a value that stays undecided over two looks is settled by a ballot. Both wires use it; GET /operator/layout answers 503 instead of 203 where no majority confirms. Every call has one deadline, the wait in the queue included: 503 where this call's value was offered to no acceptor, 504 otherwise; nothing is offered after the answer. A ballot ends as soon as it cannot reach a majority. Waits between ballots follow the time that a ballot takes. A change settled under the same id with another digest is no success. Small local edits: one message and one handler in controlNode.ts and postmaster.ts, one line in proving's probes.ts.

--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -32,7 +32,8 @@
 import type { KeptLeases } from './leases.js';
 import { Membership } from './membership.js';
 import { Proposer } from './proposer.js';
-import type { Voters } from './proposer.js';
+import { positions } from './quorumCall.js';
+import type { Position, Voters } from './quorumCall.js';
 import { ReadingRelay } from './readingRelay.js';
 import { ShelfDesk } from './shelfDesk.js';
 import { ConfigService } from './configService.js';
@@ -329,6 +330,7 @@
         isSelf(member)
           ? this.acceptor.accept(slot, ballot, change)
           : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
+      position: (member) => asked(member, 'position', null) as Promise<Position | null>,
       settle: (settled) => this.tellPostmasters('settled', settled),
       since: (member, generation) =>
         isSelf(member)
@@ -387,6 +389,8 @@
           const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
           return this.acceptor.accept(slot, ballot, change);
         }
+        case 'position':
+          return positions.of(this.acceptor);
         case 'since':
           return this.acceptor.since(body as number);
         case 'supply':
@@ -407,8 +411,7 @@
   });
 
   /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
-  readonly confirmed = async (): Promise<Agreed | null> =>
-    (await this.proposer.confirm(confirmPatienceMs)) ? this.acceptor.agreed() : null;
+  readonly confirmed = (): Promise<Agreed | null> => this.proposer.confirm(confirmPatienceMs);
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -1,5 +1,6 @@
 export * from './acceptor.js';
 export * from './proposer.js';
+export * from './quorumCall.js';
 export * from './pushDesk.js';
 export * from './postmaster.js';
 export * from './operatorWire.js';
--- a/packages/control-plane/src/operatorWire.ts
+++ b/packages/control-plane/src/operatorWire.ts
@@ -74,37 +74,37 @@
   return replyTo(c, changeId, await postmaster.changes.layout(changeId, base, edit));
 };
 
+const noMajority = 'no majority of voters confirmed the state';
+
+const unconfirmed = (c: Context): Response => c.json({ detail: noMajority }, 503, { 'retry-after': '1' });
+
 export const operatorWire = (postmaster: Postmaster, vitals: () => string[] = () => []): Hono => {
   const app = new Hono();
   app.get('/operator/layout', async (c) => {
-    const held = await postmaster.confirmed();
-    if (held === null) return c.json({ detail: 'no fleet is founded yet' }, 503, { 'retry-after': '1' });
-    const { state, isConfirmed } = held;
-    return c.json(
-      { generation: state.layoutGeneration, confirmed: isConfirmed, layout: state.layout },
-      isConfirmed ? 200 : 203,
-      { etag: `"${state.layoutGeneration}"` },
-    );
+    const state = await postmaster.confirmed();
+    if (state === null) return unconfirmed(c);
+    return c.json({ generation: state.layoutGeneration, confirmed: true, layout: state.layout }, 200, {
+      etag: `"${state.layoutGeneration}"`,
+    });
   });
   app.put('/operator/layout', (c) => changed(c, postmaster, 'whole'));
   app.patch('/operator/layout', (c) => changed(c, postmaster, 'part'));
   app.post('/operator/plans', async (c) => {
     const body = await bodyOf(c);
     if (!body.isJson) return c.json({ outcome: 'rejected', detail: 'the body is not JSON' }, 400);
-    const held = await postmaster.confirmed();
-    if (held === null || !held.isConfirmed)
-      return c.json({ detail: 'no majority of postmasters can be reached' }, 503, { 'retry-after': '1' });
-    const base = baseOf(c) ?? held.state.layoutGeneration;
-    if (base !== held.state.layoutGeneration)
+    const state = await postmaster.confirmed();
+    if (state === null) return unconfirmed(c);
+    const base = baseOf(c) ?? state.layoutGeneration;
+    if (base !== state.layoutGeneration)
       return c.json(
         {
           outcome: 'conflict',
-          layoutGeneration: held.state.layoutGeneration,
-          detail: `the layout is at generation ${held.state.layoutGeneration}`,
+          layoutGeneration: state.layoutGeneration,
+          detail: `the layout is at generation ${state.layoutGeneration}`,
         },
         409,
       );
-    const drawn = drawPlan(held.state, editOf(c, 'part', body.value));
+    const drawn = drawPlan(state, editOf(c, 'part', body.value));
     return drawn.match(
       (plan) => c.json(plan, 200, { etag: `"${base}"` }),
       (complaints) => c.json({ outcome: 'rejected', complaints }, 422),
@@ -112,13 +112,11 @@
   });
   app.get('/operator/changes/:id', async (c) => {
     const id = c.req.param('id');
-    const held = await postmaster.confirmed();
-    const known = held?.state.changeIds[id];
+    const state = await postmaster.confirmed();
+    if (state === null)
+      return c.json({ outcome: 'unknown', changeId: id, detail: noMajority }, 504, { 'retry-after': '1' });
+    const known = Object.hasOwn(state.changeIds, id) ? state.changeIds[id] : undefined;
     if (known !== undefined) return c.json({ outcome: 'accepted', changeId: id, generation: known.generation });
-    if (held === null || !held.isConfirmed)
-      return c.json({ outcome: 'unknown', changeId: id, detail: 'no majority of postmasters can be reached' }, 504, {
-        'retry-after': '1',
-      });
     return c.json(
       { outcome: 'not accepted', changeId: id, detail: 'not accepted so far; a change still under way may yet be' },
       404,
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -34,13 +34,15 @@
 import type { KeptLeases } from './leases.js';
 import { Membership } from './membership.js';
 import { Proposer } from './proposer.js';
-import type { Voters } from './proposer.js';
+import { positions } from './quorumCall.js';
+import type { Position, Voters } from './quorumCall.js';
 import { PushDesk } from './pushDesk.js';
 import { ReplicaDesk } from './replicaDesk.js';
 import { SideDesk } from './sideDesk.js';
 import { replicaTables } from './replicaTable.js';
 import type { ReplicaTable } from './replicaTable.js';
 
+const confirmPatienceMs = 700;
 const votePatienceMs = 1_000;
 const foundingMs = 200;
 const upkeepMs = 500;
@@ -272,6 +274,7 @@
         isSelf(member)
           ? this.acceptor.accept(slot, ballot, change)
           : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
+      position: (member) => asked(member, 'position', null) as Promise<Position | null>,
       settle: (settled) => {
         this.tellPostmasters('settled', settled);
       },
@@ -329,6 +332,8 @@
           const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
           return this.acceptor.accept(slot, ballot, change);
         }
+        case 'position':
+          return positions.of(this.acceptor);
         case 'since':
           return this.acceptor.since(body as number);
         case 'supply':
@@ -379,15 +384,8 @@
     syncedFrom: [...this.replicas.syncedFrom],
   });
 
-  readonly confirmed = async (): Promise<{ state: Agreed; isConfirmed: boolean } | null> => {
-    const state = this.acceptor.agreed();
-    if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
-    const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
-    for (const since of told) if (since !== null) await this.proposer.learn(since);
-    const heard = told.filter((since) => since !== null).length + (this.acceptor.isVoter() ? 1 : 0);
-    return { state: this.acceptor.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
-  };
+  /** The newest agreed state, or null where no majority of voters confirmed it within `confirmPatienceMs`. */
+  readonly confirmed = (): Promise<Agreed | null> => this.proposer.confirm(confirmPatienceMs);
 
   readonly reachable = (): number =>
     (this.acceptor.agreed()?.members ?? []).filter(
--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -5,6 +5,9 @@
 import type { Complaint } from '@martenworks/settings';
 import { ballots } from './acceptor.js';
 import type { Accepted, Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
+import { ConfirmedRead } from './confirmedRead.js';
+import { askMembers, majorityOf } from './quorumCall.js';
+import type { Voters } from './quorumCall.js';
 
 export type ProposeFault =
   | { readonly kind: 'conflict'; readonly layoutGeneration: number; readonly detail: string }
@@ -17,27 +20,65 @@
   readonly isRepeat: boolean;
 }
 
-export interface Voters {
-  readonly prepare: (member: Member, slot: number, ballot: Ballot) => Promise<Vote | null>;
-  readonly accept: (member: Member, slot: number, ballot: Ballot, change: Change) => Promise<Vote | null>;
-  readonly settle: (settled: Settled) => void;
-  readonly since: (member: Member, generation: number) => Promise<Since | null>;
-  readonly supply: (member: Member, since: Since) => Promise<void>;
-}
+export type { Voters } from './quorumCall.js';
 
 type Check = (state: Agreed) => Result<Change, ProposeFault>;
 
 type Round =
   | { readonly k: 'settled'; readonly settled: Settled }
   | { readonly k: 'nothing to settle' }
-  | { readonly k: 'again'; readonly wasOffered: boolean }
-  | { readonly k: 'no majority'; readonly wasOffered: boolean };
+  | { readonly k: 'given up' }
+  | { readonly k: 'again' }
+  | { readonly k: 'no majority' };
 
 const queueLimit = 64;
 const backoffMs = 40;
+const longestBackoffMs = 400;
+const mostBackoffs = 8;
+const lateDetail = 'no majority of voters agreed in time';
+const unreachableDetail = 'no majority of voters can be reached';
+
+/** One caller's order on its way through the queue and the ballots. */
+class Attempt {
+  private isOver = false;
+  private wasOffered = false;
+
+  constructor(
+    readonly changeId: string,
+    readonly digest: string,
+    readonly until: number,
+  ) {}
+
+  readonly isOf = (change: Change): boolean => change.id === this.changeId && change.digest === this.digest;
+
+  /** True where the value may go to acceptors now; from then on it counts as offered. */
+  readonly offer = (): boolean => {
+    if (!this.isOver) this.wasOffered = true;
+    return !this.isOver;
+  };
+
+  /** Another change was decided in the slot for which this one had been offered. */
+  readonly lostSlot = (): void => {
+    this.wasOffered = false;
+  };
+
+  readonly mayHaveBeenTaken = (): boolean => this.wasOffered;
 
+  readonly isEnded = (): boolean => this.isOver;
+
+  /** Ends it: nothing is offered any more. `unavailable` is told only where no acceptor can hold the value. */
+  readonly giveUp = (detail: string): Result<Applied, ProposeFault> => {
+    this.isOver = true;
+    return err(this.wasOffered ? { kind: 'unknown', changeId: this.changeId } : { kind: 'unavailable', detail });
+  };
+}
+
+/** Gets changes decided, one generation after another, by ballots among the voters; one order at a time, others wait in a queue. */
 export class Proposer {
   private readonly owner = new Owner();
+  private readonly read: ConfirmedRead;
+  private seenRound = 0;
+  private lastRoundMs = 0;
 
   constructor(
     private readonly acceptor: Acceptor,
@@ -45,89 +86,82 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.read = new ConfirmedRead(acceptor, voters, clock, random, this.learn);
+  }
 
+  /** Answers within `patienceMs`, waiting in the queue included. A refusal (`conflict`, `rejected`) and a repeat rest on a majority's replies to messages sent after the call came; `unavailable` says that this call's value was offered to no acceptor; `unknown` that it may yet be taken. */
   readonly propose = (
     check: Check,
     changeId: string,
     digest: string,
     patienceMs: number,
   ): Promise<Result<Applied, ProposeFault>> => {
-    if (this.owner.depth() >= queueLimit)
-      return Promise.resolve(err({ kind: 'unavailable', detail: 'too many changes are waiting' }));
-    return this.owner.run(() => this.push(check, changeId, digest, this.clock.now() + patienceMs));
+    const attempt = new Attempt(changeId, digest, this.clock.now() + patienceMs);
+    if (this.owner.depth() >= queueLimit) return Promise.resolve(attempt.giveUp('too many changes are waiting'));
+    const work = this.owner.run(() => this.push(check, attempt));
+    return pause.within(this.clock, patienceMs, work, () => attempt.giveUp(lateDetail));
   };
 
+  /** Settles a value that was accepted here and whose proposer may be gone. */
   readonly finishRival = (): Promise<void> =>
     this.owner.run(async () => {
       const state = this.acceptor.agreed();
       if (state === null || this.acceptor.unsettledFor() === null) return;
-      await this.round(state, null);
+      await this.round(state, null, null);
     });
 
-  /** Settles what a majority may have accepted. True once none of them holds more: the state agreed here is then as new as any that was acknowledged before. */
-  readonly confirm = (patienceMs: number): Promise<boolean> =>
-    this.owner.run(async () => {
-      const until = this.clock.now() + patienceMs;
-      for (let shot = 0; shot === 0 || this.clock.now() < until; shot += 1) {
-        const state = this.acceptor.agreed();
-        if (state === null) return false;
-        const outcome = await this.round(state, null);
-        if (outcome.k === 'nothing to settle') return true;
-        if (outcome.k !== 'settled') await pause.for(this.clock, backoffMs * (0.5 + this.random.fraction()));
-      }
-      return false;
-    });
+  /** A state as new as any that was acknowledged before the call, or null where no majority confirmed one within `patienceMs`. */
+  readonly confirm = (patienceMs: number): Promise<Agreed | null> => {
+    const settlePending = (state: Agreed): Promise<unknown> => this.owner.run(() => this.round(state, null, null));
+    const work = this.read.newest(this.clock.now() + patienceMs, settlePending);
+    return pause.within(this.clock, patienceMs, work, () => null);
+  };
 
   readonly depth = (): number => this.owner.depth();
 
-  private readonly push = async (
-    check: Check,
-    changeId: string,
-    digest: string,
-    horizonAt: number,
-  ): Promise<Result<Applied, ProposeFault>> => {
-    let wasOffered = false;
-    const giveUp = (detail: string): Result<Applied, ProposeFault> =>
-      err(wasOffered ? { kind: 'unknown', changeId } : { kind: 'unavailable', detail });
+  private readonly push = async (check: Check, attempt: Attempt): Promise<Result<Applied, ProposeFault>> => {
     for (let shot = 0; ; shot += 1) {
+      if (attempt.isEnded() || this.clock.now() >= attempt.until) return attempt.giveUp(lateDetail);
       const state = this.acceptor.agreed();
-      if (state === null) return giveUp('no fleet is founded yet');
-      const known = state.changeIds[changeId];
-      if (known !== undefined) {
-        if (known.digest !== digest)
-          return err({
-            kind: 'conflict',
-            layoutGeneration: state.layoutGeneration,
-            detail: 'this change id was used for another change',
-          });
-        return ok({ generation: known.generation, isRepeat: shot === 0 });
-      }
-      if (shot > 0 && this.clock.now() >= horizonAt) return giveUp('no majority of postmasters agreed in time');
+      if (state === null) return attempt.giveUp('no fleet is founded yet');
+      const answered = this.answeredBy(state, attempt, shot === 0);
       const checked = check(state);
-      if (checked.isErr()) {
-        if (shot === 0 && !(await this.catchUp(state))) return giveUp('no majority of postmasters can be reached');
-        const newest = this.acceptor.agreed() as Agreed;
+      if (answered !== null || checked.isErr()) {
+        const newest = await this.confirmWithin(attempt);
+        if (newest === null) return attempt.giveUp(unreachableDetail);
         if (newest.generation !== state.generation) continue;
-        return err(checked.error);
+        return answered ?? (checked as Result<never, ProposeFault>);
       }
-      const outcome = await this.round(state, checked.value);
-      if (outcome.k === 'no majority' || outcome.k === 'again') {
-        wasOffered ||= outcome.wasOffered;
-        await pause.for(this.clock, backoffMs * (0.5 + this.random.fraction()) * Math.min(shot + 1, 8));
-      } else if (outcome.k === 'settled') {
-        if (outcome.settled.change.id === changeId)
+      const outcome = await this.round(state, checked.value, attempt);
+      if (outcome.k === 'settled') {
+        if (attempt.isOf(outcome.settled.change))
           return ok({ generation: outcome.settled.generation, isRepeat: false });
-        wasOffered = false;
-      }
+        attempt.lostSlot();
+      } else if (outcome.k === 'no majority' && !attempt.mayHaveBeenTaken()) return attempt.giveUp(unreachableDetail);
+      else await this.backOff(shot);
     }
   };
 
-  private readonly catchUp = async (state: Agreed): Promise<boolean> => {
-    const told = await Promise.all(this.others(state).map((member) => this.voters.since(member, state.generation)));
-    const heard = told.filter((since) => since !== null);
-    for (const since of heard) await this.learn(since);
-    return heard.length + (this.acceptor.isVoter() ? 1 : 0) > state.members.length / 2;
+  /** What the record of the change says, if there is one. */
+  private readonly answeredBy = (
+    { changeIds, layoutGeneration }: Agreed,
+    { changeId, digest }: Attempt,
+    isRepeat: boolean,
+  ): Result<Applied, ProposeFault> | null => {
+    const known = Object.hasOwn(changeIds, changeId) ? changeIds[changeId] : undefined;
+    if (known === undefined) return null;
+    if (known.digest === digest) return ok({ generation: known.generation, isRepeat });
+    return err({ kind: 'conflict', layoutGeneration, detail: 'this change id was used for another change' });
+  };
+
+  private readonly confirmWithin = (attempt: Attempt): Promise<Agreed | null> =>
+    this.read.newest(attempt.until, (state) => this.round(state, null, null));
+
+  /** Waits about as long as a ballot takes here, longer after each try, so that proposers on slow disks let each other finish. */
+  private readonly backOff = (shot: number): Promise<void> => {
+    const base = Math.min(Math.max(backoffMs, this.lastRoundMs), longestBackoffMs);
+    return pause.for(this.clock, base * (0.5 + this.random.fraction()) * Math.min(shot + 1, mostBackoffs));
   };
 
   readonly learn = async (since: Since): Promise<void> => {
@@ -135,43 +169,33 @@
     if (since.k === 'changes') for (const settled of since.settled) await this.acceptor.settle(settled);
   };
 
-  private readonly others = (state: Agreed): Member[] =>
-    state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
-
-  private readonly vote = async (
+  private readonly vote = (
     state: Agreed,
     call: (member: Member) => Promise<Vote | null>,
     wanted: Vote['k'],
   ): Promise<Vote[] | 'again' | 'no majority'> => {
-    const majority = Math.floor(state.members.length / 2) + 1;
-    const votes: Vote[] = [];
-    let isOutrun = false;
-    return new Promise((settle) => {
-      let open = state.members.length;
-      let isDone = false;
-      const finish = (outcome: Vote[] | 'again' | 'no majority'): void => {
-        if (isDone) return;
-        isDone = true;
-        settle(outcome);
-      };
-      for (const member of state.members) {
-        void this.helpful(member, call).then(async (vote) => {
-          if (vote?.k === wanted) votes.push(vote);
-          if (vote?.k === 'denied' || vote?.k === 'ahead') isOutrun = true;
-          if (vote?.k === 'denied') this.seenRound = Math.max(this.seenRound, vote.promised[0]);
-          if (vote?.k === 'ahead') {
-            const since = await this.voters.since(member, state.generation);
-            if (since !== null) await this.learn(since);
-          }
-          open -= 1;
-          if (votes.length >= majority) finish([...votes]);
-          else if (open === 0) finish(isOutrun ? 'again' : 'no majority');
-        });
-      }
+    const majority = majorityOf(state.members);
+    const ask = async (member: Member): Promise<Vote | null> => {
+      const vote = await this.helpful(member, call);
+      if (vote !== null) await this.heed(member, vote, state);
+      return vote;
+    };
+    return askMembers<Vote, Vote[] | 'again' | 'no majority'>(state.members, ask, (replies, open) => {
+      const votes = replies.filter((vote) => vote !== null);
+      const wantedVotes = votes.filter(({ k }) => k === wanted);
+      if (wantedVotes.length >= majority) return wantedVotes;
+      if (wantedVotes.length + open >= majority) return null;
+      return votes.some(({ k }) => k === 'denied' || k === 'ahead') ? 'again' : 'no majority';
     });
   };
 
-  private seenRound = 0;
+  /** Takes from a vote what the next ballot must know. */
+  private readonly heed = async (member: Member, vote: Vote, state: Agreed): Promise<void> => {
+    if (vote.k === 'denied') this.seenRound = Math.max(this.seenRound, vote.promised[0]);
+    if (vote.k !== 'ahead') return;
+    const since = await this.voters.since(member, state.generation);
+    if (since !== null) await this.learn(since);
+  };
 
   private readonly helpful = async (
     member: Member,
@@ -183,26 +207,24 @@
     return call(member);
   };
 
-  private readonly round = async (state: Agreed, own: Change | null): Promise<Round> => {
+  private readonly round = async (state: Agreed, own: Change | null, attempt: Attempt | null): Promise<Round> => {
+    const begunAt = this.clock.now();
+    const outcome = await this.ballot(state, own, attempt);
+    this.lastRoundMs = this.clock.now() - begunAt;
+    return outcome;
+  };
+
+  private readonly ballot = async (state: Agreed, own: Change | null, attempt: Attempt | null): Promise<Round> => {
     const slot = state.generation + 1;
     this.seenRound = Math.max(this.seenRound, this.acceptor.highestRound()) + 1;
     const ballot: Ballot = [this.seenRound, this.acceptor.incarnation];
     const promises = await this.vote(state, (member) => this.voters.prepare(member, slot, ballot), 'promised');
-    if (promises === 'again' || promises === 'no majority') return { k: promises, wasOffered: false };
-    let highest: Accepted | null = null;
-    for (const vote of promises) {
-      if (
-        vote.k === 'promised' &&
-        vote.accepted !== null &&
-        (highest === null || ballots.compare(vote.accepted.ballot, highest.ballot) > 0)
-      )
-        highest = vote.accepted;
-    }
-    const change = highest?.change ?? own;
+    if (promises === 'again' || promises === 'no majority') return { k: promises };
+    const change = this.newestAccepted(promises)?.change ?? own;
     if (change === null) return { k: 'nothing to settle' };
-    const isOwn = own !== null && change.id === own.id;
+    if (attempt?.isOf(change) === true && !attempt.offer()) return { k: 'given up' };
     const accepts = await this.vote(state, (member) => this.voters.accept(member, slot, ballot, change), 'accepted');
-    if (accepts === 'again' || accepts === 'no majority') return { k: accepts, wasOffered: isOwn };
+    if (accepts === 'again' || accepts === 'no majority') return { k: accepts };
     const settled: Settled = { generation: slot, change };
     this.voters.settle(settled);
     const isKept = await this.acceptor.settle(settled);
@@ -215,4 +237,14 @@
     });
     return { k: 'settled', settled };
   };
+
+  /** The value that may already be decided: the one accepted under the highest ballot. */
+  private readonly newestAccepted = (promises: readonly Vote[]): Accepted | null => {
+    let newest: Accepted | null = null;
+    for (const vote of promises) {
+      if (vote.k !== 'promised' || vote.accepted === null) continue;
+      if (newest === null || ballots.compare(vote.accepted.ballot, newest.ballot) > 0) newest = vote.accepted;
+    }
+    return newest;
+  };
 }
--- /dev/null
+++ b/packages/control-plane/src/quorumCall.ts
@@ -0,0 +1,49 @@
+import type { Acceptor, Ballot, Settled, Since, Vote } from './acceptor.js';
+import type { Change, Member } from '@martenworks/core-types';
+
+/** Where one acceptor stands: the last generation it knows to be decided, and the slot of a value it accepted after that, if any. */
+export interface Position {
+  readonly generation: number;
+  readonly acceptedSlot: number | null;
+}
+
+/** Calls on one voter, the own acceptor included. Each answers null where no reply came in time. */
+export interface Voters {
+  readonly prepare: (member: Member, slot: number, ballot: Ballot) => Promise<Vote | null>;
+  readonly accept: (member: Member, slot: number, ballot: Ballot, change: Change) => Promise<Vote | null>;
+  readonly position: (member: Member) => Promise<Position | null>;
+  readonly settle: (settled: Settled) => void;
+  readonly since: (member: Member, generation: number) => Promise<Since | null>;
+  readonly supply: (member: Member, since: Since) => Promise<void>;
+}
+
+export const positions = {
+  /** Null while the acceptor belongs to no founded fleet. */
+  of: (acceptor: Acceptor): Position | null => {
+    const state = acceptor.agreed();
+    return state === null ? null : { generation: state.generation, acceptedSlot: acceptor.acceptedSlot() };
+  },
+};
+
+export const majorityOf = (members: readonly Member[]): number => Math.floor(members.length / 2) + 1;
+
+/** Asks all members at once and settles as soon as `decide` gives an outcome; it is called after each reply with the replies so far (null for a member that gave none) and how many are still open. At the last reply it must decide. */
+export const askMembers = <Reply, Outcome>(
+  members: readonly Member[],
+  ask: (member: Member) => Promise<Reply | null>,
+  decide: (replies: readonly (Reply | null)[], open: number) => Outcome | null,
+): Promise<Outcome> =>
+  new Promise((settle, fail) => {
+    const replies: (Reply | null)[] = [];
+    let isDecided = false;
+    for (const member of members) {
+      void ask(member).then((reply) => {
+        replies.push(reply);
+        if (isDecided) return;
+        const outcome = decide(replies, members.length - replies.length);
+        if (outcome === null) return;
+        isDecided = true;
+        settle(outcome);
+      }, fail);
+    }
+  });
--- a/packages/proving/src/capacity/probes.ts
+++ b/packages/proving/src/capacity/probes.ts
@@ -15,7 +15,7 @@
 import type { PeerConnection, Handlers } from '@martenworks/peer-transport';
 import { Pigeonhole, place } from '@martenworks/prefix-index';
 import { KvDesk, Proposer, claimTables, acceptors, leaseBooks, replicaTables } from '@martenworks/control-plane';
-import type { Ballot, Acceptor, Settled, Since, Vote } from '@martenworks/control-plane';
+import type { Ballot, Acceptor, Position, Settled, Since, Vote } from '@martenworks/control-plane';
 import { Duties, Roster, Watch, ring } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import { asMember, openCore, withPeers } from './core.js';
@@ -286,6 +286,7 @@
           isOwn(member)
             ? own.accept(slot, ballot, change)
             : (ask(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
+        position: (member) => ask(member, 'position', null) as Promise<Position | null>,
         settle: (settled) => {
           for (const connection of lines.values()) connection.tell('settled', settled);
         },
