--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -12,7 +12,8 @@
 import type { KeptLeases } from './leases.js';
 import { Membership } from './membership.js';
 import { Proposer } from './proposer.js';
-import type { Voters } from './proposer.js';
+import { positions } from './quorumCall.js';
+import type { Voters } from './quorumCall.js';
 
 const settleAfterMs = 150;
 const settleCheckMs = 100;
@@ -237,6 +238,7 @@
       this.isSelf(member)
         ? this.acceptor.accept(slot, ballot, change)
         : this.askMember(member, 'accept', { slot, ballot, change }, consensusMessages.isVote),
+    position: (member) => this.askMember(member, 'position', null, consensusMessages.isPosition),
     settle: (settled) => this.tellPeers('settled', settled),
     since: (member, generation) =>
       this.isSelf(member)
@@ -247,10 +249,6 @@
     },
   });
 
-  /** Asks the members for what they hold beyond a generation: null for each that did not answer. */
-  readonly since = (members: readonly Member[], generation: number): ReturnType<Voters['since']>[] =>
-    members.map((member) => this.askMember(member, 'since', generation, consensusMessages.isSince));
-
   private readonly standing = (): Standing => ({
     incarnation: this.acceptor.incarnation,
     generation: this.acceptor.agreed()?.generation ?? -1,
@@ -303,6 +301,8 @@
         return isPrepare(body) ? acceptor.prepare(body.slot, body.ballot) : null;
       case 'accept':
         return isAccept(body) ? acceptor.accept(body.slot, body.ballot, body.change) : null;
+      case 'position':
+        return positions.of(acceptor);
       case 'since':
         return isInteger(body) ? acceptor.since(body) : null;
       case 'supply':
--- a/packages/control-plane/src/consensusMessages.ts
+++ b/packages/control-plane/src/consensusMessages.ts
@@ -3,6 +3,7 @@
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import type { Accepted, Ballot, Settled, Since, Vote } from './acceptor.js';
 import type { Standing, VowReply } from './founding.js';
+import type { Position } from './quorumCall.js';
 
 type Shape = Record<string, unknown>;
 
@@ -50,6 +51,9 @@
 
 const isMembers = isListOf(isMember);
 
+const isPosition = (value: unknown): value is Position =>
+  isShape(value) && isInteger(value.generation) && (value.acceptedSlot === null || isInteger(value.acceptedSlot));
+
 const isBallot = (value: unknown): value is Ballot =>
   Array.isArray(value) && value.length === 2 && isNumber(value[0]) && isText(value[1]);
 
@@ -137,6 +141,7 @@
   isLeaseAsk,
   isLeaseReply,
   isMembers,
+  isPosition,
   isPrepare,
   isRosterEntries: isListOf(isRosterEntry),
   isSettled,
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -242,8 +242,7 @@
   });
 
   /** The newest agreed state, with what a majority had accepted settled before: null where no majority was heard. */
-  readonly confirmed = async (): Promise<Agreed | null> =>
-    (await this.proposer.confirm(confirmPatienceMs)) ? this.acceptor.agreed() : null;
+  readonly confirmed = (): Promise<Agreed | null> => this.proposer.confirm(confirmPatienceMs);
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -38,6 +38,7 @@
 import type { ReplicaTable } from './replicaTable.js';
 
 const shelvesPatienceMs = 1_000;
+const confirmPatienceMs = 700;
 const trimMs = 5_000;
 
 const consensusPace: ConsensusPace = {
@@ -242,15 +243,8 @@
     },
   });
 
-  readonly confirmed = async (): Promise<{ state: Agreed; isConfirmed: boolean } | null> => {
-    const state = this.acceptor.agreed();
-    if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
-    const told = await Promise.all(this.consensus.since(others, state.generation));
-    for (const since of told) if (since !== null) await this.proposer.learn(since);
-    const heard = told.filter((since) => since !== null).length + (this.acceptor.isVoter() ? 1 : 0);
-    return { state: this.acceptor.agreed() ?? state, isConfirmed: heard > state.members.length / 2 };
-  };
+  /** The newest agreed state, or null where no majority of voters confirmed it within `confirmPatienceMs`. */
+  readonly confirmed = (): Promise<Agreed | null> => this.proposer.confirm(confirmPatienceMs);
 
   readonly reachable = (): number => this.consensus.reachableVoters().length;
 
