Refuse a swap that would give one member two seats, and count voters once

Cause: Membership.swap proposed with a check that never looked at the state again, and the transition took any swap: two members that miss different losses could give one newcomer two of three seats, a majority of one. Ruled out: checking in Membership alone; a swap in flight on an older state would still be settled by whoever finishes it. Change: the transition keeps its generation and leaves the seats as they are when the outgoing member has none or the incoming one has one (isVoid says so); each try of a proposal checks the state in force; votes, leases and the reach of a node count distinct incarnations, of a majority of all seats.

--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Repeating } from '@martenworks/core-types';
+import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type {
   Agreed,
   BackEnds,
@@ -299,13 +299,14 @@
   };
 
   private readonly reachableVoters = (): string[] =>
-    (this.acceptor.agreed()?.members ?? [])
+    agreedState
+      .distinctVoters(this.acceptor.agreed())
       .map((member) => member.incarnation)
       .filter((incarnation) => incarnation === this.acceptor.incarnation || this.lines.to(incarnation) !== undefined);
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
-      (this.acceptor.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
+      agreedState.distinctVoters(this.acceptor.agreed()).map(async (member): Promise<LeaseReply | null> => {
         if (member.incarnation === this.acceptor.incarnation) return this.leases.book.grant(ask);
         const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
         return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -1,11 +1,12 @@
-import { ok } from 'neverthrow';
-import type { Clock, Log, Member } from '@martenworks/core-types';
-import { digests } from '@martenworks/core-types';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Agreed, Change, Clock, Log, Member } from '@martenworks/core-types';
+import { agreed as agreedState, digests } from '@martenworks/core-types';
 import type { Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { Acceptor } from './acceptor.js';
 import type { Standing } from './founding.js';
-import type { Proposer } from './proposer.js';
+import type { ProposeFault, Proposer } from './proposer.js';
 
 const usualStrangerWaitMs = 12_000;
 const patienceMs = 1_000;
@@ -77,7 +78,11 @@
     const id = `swap-${outgoing.incarnation}-${incoming.incarnation}`;
     const body = { kind: 'swap' as const, outgoing: outgoing.incarnation, incoming };
     const digest = digests.of(body);
-    const outcome = await this.proposer.propose(() => ok({ id, digest, body }), id, digest, swapPatienceMs);
+    const check = (state: Agreed): Result<Change, ProposeFault> =>
+      agreedState.maySwap(state, outgoing.incarnation, incoming)
+        ? ok({ id, digest, body })
+        : err({ kind: 'conflict', layoutGeneration: state.layoutGeneration, detail: 'the seats have changed' });
+    const outcome = await this.proposer.propose(check, id, digest, swapPatienceMs);
     this.log.info('a membership swap was proposed', {
       outgoing: outgoing.name,
       incoming: incoming.name,
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { Repeating } from '@martenworks/core-types';
+import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type {
   Agreed,
   Change,
@@ -234,7 +234,7 @@
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
-      (this.acceptor.agreed()?.members ?? []).map(async (member): Promise<LeaseReply | null> => {
+      agreedState.distinctVoters(this.acceptor.agreed()).map(async (member): Promise<LeaseReply | null> => {
         if (member.incarnation === this.acceptor.incarnation) return this.leases.book.grant(ask);
         const receipt = await this.lines.to(member.incarnation)?.ask('leaseAsk', ask, leasePatienceMs);
         return receipt?.isOk() === true ? (receipt.value as LeaseReply | null) : null;
@@ -382,7 +382,9 @@
   readonly confirmed = async (): Promise<{ state: Agreed; isConfirmed: boolean } | null> => {
     const state = this.acceptor.agreed();
     if (state === null) return null;
-    const others = state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
+    const others = agreedState
+      .distinctVoters(state)
+      .filter((member) => member.incarnation !== this.acceptor.incarnation);
     const told = await Promise.all(others.map((member) => this.voters().since(member, state.generation)));
     for (const since of told) if (since !== null) await this.proposer.learn(since);
     const heard = told.filter((since) => since !== null).length + (this.acceptor.isVoter() ? 1 : 0);
@@ -390,9 +392,11 @@
   };
 
   readonly reachable = (): number =>
-    (this.acceptor.agreed()?.members ?? []).filter(
-      (member) => member.incarnation === this.acceptor.incarnation || this.lines.to(member.incarnation) !== undefined,
-    ).length;
+    agreedState
+      .distinctVoters(this.acceptor.agreed())
+      .filter(
+        (member) => member.incarnation === this.acceptor.incarnation || this.lines.to(member.incarnation) !== undefined,
+      ).length;
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -136,7 +136,7 @@
   };
 
   private readonly others = (state: Agreed): Member[] =>
-    state.members.filter((member) => member.incarnation !== this.acceptor.incarnation);
+    agreedState.distinctVoters(state).filter((member) => member.incarnation !== this.acceptor.incarnation);
 
   private readonly vote = async (
     state: Agreed,
@@ -147,14 +147,15 @@
     const votes: Vote[] = [];
     let isOutrun = false;
     return new Promise((settle) => {
-      let open = state.members.length;
+      const voters = agreedState.distinctVoters(state);
+      let open = voters.length;
       let isDone = false;
       const finish = (outcome: Vote[] | 'again' | 'no majority'): void => {
         if (isDone) return;
         isDone = true;
         settle(outcome);
       };
-      for (const member of state.members) {
+      for (const member of voters) {
         void this.helpful(member, call).then(async (vote) => {
           if (vote?.k === wanted) votes.push(vote);
           if (vote?.k === 'denied' || vote?.k === 'ahead') isOutrun = true;
--- a/packages/core-types/src/layout.ts
+++ b/packages/core-types/src/layout.ts
@@ -148,8 +148,22 @@
   return since;
 };
 
+const holdsSeat = (state: Agreed, incarnation: string): boolean =>
+  state.members.some((member) => member.incarnation === incarnation);
+
+/** Whether a swap keeps the seats distinct: its outgoing member holds one, its incoming member holds none. */
+const maySwap = (state: Agreed, outgoing: string, incoming: Member): boolean =>
+  holdsSeat(state, outgoing) && !holdsSeat(state, incoming.incarnation);
+
+/** The voters: one for each distinct incarnation, also where an older release gave one of them two seats. A majority is still counted of all seats. */
+const distinctVoters = (state: Agreed | null): Member[] => [
+  ...new Map((state?.members ?? []).map((member) => [member.incarnation, member])).values(),
+];
+
 export const agreed = {
   servesIsolated,
+  maySwap,
+  distinctVoters,
   filled: (state: Agreed): Agreed => ({
     ...state,
     storeSince: (state.storeSince as Agreed['storeSince'] | undefined) ?? {},
@@ -202,10 +216,12 @@
           keys: Object.fromEntries(Object.entries(state.keys).filter(([hash]) => hash !== body.keyHash)),
         };
       case 'swap':
-        return {
-          ...next,
-          members: state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member)),
-        };
+        return maySwap(state, body.outgoing, body.incoming)
+          ? {
+              ...next,
+              members: state.members.map((member) => (member.incarnation === body.outgoing ? body.incoming : member)),
+            }
+          : next;
       case 'ways':
         return body.base === (state.ways?.edition ?? 0) && body.ways.edition > body.base
           ? { ...next, ways: body.ways }
@@ -218,6 +234,7 @@
   },
   isVoid: (state: Agreed, change: Change): boolean =>
     (change.body.kind === 'layout' && change.body.base !== state.layoutGeneration) ||
+    (change.body.kind === 'swap' && !maySwap(state, change.body.outgoing, change.body.incoming)) ||
     (change.body.kind === 'ways' && change.body.base !== (state.ways?.edition ?? 0)) ||
     (change.body.kind === 'weights' && change.body.version <= (state.named[change.body.model] ?? 0)),
 };
