Rest no grant, release or page on a write that failed

Cause: LeaseBook.grant kept a grant whose write failed, and took the next ask of its holder for a renewal; ClaimTable told a release, or a page, as taken when memory already held it, whether or not its record was written; ReplicaTable left watchers unaware of records written before a failed one. Ruled out: writing renewals too; a renewal adds no fence, and a restarted voter is silent for a whole term. Change: a grant is pending until its record is kept, then in force, unless it was released meanwhile; a claim's entry knows whether it is on disk and is written again if not; watchers hear of the records that were kept.

--- a/packages/cluster-membership/src/lease.ts
+++ b/packages/cluster-membership/src/lease.ts
@@ -32,8 +32,17 @@
 
 const usualTerms: LeaseTerms = { leaseMs, marginMs, gapMs: 0, floor: () => 0 };
 
+/** A grant whose record is being written; nobody counts on it yet. */
+interface PendingGrant {
+  readonly holder: string;
+  readonly fence: number;
+  isReleased: boolean;
+}
+
+/** One voter's part of the leases: a grant is told only once its record is on disk, and a failed write leaves the book as it was. */
 export class LeaseBook {
   private readonly grants = new Map<string, Grant>();
+  private readonly pending = new Map<string, PendingGrant>();
   private readonly quietUntil: number;
 
   constructor(
@@ -52,6 +61,8 @@
     for (const { duty, fence } of duties) {
       const held = this.grants.get(duty);
       if (held !== undefined && held.holder === holder && held.fence === fence) held.endAt = 0;
+      const pending = this.pending.get(duty);
+      if (pending !== undefined && pending.holder === holder && pending.fence === fence) pending.isReleased = true;
     }
   };
 
@@ -71,15 +82,31 @@
       if (isRenewal) {
         held.endAt = now + this.terms.leaseMs;
         granted.push(duty);
-      } else if (isFree && fence > Math.max(held?.fence ?? 0, this.terms.floor())) {
-        this.grants.set(duty, { holder, fence, endAt: now + this.terms.leaseMs });
-        writes.push(this.keep(duty, fence).then((isKept) => void (isKept && granted.push(duty))));
+      } else if (isFree && !this.pending.has(duty) && fence > Math.max(held?.fence ?? 0, this.terms.floor())) {
+        writes.push(
+          this.grantAnew(duty, holder, fence, now + this.terms.leaseMs).then(
+            (isGranted) => void (isGranted && granted.push(duty)),
+          ),
+        );
       }
-      fences[duty] = Math.max(this.grants.get(duty)?.fence ?? 0, this.terms.floor());
+      fences[duty] = Math.max(this.highestFence(duty), this.terms.floor());
     }
     await Promise.all(writes);
     return { granted, fences };
   };
+
+  private readonly highestFence = (duty: string): number =>
+    Math.max(this.grants.get(duty)?.fence ?? 0, this.pending.get(duty)?.fence ?? 0);
+
+  private readonly grantAnew = async (duty: string, holder: string, fence: number, endAt: number): Promise<boolean> => {
+    const pending: PendingGrant = { holder, fence, isReleased: false };
+    this.pending.set(duty, pending);
+    const isKept = await this.keep(duty, fence);
+    this.pending.delete(duty);
+    if (!isKept) return false;
+    this.grants.set(duty, { holder, fence, endAt: pending.isReleased ? 0 : endAt });
+    return !pending.isReleased;
+  };
 }
 
 interface Held {
--- a/packages/control-plane/src/claims.ts
+++ b/packages/control-plane/src/claims.ts
@@ -23,6 +23,7 @@
   state: ClaimState;
   touchedAt: number;
   serial: number;
+  isDurable: boolean;
 }
 
 const merged = (a: ClaimState, b: ClaimState): ClaimState => {
@@ -51,25 +52,30 @@
   ) {}
 
   readonly replay = (records: readonly ClaimRecord[]): void => {
-    for (const [key, state] of records) this.put(key, state);
+    for (const [key, state] of records) this.put(key, state, true);
     this.filledAt.set(this.wal.currentSegment() - 1, this.clock.now());
   };
 
-  private readonly put = (key: string, state: ClaimState): void => {
+  private readonly put = (key: string, state: ClaimState, isDurable: boolean): Entry => {
     const held = this.entries.get(key);
     if (held !== undefined) this.entries.delete(key);
-    this.entries.set(key, { state, touchedAt: this.clock.now(), serial: ++this.serial });
+    const entry = { state, touchedAt: this.clock.now(), serial: ++this.serial, isDurable };
+    this.entries.set(key, entry);
+    return entry;
   };
 
+  private readonly isDurable = (key: string): boolean => this.entries.get(key)?.isDurable ?? true;
+
   private readonly stateOf = (key: string): ClaimState => this.entries.get(key)?.state ?? empty;
 
   private readonly keep = async (key: string, state: ClaimState): Promise<boolean> => {
-    this.put(key, state);
+    const entry = this.put(key, state, false);
     const written = await this.wal.append([key, state] satisfies ClaimRecord);
     if (written.isErr()) {
       this.log.error('ledger did not take a claim', { fault: written.error });
       return false;
     }
+    entry.isDurable = true;
     this.filledAt.set(this.wal.currentSegment(), this.clock.now());
     return true;
   };
@@ -96,7 +102,8 @@
   };
 
   readonly release = async (key: string, turn: number): Promise<boolean> => {
-    if (this.stateOf(key).turn > turn) return true;
+    const held = this.stateOf(key);
+    if (held.turn > turn) return this.isDurable(key) || this.keep(key, held);
     return this.keep(key, { turn: turn + 1, promised: null, accepted: null });
   };
 
@@ -115,7 +122,7 @@
       page.entries.map(async ([key, told]) => {
         const held = this.stateOf(key);
         const state = merged(held, told);
-        return JSON.stringify(state) === JSON.stringify(held) ? true : this.keep(key, state);
+        return this.isDurable(key) && JSON.stringify(state) === JSON.stringify(held) ? true : this.keep(key, state);
       }),
     );
     return kept.every(Boolean);
--- a/packages/control-plane/src/replicaTable.ts
+++ b/packages/control-plane/src/replicaTable.ts
@@ -30,19 +30,26 @@
         .filter((record) => replicas.isNews(this.held.get(record.name), record))
         .map((record) => replicas.merge(this.held.get(record.name), record));
       if (news.length === 0) return ok(news);
+      const kept: ReplicaRecord[] = [];
       for (const record of news) {
         const written = await this.wal.append(record);
         if (written.isErr()) {
-          this.log.error('ledger did not take a replica record', { fault: written.error });
+          this.log.error('the log did not take a replica record', { fault: written.error });
+          this.tellWatchers(kept);
           return err(written.error);
         }
         this.held.set(record.name, record);
+        kept.push(record);
       }
-      for (const verb of this.watchers) verb(news);
+      this.tellWatchers(kept);
       if (this.wal.segmentCount() > segmentsBeforeCheckpoint) await this.wal.checkpoint(this.records);
       return ok(news);
     });
 
+  private readonly tellWatchers = (kept: readonly ReplicaRecord[]): void => {
+    if (kept.length > 0) for (const watcher of this.watchers) watcher(kept);
+  };
+
   readonly records = (): ReplicaRecord[] => [...this.held.values()];
 
   readonly find = (name: string): ReplicaRecord | undefined => this.held.get(name);
