--- a/packages/control-plane/src/confirmedRead.ts
+++ b/packages/control-plane/src/confirmedRead.ts
@@ -1,4 +1,4 @@
-import { pause } from '@martenworks/core-types';
+import { agreed as agreedState, pause } from '@martenworks/core-types';
 import type { Agreed, Clock, Member, Random } from '@martenworks/core-types';
 import type { Acceptor, Since } from './acceptor.js';
 import { askMembers, majorityOf, positions } from './quorumCall.js';
@@ -56,7 +56,7 @@
       const position = await this.positionOf(member);
       return position === null ? null : { member, position };
     };
-    return askMembers<Placed, Look>(state.members, ask, (replies, open) => {
+    return askMembers<Placed, Look>(agreedState.distinctVoters(state), ask, (replies, open) => {
       const placed = replies.filter((reply) => reply !== null);
       const ahead = placed.find(({ position }) => position.generation > state.generation);
       const pending = placed.filter(({ position }) => position.acceptedSlot === state.generation + 1);
--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -1,5 +1,5 @@
 /** One member of the consensus group: agreement, membership, leases and heartbeats, for every kind of core node. */
-import { Repeating } from '@martenworks/core-types';
+import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type { Member, Ports } from '@martenworks/core-types';
 import { Duties, Lines } from '@martenworks/cluster-membership';
 import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
@@ -151,6 +151,8 @@
 
   private readonly members = (): readonly Member[] => this.acceptor.agreed()?.members ?? [];
 
+  private readonly voterMembers = (): Member[] => agreedState.distinctVoters(this.acceptor.agreed());
+
   private readonly isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
 
   /** Open connections to the other core nodes, voters or not. */
@@ -163,7 +165,7 @@
 
   /** Incarnations of the voters with an open connection, this node's own among them if it is one. */
   readonly reachableVoters = (): string[] =>
-    this.members()
+    this.voterMembers()
       .filter((member) => this.isSelf(member) || this.lines.to(member.incarnation) !== undefined)
       .map((member) => member.incarnation);
 
@@ -215,7 +217,7 @@
 
   private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
     const replies = await Promise.all(
-      this.members().map((member) =>
+      this.voterMembers().map((member) =>
         this.isSelf(member)
           ? this.parts.leases.book.grant(ask)
           : this.askMember(member, 'leaseAsk', ask, consensusMessages.isLeaseReply, this.pace.leasePatienceMs),
--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -182,13 +182,17 @@
       if (vote !== null) await this.heed(member, vote, state);
       return vote;
     };
-    return askMembers<Vote, Vote[] | 'again' | 'no majority'>(state.members, ask, (replies, open) => {
-      const votes = replies.filter((vote) => vote !== null);
-      const wantedVotes = votes.filter(({ k }) => k === wanted);
-      if (wantedVotes.length >= majority) return wantedVotes;
-      if (wantedVotes.length + open >= majority) return null;
-      return votes.some(({ k }) => k === 'denied' || k === 'ahead') ? 'again' : 'no majority';
-    });
+    return askMembers<Vote, Vote[] | 'again' | 'no majority'>(
+      agreedState.distinctVoters(state),
+      ask,
+      (replies, open) => {
+        const votes = replies.filter((vote) => vote !== null);
+        const wantedVotes = votes.filter(({ k }) => k === wanted);
+        if (wantedVotes.length >= majority) return wantedVotes;
+        if (wantedVotes.length + open >= majority) return null;
+        return votes.some(({ k }) => k === 'denied' || k === 'ahead') ? 'again' : 'no majority';
+      },
+    );
   };
 
   /** Takes from a vote what the next ballot must know. */
