--- a/packages/edge-proxy/src/front.ts
+++ b/packages/edge-proxy/src/front.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 import { Repeating, keys } from '@martenworks/core-types';
 import type {
+  CardsNews,
   Customer,
   MissedNews,
   NetFault,
@@ -80,17 +81,7 @@
     this.stale = new StaleWatch(clock);
     this.touch = new CoreTouch(env, ports, random.token(8), seeds, {
       state: this.takeState,
-      cards: (news) => {
-        this.hasCards = true;
-        const { born, left } = this.tracks.take(news);
-        if (!env.watchesStale) return;
-        for (const address of born) {
-          this.shelves.bornAt(address);
-          this.stale.bornAt(address);
-        }
-        for (const address of left)
-          if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
-      },
+      cards: this.takeCards,
       weights: this.tracks.takeWeights,
       shelves: this.shelves.take,
       reading: (bundle) => bundle.forEach(this.takeReading),
@@ -117,6 +108,19 @@
     this.door = new CallDoor({ onCall: (call) => void this.receive(call), isClosing: () => this.isClosing });
   }
 
+  /** Takes what changed in the list of replicas, or the whole list. */
+  readonly takeCards = (news: CardsNews): void => {
+    this.hasCards = true;
+    const { born, left } = this.tracks.take(news);
+    if (!this.env.watchesStale) return;
+    for (const address of born) {
+      this.shelves.bornAt(address);
+      this.stale.bornAt(address);
+    }
+    for (const address of left)
+      if (this.view?.book.stores.some((store) => store.address === address) !== true) this.shelves.leftAt(address);
+  };
+
   private readonly takeReading = (news: ReadingNews): void => {
     if (news.id.startsWith(this.label)) return;
     this.tracks.takeReading(news);
@@ -129,7 +133,8 @@
 
   readonly readingId = (): string => `${this.label}${(++this.readings).toString(36)}`;
 
-  private readonly takeState = (news: StateNews): void => {
+  /** Takes the state in force as a core node tells it; an edition that is held already changes nothing. */
+  readonly takeState = (news: StateNews): void => {
     const now = this.ports.clock.now();
     for (const [model, ages] of Object.entries(news.namedAges)) {
       const held = this.namedAt.get(model) ?? [];
--- /dev/null
+++ b/packages/edge-proxy/test/wireStage.ts
@@ -0,0 +1,391 @@
+import { createConnection, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { logs, machine } from '@martenworks/core-types';
+import type { Carriage, Ports, ReplicaCard, Way, WayBook } from '@martenworks/core-types';
+import { Front } from '@martenworks/edge-proxy';
+import { throughWire } from '@martenworks/platform';
+import { wayEnvs } from '@martenworks/settings';
+import { carriages } from '@martenworks/upstream';
+
+const host = '127.0.0.1';
+const headEnd = '\r\n\r\n';
+
+/** One request as a replica read it from its socket. `turn` counts the requests of its connection from 1. */
+export interface ReplicaRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly tryId: string;
+  readonly lastEventId: number;
+  readonly body: string;
+  readonly turn: number;
+  readonly socket: Socket;
+}
+
+const headerIn = (head: string, name: string): string | null =>
+  new RegExp(`^${name}: *(.*)$`, 'im').exec(head)?.[1]?.trim() ?? null;
+
+const listening = (server: Server): Promise<number> =>
+  new Promise((settle) => server.listen(0, host, () => settle((server.address() as AddressInfo).port)));
+
+/** A replica that speaks raw bytes: it reads whole requests and leaves each answer to its script. */
+export class RawReplica {
+  readonly begun: ReplicaRequest[] = [];
+  readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+  private port = 0;
+
+  constructor(
+    readonly id: string,
+    private readonly script: (request: ReplicaRequest, replica: RawReplica) => void,
+    private readonly onConnection: (socket: Socket) => void = () => {},
+  ) {
+    this.server = createServer({ noDelay: true, allowHalfOpen: true }, this.take);
+  }
+
+  readonly open = async (): Promise<void> => {
+    this.port = await listening(this.server);
+  };
+
+  readonly address = (): string => `${host}:${this.port}`;
+
+  readonly close = (): void => {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  };
+
+  private readonly take = (socket: Socket): void => {
+    let held = '';
+    let turn = 0;
+    this.sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('end', () => socket.end());
+    this.onConnection(socket);
+    socket.on('data', (bytes: Buffer) => {
+      held += bytes.toString('latin1');
+      for (;;) {
+        const end = held.indexOf(headEnd);
+        if (end < 0) return;
+        const head = held.slice(0, end);
+        const size = Number(headerIn(head, 'content-length') ?? 0);
+        const bodyAt = end + headEnd.length;
+        if (held.length < bodyAt + size) return;
+        const [method = '', target = ''] = head.split(' ');
+        const request: ReplicaRequest = {
+          method,
+          target,
+          tryId: headerIn(head, 'try-id') ?? '',
+          lastEventId: Number(headerIn(head, 'last-event-id') ?? 0),
+          body: held.slice(bodyAt, bodyAt + size),
+          turn: ++turn,
+          socket,
+        };
+        held = held.slice(bodyAt + size);
+        this.begun.push(request);
+        this.script(request, this);
+      }
+    });
+  };
+}
+
+/** What a caller read: `isWhole` by the answer's own framing, `isReset` where the connection was reset rather than closed. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly head: string;
+  readonly body: string;
+  readonly isWhole: boolean;
+}
+
+const chunksIn = (text: string): { body: string; used: number; isWhole: boolean } => {
+  let body = '';
+  let at = 0;
+  for (;;) {
+    const lineEnd = text.indexOf('\r\n', at);
+    if (lineEnd < 0) return { body, used: text.length, isWhole: false };
+    const size = Number.parseInt(text.slice(at, lineEnd), 16);
+    const begin = lineEnd + 2;
+    body += text.slice(begin, begin + size);
+    if (text.length < begin + size + 2) return { body, used: text.length, isWhole: false };
+    at = begin + size + 2;
+    if (size === 0) return { body, used: at, isWhole: true };
+  }
+};
+
+const bodiless = (status: number, method: string): boolean => method === 'HEAD' || status === 204 || status === 304;
+
+/** One connection of a caller, in raw bytes. */
+export class RawCaller {
+  readonly socket: Socket;
+  private text = '';
+  isReset = false;
+  isClosed = false;
+  private readonly watchers = new Set<() => void>();
+
+  constructor(edgeHost: string) {
+    this.socket = createConnection({ host: edgeHost, port: edgePort, noDelay: true, allowHalfOpen: true });
+    this.socket.on('data', (bytes: Buffer) => {
+      this.text += bytes.toString('latin1');
+      this.changed();
+    });
+    this.socket.on('error', () => {
+      this.isReset = true;
+    });
+    this.socket.on('end', () => this.socket.end());
+    this.socket.on('close', () => {
+      this.isClosed = true;
+      this.changed();
+    });
+  }
+
+  private readonly changed = (): void => {
+    for (const watcher of this.watchers) watcher();
+  };
+
+  readonly received = (): string => this.text;
+
+  readonly until = (isThere: () => boolean): Promise<void> =>
+    new Promise((settle) => {
+      const check = (): void => {
+        if (!isThere()) return;
+        this.watchers.delete(check);
+        settle();
+      };
+      this.watchers.add(check);
+      check();
+    });
+
+  /** The answers so far to requests of these methods; the last one may not be whole. */
+  readonly answers = (methods: readonly string[]): CallerAnswer[] => {
+    const answers: CallerAnswer[] = [];
+    let rest = this.text;
+    while (rest.length > 0) {
+      const end = rest.indexOf(headEnd);
+      if (end < 0) return answers;
+      const head = rest.slice(0, end);
+      const status = Number(head.split(' ')[1]);
+      rest = rest.slice(end + headEnd.length);
+      if (status < 200) continue;
+      const method = methods[answers.length] ?? 'GET';
+      const length = headerIn(head, 'content-length');
+      if (bodiless(status, method)) answers.push({ status, head, body: '', isWhole: true });
+      else if (/chunked/i.test(headerIn(head, 'transfer-encoding') ?? '')) {
+        const { body, used, isWhole } = chunksIn(rest);
+        answers.push({ status, head, body, isWhole });
+        rest = rest.slice(used);
+      } else if (length !== null) {
+        const body = rest.slice(0, Number(length));
+        answers.push({ status, head, body, isWhole: body.length === Number(length) });
+        rest = rest.slice(body.length);
+      } else {
+        answers.push({ status, head, body: rest, isWhole: this.isClosed && !this.isReset });
+        return answers;
+      }
+    }
+    return answers;
+  };
+
+  /** Resolves once so many answers are whole, or the connection is closed. */
+  readonly finish = async (methods: readonly string[]): Promise<CallerAnswer[]> => {
+    await this.until(
+      () => this.isClosed || this.answers(methods).filter(({ isWhole }) => isWhole).length >= methods.length,
+    );
+    return this.answers(methods);
+  };
+}
+
+export type RouteKind = 'once' | 'repeatable' | 'stream' | 'resumable stream';
+export const routeKinds: readonly RouteKind[] = ['once', 'repeatable', 'stream', 'resumable stream'];
+export type BodyKind = 'none' | 'with length' | 'chunked';
+export const bodyKinds: readonly BodyKind[] = ['none', 'with length', 'chunked'];
+
+export const pathOf = (kind: RouteKind): string => `/${kind.replace(' ', '-')}/`;
+
+const horizonMs = 700;
+const targetMs = 100;
+
+const wayOf = (kind: RouteKind): Way => ({
+  name: kind,
+  host: 'site.example',
+  pathStart: pathOf(kind),
+  kind: kind === 'once' || kind === 'repeatable' ? kind : 'stream',
+  horizonMs,
+  targetMs,
+  rank: 1,
+  shares: [{ pool: 'p', share: 1 }],
+  shots: 3,
+  isOpen: true,
+  mayResume: kind === 'resumable stream',
+  gapMs: 50,
+});
+
+const book: WayBook = {
+  ways: routeKinds.map(wayOf),
+  pools: [{ name: 'p', connectionLimit: null, engine: null }],
+  stores: [],
+  customers: null,
+  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerMs: 3_000, idleMs: 15_000 },
+};
+
+const edgePort = 8_080;
+const anyByte = (): number => 1 + Math.floor(machine.random.fraction() * 250);
+
+/** A loopback address of its own for each edge, so that none waits for another's port. */
+const freshHost = (): string => `127.${anyByte()}.${anyByte()}.${anyByte()}`;
+
+export const requestText = (
+  kind: RouteKind,
+  method: string,
+  tryId: string,
+  body: BodyKind,
+  version = '1.1',
+): string => {
+  const heads = [`${method} ${pathOf(kind)}${tryId} HTTP/${version}`, 'Host: site.example', `Try-Id: ${tryId}`];
+  const text = `body of ${tryId}`;
+  if (body === 'none') return `${heads.join('\r\n')}${headEnd}`;
+  if (body === 'with length') return `${[...heads, `Content-Length: ${text.length}`].join('\r\n')}${headEnd}${text}`;
+  return `${[...heads, 'Transfer-Encoding: chunked'].join('\r\n')}${headEnd}${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`;
+};
+
+const isStream = (target: string): boolean => target.includes('stream/');
+export const eventCount = 3;
+export const eventText = (tryId: string, id: number): string => `id: ${id}\ndata: ${tryId}\n\n`;
+
+/** The pieces of the right body for a request, from the event after `lastEventId` on. */
+export const piecesOf = ({ target, tryId, lastEventId }: Pick<ReplicaRequest, 'target' | 'tryId' | 'lastEventId'>) =>
+  isStream(target)
+    ? Array.from({ length: eventCount - lastEventId }, (_, at) => eventText(tryId, lastEventId + at + 1))
+    : [`answer to ${tryId}, `, 'whole\n'];
+
+export const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+export const answerHead = (status: string, tryId: string | null, more: readonly string[] = []): string =>
+  `${[`HTTP/1.1 ${status}`, ...(tryId === null ? [] : [`Try-Id: ${tryId}`]), ...more].join('\r\n')}${headEnd}`;
+
+/** The whole proper answer to a request, with a length or, for streams, in chunks. */
+export const properAnswer = (request: ReplicaRequest): string => {
+  const { method, target, tryId } = request;
+  const pieces = piecesOf(request);
+  const seal = `Server-Seal: seal-of-${tryId}`;
+  const isHead = method === 'HEAD';
+  if (isStream(target)) {
+    const head = answerHead('200 OK', tryId, [seal, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked']);
+    return isHead ? head : `${head}${pieces.map(chunk).join('')}0\r\n\r\n`;
+  }
+  const body = pieces.join('');
+  return `${answerHead('200 OK', tryId, [seal, `Content-Length: ${body.length}`])}${isHead ? '' : body}`;
+};
+
+/** A real edge on loopback before raw replicas: real `CallDoor`, real carriage, real clock; nothing is simulated. */
+export class WireStage {
+  private constructor(
+    readonly front: Front,
+    private readonly edgeHost: string,
+    private readonly carriage: Carriage,
+    readonly replicas: readonly RawReplica[],
+  ) {}
+
+  static readonly open = async (replicas: readonly RawReplica[]): Promise<WireStage> => {
+    for (const replica of replicas) await replica.open();
+    const edgeHost = freshHost();
+    const env = wayEnvs
+      .check({
+        name: 'edge',
+        zone: 'z',
+        zones: { z: 'r' },
+        coach: `${host}:1`,
+        http: `${edgeHost}:${edgePort}`,
+        seeds: [`${host}:1`],
+        voters: 1,
+        isFresh: true,
+        drainMs: 1_000,
+        orderGapMs: 3_000,
+        versionMs: 8_000,
+        extraRatio: 1,
+        extraWindowMs: 10_000,
+        extraSlack: 100,
+        listEveryMs: 1_000,
+        listPerSecond: 1,
+        listPatienceMs: 1_000,
+        memoryMb: 250,
+        openFiles: 4_096,
+      })
+      ._unsafeUnwrap();
+    const carriage = carriages.real(null);
+    const ports: Ports = {
+      clock: machine.clock,
+      random: machine.random,
+      net: machine.net(null),
+      door: { open: async () => Promise.reject(new Error('no door is opened here')) },
+      carriage,
+      disk: machine.noDisk(),
+      log: logs.silent(),
+    };
+    const front = new Front(env, ports, throughWire, []);
+    front.takeState({
+      generation: 1,
+      edition: 1,
+      book,
+      patch: null,
+      named: {},
+      namedAges: {},
+      members: [],
+    });
+    const stage = new WireStage(front, edgeHost, carriage, replicas);
+    stage.list(replicas);
+    (await front.open())._unsafeUnwrap();
+    return stage;
+  };
+
+  private readonly cardOf = (replica: RawReplica): ReplicaCard => ({
+    id: replica.id,
+    pool: 'p',
+    address: replica.address(),
+    zone: 'z',
+    slots: 12,
+    isLeaving: false,
+    weights: {},
+  });
+
+  /** Puts just these replicas on the list. */
+  readonly list = (replicas: readonly RawReplica[]): void =>
+    this.front.takeCards({
+      isWhole: false,
+      put: replicas.map(this.cardOf),
+      gone: this.replicas.filter((replica) => !replicas.includes(replica)).map(({ id }) => id),
+    });
+
+  /** Serves one request at each replica, so that a kept connection leads to each. */
+  readonly warm = async (): Promise<void> => {
+    for (const replica of this.replicas) {
+      this.list([replica]);
+      await this.ask('repeatable', 'GET', `warm-${replica.id}`, 'none');
+    }
+    this.list(this.replicas);
+  };
+
+  readonly caller = (): RawCaller => new RawCaller(this.edgeHost);
+
+  /** One request on a connection of its own; the answer is null where the connection ended without a head. */
+  readonly ask = async (
+    kind: RouteKind,
+    method: string,
+    tryId: string,
+    body: BodyKind,
+  ): Promise<CallerAnswer | null> => {
+    const caller = this.caller();
+    caller.socket.write(requestText(kind, method, tryId, body));
+    const [answer] = await caller.finish([method]);
+    caller.socket.destroy();
+    return answer ?? null;
+  };
+
+  readonly begun = (tryId: string): ReplicaRequest[] =>
+    this.replicas.flatMap(({ begun }) => begun).filter((request) => request.tryId === tryId);
+
+  readonly close = async (): Promise<void> => {
+    this.front.stop();
+    this.front.door.shut();
+    for (const replica of this.replicas) replica.close();
+    await this.carriage.close();
+  };
+}
