Give no answer of the edge's own on a caller's connection that is owed another

Cause: bytes that form no request, or come too slowly, got a 400 or 408 written to the connection at once, in the place of the answer to a request that ran, or into the midst of one: a 408 promised that a run-once request had not run. Of requests sent at once on one connection only the first was told that the caller left. A cut answer to an HTTP/1.0 caller, which only its connection delimits, ended with a close and looked whole. Change: CallerConnection keeps the unanswered requests of a connection; it resets where an answer is owed, and tells all of them that the caller left. Answers without a length to HTTP/1.0 are cut by a reset.

--- a/packages/edge-proxy/src/callDoor.ts
+++ b/packages/edge-proxy/src/callDoor.ts
@@ -1,10 +1,13 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { addresses } from '@martenworks/core-types';
 import type { CallerLimits, NetFault } from '@martenworks/core-types';
+import { headerLists } from './call.js';
 import type { BodyFault, Call, Reply } from './call.js';
+import { CallerConnection } from './callerConnection.js';
 
 const largestHeaderBytes = 128 * 1024;
 const checkEveryMs = 1_000;
@@ -31,7 +34,8 @@
 
 const sizeOf = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
 
-const replyOver = (response: ServerResponse): Reply => ({
+/** `isDelimited` tells that the end of this answer can be told from a closed connection; where it can't, only a reset cuts it. */
+const replyOver = (response: ServerResponse, isDelimited: boolean): Reply => ({
   write: (bytes) =>
     new Promise((settle) => {
       if (response.destroyed || response.write(bytes)) return settle();
@@ -45,11 +49,20 @@
     }),
   end: () => void response.end(),
   cut: () => {
-    if (response.socket !== null && !response.writableFinished) response.socket.destroy();
-    else response.destroy();
+    const { socket } = response;
+    if (socket === null || response.writableFinished) response.destroy();
+    else if (isDelimited) socket.destroy();
+    else socket.resetAndDestroy();
   },
 });
 
+const statusLines = {
+  of: (code: string | undefined): string => {
+    if (code === 'HPE_HEADER_OVERFLOW') return '431 Request Header Fields Too Large';
+    return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+  },
+};
+
 export interface CallDoorTerms {
   readonly onCall: (call: Call) => void;
   readonly isClosing: () => boolean;
@@ -58,6 +71,7 @@
 /** A caller-side HTTP/1.1 server that keeps targets, headers and bodies as they came. */
 export class CallDoor {
   private readonly server: Server;
+  private readonly connections = new WeakMap<object, CallerConnection>();
 
   constructor(private readonly terms: CallDoorTerms) {
     this.server = createServer(
@@ -69,21 +83,23 @@
       },
       this.take,
     );
+    this.server.on('connection', (socket) => this.connections.set(socket, new CallerConnection(socket)));
     this.server.on('clientError', (cause: Error & { code?: string }, socket) => {
-      if (!socket.writable) return void socket.destroy();
-      const status =
-        cause.code === 'HPE_HEADER_OVERFLOW'
-          ? '431 Request Header Fields Too Large'
-          : cause.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-            ? '408 Request Timeout'
-            : '400 Bad Request';
-      socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+      const answer = `HTTP/1.1 ${statusLines.of(cause.code)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+      this.connections.get(socket)?.endWith(answer);
     });
   }
 
+  private readonly connectionOf = (socket: Socket): CallerConnection => {
+    const connection = this.connections.get(socket) ?? new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    return connection;
+  };
+
   private readonly take = (incoming: IncomingMessage, response: ServerResponse): void => {
     incoming.on('error', () => {});
     response.on('error', () => {});
+    const whenGone = this.connectionOf(incoming.socket).begin(incoming, response);
     this.terms.onCall({
       method: incoming.method ?? 'GET',
       target: incoming.url ?? '/',
@@ -91,14 +107,12 @@
       headers: incoming.rawHeaders,
       headerBytes: sizeOf(incoming.rawHeaders) + (incoming.url ?? '').length,
       body: (limitBytes) => bodyOf(incoming, limitBytes),
-      whenGone: (verb) =>
-        void response.on('close', () => {
-          if (!response.writableFinished) verb();
-        }),
+      whenGone,
       answer: (status, headers, isLast) => {
         if (isLast || this.terms.isClosing()) response.shouldKeepAlive = false;
         response.writeHead(status, [...headers]);
-        return replyOver(response);
+        const isChunked = incoming.httpVersion !== '1.0';
+        return replyOver(response, isChunked || headerLists.find(headers, 'content-length') !== null);
       },
     });
   };
--- a/packages/edge-proxy/test/wireStage.ts
+++ b/packages/edge-proxy/test/wireStage.ts
@@ -31,13 +31,16 @@
 export class RawReplica {
   readonly begun: ReplicaRequest[] = [];
   readonly sockets = new Set<Socket>();
+  private tellBegun: () => void = () => {};
+  private readonly firstBegun = new Promise<void>((settle) => {
+    this.tellBegun = settle;
+  });
   private readonly server: Server;
   private port = 0;
 
   constructor(
     readonly id: string,
     private readonly script: (request: ReplicaRequest, replica: RawReplica) => void,
-    private readonly onConnection: (socket: Socket) => void = () => {},
   ) {
     this.server = createServer({ noDelay: true, allowHalfOpen: true }, this.take);
   }
@@ -46,6 +49,9 @@
     this.port = await listening(this.server);
   };
 
+  /** Resolves once a first request has begun. */
+  readonly untilBegun = (): Promise<void> => this.firstBegun;
+
   readonly address = (): string => `${host}:${this.port}`;
 
   readonly close = (): void => {
@@ -60,7 +66,6 @@
     socket.on('error', () => {});
     socket.on('close', () => this.sockets.delete(socket));
     socket.on('end', () => socket.end());
-    this.onConnection(socket);
     socket.on('data', (bytes: Buffer) => {
       held += bytes.toString('latin1');
       for (;;) {
@@ -82,6 +87,7 @@
         };
         held = held.slice(bodyAt + size);
         this.begun.push(request);
+        this.tellBegun();
         this.script(request, this);
       }
     });
