Give machines of the simulated world links of a width

Machines may share a width in bytes a second over all connections, each way, with 128 KB under way per connection and a truthful backlog; worlds without widths run as before.

--- /dev/null
+++ b/packages/proving/src/sim/simLink.ts
@@ -0,0 +1,95 @@
+/** Links of a limited width for the simulated world: a first-in-first-out link for each machine and direction. */
+
+const segmentBytes = 8 * 1_024;
+const windowBytes = 128 * 1_024;
+const msPerSecond = 1_000;
+
+interface LinkWorld {
+  readonly time: number;
+  readonly plan: (machine: null, delayMs: number, ring: () => void) => unknown;
+}
+
+interface Transfer {
+  readonly bytes: number;
+  readonly done: () => void;
+}
+
+/** One direction of a machine's link. Senders put in at most a window each, so that none is starved for long. */
+export class SimLink {
+  private readonly waiting: Transfer[] = [];
+  private isBusy = false;
+
+  /** @param bytesPerSecond the width that all connections of the machine share */
+  constructor(
+    private readonly world: LinkWorld,
+    readonly bytesPerSecond: number,
+  ) {}
+
+  /** Calls `done` once `bytes` have crossed this link behind all that was put in before. */
+  readonly carry = (bytes: number, done: () => void): void => {
+    this.waiting.push({ bytes, done });
+    if (!this.isBusy) this.next();
+  };
+
+  private readonly next = (): void => {
+    const transfer = this.waiting.shift();
+    this.isBusy = transfer !== undefined;
+    if (transfer === undefined) return;
+    this.world.plan(null, (transfer.bytes * msPerSecond) / this.bytesPerSecond, () => {
+      transfer.done();
+      this.next();
+    });
+  };
+}
+
+/** The sending side of one direction of a connection: segments in order, with at most a window of bytes not yet arrived. */
+export class SimSender {
+  private readonly queue: Uint8Array[] = [];
+  private queuedBytes = 0;
+  private flyingBytes = 0;
+
+  constructor(
+    private readonly outbound: () => SimLink | null,
+    private readonly inbound: () => SimLink | null,
+    private readonly deliver: (bytes: Uint8Array, arrived: () => void) => void,
+  ) {}
+
+  readonly write = (bytes: Uint8Array): void => {
+    const isNarrow = this.outbound() !== null || this.inbound() !== null;
+    if (!isNarrow && this.flyingBytes === 0 && this.queue.length === 0) return this.deliver(bytes, () => {});
+    for (let begin = 0; begin < bytes.length; begin += segmentBytes)
+      this.queue.push(bytes.subarray(begin, begin + segmentBytes));
+    this.queuedBytes += bytes.length;
+    this.pump();
+  };
+
+  /** Bytes that wait outside the window, as a socket's own buffer would tell. */
+  readonly backlog = (): number => this.queuedBytes;
+
+  readonly discard = (): void => {
+    this.queue.length = 0;
+    this.queuedBytes = 0;
+  };
+
+  private readonly pump = (): void => {
+    while (this.flyingBytes < windowBytes) {
+      const segment = this.queue.shift();
+      if (segment === undefined) return;
+      this.queuedBytes -= segment.length;
+      this.flyingBytes += segment.length;
+      this.cross(this.outbound(), segment, () =>
+        this.cross(this.inbound(), segment, () => this.deliver(segment, () => this.landed(segment.length))),
+      );
+    }
+  };
+
+  private readonly cross = (link: SimLink | null, segment: Uint8Array, done: () => void): void => {
+    if (link === null) done();
+    else link.carry(segment.length, done);
+  };
+
+  private readonly landed = (bytes: number): void => {
+    this.flyingBytes -= bytes;
+    this.pump();
+  };
+}
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -17,6 +17,7 @@
 import { logs } from '@martenworks/core-types';
 import { seeded } from '../firms.js';
 import { SimDisk } from './simDisk.js';
+import { SimLink, SimSender } from './simLink.js';
 
 interface Planned {
   readonly at: number;
@@ -49,6 +50,8 @@
   private readonly cuts = new Set<string>();
   private readonly slowLinks = new Map<string, number>();
   private order = 0;
+  /** Called with each write on a connection between two machines, before it is under way. */
+  onWrite: ((from: string, to: string, bytes: Uint8Array) => void) | null = null;
   time = 0;
   events = 0;
   digest = 0;
@@ -133,6 +136,12 @@
       this.heal(other, host);
     }
   };
+  /** Gives a machine's connections a shared width each way, in bytes a second; the HTTP carriage is not narrowed. */
+  readonly narrow = (host: string, bytesPerSecond: number): void => {
+    const machine = this.machine(host);
+    machine.outbound = new SimLink(this, bytesPerSecond);
+    machine.inbound = new SimLink(this, bytesPerSecond);
+  };
   readonly isCut = (from: string, to: string): boolean => this.cuts.has(`${from}>${to}`);
   readonly latency = (from: string, to: string): number =>
     (from === to ? 0.05 : 0.2 + this.random() * 0.8) + (this.slowLinks.get(`${from}>${to}`) ?? 0);
@@ -194,6 +203,8 @@
   life = 0;
   wallJump = 0;
   monoLost = 0;
+  outbound: SimLink | null = null;
+  inbound: SimLink | null = null;
   private frozenAt: number | null = null;
   readonly postponed: Planned[] = [];
   disk: SimDisk;
@@ -319,13 +330,28 @@
       onClose?.();
     };
     const wireFor = (send: Pipe, receive: Pipe, owner: SimMachine, ownerLife: number): Wire => {
+      const arrive = (bytes: Uint8Array): void => {
+        if (send.onBytes === null) send.early.push(bytes);
+        else send.onBytes(bytes);
+      };
+      const sender = new SimSender(
+        () => owner.outbound,
+        () => send.to.inbound,
+        (bytes, arrived) =>
+          deliver(this.world, send, () => {
+            arrived();
+            arrive(bytes);
+          }),
+      );
       const close = (): void => {
         if (receive.isShut) return;
+        sender.discard();
         deliver(this.world, send, () => shutEnd(send));
         shutEnd(receive);
         owner.shutters.delete(crash);
       };
       const crash = (isReset: boolean): void => {
+        sender.discard();
         if (isReset && !receive.isShut)
           this.world.plan(send.to, this.world.latency(owner.host, send.to.host), () => shutEnd(send));
         receive.isShut = true;
@@ -336,13 +362,10 @@
         remote: send.to.host,
         write: (bytes) => {
           if (receive.isShut || owner.life !== ownerLife) return;
-          const copy = bytes.slice();
-          deliver(this.world, send, () => {
-            if (send.onBytes === null) send.early.push(copy);
-            else send.onBytes(copy);
-          });
+          this.world.onWrite?.(owner.host, send.to.host, bytes);
+          sender.write(bytes.slice());
         },
-        backlog: () => 0,
+        backlog: sender.backlog,
         listen: (onBytes, onClose) => {
           receive.onBytes = onBytes;
           receive.onClose = onClose;
