Send large messages between nodes in parts, behind which nothing small waits

Cause: a body of some hundred kilobytes was one frame, so that pings, beats and replies stood behind it on a link of 7 Mbit/s; an ask's patience was a clock, which ended transfers that went on; 8 MB of backlog cut a neighbour that read as fast as its link lets it.

Change: messages over 16 KB leave in parts of 16 KB, which the receiver acknowledges; a window of unacknowledged bytes follows the delay that the parts add (as LEDBAT does), and streams of topics take turns. Order is kept within a stream; a reply takes its ask's stream. An ask's patience begins anew with each part of its stream that arrives or is acknowledged. A neighbour is cut when over 8 MB wait and nothing was taken for 3 s, or at 64 MB. Frames and messages of no known kind end the connection. Wire release 3.

Ruled out: a drain event of the socket, since the kernel's buffers swallow a whole book before it says anything; a second connection for bodies, which shares the same link all the same.

--- /dev/null
+++ b/packages/peer-transport/src/assembly.ts
@@ -0,0 +1,29 @@
+/** The receiving side of large messages: puts parts together again. */
+import { frameLimit, joined } from './frames.js';
+import type { PartFrame } from './frames.js';
+
+interface Unfinished {
+  readonly parts: Uint8Array[];
+  bytes: number;
+}
+
+/** Holds the unfinished message of each stream, each bounded by the frame limit. */
+export class Assembly {
+  private readonly unfinished = new Map<string, Unfinished>();
+
+  /** The whole message once its last part is here, null before that, and undefined where it passes the limit. */
+  readonly take = ({ stream, isLast, bytes }: PartFrame): Uint8Array | null | undefined => {
+    const held = this.unfinished.get(stream) ?? { parts: [], bytes: 0 };
+    held.parts.push(bytes);
+    held.bytes += bytes.length;
+    if (held.bytes > frameLimit) return undefined;
+    if (!isLast) {
+      this.unfinished.set(stream, held);
+      return null;
+    }
+    this.unfinished.delete(stream);
+    return joined(held.parts);
+  };
+
+  readonly isReceiving = (stream: string): boolean => this.unfinished.has(stream);
+}
--- a/packages/peer-transport/src/frames.ts
+++ b/packages/peer-transport/src/frames.ts
@@ -1,18 +1,41 @@
+/** Frames between nodes: a length of four bytes, big end first, and a message in CBOR. */
 import { Encoder } from 'cbor-x';
 
 export const frameLimit = 16 * 1024 * 1024;
 const headBytes = 4;
 const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
-const pack = (message: unknown): Uint8Array => {
-  const body = coder.encode(message);
+/** A bounded piece of a large message; pieces of one stream follow each other in order. */
+export interface PartFrame {
+  readonly f: 'part';
+  readonly stream: string;
+  readonly isLast: boolean;
+  readonly bytes: Uint8Array;
+}
+
+export type Frame<TGreeting> =
+  | { readonly f: 'hello'; readonly hello: TGreeting }
+  | { readonly f: 'tell'; readonly topic: string; readonly body: unknown }
+  | { readonly f: 'ask'; readonly id: number; readonly topic: string; readonly body: unknown }
+  | { readonly f: 'reply'; readonly id: number; readonly body: unknown }
+  | PartFrame
+  | { readonly f: 'got' };
+
+const encode = (message: unknown): Uint8Array => coder.encode(message);
+
+const decode = (bytes: Uint8Array): unknown => coder.decode(bytes);
+
+const withLength = (body: Uint8Array): Uint8Array => {
   const frame = new Uint8Array(headBytes + body.length);
   new DataView(frame.buffer).setUint32(0, body.length);
   frame.set(body, headBytes);
   return frame;
 };
 
-const joined = (parts: readonly Uint8Array[]): Uint8Array => {
+const pack = (message: unknown): Uint8Array => withLength(encode(message));
+
+/** The parts as one array of bytes. */
+export const joined = (parts: readonly Uint8Array[]): Uint8Array => {
   const whole = new Uint8Array(parts.reduce((size, part) => size + part.length, 0));
   let begin = 0;
   for (const part of parts) {
@@ -65,4 +88,9 @@
   };
 }
 
-export const frames = { pack };
+const kinds: readonly unknown[] = ['hello', 'tell', 'ask', 'reply', 'part', 'got'] satisfies Frame<unknown>['f'][];
+
+const isFrame = (message: unknown): boolean =>
+  typeof message === 'object' && message !== null && kinds.includes((message as { f?: unknown }).f);
+
+export const frames = { isFrame, pack, encode, decode, withLength };
--- a/packages/peer-transport/src/peerConnection.ts
+++ b/packages/peer-transport/src/peerConnection.ts
@@ -1,10 +1,17 @@
+/** A held connection between two nodes: tells, and asks with replies. */
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, ClockEvent, Listener, Log, Net, NetFault, Wire } from '@martenworks/core-types';
-import { Unpacker, frames } from './frames.js';
+import { Assembly } from './assembly.js';
+import { Unpacker, frameLimit, frames } from './frames.js';
+import type { Frame, PartFrame } from './frames.js';
+import { SendQueue, partBytes } from './sendQueue.js';
+import { streams } from './streams.js';
 
-export const wireRelease = 2;
+export const wireRelease = 3;
 const backlogLimit = 8 * 1024 * 1024;
+const hardBacklogLimit = 64 * 1024 * 1024;
+const stalledMs = 3_000;
 const callLimit = 1024;
 
 export interface Hello {
@@ -39,11 +46,7 @@
   }),
 };
 
-type Frame =
-  | { readonly f: 'hello'; readonly hello: Hello }
-  | { readonly f: 'tell'; readonly topic: string; readonly body: unknown }
-  | { readonly f: 'ask'; readonly id: number; readonly topic: string; readonly body: unknown }
-  | { readonly f: 'reply'; readonly id: number; readonly body: unknown };
+type PeerFrame = Frame<Hello>;
 
 export interface PeerFault {
   readonly kind: 'coach';
@@ -59,13 +62,23 @@
 
 interface Call {
   readonly settle: (receipt: Result<unknown, PeerFault>) => void;
-  readonly clockEvent: ClockEvent;
+  readonly stream: string;
+  readonly patienceMs: number;
+  readonly askedAt: number;
+  clockEvent: ClockEvent;
 }
 
 export class PeerConnection {
   private readonly calls = new Map<number, Call>();
   private nextCall = 1;
   private isOpen = true;
+  private readonly queue: SendQueue;
+  private readonly assembly = new Assembly();
+  /** When a part of each stream last arrived or was acknowledged. */
+  private readonly progressAt = new Map<string, number>();
+  private lastBacklog = 0;
+  private drainedAt: number;
+  private heardAt: number;
   neighbour: Hello | null = null;
 
   constructor(
@@ -74,37 +87,88 @@
     private readonly log: Log,
     private readonly own: Hello,
     private readonly handlers: Handlers,
-  ) {}
+  ) {
+    this.queue = new SendQueue(clock, (part) => this.wire.write(frames.pack(part)));
+    this.drainedAt = clock.now();
+    this.heardAt = clock.now();
+  }
 
   readonly begin = (): void => {
-    const unpacker = new Unpacker(
-      (message) => this.receive(message as Frame),
-      (cause) => {
-        this.log.warn('connection dropped', { cause, remote: this.wire.remote });
-        this.close();
-      },
-    );
-    this.send({ f: 'hello', hello: this.own });
+    const unpacker = new Unpacker(this.receiveMessage, (cause) => this.drop(cause));
+    this.send('hello', { f: 'hello', hello: this.own });
     this.wire.listen(
       (bytes) => {
-        if (this.isOpen) unpacker.take(bytes);
+        if (!this.isOpen) return;
+        this.heardAt = this.clock.now();
+        unpacker.take(bytes);
       },
       () => this.close(),
     );
   };
 
-  private readonly send = (frame: Frame): boolean => {
+  private readonly drop = (cause: string): void => {
+    this.log.warn('connection dropped', { cause, remote: this.wire.remote });
+    this.close();
+  };
+
+  /** A neighbour that reads at the pace of its link is kept; one that takes nothing for a while isn't. */
+  private readonly isStalled = (): boolean => {
+    const now = this.clock.now();
+    const backlog = this.wire.backlog();
+    const waiting = backlog + this.queue.bytes();
+    if (backlog < this.lastBacklog || waiting === 0) this.drainedAt = now;
+    this.lastBacklog = backlog;
+    return waiting > hardBacklogLimit || (waiting > backlogLimit && now - this.drainedAt > stalledMs);
+  };
+
+  private readonly send = (topic: string, frame: PeerFrame): boolean => {
     if (!this.isOpen) return false;
-    if (this.wire.backlog() > backlogLimit) {
-      this.log.warn('connection dropped', { cause: 'neighbour reads too slowly', remote: this.wire.remote });
-      this.close();
+    if (this.isStalled()) {
+      this.drop('neighbour reads too slowly');
       return false;
     }
-    this.wire.write(frames.pack(frame));
+    const message = frames.encode(frame);
+    if (message.length > frameLimit) {
+      this.drop('message over the limit');
+      return false;
+    }
+    const stream = streams.of(topic);
+    if (message.length <= partBytes && !this.queue.hasWaiting(stream)) this.wire.write(frames.withLength(message));
+    else this.queue.add(stream, message);
     return true;
   };
 
-  private readonly receive = (frame: Frame): void => {
+  private readonly takePart = (part: PartFrame): void => {
+    this.wire.write(frames.pack({ f: 'got' }));
+    this.progressAt.set(part.stream, this.clock.now());
+    const message = this.assembly.take(part);
+    if (message === undefined) this.drop('message over the limit');
+    else if (message !== null) this.receiveWhole(message);
+  };
+
+  private readonly receiveWhole = (message: Uint8Array): void => {
+    let decoded: unknown;
+    try {
+      decoded = frames.decode(message);
+    } catch {
+      this.drop('message is not CBOR');
+      return;
+    }
+    this.receiveMessage(decoded);
+  };
+
+  private readonly receiveMessage = (message: unknown): void => {
+    if (frames.isFrame(message)) this.receive(message as PeerFrame);
+    else this.drop('message of no known kind');
+  };
+
+  private readonly takeAcknowledgement = (): void => {
+    const stream = this.queue.acknowledged();
+    this.drainedAt = this.clock.now();
+    if (stream !== null) this.progressAt.set(stream, this.drainedAt);
+  };
+
+  private readonly receive = (frame: PeerFrame): void => {
     if (!this.isOpen) return;
     if (frame.f === 'hello') {
       if (frame.hello.release !== wireRelease) {
@@ -128,6 +192,14 @@
       this.close();
       return;
     }
+    if (frame.f === 'part') {
+      this.takePart(frame);
+      return;
+    }
+    if (frame.f === 'got') {
+      this.takeAcknowledgement();
+      return;
+    }
     if (frame.f === 'tell') {
       this.handlers.told(this, frame.topic, frame.body);
       return;
@@ -135,7 +207,7 @@
     if (frame.f === 'ask') {
       void this.handlers
         .asked(this, frame.topic, frame.body)
-        .then((body) => this.send({ f: 'reply', id: frame.id, body }));
+        .then((body) => this.send(frame.topic, { f: 'reply', id: frame.id, body }));
       return;
     }
     const call = this.calls.get(frame.id);
@@ -145,22 +217,44 @@
     call.settle(ok(frame.body));
   };
 
-  readonly tell = (topic: string, body: unknown): boolean => this.send({ f: 'tell', topic, body });
+  readonly tell = (topic: string, body: unknown): boolean => this.send(topic, { f: 'tell', topic, body });
 
+  /** Asks and waits for the reply.
+   * @param patienceMs how long without progress: each part that arrives or is acknowledged on the ask's stream begins it anew
+   * @returns the reply's body, or `late`, `full` (too many calls are open) or `closed` */
   readonly ask = (topic: string, body: unknown, patienceMs: number): Promise<Result<unknown, PeerFault>> => {
     if (!this.isOpen) return Promise.resolve(err({ kind: 'coach', code: 'closed' }));
     if (this.calls.size >= callLimit) return Promise.resolve(err({ kind: 'coach', code: 'full' }));
     const id = this.nextCall++;
     return new Promise((settle) => {
-      const clockEvent = this.clock.after(patienceMs, () => {
-        this.calls.delete(id);
-        settle(err({ kind: 'coach', code: 'late' }));
-      });
-      this.calls.set(id, { settle, clockEvent });
-      this.send({ f: 'ask', id, topic, body });
+      const clockEvent = this.clock.after(patienceMs, () => this.loseCallPatience(id));
+      this.calls.set(id, { settle, stream: streams.of(topic), patienceMs, askedAt: this.clock.now(), clockEvent });
+      this.send(topic, { f: 'ask', id, topic, body });
     });
   };
 
+  private readonly loseCallPatience = (id: number): void => {
+    const call = this.calls.get(id);
+    if (call === undefined) return;
+    const progressAt = Math.max(call.askedAt, this.progressAt.get(call.stream) ?? 0);
+    const leftMs = progressAt + call.patienceMs - this.clock.now();
+    if (leftMs > 0) {
+      call.clockEvent = this.clock.after(leftMs, () => this.loseCallPatience(id));
+      return;
+    }
+    this.calls.delete(id);
+    call.settle(err({ kind: 'coach', code: 'late' }));
+  };
+
+  /** Milliseconds since the last byte from the neighbour. */
+  readonly silentMs = (): number => this.clock.now() - this.heardAt;
+
+  /** Whether a large message of this topic's stream has begun to arrive and is not whole yet. */
+  readonly isReceiving = (topic: string): boolean => this.assembly.isReceiving(streams.of(topic));
+
+  /** Whether a large message of this topic's stream is on its way to the neighbour. */
+  readonly isSending = (topic: string): boolean => this.queue.isSending(streams.of(topic));
+
   readonly isLive = (): boolean => this.isOpen;
 
   readonly close = (): void => {
--- /dev/null
+++ b/packages/peer-transport/src/streams.ts
@@ -0,0 +1,22 @@
+/** Which messages keep their order on a connection, and which may pass each other. */
+
+const mainStream = 'main';
+
+const streamsByTopic: Readonly<Record<string, string>> = {
+  beat: 'beat',
+  state: 'state',
+  cards: 'cards',
+  shelves: 'shelves',
+  shelfRelay: 'shelves',
+  since: 'since',
+  supply: 'supply',
+  prepare: 'agreement',
+  accept: 'agreement',
+  settled: 'agreement',
+};
+
+export const streams = {
+  /** Messages of one stream arrive in the order they were sent; large ones of different streams share the connection in turns. A reply takes the stream of its ask. Topics without a stream of their own share one. */
+  of: (topic: string): string =>
+    Object.hasOwn(streamsByTopic, topic) ? (streamsByTopic[topic] as string) : mainStream,
+};
--- a/packages/proving/src/capacity/hollow.ts
+++ b/packages/proving/src/capacity/hollow.ts
@@ -1,5 +1,5 @@
 import { logs, machine } from '@martenworks/core-types';
-import type { KvNews, Loads, Pong, ReplicaRecord, StateNews } from '@martenworks/core-types';
+import type { KvNews, Loads, Pong, ReplicaRecord, StateMessage } from '@martenworks/core-types';
 import { Book, Tracks } from '@martenworks/counter';
 import { peerConnections } from '@martenworks/peer-transport';
 import type { PeerConnection } from '@martenworks/peer-transport';
@@ -35,7 +35,7 @@
           note('changes');
           connection.tell('ack', (body as { generation: number }).generation);
         } else if (topic === 'state') {
-          const { generation, edition } = body as StateNews;
+          const { generation, edition } = body as StateMessage;
           note('changes');
           connection.tell('ack', { generation, edition });
         } else if (topic === 'loads') note('loads');
