Tell each front one state at a time, as a difference that all fronts share

Any edge that held not the last but an older edition got the whole book.

Change: the book, or the difference to it from any of the last editions (as many as name no more entries together than the book), is packed once (JSON, raw deflate) and sent to all; differences hold customers too. A front has one state under way from its source; once it confirms, the newest follows. A source announces a generation before its state, and a front asks at most one node at a time, never while a state arrives, and another than its source only when that one is silent, lags or sent nothing for a second. A front's source is one that hears a majority before one with a fresher list of replicas; it is pinged each 250 ms and left after 800 ms without a byte. Where keys begin or cease to be asked for, no difference is made (without that guard its test fails: customers of before would stay).

Ruled out: relays between fronts (a difference is some hundred bytes, the book 38 KB); keeping parts over a broken connection (the same).

--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -12,6 +12,7 @@
 export * from './claims.js';
 export * from './leases.js';
 export * from './replicaTable.js';
+export * from './bookHistory.js';
 export * from './statePublisher.js';
 export * from './shelfDesk.js';
 export * from './cardReader.js';
--- a/packages/control-plane/src/statePublisher.ts
+++ b/packages/control-plane/src/statePublisher.ts
@@ -1,25 +1,33 @@
+/** Tells fronts what is in force: all of it to those whose source this node is, the bare generation to the others. */
 import type {
   Agreed,
-  BookPatch,
   Clock,
   FrontPing,
   FrontPong,
   StateHeld,
-  StateNews,
+  StateMessage,
   Subscription,
-  WaysInForce,
 } from '@martenworks/core-types';
 import type { PeerConnection } from '@martenworks/peer-transport';
-import { patches } from '@martenworks/route-table';
 import type { Acceptor } from './acceptor.js';
+import { BookHistory } from './bookHistory.js';
 
 const silentMs = 4_000;
 const agesKept = 8;
+const resendMs = 1_000;
 
+/** A state that was sent to a front and that it has not confirmed. */
+interface Transfer {
+  readonly generation: number;
+  readonly sentAt: number;
+}
+
+/** `generation` and `edition` are what the front is known to hold. */
 interface Subscriber {
   generation: number;
   edition: number;
-  acked: number;
+  underWay: Transfer | null;
+  announced: number;
   heardAt: number;
   wantsContent: boolean;
 }
@@ -40,8 +48,7 @@
 export class StatePublisher {
   private readonly subscribers = new Map<PeerConnection, Subscriber>();
   private readonly named = new Map<string, readonly Named[]>();
-  private lastWays: WaysInForce | null = null;
-  private patch: BookPatch | null = null;
+  private readonly history = new BookHistory();
 
   constructor(
     private readonly acceptor: Acceptor,
@@ -49,7 +56,7 @@
     private readonly listAgeMs: () => number | null,
     private readonly greet: (connection: PeerConnection) => void,
   ) {
-    this.lastWays = acceptor.agreed()?.ways ?? null;
+    this.history.note(acceptor.agreed()?.ways ?? null);
     this.noteNamed();
     acceptor.watch(this.bring);
   }
@@ -62,15 +69,7 @@
     }
   };
 
-  private readonly noteEdition = (): void => {
-    const ways = this.acceptor.agreed()?.ways ?? null;
-    if (ways === null || ways.edition === this.lastWays?.edition) return;
-    const patch = this.lastWays === null ? null : patches.between(this.lastWays.edition, this.lastWays.book, ways.book);
-    this.patch = patch !== null && patches.isSmaller(patch, ways.book) ? patch : null;
-    this.lastWays = ways;
-  };
-
-  private readonly stateNews = (state: Agreed, held: StateHeld): StateNews => {
+  private readonly message = (state: Agreed, held: StateHeld): StateMessage => {
     const edition = state.ways?.edition ?? 0;
     const now = this.clock.now();
     const namedAges = Object.fromEntries(
@@ -79,13 +78,11 @@
         list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) })),
       ]),
     );
-    const isPatched = this.patch !== null && this.lastWays?.edition === edition && this.patch.from === held.edition;
-    const book = held.edition === edition || isPatched ? null : (state.ways?.book ?? null);
+    this.history.note(state.ways);
     return {
       generation: state.generation,
       edition,
-      book,
-      patch: isPatched ? this.patch : null,
+      book: this.history.messageFrom(held.edition),
       named: state.named,
       namedAges,
       members: state.members,
@@ -93,11 +90,13 @@
   };
 
   readonly subscribe = (connection: PeerConnection, { generation, edition, wantsContent }: Subscription): void => {
-    const wasContent = this.subscribers.get(connection)?.wantsContent === true;
+    const before = this.subscribers.get(connection);
+    const wasContent = before?.wantsContent === true;
     this.subscribers.set(connection, {
       generation,
       edition,
-      acked: generation,
+      underWay: connection.isSending('state') ? (before?.underWay ?? null) : null,
+      announced: before?.announced ?? -1,
       heardAt: this.clock.now(),
       wantsContent,
     });
@@ -108,33 +107,41 @@
   readonly drop = (connection: PeerConnection): void => void this.subscribers.delete(connection);
 
   private readonly bring = (): void => {
-    this.noteEdition();
+    this.history.note(this.acceptor.agreed()?.ways ?? null);
     this.noteNamed();
     for (const connection of this.subscribers.keys()) this.bringTo(connection);
   };
 
+  /** Announces the generation in force and, to a front whose source this is, sends the state unless an older one is under way: once that is confirmed, the newest follows. */
   private readonly bringTo = (connection: PeerConnection): void => {
     const subscriber = this.subscribers.get(connection);
     const state = this.acceptor.agreed();
     if (subscriber === undefined || state === null || state.generation <= subscriber.generation) return;
-    if (!subscriber.wantsContent) return void connection.tell('news', state.generation);
-    const news = this.stateNews(state, subscriber);
-    connection.tell('state', news);
-    subscriber.generation = news.generation;
-    subscriber.edition = news.edition;
+    if (state.generation > subscriber.announced) connection.tell('news', state.generation);
+    subscriber.announced = state.generation;
+    if (!subscriber.wantsContent || subscriber.underWay !== null) return;
+    subscriber.underWay = { generation: state.generation, sentAt: this.clock.now() };
+    connection.tell('state', this.message(state, subscriber));
   };
 
-  readonly stateFor = (held: StateHeld): StateNews | null => {
+  /** What is in force for a front that asks: null where nothing was agreed. */
+  readonly stateFor = (held: StateHeld): StateMessage | null => {
     const state = this.acceptor.agreed();
-    return state === null ? null : this.stateNews(state, held);
+    return state === null ? null : this.message(state, held);
   };
 
   readonly acked = (connection: PeerConnection, { generation, edition }: StateHeld): void => {
     const subscriber = this.subscribers.get(connection);
     if (subscriber === undefined) return;
-    Object.assign(subscriber, { acked: generation, heardAt: this.clock.now() });
-    subscriber.generation = Math.max(subscriber.generation, generation);
-    subscriber.edition = Math.max(subscriber.edition, edition);
+    subscriber.heardAt = this.clock.now();
+    if (generation >= subscriber.generation) Object.assign(subscriber, { generation, edition });
+    if (this.isOver(connection, subscriber)) subscriber.underWay = null;
+    this.bringTo(connection);
+  };
+
+  private readonly isOver = (connection: PeerConnection, { underWay, generation }: Subscriber): boolean => {
+    if (underWay === null || generation >= underWay.generation) return true;
+    return this.clock.now() - underWay.sentAt > resendMs && !connection.isSending('state');
   };
 
   readonly pong = (connection: PeerConnection, ping: FrontPing, isSettled: boolean): FrontPong => {
@@ -175,7 +182,7 @@
     return [...this.subscribers].map(([connection, one]) => ({
       front: connection.neighbour?.name ?? '',
       zone: connection.neighbour?.zone ?? '',
-      acked: one.acked,
+      acked: one.generation,
       isContent: one.wantsContent,
       heardMsAgo: Math.round(now - one.heardAt),
     }));
--- a/packages/core-types/src/wayNews.ts
+++ b/packages/core-types/src/wayNews.ts
@@ -1,12 +1,23 @@
 import type { Member } from './layout.js';
-import type { KeptNews, ReplicaCard, Way, WayBook } from './ways.js';
+import type { Customer, KeptNews, ReplicaCard, Way, WayBook } from './ways.js';
 
-/** What changed from the edition `from` to the next: whole ways put and names taken away; the rest of a book is small and comes whole. */
-export interface BookPatch {
-  readonly from: number;
-  readonly put: readonly Way[];
+/** Entries put, by name, and names taken away. */
+export interface ListPatch<T> {
+  readonly put: readonly T[];
   readonly gone: readonly string[];
-  readonly rest: Omit<WayBook, 'ways'>;
+}
+
+/** What changed from the edition `from` to a later one: ways put and names taken away, customers likewise (null where the later one has none); the rest of a book is small and comes whole. */
+export interface BookPatch extends ListPatch<Way> {
+  readonly from: number;
+  readonly customers: ListPatch<Customer> | null;
+  readonly rest: Omit<WayBook, 'ways' | 'customers'>;
+}
+
+/** A book, or where `from` is an edition, a patch that builds on it; as JSON in raw deflate. */
+export interface PackedBook {
+  readonly from: number | null;
+  readonly deflated: Uint8Array;
 }
 
 export interface NamedAge {
@@ -14,17 +25,24 @@
   readonly msAgo: number;
 }
 
-/** What is in force, as the core tells it to a front; `book` is null where the front already holds that edition, or the one before it that `patch` builds on. `namedAges` tells since when the teller knows the latest named versions of each model, the newest last. */
-export interface StateNews {
+interface StateTerms {
   readonly generation: number;
   readonly edition: number;
-  readonly book: WayBook | null;
-  readonly patch: BookPatch | null;
   readonly named: Record<string, number>;
   readonly namedAges: Record<string, readonly NamedAge[]>;
   readonly members: readonly Member[];
 }
 
+/** What is in force, as a front holds it; `namedAges` tells since when the teller knows the latest named versions of each model, the newest last. */
+export interface StateNews extends StateTerms {
+  readonly book: WayBook | null;
+}
+
+/** What is in force, as a core node tells it to a front; `book` is null where the front holds that edition. */
+export interface StateMessage extends StateTerms {
+  readonly book: PackedBook | null;
+}
+
 export interface StateHeld {
   readonly generation: number;
   readonly edition: number;
@@ -61,6 +79,7 @@
   readonly isReady: boolean;
 }
 
+/** `isSettled` tells whether the core node hears a majority of the members. */
 export interface FrontPong {
   readonly generation: number;
   readonly fronts: number;
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -1,3 +1,4 @@
+/** A front's connections to the core nodes: which of them is its source, and how it learns what is in force. */
 import { Repeating } from '@martenworks/core-types';
 import type {
   CardsNews,
@@ -7,11 +8,11 @@
   ReadingNews,
   ShelfNews,
   StateHeld,
+  StateMessage,
   StateNews,
-  WayBook,
   WeightsNews,
 } from '@martenworks/core-types';
-import { patches } from '@martenworks/route-table';
+import { packedBooks } from '@martenworks/route-table';
 import type { WayEnv } from '@martenworks/settings';
 import { hellos } from '@martenworks/peer-transport';
 import type { PeerConnection, Handlers, Hello } from '@martenworks/peer-transport';
@@ -19,10 +20,13 @@
 import type { RosterEntry } from '@martenworks/cluster-membership';
 
 const pingMs = 500;
+const sourcePingMs = 250;
 const pingPatienceMs = 900;
 const chooseMs = 150;
 const askPatienceMs = 700;
-const newsGraceMs = 120;
+const sourceGraceMs = 120;
+const sourcePatienceMs = 1_000;
+const silenceLimitMs = 800;
 const staleListFactor = 3;
 const frontsHoldFactor = 2;
 const dialPace = { patienceMs: 700, longestWaitMs: 400 };
@@ -37,20 +41,26 @@
   readonly isReady: () => boolean;
 }
 
-interface Heard {
-  at: number;
-  pong: FrontPong;
+/** What a core node is known to hold, by its news and its pongs, and since when it has been ahead of this front. */
+interface Known {
+  readonly generation: number;
+  readonly at: number;
 }
 
+/** A core node that hears a majority comes before one that has the fresher list of replicas, and that before one that is near. */
+const worths = { heard: 1, near: 1, currentList: 4, settled: 8 } as const;
+
 /** Holds a connection to every core node. One of them, in this front's own zone where there is one, tells all its news; the others tell only which generation they hold, and are asked for it if this front does not hold it yet. */
 export class CoreTouch {
   private readonly roster: Roster;
   private readonly lines: Lines;
   private readonly repeats: Repeating[];
-  private readonly heard = new Map<PeerConnection, Heard>();
-  private readonly asking = new Set<PeerConnection>();
+  private readonly pongs = new Map<PeerConnection, FrontPong>();
+  private readonly known = new Map<PeerConnection, Known>();
+  private asked: PeerConnection | null = null;
   private content: PeerConnection | null = null;
   private held: StateNews | null = null;
+  private heldAt = 0;
   private lastHeardAt: number;
   private told = { fronts: 1, at: 0 };
 
@@ -75,7 +85,8 @@
     );
     this.repeats = [
       new Repeating(clock, () => pingMs * (0.9 + 0.2 * random.fraction()), this.ping),
-      new Repeating(clock, () => chooseMs, this.choose),
+      new Repeating(clock, () => sourcePingMs * (0.9 + 0.2 * random.fraction()), this.pingSource),
+      new Repeating(clock, () => chooseMs, this.step),
     ];
   }
 
@@ -94,12 +105,13 @@
       this.choose();
     },
     left: (connection) => {
-      this.heard.delete(connection);
+      this.pongs.delete(connection);
+      this.known.delete(connection);
       if (this.content === connection) this.content = null;
-      this.choose();
+      this.step();
     },
     told: (connection, topic, body) => {
-      if (topic === 'state') this.take(connection, body as StateNews);
+      if (topic === 'state') this.take(connection, body as StateMessage);
       else if (topic === 'news') this.hearOf(connection, body as number);
       else if (topic === 'weights') this.ears.weights(body as WeightsNews);
       else if (connection !== this.content) return;
@@ -119,42 +131,72 @@
 
   readonly stateHeld = (): StateHeld => ({ generation: this.held?.generation ?? -1, edition: this.held?.edition ?? 0 });
 
-  private readonly take = (connection: PeerConnection, news: StateNews): void => {
-    if (this.held !== null && news.generation <= this.held.generation) return;
-    const book = news.book ?? this.patched(news);
-    if (book === null && news.edition !== 0) {
-      this.askState(connection, 0);
+  private readonly take = (connection: PeerConnection, message: StateMessage): void => {
+    if (this.held === null || message.generation > this.held.generation) this.takeNewer(connection, message);
+    connection.tell('ack', this.stateHeld());
+  };
+
+  private readonly takeNewer = (connection: PeerConnection, message: StateMessage): void => {
+    const { edition, book: packed } = message;
+    if (packed === null) {
+      if (edition === this.stateHeld().edition) this.hold({ ...message, book: this.held?.book ?? null });
+      else this.askState(connection, 0);
       return;
     }
-    this.held = { ...news, book, patch: null };
-    this.ears.state(this.held);
-    connection.tell('ack', this.stateHeld());
-    this.lines.align();
+    const opened = packedBooks.open(packed, { edition: this.stateHeld().edition, book: this.held?.book ?? null });
+    if (opened.isOk()) this.hold({ ...message, book: opened.value });
+    else this.askState(connection, 0);
   };
 
-  private readonly patched = ({ edition, patch }: StateNews): WayBook | null => {
-    const { held } = this;
-    if (held === null || held.book === null) return null;
-    if (edition === held.edition) return held.book;
-    return patch !== null && patch.from === held.edition ? patches.apply(held.book, patch) : null;
+  private readonly hold = (news: StateNews): void => {
+    this.held = news;
+    this.heldAt = this.ports.clock.now();
+    this.ears.state(news);
+    this.lines.align();
   };
 
   private readonly hearOf = (connection: PeerConnection, generation: number): void => {
-    if (generation <= (this.held?.generation ?? -1)) return;
-    const waitMs = connection === this.content || this.content === null ? 0 : newsGraceMs;
-    this.ports.clock.after(waitMs, () => {
-      if (generation > (this.held?.generation ?? -1)) this.askState(connection, this.held?.edition ?? 0);
-    });
+    if (generation <= (this.known.get(connection)?.generation ?? -1)) return;
+    const at = this.isAhead(connection) ? (this.known.get(connection)?.at ?? 0) : this.ports.clock.now();
+    this.known.set(connection, { generation, at });
+    if (generation <= this.stateHeld().generation) return;
+    const waitMs = this.content === null ? 0 : sourceGraceMs;
+    this.ports.clock.after(waitMs, this.chase);
+  };
+
+  private readonly isAhead = (connection: PeerConnection): boolean =>
+    connection.isLive() && (this.known.get(connection)?.generation ?? -1) > this.stateHeld().generation;
+
+  private readonly isSilent = (connection: PeerConnection): boolean => connection.silentMs() > silenceLimitMs;
+
+  /** Whether a newer state is on its way here and goes on. */
+  private readonly isStateArriving = (): boolean =>
+    this.cores().some((connection) => connection.isReceiving('state') && !this.isSilent(connection));
+
+  /** Whether the source holds a newer state and may still be left to send it unasked. */
+  private readonly isSourceTrusted = (): boolean => {
+    const source = this.content;
+    if (source === null || !this.isAhead(source) || this.isSilent(source)) return false;
+    const sinceMs = Math.max(this.known.get(source)?.at ?? 0, this.heldAt);
+    return this.ports.clock.now() - sinceMs < sourcePatienceMs;
+  };
+
+  /** Asks for a state that some core node holds and this front doesn't, of one node at a time and never while one is arriving. */
+  private readonly chase = (): void => {
+    if (this.asked !== null || this.isStateArriving() || this.isSourceTrusted()) return;
+    const ahead = this.cores().filter((connection) => this.isAhead(connection) && !this.isSilent(connection));
+    const best = ahead.find((connection) => connection === this.content) ?? this.mostWorth(ahead);
+    if (best !== null) this.askState(best, this.stateHeld().edition);
   };
 
   private readonly askState = (connection: PeerConnection, edition: number): void => {
-    if (this.asking.has(connection) || !connection.isLive()) return;
-    this.asking.add(connection);
+    if (this.asked !== null || !connection.isLive()) return;
+    this.asked = connection;
     void connection
-      .ask('state', { generation: this.held?.generation ?? -1, edition }, askPatienceMs)
+      .ask('state', { generation: this.stateHeld().generation, edition }, askPatienceMs)
       .then((receipt) => {
-        this.asking.delete(connection);
-        if (receipt.isOk() && receipt.value !== null) this.take(connection, receipt.value as StateNews);
+        this.asked = null;
+        if (receipt.isOk() && receipt.value !== null) this.take(connection, receipt.value as StateMessage);
       });
   };
 
@@ -164,52 +206,69 @@
   private readonly listLimitMs = (): number => this.env.listEveryMs * staleListFactor + this.env.listPatienceMs;
 
   private readonly worth = (connection: PeerConnection): number => {
-    const heard = this.heard.get(connection);
-    if (heard === undefined) return 0;
-    const isCurrent = heard.pong.listAgeMs !== null && heard.pong.listAgeMs <= this.listLimitMs();
+    const pong = this.pongs.get(connection);
+    if (pong === undefined || this.isSilent(connection)) return 0;
+    const isCurrent = pong.listAgeMs !== null && pong.listAgeMs <= this.listLimitMs();
+    const isNear = connection.neighbour?.zone === this.env.zone;
     return (
-      1 + (isCurrent ? 4 : 0) + (heard.pong.isSettled ? 2 : 0) + (connection.neighbour?.zone === this.env.zone ? 1 : 0)
+      worths.heard +
+      (isCurrent ? worths.currentList : 0) +
+      (pong.isSettled ? worths.settled : 0) +
+      (isNear ? worths.near : 0)
     );
   };
 
-  private readonly choose = (): void => {
-    const cores = this.cores();
-    const best = cores.reduce<PeerConnection | null>(
+  private readonly mostWorth = (connections: readonly PeerConnection[]): PeerConnection | null =>
+    connections.reduce<PeerConnection | null>(
       (found, connection) => (found === null || this.worth(connection) > this.worth(found) ? connection : found),
       null,
     );
-    const isHeld = this.content?.isLive();
-    if (
-      best === null ||
-      best === this.content ||
-      (isHeld && this.worth(best) <= this.worth(this.content as PeerConnection))
-    )
-      return;
-    if (this.worth(best) === 0 && isHeld) return;
-    if (isHeld) this.content?.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
+
+  private readonly step = (): void => {
+    this.choose();
+    this.chase();
+  };
+
+  private readonly choose = (): void => {
+    const best = this.mostWorth(this.cores());
+    if (best === null || best === this.content) return;
+    if (this.content?.isLive() === true && !this.isWorthLeaving(this.content, best)) return;
+    if (this.content?.isLive()) this.content.tell('subscribe', { ...this.stateHeld(), wantsContent: false });
     this.content = best;
     best.tell('subscribe', { ...this.stateHeld(), wantsContent: true });
   };
 
+  /** A source that hears a majority is not left while a state arrives from it. */
+  private readonly isWorthLeaving = (source: PeerConnection, best: PeerConnection): boolean => {
+    if (this.worth(best) <= this.worth(source)) return false;
+    const isSettled = this.pongs.get(source)?.isSettled === true;
+    return !(isSettled && source.isReceiving('state') && !this.isSilent(source));
+  };
+
   private readonly ping = (): void => {
-    for (const connection of this.cores()) {
-      void connection
-        .ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs)
-        .then((receipt) => {
-          if (receipt.isErr()) {
-            if (receipt.error.code === 'late') connection.close();
-            return;
-          }
-          const pong = receipt.value as FrontPong | null;
-          if (pong === null) return;
-          this.lastHeardAt = this.ports.clock.now();
-          this.heard.set(connection, { at: this.lastHeardAt, pong });
-          this.noteFronts(pong.fronts);
-          this.hearOf(connection, pong.generation);
-        });
-    }
+    for (const connection of this.cores()) if (connection !== this.content) this.pingOne(connection);
+  };
+
+  private readonly pingSource = (): void => {
+    if (this.content?.isLive()) this.pingOne(this.content);
   };
 
+  private readonly pingOne = (connection: PeerConnection): void =>
+    void connection
+      .ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs)
+      .then((receipt) => {
+        if (receipt.isErr()) {
+          if (receipt.error.code === 'late' && connection.silentMs() >= pingPatienceMs) connection.close();
+          return;
+        }
+        const pong = receipt.value as FrontPong | null;
+        if (pong === null) return;
+        this.lastHeardAt = this.ports.clock.now();
+        this.pongs.set(connection, pong);
+        this.noteFronts(pong.fronts);
+        this.hearOf(connection, pong.generation);
+      });
+
   readonly tellMissed = (news: MissedNews): void => void this.content?.tell('missed', news);
 
   readonly tellReading = (news: ReadingNews): void => void this.content?.tell('reading', news);
@@ -232,7 +291,7 @@
     cores: this.cores().map((connection) => ({
       name: connection.neighbour?.name ?? '',
       zone: connection.neighbour?.zone ?? '',
-      generation: this.heard.get(connection)?.pong.generation ?? null,
+      generation: this.pongs.get(connection)?.generation ?? null,
     })),
     held: this.stateHeld(),
   });
--- a/packages/route-table/src/patches.ts
+++ b/packages/route-table/src/patches.ts
@@ -1,28 +1,67 @@
-import type { BookPatch, Way, WayBook } from '@martenworks/core-types';
+/** Differences between books of ways: made, joined, applied. */
+import type { BookPatch, Customer, ListPatch, WayBook } from '@martenworks/core-types';
 
-const byName = (ways: readonly Way[]): Map<string, Way> => new Map(ways.map((way) => [way.name, way]));
+interface Named {
+  readonly name: string;
+}
 
-export const patches = {
-  between: (from: number, before: WayBook, after: WayBook): BookPatch => {
-    const held = byName(before.ways);
-    const next = byName(after.ways);
-    const { ways, ...rest } = after;
-    return {
-      from,
-      put: ways.filter((way) => {
-        const was = held.get(way.name);
-        return was === undefined || (was !== way && JSON.stringify(was) !== JSON.stringify(way));
-      }),
-      gone: [...held.keys()].filter((name) => !next.has(name)),
-      rest,
+const byName = <T extends Named>(entries: readonly T[]): Map<string, T> =>
+  new Map(entries.map((entry) => [entry.name, entry]));
+
+const lists = {
+  between: <T extends Named>(before: readonly T[], after: readonly T[]): ListPatch<T> => {
+    const held = byName(before);
+    const next = byName(after);
+    const isChanged = (entry: T): boolean => {
+      const was = held.get(entry.name);
+      return was === undefined || (was !== entry && JSON.stringify(was) !== JSON.stringify(entry));
     };
+    return { put: after.filter(isChanged), gone: [...held.keys()].filter((name) => !next.has(name)) };
   },
-  apply: (held: WayBook, { put, gone, rest }: BookPatch): WayBook => {
-    const next = byName(held.ways);
+  apply: <T extends Named>(held: readonly T[], { put, gone }: ListPatch<T>): T[] => {
+    const next = byName(held);
     for (const name of gone) next.delete(name);
-    for (const way of put) next.set(way.name, way);
-    return { ...rest, ways: [...next.values()] };
+    for (const entry of put) next.set(entry.name, entry);
+    return [...next.values()];
+  },
+  joined: <T extends Named>(first: ListPatch<T>, second: ListPatch<T>): ListPatch<T> => {
+    const put = byName(first.put);
+    for (const name of second.gone) put.delete(name);
+    for (const entry of second.put) put.set(entry.name, entry);
+    return {
+      put: [...put.values()],
+      gone: [...new Set([...first.gone, ...second.gone])].filter((name) => !put.has(name)),
+    };
+  },
+};
+
+const customersBetween = (before: WayBook, after: WayBook): ListPatch<Customer> | null =>
+  after.customers === null ? null : lists.between(before.customers ?? [], after.customers);
+
+export const patches = {
+  between: (from: number, before: WayBook, after: WayBook): BookPatch => {
+    const { ways, customers: _, ...rest } = after;
+    return { from, ...lists.between(before.ways, ways), customers: customersBetween(before, after), rest };
   },
+  apply: (held: WayBook, { put, gone, customers, rest }: BookPatch): WayBook => ({
+    ...rest,
+    ways: lists.apply(held.ways, { put, gone }),
+    customers: customers === null ? null : lists.apply(held.customers ?? [], customers),
+  }),
+  /** One patch in place of two, of which the second builds on what the first makes. */
+  joined: (first: BookPatch, second: BookPatch): BookPatch => ({
+    from: first.from,
+    ...lists.joined(first, second),
+    customers:
+      first.customers === null || second.customers === null
+        ? second.customers
+        : lists.joined(first.customers, second.customers),
+    rest: second.rest,
+  }),
+  /** How many ways and customers the patch names. */
+  size: (patch: BookPatch): number =>
+    patch.put.length + patch.gone.length + (patch.customers?.put.length ?? 0) + (patch.customers?.gone.length ?? 0),
   /** Whether the patch is worth sending in place of the book. */
-  isSmaller: (patch: BookPatch, book: WayBook): boolean => patch.put.length + patch.gone.length < book.ways.length / 2,
+  isSmaller: (patch: BookPatch, book: WayBook): boolean =>
+    patches.size(patch) < book.ways.length + (book.customers?.length ?? 0),
 };
