--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -15,6 +15,7 @@
 export * from './leases.js';
 export * from './membership.js';
 export * from './replicaTable.js';
+export * from './bookHistory.js';
 export * from './statePublisher.js';
 export * from './shelfDesk.js';
 export * from './cardReader.js';
