--- a/packages/model-check/src/breaks.ts
+++ b/packages/model-check/src/breaks.ts
@@ -16,7 +16,8 @@
   readonly acceptor?: (acceptor: Acceptor) => void;
   readonly voters?: (voters: Voters, own: () => string) => Voters;
   readonly swapProposer?: (proposer: Proposer) => Proposer;
-  readonly confirm?: () => Promise<boolean>;
+  /** Reads are told from the node's own state. */
+  readonly readsAlone?: boolean;
   readonly leaseBook?: (clock: Clock, terms: LeaseTerms) => LeaseBook;
   readonly standing?: (told: Standing, asker: Acceptor) => Standing;
 }
@@ -73,7 +74,7 @@
 const readAlone: Break = {
   name: 'read-alone',
   what: 'a read is confirmed without asking a majority',
-  confirm: async () => true,
+  readsAlone: true,
 };
 
 const grantUnwritten: Break = {
