Join seats' test and the wire stage with positions and shared differences

The confirmed read answers with the state or null (it was a boolean), and voters tell their position; both tests say the same as before in the new types.

--- a/packages/control-plane/test/seats.test.ts
+++ b/packages/control-plane/test/seats.test.ts
@@ -3,7 +3,7 @@
 import type { Lines } from '@martenworks/cluster-membership';
 import { agreed } from '@martenworks/core-types';
 import type { Agreed, Change, Member } from '@martenworks/core-types';
-import { acceptors, Membership, Proposer } from '@martenworks/control-plane';
+import { acceptors, Membership, positions, Proposer } from '@martenworks/control-plane';
 import type { Acceptor, Standing, Voters } from '@martenworks/control-plane';
 import { SimWorld } from '@martenworks/proving';
 
@@ -54,12 +54,13 @@
       prepare: async (to, slot, ballot) => (to.incarnation === own.incarnation ? acceptor.prepare(slot, ballot) : null),
       accept: async (to, slot, ballot, change) =>
         to.incarnation === own.incarnation ? acceptor.accept(slot, ballot, change) : null,
+      position: async (to) => (to.incarnation === own.incarnation ? positions.of(acceptor) : null),
       settle: () => {},
       since: async () => null,
       supply: async () => {},
     };
     const proposer = new Proposer(acceptor, voters, clock, random, log);
-    expect(await finish(world, proposer.confirm(500))).to.equal(false);
+    expect(await finish(world, proposer.confirm(500))).to.equal(null);
   });
 
   it('given a swap that another member settled first, when it is tried again, then its check refuses it on the state in force', async () => {
--- a/packages/edge-proxy/test/wireStage.ts
+++ b/packages/edge-proxy/test/wireStage.ts
@@ -339,7 +339,6 @@
       generation: 1,
       edition: 1,
       book: bookOf(times),
-      patch: null,
       named: {},
       namedAges: {},
       members: [],
