Let the simulated counter's doors close as the program's do when it is rolled

Cause: SimFleet.rollCounter killed the machine right after stop; the program closes its doors in between, which waits up to a second for answers under way. A drain that ended within the last millisecond of an answer cut it. Change: SimMachine.closeDoors, called by rollCounter. No test is touched; still open: a call that connected just before the kill sees a reset.

--- a/packages/proving/src/sim/simFleet.ts
+++ b/packages/proving/src/sim/simFleet.ts
@@ -321,6 +321,7 @@
     const counter = this.counters[at];
     await counter?.drain();
     await counter?.stop();
+    await this.machineOf('counter', at).closeDoors();
     this.killCounter(at);
     await this.bootCounter(at);
   };
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -154,6 +154,8 @@
 }
 
 const resendMs = 200;
+const doorCloseMs = 1_000;
+const doorCheckMs = 1;
 
 const deliver = (world: SimWorld, pipe: Pipe, act: () => void): void => {
   const at = Math.max(pipe.lastAt, world.time + world.latency(pipe.from.host, pipe.to.host));
@@ -200,6 +202,7 @@
   private readonly listeners = new Map<string, (wire: Wire) => void>();
   private readonly doors = new Map<string, WebHandler>();
   private readonly shutters = new Set<(isReset: boolean) => void>();
+  private readonly answering = new Set<() => void>();
 
   constructor(
     readonly world: SimWorld,
@@ -363,6 +366,14 @@
 
   readonly openDoor = (address: string, handler: WebHandler): void => void this.doors.set(address, handler);
 
+  /** As the program does when it exits: nothing new is taken, and answers under way get a while to reach their callers. */
+  readonly closeDoors = async (): Promise<void> => {
+    this.doors.clear();
+    const until = this.world.time + doorCloseMs;
+    while (this.answering.size > 0 && this.world.time < until)
+      await new Promise<void>((wake) => void this.world.plan(this, doorCheckMs, wake));
+  };
+
   readonly carriage = (life = this.life): Carriage => ({
     close: async () => {},
     carry: (request) =>
@@ -418,6 +429,7 @@
           const ownGone = (): void => quit.abort();
           this.shutters.add(ownGone);
           const ended = (): void => {
+            target.answering.delete(ended);
             target.shutters.delete(targetGone);
             this.shutters.delete(ownGone);
             request.signal.removeEventListener('abort', givenUp);
@@ -428,6 +440,7 @@
               world.plan(this, world.latency(target.host, this.host), () => fail('ECONNREFUSED', true));
               return;
             }
+            target.answering.add(ended);
             const asked = new Request(`http://${host}${pathname}${search}`, {
               method: request.method,
               headers: Array.isArray(request.headers)
@@ -520,6 +533,7 @@
     this.postponed.length = 0;
     this.listeners.clear();
     this.doors.clear();
+    this.answering.clear();
     for (const shut of [...this.shutters]) shut(!this.isVanished);
     this.shutters.clear();
     this.disk.crash(looseShare);
