Catch up from one source, in pages, at no more than the newest state costs

Cause: a returning member asked all others at once for up to 16 changes in one frame, each with the whole book and its text: over the frame limit, or past the patience and begun anew; kept changes held whole books in memory; the log held a change twice, whole. Ruled out: a longer patience, a larger frame: the cost still grows with what was missed.

Changes are CBOR under deflate, compressed once (compressed.ts), in accept and settled messages and in the log; settling an accepted change refers to it. Voters.since and supply run through it. Kept changes are bounded by 4 MB. In files of others, wiring only: controlNode, postmaster, founding. Messages between nodes differ from those of the release before.

--- a/packages/control-plane/src/acceptor.ts
+++ b/packages/control-plane/src/acceptor.ts
@@ -4,6 +4,7 @@
 import type { Agreed, Change, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
 import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
+import { compressedChanges, compressedStates } from './compressed.js';
 
 export type Ballot = readonly [number, string];
 
@@ -35,7 +36,14 @@
   accepted: Accepted | null;
 }
 
-type LogRecord =
+/** A settled change in its compressed bytes. */
+export interface CompressedSettled {
+  readonly generation: number;
+  readonly change: Uint8Array;
+}
+
+/** What happened, as the acceptor applies it to its memory once it is on disk. */
+type AcceptorEvent =
   | { readonly t: 'identity'; readonly incarnation: string; readonly isFresh?: boolean }
   | { readonly t: 'vow'; readonly members: readonly Member[] }
   | { readonly t: 'adopted'; readonly agreed: Agreed }
@@ -43,6 +51,14 @@
   | { readonly t: 'accepted'; readonly slot: number; readonly accepted: Accepted }
   | { readonly t: 'settled'; readonly settled: Settled };
 
+/** The same on disk: changes and states compressed; a settled change that is the accepted one is not written again. Records of earlier releases are events as they stand. */
+type LogRecord =
+  | AcceptorEvent
+  | { readonly t: 'adoptedCompressed'; readonly agreed: Uint8Array }
+  | { readonly t: 'acceptedCompressed'; readonly slot: number; readonly ballot: Ballot; readonly change: Uint8Array }
+  | { readonly t: 'settledCompressed'; readonly generation: number; readonly change: Uint8Array }
+  | { readonly t: 'settledAsAccepted'; readonly generation: number };
+
 interface AcceptorSnapshot {
   readonly incarnation: string;
   readonly isFresh?: boolean;
@@ -51,7 +67,15 @@
   readonly live: Live;
 }
 
+/** A snapshot with its state and its accepted change compressed; those of earlier releases are not. */
+interface CompressedSnapshot extends Omit<AcceptorSnapshot, 'agreed' | 'live'> {
+  readonly compressedAgreed: Uint8Array | null;
+  readonly promised: Ballot | null;
+  readonly accepted: { readonly ballot: Ballot; readonly change: Uint8Array } | null;
+}
+
 const recentLimit = 256;
+const recentLimitBytes = 4 * 1024 * 1024;
 const sinceLimit = 16;
 const segmentsBeforeCheckpoint = 4;
 
@@ -59,9 +83,27 @@
   compare: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
 };
 
+const sameBytes = (a: Uint8Array, b: Uint8Array): boolean => Buffer.compare(a, b) === 0;
+
+const snapshotOf = (held: AcceptorSnapshot | CompressedSnapshot): AcceptorSnapshot => {
+  if (!('compressedAgreed' in held)) return held;
+  const { compressedAgreed, promised, accepted, ...rest } = held;
+  return {
+    ...rest,
+    agreed: compressedAgreed === null ? null : compressedStates.decode(compressedAgreed),
+    live: {
+      promised,
+      accepted:
+        accepted === null ? null : { ballot: accepted.ballot, change: compressedChanges.decode(accepted.change) },
+    },
+  };
+};
+
+/** One voter's part of the agreement: what it promised, accepted and knows to be settled, on disk before it is told. */
 export class Acceptor {
   private readonly owner = new Owner();
-  private readonly recent: Settled[] = [];
+  private readonly recent: CompressedSettled[] = [];
+  private recentBytes = 0;
   private readonly watchers: ((settled: Settled | null) => void)[] = [];
   private state: Agreed | null = null;
   private live: Live = { promised: null, accepted: null };
@@ -76,7 +118,8 @@
     private readonly log: Log,
   ) {}
 
-  readonly replay = (checkpoint: AcceptorSnapshot | null, records: readonly LogRecord[]): void => {
+  readonly replay = (held: AcceptorSnapshot | CompressedSnapshot | null, records: readonly LogRecord[]): void => {
+    const checkpoint = held === null ? null : snapshotOf(held);
     if (checkpoint !== null) {
       this.incarnation = checkpoint.incarnation;
       this.isFresh = checkpoint.isFresh ?? true;
@@ -84,11 +127,69 @@
       this.state = checkpoint.agreed === null ? null : agreedState.filled(checkpoint.agreed);
       this.live = checkpoint.live;
     }
-    for (const record of records) this.redo(record);
+    for (const record of records) {
+      const event = this.eventOf(record);
+      if (event !== null) this.redo(event);
+    }
     this.acceptedAt = this.clock.now();
   };
 
-  private readonly redo = (record: LogRecord): void => {
+  /** The event that a record of any release tells; null for a settled change that refers to an acceptance of another slot. */
+  private readonly eventOf = (record: LogRecord): AcceptorEvent | null => {
+    switch (record.t) {
+      case 'adoptedCompressed':
+        return { t: 'adopted', agreed: compressedStates.decode(record.agreed) };
+      case 'acceptedCompressed':
+        return {
+          t: 'accepted',
+          slot: record.slot,
+          accepted: { ballot: record.ballot, change: compressedChanges.decode(record.change) },
+        };
+      case 'settledCompressed':
+        return {
+          t: 'settled',
+          settled: { generation: record.generation, change: compressedChanges.decode(record.change) },
+        };
+      case 'settledAsAccepted':
+        return record.generation === this.slot() && this.live.accepted !== null
+          ? { t: 'settled', settled: { generation: record.generation, change: this.live.accepted.change } }
+          : null;
+      default:
+        return record;
+    }
+  };
+
+  private readonly recordOf = (event: AcceptorEvent): LogRecord => {
+    switch (event.t) {
+      case 'adopted':
+        return { t: 'adoptedCompressed', agreed: compressedStates.encode(event.agreed) };
+      case 'accepted': {
+        const { ballot, change } = event.accepted;
+        return { t: 'acceptedCompressed', slot: event.slot, ballot, change: compressedChanges.encode(change) };
+      }
+      case 'settled': {
+        const { generation, change } = event.settled;
+        const bytes = compressedChanges.encode(change);
+        const isAccepted =
+          this.live.accepted !== null && sameBytes(compressedChanges.encode(this.live.accepted.change), bytes);
+        return isAccepted
+          ? { t: 'settledAsAccepted', generation }
+          : { t: 'settledCompressed', generation, change: bytes };
+      }
+      default:
+        return event;
+    }
+  };
+
+  private readonly remember = ({ generation, change }: Settled): void => {
+    const bytes = compressedChanges.encode(change);
+    this.recent.push({ generation, change: bytes });
+    this.recentBytes += bytes.length;
+    while (this.recent.length > recentLimit || (this.recentBytes > recentLimitBytes && this.recent.length > 1))
+      this.recentBytes -= this.recent.shift()?.change.length ?? 0;
+  };
+
+  private readonly redo = (record: AcceptorEvent): void => {
     switch (record.t) {
       case 'identity':
         this.incarnation = record.incarnation;
@@ -101,6 +202,7 @@
         this.state = agreedState.filled(record.agreed);
         this.live = { promised: null, accepted: null };
         this.recent.length = 0;
+        this.recentBytes = 0;
         return;
       case 'promised':
         if (record.slot === this.slot()) this.live = { ...this.live, promised: record.ballot };
@@ -115,16 +217,15 @@
         if (this.state === null || record.settled.generation !== this.slot()) return;
         this.state = agreedState.apply(this.state, record.settled.change);
         this.live = { promised: null, accepted: null };
-        this.recent.push(record.settled);
-        if (this.recent.length > recentLimit) this.recent.shift();
+        this.remember(record.settled);
         return;
     }
   };
 
-  private readonly keep = async (record: LogRecord): Promise<Result<void, WriteAheadLogFault>> => {
-    const written = await this.wal.append(record);
+  private readonly keep = async (record: AcceptorEvent): Promise<Result<void, WriteAheadLogFault>> => {
+    const written = await this.wal.append(this.recordOf(record));
     if (written.isErr()) {
-      this.log.error('ledger did not take a record', { record: record.t, fault: written.error });
+      this.log.error('the log did not take a record', { record: record.t, fault: written.error });
       return written;
     }
     this.redo(record);
@@ -135,13 +236,18 @@
     return written;
   };
 
-  private readonly capture = (): AcceptorSnapshot => ({
-    incarnation: this.incarnation,
-    isFresh: this.isFresh,
-    vow: this.vowed,
-    agreed: this.state,
-    live: this.live,
-  });
+  private readonly capture = (): CompressedSnapshot => {
+    const { promised, accepted } = this.live;
+    return {
+      incarnation: this.incarnation,
+      isFresh: this.isFresh,
+      vow: this.vowed,
+      compressedAgreed: this.state === null ? null : compressedStates.encode(this.state),
+      promised,
+      accepted:
+        accepted === null ? null : { ballot: accepted.ballot, change: compressedChanges.encode(accepted.change) },
+    };
+  };
 
   readonly identify = (random: Random, isFresh: boolean): Promise<Result<void, WriteAheadLogFault>> =>
     this.owner.run(async () =>
@@ -229,10 +335,30 @@
     const first = this.recent[0];
     const isNear = this.state.generation - generation <= sinceLimit;
     if (isNear && generation >= 0 && first !== undefined && first.generation <= generation + 1)
-      return { k: 'changes', settled: this.recent.filter((one) => one.generation > generation) };
+      return {
+        k: 'changes',
+        settled: this.recent
+          .filter((one) => one.generation > generation)
+          .map((one) => ({ generation: one.generation, change: compressedChanges.decode(one.change) })),
+      };
     return { k: 'checkpoint', agreed: this.state };
   };
 
+  /** The change in these bytes, which is mostly the one accepted already. */
+  readonly changeOf = (bytes: Uint8Array): Change => {
+    const accepted = this.live.accepted?.change;
+    return accepted !== undefined && sameBytes(compressedChanges.encode(accepted), bytes)
+      ? accepted
+      : compressedChanges.decode(bytes);
+  };
+
+  /** All changes after a generation in their compressed bytes, the oldest first; null where this node no longer keeps them all. */
+  readonly changesAfter = (generation: number): readonly CompressedSettled[] | null => {
+    const first = this.recent[0];
+    if (generation < 0 || first === undefined || first.generation > generation + 1) return null;
+    return this.recent.filter((one) => one.generation > generation);
+  };
+
   readonly segmentCount = (): number => this.wal.segmentCount();
 
   readonly close = (): Promise<void> => this.wal.close();
--- /dev/null
+++ b/packages/control-plane/src/catchUp.ts
@@ -0,0 +1,289 @@
+import { createHash } from 'node:crypto';
+import { Encoder } from 'cbor-x';
+import type { Clock, Log } from '@martenworks/core-types';
+import type { PeerConnection } from '@martenworks/peer-transport';
+import type { Acceptor, CompressedSettled } from './acceptor.js';
+import { compressedChanges, compressedStates } from './compressed.js';
+
+/**
+ * Bringing a member that is behind up to the newest agreed state.
+ *
+ * The source encodes what the member lacks as one transfer: the changes it missed, or a snapshot of the state where
+ * that is smaller, so that the cost is bounded by the newest state. The member pulls it page by page, one page and one
+ * transfer at a time, and goes on where it stopped after a fault, at any source that encodes the same bytes.
+ */
+
+/** Bytes of a transfer in one reply. */
+export const pageBytes = 64 * 1024;
+const pagePatienceMs = 1_500;
+const heldPatienceMs = 800;
+const transfersKept = 8;
+const transferBytesKept = 16 * 1024 * 1024;
+const transferLimitBytes = 128 * 1024 * 1024;
+const mostTransfersInRun = 8;
+
+const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+
+/** What a node asks of another to catch up. */
+export const catchUpTopics = {
+  /** Body null; the reply is the generation held, or null where nothing is. */
+  held: 'stateHeld',
+  /** Body `PageAsk`; the reply is `Page`, or null where the asker lacks nothing. */
+  page: 'statePage',
+  /** Body null: the asker holds more than the one that is asked, which catches up from it and replies the generation it then holds. */
+  behind: 'stateBehind',
+} as const;
+
+export interface PageAsk {
+  /** The generation that the asker holds, -1 for none. */
+  readonly generation: number;
+  /** The transfer that was begun, by the SHA-256 of its bytes in hex; null to begin one. */
+  readonly digest: string | null;
+  /** Bytes of it that the asker has. */
+  readonly offset: number;
+}
+
+export interface Page {
+  readonly kind: 'changes' | 'snapshot';
+  readonly digest: string;
+  readonly size: number;
+  readonly offset: number;
+  readonly bytes: Uint8Array;
+}
+
+interface Transfer {
+  readonly kind: Page['kind'];
+  readonly generation: number;
+  readonly digest: string;
+  readonly bytes: Uint8Array;
+}
+
+/** Makes the transfers of one node and keeps the few that are being read; the snapshot of a generation is encoded once. */
+export class TransferSource {
+  private readonly kept = new Map<string, Transfer>();
+
+  constructor(private readonly acceptor: Acceptor) {}
+
+  /** One page for the asker: of the transfer it has begun if that is still kept or comes out the same, else of a new one from its start. */
+  readonly page = ({ generation, digest, offset }: PageAsk): Page | null => {
+    const begun = digest === null ? undefined : this.kept.get(digest);
+    const transfer = begun ?? this.make(generation);
+    if (transfer === null) return null;
+    this.keep(transfer);
+    const from = transfer.digest === digest && offset <= transfer.bytes.length ? offset : 0;
+    return {
+      kind: transfer.kind,
+      digest: transfer.digest,
+      size: transfer.bytes.length,
+      offset: from,
+      bytes: transfer.bytes.slice(from, from + pageBytes),
+    };
+  };
+
+  private readonly make = (after: number): Transfer | null => {
+    const state = this.acceptor.agreed();
+    if (state === null || state.generation <= after) return null;
+    const missed = this.acceptor.changesAfter(after);
+    const missedBytes = (missed ?? []).reduce((sum, { change }) => sum + change.length, 0);
+    if (missed !== null && missedBytes <= pageBytes) return this.changes(missed);
+    const snapshot = this.snapshot();
+    return missed !== null && missedBytes < snapshot.bytes.length ? this.changes(missed) : snapshot;
+  };
+
+  private readonly changes = (missed: readonly CompressedSettled[]): Transfer =>
+    this.transfer('changes', missed.at(-1)?.generation ?? -1, coder.encode(missed));
+
+  private readonly snapshot = (): Transfer => {
+    const state = this.acceptor.agreed();
+    const generation = state?.generation ?? -1;
+    const held = [...this.kept.values()].find((one) => one.kind === 'snapshot' && one.generation === generation);
+    return (
+      held ?? this.transfer('snapshot', generation, state === null ? new Uint8Array() : compressedStates.encode(state))
+    );
+  };
+
+  private readonly transfer = (kind: Page['kind'], generation: number, bytes: Uint8Array): Transfer => ({
+    kind,
+    generation,
+    digest: createHash('sha256').update(bytes).digest('hex'),
+    bytes: bytes.slice(),
+  });
+
+  /** Keeps the transfers used last, bounded in number and bytes; the newest one always. */
+  private readonly keep = (transfer: Transfer): void => {
+    this.kept.delete(transfer.digest);
+    this.kept.set(transfer.digest, transfer);
+    let bytes = [...this.kept.values()].reduce((sum, one) => sum + one.bytes.length, 0);
+    for (const [digest, one] of this.kept) {
+      if (this.kept.size === 1 || (this.kept.size <= transfersKept && bytes <= transferBytesKept)) return;
+      this.kept.delete(digest);
+      bytes -= one.bytes.length;
+    }
+  };
+}
+
+interface Progress {
+  readonly kind: Page['kind'];
+  readonly digest: string;
+  readonly size: number;
+  readonly parts: Uint8Array[];
+  received: number;
+}
+
+export class CatchUp {
+  private readonly source: TransferSource;
+  private running: Promise<void> | null = null;
+  private progress: Progress | null = null;
+  private failedSource: string | null = null;
+
+  constructor(
+    private readonly acceptor: Acceptor,
+    private readonly peers: () => readonly PeerConnection[],
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    this.source = new TransferSource(acceptor);
+  }
+
+  private readonly generation = (): number => this.acceptor.agreed()?.generation ?? -1;
+
+  /** Asks all others how far they are and catches up from one that is ahead. */
+  readonly step = async (): Promise<void> => {
+    if (this.running !== null) return this.running;
+    const told = await Promise.all(
+      this.peers().map(async (peer) => ({ peer, held: await this.heldBy(peer, heldPatienceMs) })),
+    );
+    const ahead = told
+      .filter(({ held }) => held !== null && held > this.generation())
+      .sort((a, b) => (b.held ?? -1) - (a.held ?? -1));
+    const chosen = ahead.find(({ peer }) => peer.neighbour?.incarnation !== this.failedSource) ?? ahead[0];
+    if (chosen !== undefined) await this.from(chosen.peer);
+  };
+
+  /** Catches up from one peer, or waits for the transfer that is on the way from any. */
+  readonly from = (peer: PeerConnection): Promise<void> => {
+    this.running ??= this.run(peer).finally(() => {
+      this.running = null;
+    });
+    return this.running;
+  };
+
+  /** Whether the peer answered in `patienceMs`; if it holds more than this node, this node has caught up, as far as the time allowed. */
+  readonly ask = async (peer: PeerConnection, patienceMs: number): Promise<boolean> => {
+    const held = await this.heldBy(peer, patienceMs);
+    if (held === null) return false;
+    if (held > this.generation()) await this.within(this.from(peer), patienceMs);
+    return true;
+  };
+
+  /** Asks a peer that is behind to catch up from this node. */
+  readonly supply = async (peer: PeerConnection, patienceMs: number): Promise<void> =>
+    void (await peer.ask(catchUpTopics.behind, null, patienceMs));
+
+  /** Settles a change that a peer tells of, or catches up where earlier ones are missing. */
+  readonly settle = async (peer: PeerConnection, { generation, change }: CompressedSettled): Promise<void> => {
+    if (generation <= this.generation()) return;
+    if (generation > this.generation() + 1) return this.from(peer);
+    await this.acceptor.settle({ generation, change: this.acceptor.changeOf(change) });
+  };
+
+  /** The reply to a peer that catches up; undefined for topics of others. */
+  readonly answer = async (peer: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
+    switch (topic) {
+      case catchUpTopics.held:
+        return this.generation();
+      case catchUpTopics.page:
+        return this.source.page(body as PageAsk);
+      case catchUpTopics.behind:
+        await this.from(peer);
+        return this.generation();
+      default:
+        return undefined;
+    }
+  };
+
+  private readonly heldBy = async (peer: PeerConnection, patienceMs: number): Promise<number | null> => {
+    const told = await peer.ask(catchUpTopics.held, null, patienceMs);
+    return told.isOk() && typeof told.value === 'number' ? told.value : null;
+  };
+
+  private readonly within = (work: Promise<void>, patienceMs: number): Promise<void> =>
+    new Promise((settle) => {
+      const late = this.clock.after(patienceMs, settle);
+      void work.then(() => {
+        late.cancel();
+        settle();
+      });
+    });
+
+  private readonly run = async (peer: PeerConnection): Promise<void> => {
+    for (let done = 0; done < mostTransfersInRun; done += 1) {
+      const before = this.generation();
+      const isWhole = await this.pull(peer);
+      this.failedSource = isWhole ? null : (peer.neighbour?.incarnation ?? null);
+      if (!isWhole || this.generation() === before) return;
+    }
+  };
+
+  /** Pulls one transfer to its end and applies it; false where the peer failed or had nothing. */
+  private readonly pull = async (peer: PeerConnection): Promise<boolean> => {
+    for (;;) {
+      const { progress } = this;
+      const ask: PageAsk = {
+        generation: this.generation(),
+        digest: progress?.digest ?? null,
+        offset: progress?.received ?? 0,
+      };
+      const told = await peer.ask(catchUpTopics.page, ask, pagePatienceMs);
+      if (told.isErr()) return false;
+      if (told.value === null) {
+        this.progress = null;
+        return true;
+      }
+      if (!this.take(told.value as Page)) return false;
+      const taken = this.progress;
+      if (taken !== null && taken.received === taken.size) return this.apply(taken);
+    }
+  };
+
+  /** Adds a page to the transfer it belongs to, or begins anew with it; false for a page that fits nowhere. */
+  private readonly take = (page: Page): boolean => {
+    if (page.size > transferLimitBytes || (page.bytes.length === 0 && page.size > page.offset)) return false;
+    if (this.progress?.digest !== page.digest || page.offset === 0)
+      this.progress = { kind: page.kind, digest: page.digest, size: page.size, parts: [], received: 0 };
+    if (page.offset !== this.progress.received || page.offset + page.bytes.length > page.size) {
+      this.progress = null;
+      return false;
+    }
+    this.progress.parts.push(page.bytes.slice());
+    this.progress.received += page.bytes.length;
+    return true;
+  };
+
+  /** Applies a whole transfer. It is kept where a write failed, and tried again without being sent again. */
+  private readonly apply = async (whole: Progress): Promise<boolean> => {
+    const { kind, digest, parts } = whole;
+    const bytes = new Uint8Array(Buffer.concat(parts));
+    this.progress = null;
+    if (createHash('sha256').update(bytes).digest('hex') !== digest) {
+      this.log.warn('a transfer of the agreed state does not pass its check', { kind, bytes: bytes.length });
+      return false;
+    }
+    const isKept = kind === 'snapshot' ? await this.adopt(bytes) : await this.settleAll(bytes);
+    if (!isKept) this.progress = whole;
+    return isKept;
+  };
+
+  private readonly adopt = async (bytes: Uint8Array): Promise<boolean> => {
+    const state = compressedStates.decode(bytes);
+    return (await this.acceptor.adopt(state)) || this.generation() >= state.generation;
+  };
+
+  private readonly settleAll = async (bytes: Uint8Array): Promise<boolean> => {
+    for (const { generation, change } of coder.decode(bytes) as CompressedSettled[]) {
+      const isKept = await this.acceptor.settle({ generation, change: compressedChanges.decode(change) });
+      if (!isKept && generation > this.generation()) return false;
+    }
+    return true;
+  };
+}
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -5,7 +5,6 @@
 import type {
   Agreed,
   BackEnds,
-  Change,
   FrontPing,
   Listener,
   Member,
@@ -25,7 +24,9 @@
 import type { LeaseAsk, LeaseReply, LeaseTerms, RosterEntry } from '@martenworks/cluster-membership';
 import { CardReader } from './cardReader.js';
 import { acceptors } from './acceptor.js';
-import type { Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
+import type { Ballot, Acceptor, CompressedSettled, Since, Vote } from './acceptor.js';
+import { CatchUp } from './catchUp.js';
+import { compressedChanges } from './compressed.js';
 import { Founding } from './founding.js';
 import type { Standing } from './founding.js';
 import { leaseBooks } from './leases.js';
@@ -75,6 +76,7 @@
   readonly roster: Roster;
   readonly lines: Lines;
   readonly proposer: Proposer;
+  readonly catchUp: CatchUp;
   readonly changes: ConfigService;
   readonly push: StatePublisher;
   readonly cards: CardReader;
@@ -109,6 +111,7 @@
       this.handlers(),
       wayPace,
     );
+    this.catchUp = new CatchUp(acceptor, this.postmasters, clock, log);
     this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.changes = new ConfigService(this.proposer);
     this.duties = new Duties(
@@ -172,7 +175,7 @@
       this.hello,
       () => this.lines,
       () => this.roster.neighbours('postmaster'),
-      this.proposer.learn,
+      this.catchUp.from,
       log,
       env.voters,
     );
@@ -269,12 +272,7 @@
     this.alignShelves();
     const state = this.acceptor.agreed();
     if (state === null) return;
-    await Promise.all(
-      this.postmasters().map(async (connection) => {
-        const told = await connection.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
-        if (told.isOk() && told.value !== null) await this.proposer.learn(told.value as Since);
-      }),
-    );
+    await this.catchUp.step();
     await this.membership.step();
   };
 
@@ -315,6 +313,12 @@
     return replies.filter((reply) => reply !== null);
   };
 
+  private readonly catchUpFrom = async (member: Member): Promise<Since | null> => {
+    const connection = this.lines.to(member.incarnation);
+    const isHeard = connection !== undefined && (await this.catchUp.ask(connection, votePatienceMs));
+    return isHeard ? { k: 'nothing' } : null;
+  };
+
   private readonly voters = (): Voters => {
     const isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
     const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
@@ -329,13 +333,22 @@
       accept: (member, slot, ballot, change) =>
         isSelf(member)
           ? this.acceptor.accept(slot, ballot, change)
-          : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
-      settle: (settled) => this.tellPostmasters('settled', settled),
+          : (asked(member, 'accept', {
+              slot,
+              ballot,
+              change: compressedChanges.encode(change),
+            }) as Promise<Vote | null>),
+      settle: (settled) =>
+        this.tellPostmasters('settled', {
+          generation: settled.generation,
+          change: compressedChanges.encode(settled.change),
+        } satisfies CompressedSettled),
       since: (member, generation) =>
-        isSelf(member)
-          ? Promise.resolve(this.acceptor.since(generation))
-          : (asked(member, 'since', generation) as Promise<Since | null>),
-      supply: async (member, since) => void (await asked(member, 'supply', since)),
+        isSelf(member) ? Promise.resolve(this.acceptor.since(generation)) : this.catchUpFrom(member),
+      supply: async (member) => {
+        const connection = this.lines.to(member.incarnation);
+        if (connection !== undefined) await this.catchUp.supply(connection, votePatienceMs);
+      },
     };
   };
 
@@ -347,7 +360,7 @@
     },
     left: (connection) => this.push.drop(connection),
     told: (connection, topic, body) => {
-      if (topic === 'settled') void this.acceptor.settle(body as Settled);
+      if (topic === 'settled') void this.catchUp.settle(connection, body as CompressedSettled);
       else if (topic === 'subscribe') this.push.subscribe(connection, body as Subscription);
       else if (topic === 'ack') this.push.acked(connection, body as StateHeld);
       else if (topic === 'shelfRelay') this.shelves.takeRelayed(body as ShelfNews[]);
@@ -385,16 +398,11 @@
           return this.acceptor.prepare(slot, ballot);
         }
         case 'accept': {
-          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
-          return this.acceptor.accept(slot, ballot, change);
+          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Uint8Array };
+          return this.acceptor.accept(slot, ballot, this.acceptor.changeOf(change));
         }
-        case 'since':
-          return this.acceptor.since(body as number);
-        case 'supply':
-          await this.proposer.learn(body as Since);
-          return true;
         default:
-          return null;
+          return (await this.catchUp.answer(connection, topic, body)) ?? null;
       }
     },
   });
--- a/packages/control-plane/src/founding.ts
+++ b/packages/control-plane/src/founding.ts
@@ -2,7 +2,7 @@
 import type { Log, Member } from '@martenworks/core-types';
 import type { PeerConnection, Hello } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
-import type { Acceptor, Since } from './acceptor.js';
+import type { Acceptor } from './acceptor.js';
 
 export interface Standing {
   readonly incarnation: string;
@@ -32,7 +32,7 @@
     private readonly own: () => Hello,
     private readonly lines: () => Lines,
     private readonly known: () => readonly Hello[],
-    private readonly learn: (since: Since) => Promise<void>,
+    private readonly catchUpFrom: (connection: PeerConnection) => Promise<void>,
     private readonly log: Log,
     private readonly coreSize = usualCoreSize,
   ) {}
@@ -54,7 +54,7 @@
       const told = await connection.ask('standing', null, patienceMs);
       if (told.isErr()) return;
       const standing = told.value as Standing;
-      if (standing.generation >= 0) return this.joinLate(connection);
+      if (standing.generation >= 0) return this.catchUpFrom(connection);
       standings.set(incarnation, standing);
     }
     if (reached.size < this.coreSize - 1 || this.known().length !== reached.size) return;
@@ -92,9 +92,4 @@
     const isFounded = await this.acceptor.adopt(agreedState.founded(members));
     if (isFounded) this.log.info('the fleet is founded', { members: members.map((member) => member.name) });
   };
-
-  private readonly joinLate = async (connection: PeerConnection): Promise<void> => {
-    const told = await connection.ask('since', -1, patienceMs);
-    if (told.isOk()) await this.learn(told.value as Since);
-  };
 }
--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -1,4 +1,6 @@
 export * from './acceptor.js';
+export * from './catchUp.js';
+export * from './compressed.js';
 export * from './proposer.js';
 export * from './pushDesk.js';
 export * from './postmaster.js';
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -3,7 +3,6 @@
 import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type {
   Agreed,
-  Change,
   Claimant,
   ClaimBallot,
   Listener,
@@ -22,7 +21,9 @@
 import { Duties, Lines, Roster, Rounds, Verdicts } from '@martenworks/cluster-membership';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
 import { acceptors } from './acceptor.js';
-import type { Ballot, Acceptor, Settled, Since, Vote } from './acceptor.js';
+import type { Ballot, Acceptor, CompressedSettled, Since, Vote } from './acceptor.js';
+import { CatchUp } from './catchUp.js';
+import { compressedChanges } from './compressed.js';
 import { claimTables } from './claims.js';
 import type { ClaimTable } from './claims.js';
 import { ChangeDesk } from './desk.js';
@@ -60,6 +61,7 @@
   readonly roster: Roster;
   readonly lines: Lines;
   readonly proposer: Proposer;
+  readonly catchUp: CatchUp;
   readonly changes: ChangeDesk;
   readonly push: PushDesk;
   readonly replicas: ReplicaDesk;
@@ -101,6 +103,7 @@
       () => [...(acceptor.agreed()?.members ?? []).map((member) => member.address), ...this.rounds.watcherAddresses()],
       this.handlers(),
     );
+    this.catchUp = new CatchUp(acceptor, this.postmasters, clock, log);
     this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.changes = new ChangeDesk(this.proposer);
     this.duties = new Duties(
@@ -134,7 +137,7 @@
       this.hello,
       () => this.lines,
       () => this.roster.neighbours('postmaster'),
-      this.proposer.learn,
+      this.catchUp.from,
       log,
     );
     this.membership = new Membership(acceptor, this.proposer, clock, () => this.lines, this.verdicts.isDown, log);
@@ -186,12 +189,12 @@
 
   private readonly mind = async (): Promise<void> => {
     this.push.dropSilent();
-    await this.catchUp();
+    await this.syncFromPeers();
     await this.repairIndex();
     await this.membership.step();
   };
 
-  private readonly catchUp = async (): Promise<void> => {
+  private readonly syncFromPeers = async (): Promise<void> => {
     const state = this.acceptor.agreed();
     if (state === null) return;
     for (const connection of this.lines.open()) {
@@ -204,9 +207,8 @@
           this.table.records().map((record) => record.name),
         );
       }
-      const told = await connection.ask('since', this.acceptor.agreed()?.generation ?? -1, votePatienceMs);
-      if (told.isOk()) await this.proposer.learn(told.value as Since);
     }
+    await this.catchUp.step();
   };
 
   private readonly settleRival = (): void => {
@@ -222,9 +224,11 @@
     }
   };
 
+  private readonly postmasters = (): PeerConnection[] =>
+    this.lines.open().filter((connection) => connection.neighbour?.role === 'postmaster');
+
   private readonly tellPostmasters = (topic: string, body: unknown): void => {
-    for (const connection of this.lines.open())
-      if (connection.neighbour?.role === 'postmaster') connection.tell(topic, body);
+    for (const connection of this.postmasters()) connection.tell(topic, body);
   };
 
   private readonly reachableVoters = (): string[] =>
@@ -257,6 +261,12 @@
     }
   };
 
+  private readonly catchUpFrom = async (member: Member): Promise<Since | null> => {
+    const connection = this.lines.to(member.incarnation);
+    const isHeard = connection !== undefined && (await this.catchUp.ask(connection, votePatienceMs));
+    return isHeard ? { k: 'nothing' } : null;
+  };
+
   private readonly voters = (): Voters => {
     const isSelf = (member: Member): boolean => member.incarnation === this.acceptor.incarnation;
     const asked = async (member: Member, topic: string, body: unknown): Promise<unknown> => {
@@ -271,15 +281,23 @@
       accept: (member, slot, ballot, change) =>
         isSelf(member)
           ? this.acceptor.accept(slot, ballot, change)
-          : (asked(member, 'accept', { slot, ballot, change }) as Promise<Vote | null>),
+          : (asked(member, 'accept', {
+              slot,
+              ballot,
+              change: compressedChanges.encode(change),
+            }) as Promise<Vote | null>),
       settle: (settled) => {
-        this.tellPostmasters('settled', settled);
+        this.tellPostmasters('settled', {
+          generation: settled.generation,
+          change: compressedChanges.encode(settled.change),
+        } satisfies CompressedSettled);
       },
       since: (member, generation) =>
-        isSelf(member)
-          ? Promise.resolve(this.acceptor.since(generation))
-          : (asked(member, 'since', generation) as Promise<Since | null>),
-      supply: async (member, since) => void (await asked(member, 'supply', since)),
+        isSelf(member) ? Promise.resolve(this.acceptor.since(generation)) : this.catchUpFrom(member),
+      supply: async (member) => {
+        const connection = this.lines.to(member.incarnation);
+        if (connection !== undefined) await this.catchUp.supply(connection, votePatienceMs);
+      },
     };
   };
 
@@ -292,7 +310,7 @@
       if (connection.neighbour !== null) this.replicas.syncedFrom.delete(connection.neighbour.incarnation);
     },
     told: (connection, topic, body) => {
-      if (topic === 'settled') void this.acceptor.settle(body as Settled);
+      if (topic === 'settled') void this.catchUp.settle(connection, body as CompressedSettled);
       else if (topic === 'subscribe') this.push.subscribe(connection, body as number);
       else if (topic === 'ack') this.push.acked(connection, body as number);
       else if (topic === 'heavyNews') this.push.heavyNews(connection, body as LoadReport);
@@ -326,14 +344,9 @@
           return this.acceptor.prepare(slot, ballot);
         }
         case 'accept': {
-          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Change };
-          return this.acceptor.accept(slot, ballot, change);
+          const { slot, ballot, change } = body as { slot: number; ballot: Ballot; change: Uint8Array };
+          return this.acceptor.accept(slot, ballot, this.acceptor.changeOf(change));
         }
-        case 'since':
-          return this.acceptor.since(body as number);
-        case 'supply':
-          await this.proposer.learn(body as Since);
-          return true;
         case 'admitSides':
           return this.acceptor.isVoter() ? this.sides.admit(body as SideClaim[]) : null;
         case 'replicaLook':
@@ -366,7 +379,7 @@
           await this.replicas.takeNews(body as ReplicaRecord[]);
           return this.table.records();
         default:
-          return null;
+          return (await this.catchUp.answer(connection, topic, body)) ?? null;
       }
     },
   });
--- a/packages/control-plane/test/upkeep.test.ts
+++ b/packages/control-plane/test/upkeep.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { writeAheadLogs } from '@martenworks/write-ahead-log';
-import { acceptors } from '@martenworks/control-plane';
+import { acceptors, compressedChanges, compressedStates } from '@martenworks/control-plane';
 import { wireRelease } from '@martenworks/peer-transport';
 import { Judge, keyOf, plans, SimFleet, statePlaints } from '@martenworks/proving';
 import type { SimDisk } from '@martenworks/proving';
@@ -16,6 +16,28 @@
   return fleet;
 };
 
+/** The acceptor's records as releases wrote them that neither compressed changes nor referred to an accepted one. */
+const olderRecords = (records: readonly unknown[]): unknown[] => {
+  let accepted: unknown = null;
+  return (records as readonly Record<string, unknown>[]).map((record) => {
+    switch (record.t) {
+      case 'adoptedCompressed':
+        return { t: 'adopted', agreed: compressedStates.decode(record.agreed as Uint8Array) };
+      case 'acceptedCompressed': {
+        accepted = compressedChanges.decode(record.change as Uint8Array);
+        return { t: 'accepted', slot: record.slot, accepted: { ballot: record.ballot, change: accepted } };
+      }
+      case 'settledCompressed':
+        accepted = compressedChanges.decode(record.change as Uint8Array);
+        return { t: 'settled', settled: { generation: record.generation, change: accepted } };
+      case 'settledAsAccepted':
+        return { t: 'settled', settled: { generation: record.generation, change: accepted } };
+      default:
+        return record;
+    }
+  });
+};
+
 describe('roll-outs', () => {
   it('given load, when every postmaster and counter is restarted in turn, then no accepted change and no begun answer is lost', async () => {
     const fleet = await raised(61);
@@ -144,7 +166,7 @@
       for (const prefix of ['decrees', 'replicas']) {
         const held = (await fleet.finish(writeAheadLogs.open(disk, prefix)))._unsafeUnwrap();
         const older = JSON.parse(
-          JSON.stringify(held.records, (key, value: unknown) =>
+          JSON.stringify(prefix === 'decrees' ? olderRecords(held.records) : held.records, (key, value: unknown) =>
             key === 'sides' || key === 'storeSince' ? undefined : value,
           ),
         ) as unknown[];
