Link log segments to what they follow, so that a lost one is noticed

Ruled out: consecutive numbers alone: they don't tell a lost first segment from a dropped one, nor a file of another life. SimDisk tells each step and can be copied. Not noticed: the loss of the last segment, since nothing follows it.

--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -11,6 +11,7 @@
 export { Judge } from './sim/judge.js';
 export type { Call } from './sim/judge.js';
 export { SimDisk } from './sim/simDisk.js';
+export type { DiskStep } from './sim/simDisk.js';
 export { SimFleet } from './sim/simFleet.js';
 export type { Told } from './sim/simFleet.js';
 export { SimWorld } from './sim/simWorld.js';
--- a/packages/proving/src/sim/simDisk.ts
+++ b/packages/proving/src/sim/simDisk.ts
@@ -23,7 +23,16 @@
 
 const fault = (code: string): DiskFault => ({ kind: 'disk', code, detail: code });
 
+/** One operation that changes the disk, told right before it takes effect. */
+export interface DiskStep {
+  readonly operation: 'open' | 'append' | 'sync' | 'replace' | 'truncate' | 'remove';
+  readonly name: string;
+}
+
+/** A disk whose bytes are safe once synced, and whose names are safe once the operation that made or removed them is over. */
 export class SimDisk {
+  /** Called before each operation that changes the disk, so that a test may copy it as a loss of power would leave it. */
+  beforeStep: (step: DiskStep) => void = () => {};
   readonly files = new Map<string, Held>();
   readonly mood: DiskMood = { isFull: false, failsSync: false, delayMs: 0, isStalled: false };
   syncs = 0;
@@ -38,6 +47,14 @@
     }
   };
 
+  /** This disk as it is now, written and unsynced bytes apart. */
+  readonly copy = (): SimDisk => {
+    const copy = new SimDisk();
+    for (const [name, { safe, loose }] of this.files)
+      copy.files.set(name, { safe: safe.slice(), loose: loose.slice() });
+    return copy;
+  };
+
   readonly lose = (): void => this.files.clear();
 
   readonly unstall = (): void => {
@@ -58,9 +75,14 @@
       await this.hold();
       return isLive() ? work() : never;
     };
+    const change = <T>(operation: DiskStep['operation'], name: string, work: () => Result<T, DiskFault>) =>
+      step(() => {
+        this.beforeStep({ operation, name });
+        return work();
+      });
     const file = (name: string): DiskFile => ({
       append: (bytes) =>
-        step(() => {
+        change('append', name, () => {
           const held = this.files.get(name);
           if (held === undefined) return err(fault('ENOENT'));
           if (this.mood.isFull) {
@@ -71,7 +93,7 @@
           return ok(undefined);
         }),
       sync: () =>
-        step(() => {
+        change('sync', name, () => {
           if (this.mood.failsSync) return err(fault('EIO'));
           const held = this.files.get(name);
           if (held === undefined) return err(fault('ENOENT'));
@@ -90,19 +112,19 @@
           return ok(held === undefined ? null : joined(held.safe, held.loose));
         }),
       open: (name) =>
-        step(() => {
+        change('open', name, () => {
           if (this.mood.isFull && !this.files.has(name)) return err(fault('ENOSPC'));
           if (!this.files.has(name)) this.files.set(name, { safe: new Uint8Array(), loose: new Uint8Array() });
           return ok(file(name));
         }),
       replace: (name, bytes) =>
-        step(() => {
+        change('replace', name, () => {
           if (this.mood.isFull) return err(fault('ENOSPC'));
           this.files.set(name, { safe: bytes.slice(), loose: new Uint8Array() });
           return ok(undefined);
         }),
       truncate: (name, size) =>
-        step(() => {
+        change('truncate', name, () => {
           const held = this.files.get(name);
           if (held === undefined) return ok(undefined);
           const whole = joined(held.safe, held.loose);
@@ -110,7 +132,7 @@
           return ok(undefined);
         }),
       remove: (name) =>
-        step(() => {
+        change('remove', name, () => {
           this.files.delete(name);
           return ok(undefined);
         }),
--- a/packages/write-ahead-log/src/writeAheadLog.ts
+++ b/packages/write-ahead-log/src/writeAheadLog.ts
@@ -27,24 +27,54 @@
   readonly cutBytes: number;
 }
 
-const encodeBatch = (records: readonly unknown[]): Uint8Array => {
+/** The last batch of a segment, or a snapshot: the number of its file and the checksum of its bytes. */
+interface Tip {
+  readonly number: number;
+  readonly checksum: number;
+}
+
+/** Stands first in each segment, and behind the state in each snapshot: what it follows, null for the first segment of a log. */
+interface Link {
+  readonly walLink: { readonly after: Tip | null };
+}
+
+const isLink = (record: unknown): record is Link =>
+  typeof record === 'object' && record !== null && 'walLink' in record;
+
+const isSameTip = (a: Tip | null, b: Tip | null): boolean =>
+  a === b || (a !== null && b !== null && a.number === b.number && a.checksum === b.checksum);
+
+interface EncodedBatch {
+  readonly bytes: Uint8Array;
+  readonly checksum: number;
+}
+
+const encodeBatch = (records: readonly unknown[]): EncodedBatch => {
   const body = coder.encode(records);
+  const checksum = crc32(body);
   const bytes = new Uint8Array(headBytes + body.length);
   const head = new DataView(bytes.buffer);
   head.setUint32(0, body.length);
-  head.setUint32(4, crc32(body));
+  head.setUint32(4, checksum);
   bytes.set(body, headBytes);
-  return bytes;
+  return { bytes, checksum };
 };
 
-const batchAt = (bytes: Uint8Array, offset: number): { body: Uint8Array; end: number } | null => {
+interface Batch {
+  readonly body: Uint8Array;
+  readonly checksum: number;
+  readonly end: number;
+}
+
+const batchAt = (bytes: Uint8Array, offset: number): Batch | null => {
   if (offset + headBytes > bytes.length) return null;
   const head = new DataView(bytes.buffer, bytes.byteOffset + offset);
   const length = head.getUint32(0);
   const end = offset + headBytes + length;
   if (length === 0 || length > recordLimit || end > bytes.length) return null;
   const body = bytes.subarray(offset + headBytes, end);
-  return crc32(body) === head.getUint32(4) ? { body, end } : null;
+  const checksum = head.getUint32(4);
+  return crc32(body) === checksum ? { body, checksum, end } : null;
 };
 
 const hasBatchAfter = (bytes: Uint8Array, offset: number): boolean => {
@@ -53,18 +83,24 @@
 };
 
 interface Scan {
-  readonly records: unknown[];
+  readonly records: readonly unknown[];
+  /** Null in files of releases that wrote none. */
+  readonly link: Link | null;
+  /** The checksum of the last batch; null where there is none. */
+  readonly checksum: number | null;
   readonly end: number;
 }
 
 const scan = (bytes: Uint8Array): Scan => {
   const records: unknown[] = [];
   let end = 0;
+  let checksum: number | null = null;
   for (let batch = batchAt(bytes, 0); batch !== null; batch = batchAt(bytes, end)) {
-    records.push(...(coder.decode(batch.body) as unknown[]));
+    for (const record of coder.decode(batch.body) as unknown[]) records.push(record);
     end = batch.end;
+    checksum = batch.checksum;
   }
-  return { records, end };
+  return { records: records.filter((record) => !isLink(record)), link: records.find(isLink) ?? null, checksum, end };
 };
 
 interface Waiting {
@@ -84,6 +120,7 @@
     private readonly prefix: string,
     private segment: number,
     private firstSegment: number,
+    private tip: Tip | null,
   ) {}
 
   private readonly nameOf = (kind: 'segment' | 'checkpoint', number: number): string =>
@@ -99,11 +136,11 @@
     const batch = this.waiting;
     this.waiting = [];
     if (batch.length === 0) return;
-    const written = await this.write(encodeBatch(batch.map((one) => one.record)));
+    const written = await this.write(batch.map((one) => one.record));
     for (const one of batch) one.settle(written);
   };
 
-  private readonly write = async (bytes: Uint8Array): Promise<Result<void, WriteAheadLogFault>> => {
+  private readonly write = async (records: readonly unknown[]): Promise<Result<void, WriteAheadLogFault>> => {
     if (this.isSuspect) {
       const mended = await this.mend();
       if (mended.isErr()) return mended;
@@ -115,6 +152,8 @@
       this.file = opened.value;
       this.goodSize = 0;
     }
+    const link: Link = { walLink: { after: this.tip } };
+    const { bytes, checksum } = encodeBatch(this.goodSize === 0 ? [link, ...records] : records);
     const appended = await this.file.append(bytes);
     const synced = appended.isErr() ? appended : await this.file.sync();
     if (synced.isErr()) {
@@ -122,6 +161,7 @@
       return synced;
     }
     this.goodSize += bytes.length;
+    this.tip = { number: this.segment, checksum };
     return ok(undefined);
   };
 
@@ -148,8 +188,11 @@
         if (mended.isErr()) return mended;
       }
       await this.roll();
-      const written = await this.disk.replace(this.nameOf('checkpoint', this.segment), encodeBatch([capture()]));
+      const link: Link = { walLink: { after: this.tip } };
+      const { bytes, checksum } = encodeBatch([capture(), link]);
+      const written = await this.disk.replace(this.nameOf('checkpoint', this.segment), bytes);
       if (written.isErr()) return written;
+      this.tip = { number: this.segment, checksum };
       const stale = await this.disk.list();
       if (stale.isErr()) return stale.map(() => undefined);
       for (const name of stale.value) {
@@ -191,56 +234,140 @@
   },
 };
 
+/** A log as it is read, before anything on disk is changed. */
+interface ReadLog {
+  readonly checkpoint: unknown;
+  readonly records: readonly unknown[];
+  readonly firstSegment: number;
+  readonly nextSegment: number;
+  readonly tip: Tip | null;
+  readonly tornTail: { readonly file: string; readonly goodSize: number; readonly bytes: number } | null;
+}
+
+export interface LogOptions {
+  /** Old segments are dropped without a snapshot (`dropBefore`), so that the first one kept may follow any. */
+  readonly isTrimmed?: boolean;
+}
+
+const corrupt = (file: string, offset: number, detail: string): CorruptFault => ({
+  kind: 'corrupt',
+  file,
+  offset,
+  detail,
+});
+
+const fileNumbers = (prefix: string, listed: readonly string[], kind: 'segment' | 'checkpoint'): number[] =>
+  listed
+    .map((name) => names.parse(prefix, name))
+    .filter((file) => file?.kind === kind)
+    .map((file) => file?.number as number)
+    .sort((a, b) => a - b);
+
+interface ReadSnapshot {
+  readonly state: unknown;
+  readonly tip: Tip;
+  /** What the first segment after it may follow. */
+  readonly mayFollow: readonly (Tip | null)[];
+}
+
+const readSnapshot = async (
+  disk: Disk,
+  prefix: string,
+  number: number,
+): Promise<Result<ReadSnapshot, WriteAheadLogFault>> => {
+  const name = names.of(prefix, 'checkpoint', number);
+  const bytes = await disk.read(name);
+  if (bytes.isErr()) return err(bytes.error);
+  const { records, link, checksum } = scan(bytes.value ?? new Uint8Array());
+  if (records.length !== 1 || checksum === null) return err(corrupt(name, 0, 'checkpoint does not pass its check'));
+  const tip = { number, checksum };
+  return ok({ state: records[0], tip, mayFollow: link === null ? [tip] : [tip, link.walLink.after] });
+};
+
+const describeTip = (prefix: string, tip: Tip | null): string =>
+  tip === null
+    ? 'nothing'
+    : `${names.of(prefix, 'segment', tip.number)} or the checkpoint of that number, as it was written`;
+
+const readLog = async (
+  disk: Disk,
+  prefix: string,
+  { isTrimmed = false }: LogOptions,
+): Promise<Result<ReadLog, WriteAheadLogFault>> => {
+  const listed = await disk.list();
+  if (listed.isErr()) return err(listed.error);
+  const newest = fileNumbers(prefix, listed.value, 'checkpoint').at(-1);
+  const snapshot = newest === undefined ? null : await readSnapshot(disk, prefix, newest);
+  if (snapshot?.isErr() === true) return err(snapshot.error);
+  const base = snapshot === null ? null : snapshot._unsafeUnwrap();
+  const first = newest ?? 0;
+  const segments = fileNumbers(prefix, listed.value, 'segment').filter((number) => number >= first);
+  const records: unknown[] = [];
+  let mayFollow: readonly (Tip | null)[] | null = base === null ? (isTrimmed ? null : [null]) : base.mayFollow;
+  let tip = base === null ? null : base.tip;
+  let isLinked = false;
+  let tornTail: ReadLog['tornTail'] = null;
+  for (const number of segments) {
+    const name = names.of(prefix, 'segment', number);
+    const bytes = await disk.read(name);
+    if (bytes.isErr()) return err(bytes.error);
+    const held = bytes.value ?? new Uint8Array();
+    const read = scan(held);
+    if (read.end < held.length) {
+      if (number !== segments.at(-1) || hasBatchAfter(held, read.end))
+        return err(corrupt(name, read.end, 'a record before the tail does not pass its check'));
+      tornTail = { file: name, goodSize: read.end, bytes: held.length - read.end };
+    }
+    if (read.checksum === null) continue;
+    if (read.link === null && isLinked) return err(corrupt(name, 0, 'does not tell what it follows'));
+    const after = read.link?.walLink.after ?? null;
+    if (read.link !== null && mayFollow !== null && !mayFollow.some((one) => isSameTip(one, after)))
+      return err(corrupt(name, 0, `follows ${describeTip(prefix, after)}, which is missing`));
+    isLinked ||= read.link !== null;
+    for (const record of read.records) records.push(record);
+    tip = { number, checksum: read.checksum };
+    mayFollow = [tip];
+  }
+  const last = segments.at(-1);
+  return ok({
+    checkpoint: base === null ? null : base.state,
+    records,
+    firstSegment: segments[0] ?? first,
+    nextSegment: last === undefined ? first : last + 1,
+    tip,
+    tornTail,
+  });
+};
+
 export const writeAheadLogs = {
-  open: async (disk: Disk, prefix: string): Promise<Result<Opened, WriteAheadLogFault>> => {
+  /** Opens the log of this prefix: its newest snapshot, the records after it, and its end, from which a torn tail is cut. A file that is damaged before its tail, or follows one that is missing, is a `corrupt` fault. */
+  open: async (disk: Disk, prefix: string, options: LogOptions = {}): Promise<Result<Opened, WriteAheadLogFault>> => {
+    const read = await readLog(disk, prefix, options);
+    if (read.isErr()) return err(read.error);
+    const { checkpoint, records, firstSegment, nextSegment, tip, tornTail } = read.value;
+    if (tornTail !== null) {
+      const cut = await disk.truncate(tornTail.file, tornTail.goodSize);
+      if (cut.isErr()) return err(cut.error);
+    }
+    const wal = new WriteAheadLog(disk, prefix, nextSegment, firstSegment, tip);
+    return ok({ wal, checkpoint, records, cutBytes: tornTail?.bytes ?? 0 });
+  },
+
+  /** Reads the log of this prefix and changes nothing. */
+  check: async (disk: Disk, prefix: string, options: LogOptions = {}): Promise<Result<void, WriteAheadLogFault>> =>
+    (await readLog(disk, prefix, options)).map(() => undefined),
+
+  /** Removes all files of the log, snapshots and then segments, the oldest first: what a loss of power leaves in between has lost its beginning. */
+  discard: async (disk: Disk, prefix: string): Promise<Result<readonly string[], WriteAheadLogFault>> => {
     const listed = await disk.list();
     if (listed.isErr()) return err(listed.error);
-    const files = listed.value.map((name) => names.parse(prefix, name)).filter((file) => file !== null);
-    const checkpointNumbers = files
-      .filter((file) => file.kind === 'checkpoint')
-      .map((file) => file.number)
-      .sort((a, b) => b - a);
-    let checkpoint: unknown = null;
-    let first = 0;
-    const newest = checkpointNumbers[0];
-    if (newest !== undefined) {
-      const name = names.of(prefix, 'checkpoint', newest);
-      const bytes = await disk.read(name);
-      if (bytes.isErr()) return err(bytes.error);
-      const read = scan(bytes.value ?? new Uint8Array());
-      if (read.records.length !== 1)
-        return err({ kind: 'corrupt', file: name, offset: 0, detail: 'checkpoint does not pass its check' });
-      checkpoint = read.records[0];
-      first = newest;
-    }
-    const segments = files
-      .filter((file) => file.kind === 'segment' && file.number >= first)
-      .map((file) => file.number)
-      .sort((a, b) => a - b);
-    const records: unknown[] = [];
-    let cutBytes = 0;
-    for (const number of segments) {
-      const name = names.of(prefix, 'segment', number);
-      const bytes = await disk.read(name);
-      if (bytes.isErr()) return err(bytes.error);
-      const held = bytes.value ?? new Uint8Array();
-      const read = scan(held);
-      records.push(...read.records);
-      if (read.end === held.length) continue;
-      if (number !== segments[segments.length - 1] || hasBatchAfter(held, read.end)) {
-        return err({
-          kind: 'corrupt',
-          file: name,
-          offset: read.end,
-          detail: 'a record before the tail does not pass its check',
-        });
-      }
-      const cut = await disk.truncate(name, read.end);
-      if (cut.isErr()) return err(cut.error);
-      cutBytes += held.length - read.end;
+    const files = (['checkpoint', 'segment'] as const).flatMap((kind) =>
+      fileNumbers(prefix, listed.value, kind).map((number) => names.of(prefix, kind, number)),
+    );
+    for (const name of files) {
+      const removed = await disk.remove(name);
+      if (removed.isErr()) return err(removed.error);
     }
-    const last = segments[segments.length - 1];
-    const next = last === undefined ? first : last + 1;
-    return ok({ wal: new WriteAheadLog(disk, prefix, next, segments[0] ?? first), checkpoint, records, cutBytes });
+    return ok(files);
   },
 };
--- /dev/null
+++ b/packages/write-ahead-log/test/lostFiles.test.ts
@@ -0,0 +1,154 @@
+import { expect } from 'chai';
+import type { Result } from 'neverthrow';
+import { writeAheadLogs } from '@martenworks/write-ahead-log';
+import type { Opened, WriteAheadLogFault } from '@martenworks/write-ahead-log';
+import { SimDisk } from '@martenworks/proving';
+
+const live = (): boolean => true;
+const filler = 'x'.repeat(400_000);
+
+interface Entry {
+  readonly at: number;
+  readonly text: string;
+}
+
+const open = (disk: SimDisk): Promise<Result<Opened, WriteAheadLogFault>> =>
+  writeAheadLogs.open(disk.view(live), 'book');
+
+const opened = async (disk: SimDisk): Promise<Opened> => (await open(disk))._unsafeUnwrap();
+
+/** The numbers that a log holds: of its snapshot, which counts them, and of its records. */
+const heldBy = ({ checkpoint, records }: Opened): number[] => [
+  ...Array.from({ length: (checkpoint as { count: number } | null)?.count ?? 0 }, (_, at) => at),
+  ...(records as Entry[]).map(({ at }) => at),
+];
+
+const upTo = (count: number): number[] => Array.from({ length: count }, (_, at) => at);
+
+const append = async (log: Opened, from: number, to: number): Promise<void> => {
+  for (let at = from; at < to; at += 1) expect((await log.wal.append({ at, text: filler })).isOk()).to.equal(true);
+};
+
+const named = (disk: SimDisk, kind: string): string[] =>
+  [...disk.files.keys()].filter((name) => name.includes(kind)).sort();
+
+const without = (disk: SimDisk, names: readonly string[]): SimDisk => {
+  const copy = disk.copy();
+  for (const name of names) copy.files.delete(name);
+  return copy;
+};
+
+/** Five segments, of which the last one holds record 10; begun anew after record 5, as by a restart. */
+const fiveSegments = async (): Promise<SimDisk> => {
+  const disk = new SimDisk();
+  await append(await opened(disk), 0, 6);
+  await append(await opened(disk), 6, 11);
+  return disk;
+};
+
+describe('a log whose files are lost', () => {
+  it('given segments without a snapshot, when one that is not the last is lost, then the next one is named as following what is missing', async () => {
+    const disk = await fiveSegments();
+    const segments = named(disk, 'segment');
+    expect(segments.length).to.be.at.least(4);
+    expect(heldBy(await opened(disk.copy()))).to.deep.equal(upTo(11));
+    for (const [at, lost] of segments.slice(0, -1).entries()) {
+      const fault = (await open(without(disk, [lost])))._unsafeUnwrapErr();
+      expect(fault).to.include({ kind: 'corrupt', file: segments[at + 1], offset: 0 });
+      expect(fault.detail).to.include(lost);
+    }
+  });
+
+  it('given a snapshot and segments after it, when the snapshot, or the first or a middle segment is lost, then that is noticed by name', async () => {
+    const disk = new SimDisk();
+    const log = await opened(disk);
+    await append(log, 0, 3);
+    await log.wal.checkpoint(() => ({ count: 3 }));
+    await append(log, 3, 11);
+    const [snapshot] = named(disk, 'checkpoint') as [string];
+    const segments = named(disk, 'segment');
+    expect(heldBy(await opened(disk.copy()))).to.deep.equal(upTo(11));
+    for (const [lost, next] of [
+      [snapshot, segments[0]],
+      ...segments.slice(0, -1).map((name, at) => [name, segments[at + 1]]),
+    ] as [string, string][])
+      expect((await open(without(disk, [lost])))._unsafeUnwrapErr()).to.include({ kind: 'corrupt', file: next });
+  });
+
+  it('given old files that a snapshot replaced, when any of their removals is lost by itself, then the log opens with all it held', async () => {
+    const disk = await fiveSegments();
+    const log = await opened(disk);
+    await append(log, 11, 12);
+    const before = disk.copy();
+    await log.wal.checkpoint(() => ({ count: 12 }));
+    await append(log, 12, 14);
+    const stale = [...before.files.keys()].filter((name) => !disk.files.has(name));
+    expect(stale.length).to.be.at.least(4);
+    for (let kept = 0; kept < 2 ** stale.length; kept += 1) {
+      const copy = disk.copy();
+      for (const [at, name] of stale.entries())
+        if ((kept >> at) % 2 === 1)
+          copy.files.set(name, { safe: before.files.get(name)?.safe ?? new Uint8Array(), loose: new Uint8Array() });
+      expect(heldBy(await opened(copy))).to.deep.equal(upTo(14));
+    }
+  });
+
+  it('given power lost before each step of writing, rolling, a full disk, snapshots and restarts, with all, half or none of the unsynced bytes, when it is opened, then it holds a prefix with every acknowledged record, and takes more', async () => {
+    const disk = new SimDisk();
+    let acknowledged = 0;
+    let offered = 0;
+    const images: { disk: SimDisk; acknowledged: number; offered: number }[] = [];
+    disk.beforeStep = () => void images.push({ disk: disk.copy(), acknowledged, offered });
+    const write = async (log: Opened, count: number): Promise<void> => {
+      for (let end = acknowledged + count; acknowledged < end; ) {
+        offered = acknowledged + 1;
+        await append(log, acknowledged, acknowledged + 1);
+        acknowledged += 1;
+      }
+    };
+    const first = await opened(disk);
+    await write(first, 4);
+    disk.mood.isFull = true;
+    expect((await first.wal.append({ at: 99, text: filler })).isErr()).to.equal(true);
+    disk.mood.isFull = false;
+    await write(first, 2);
+    await first.wal.checkpoint(() => ({ count: acknowledged }));
+    const second = await opened(disk);
+    await write(second, 4);
+    await second.wal.checkpoint(() => ({ count: acknowledged }));
+    await write(second, 1);
+    disk.mood.failsSync = true;
+    expect((await second.wal.append({ at: 98, text: 'short' })).isErr()).to.equal(true);
+    disk.mood.failsSync = false;
+    await write(second, 3);
+    expect(images.length).to.be.greaterThan(40);
+    for (const image of images)
+      for (const share of [0, 0.5, 1]) {
+        const copy = image.disk.copy();
+        copy.crash(share);
+        const log = await opened(copy);
+        const held = heldBy(log).filter((at) => at < 90);
+        expect(held).to.deep.equal(upTo(held.length));
+        expect(held.length).to.be.within(image.acknowledged, image.offered);
+        expect((await log.wal.append({ at: held.length, text: '' })).isOk()).to.equal(true);
+        expect(heldBy(await opened(copy)).filter((at) => at < 90)).to.deep.equal(upTo(held.length + 1));
+      }
+  });
+
+  it('given a snapshot that was put in place although its write was reported as failed, when the log goes on and is opened, then nothing counts as missing', async () => {
+    const disk = new SimDisk();
+    const view = disk.view(live);
+    const replaced: typeof view.replace = async (name, bytes) => {
+      await view.replace(name, bytes);
+      disk.mood.isFull = true;
+      const told = await view.replace(name, bytes);
+      disk.mood.isFull = false;
+      return told;
+    };
+    const log = (await writeAheadLogs.open({ ...view, replace: replaced }, 'book'))._unsafeUnwrap();
+    await append(log, 0, 4);
+    expect((await log.wal.checkpoint(() => ({ count: 4 }))).isErr()).to.equal(true);
+    await append(log, 4, 8);
+    expect(heldBy(await opened(disk))).to.deep.equal(upTo(8));
+  });
+});
