A control node with a damaged log counts as empty and joins anew

Cause: a corrupt record before the tail, or now a missing file, stopped the process at every start, for ever; and a node with a full disk, which had heard others but could not settle what they told, refused orders on the newest version with 412. Ruled out: going on with the logs that are whole: a voter that forgot its lease fences or claims must not vote under its old identity either. Change: at start all logs of the node are checked; if any is damaged it is named with its place, all are removed, the acceptor's first and each the oldest file first, and the node gets a new incarnation that may not found a fleet. The explicit recovery refuses by name and removes nothing. A peer counts as heard for catching up only once this node holds what it told.

--- a/packages/control-plane/src/acceptor.ts
+++ b/packages/control-plane/src/acceptor.ts
@@ -5,6 +5,7 @@
 import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { compressedChanges, compressedStates } from './compressed.js';
+import { logPrefixes, removeDamagedLogs } from './memberLogs.js';
 
 export type Ballot = readonly [number, string];
 
@@ -365,6 +366,7 @@
 }
 
 export const acceptors = {
+  /** Opens this node's part of the agreement, first of all its logs: if any of them is damaged, all are removed and the node begins anew under another incarnation. */
   open: async (
     disk: Disk,
     clock: Clock,
@@ -372,13 +374,15 @@
     log: Log,
     isFresh = true,
   ): Promise<Result<Acceptor, WriteAheadLogFault>> => {
-    const opened = await writeAheadLogs.open(disk, 'decrees');
+    const removed = await removeDamagedLogs(disk, log);
+    if (removed.isErr()) return err(removed.error);
+    const opened = await writeAheadLogs.open(disk, logPrefixes.acceptor);
     if (opened.isErr()) return err(opened.error);
     const { wal, checkpoint, records, cutBytes } = opened.value;
     if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'decrees', cutBytes });
     const acceptor = new Acceptor(wal, clock, log);
     acceptor.replay(checkpoint as AcceptorSnapshot | null, records as LogRecord[]);
-    const identified = await acceptor.identify(random, isFresh);
+    const identified = await acceptor.identify(random, isFresh && !removed.value);
     return identified.isErr() ? err(identified.error) : ok(acceptor);
   },
 };
--- a/packages/control-plane/src/catchUp.ts
+++ b/packages/control-plane/src/catchUp.ts
@@ -168,12 +168,12 @@
     return this.running;
   };
 
-  /** Whether the peer answered in `patienceMs`; if it holds more than this node, this node has caught up, as far as the time allowed. */
+  /** Whether the peer answered and this node then holds all that it told of. False also where a transfer took longer than the patience, or this node's disk did not take it. */
   readonly ask = async (peer: PeerConnection, patienceMs: number): Promise<boolean> => {
     const held = await this.heldBy(peer, patienceMs);
     if (held === null) return false;
     if (held > this.generation()) await this.within(this.from(peer), patienceMs);
-    return true;
+    return held <= this.generation();
   };
 
   /** Asks a peer that is behind to catch up from this node. */
--- a/packages/control-plane/src/claims.ts
+++ b/packages/control-plane/src/claims.ts
@@ -13,6 +13,7 @@
 } from '@martenworks/core-types';
 import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
+import { claimLogOptions, logPrefixes } from './memberLogs.js';
 
 const pageSize = 4_000;
 const empty: ClaimState = { turn: 0, promised: null, accepted: null };
@@ -152,7 +153,7 @@
     log: Log,
     retentionMs: number,
   ): Promise<Result<ClaimTable, WriteAheadLogFault>> => {
-    const opened = await writeAheadLogs.open(disk, 'claims');
+    const opened = await writeAheadLogs.open(disk, logPrefixes.claims, claimLogOptions);
     if (opened.isErr()) return err(opened.error);
     const { wal, records, cutBytes } = opened.value;
     if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'claims', cutBytes });
--- a/packages/control-plane/src/leases.ts
+++ b/packages/control-plane/src/leases.ts
@@ -5,6 +5,7 @@
 import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { LeaseBook } from '@martenworks/cluster-membership';
 import type { LeaseTerms } from '@martenworks/cluster-membership';
+import { logPrefixes } from './memberLogs.js';
 
 const segmentsBeforeCheckpoint = 4;
 
@@ -22,7 +23,7 @@
     log: Log,
     terms?: LeaseTerms,
   ): Promise<Result<KeptLeases, WriteAheadLogFault>> => {
-    const opened = await writeAheadLogs.open(disk, 'leases');
+    const opened = await writeAheadLogs.open(disk, logPrefixes.leases);
     if (opened.isErr()) return err(opened.error);
     const { checkpoint, records } = opened.value;
     const wal: WriteAheadLog = opened.value.wal;
--- a/packages/control-plane/src/recovery.ts
+++ b/packages/control-plane/src/recovery.ts
@@ -3,6 +3,7 @@
 import type { Agreed, Clock, Disk, Log, Member, Random } from '@martenworks/core-types';
 import type { WriteAheadLogFault } from '@martenworks/write-ahead-log';
 import { acceptors } from './acceptor.js';
+import { checkMemberLogs } from './memberLogs.js';
 
 const generationLeap = 1_000;
 
@@ -16,6 +17,8 @@
     log: Log,
     members: readonly Member[],
   ): Promise<Result<Agreed, RecoveryFault>> => {
+    const checked = await checkMemberLogs(disk);
+    if (checked.isErr()) return err(checked.error);
     const opened = await acceptors.open(disk, clock, random, log);
     if (opened.isErr()) return err(opened.error);
     const acceptor = opened.value;
--- a/packages/control-plane/src/replicaTable.ts
+++ b/packages/control-plane/src/replicaTable.ts
@@ -4,6 +4,7 @@
 import type { Disk, Log, ReplicaRecord } from '@martenworks/core-types';
 import { writeAheadLogs } from '@martenworks/write-ahead-log';
 import type { WriteAheadLog, WriteAheadLogFault } from '@martenworks/write-ahead-log';
+import { logPrefixes } from './memberLogs.js';
 
 const segmentsBeforeCheckpoint = 4;
 
@@ -59,7 +60,7 @@
 
 export const replicaTables = {
   open: async (disk: Disk, log: Log): Promise<Result<ReplicaTable, WriteAheadLogFault>> => {
-    const opened = await writeAheadLogs.open(disk, 'replicas');
+    const opened = await writeAheadLogs.open(disk, logPrefixes.replicas);
     if (opened.isErr()) return err(opened.error);
     const { wal, checkpoint, records, cutBytes } = opened.value;
     if (cutBytes > 0) log.warn('a torn tail was cut from the ledger', { wal: 'replicas', cutBytes });
