--- a/packages/control-plane/src/catchUp.ts
+++ b/packages/control-plane/src/catchUp.ts
@@ -51,6 +51,25 @@
   readonly bytes: Uint8Array;
 }
 
+type Shape = Record<string, unknown>;
+
+const isShape = (value: unknown): value is Shape => typeof value === 'object' && value !== null;
+
+const isPageAsk = (value: unknown): value is PageAsk =>
+  isShape(value) &&
+  Number.isInteger(value.generation) &&
+  (value.digest === null || typeof value.digest === 'string') &&
+  Number.isInteger(value.offset) &&
+  (value.offset as number) >= 0;
+
+const isPage = (value: unknown): value is Page =>
+  isShape(value) &&
+  (value.kind === 'changes' || value.kind === 'snapshot') &&
+  typeof value.digest === 'string' &&
+  Number.isInteger(value.size) &&
+  Number.isInteger(value.offset) &&
+  value.bytes instanceof Uint8Array;
+
 interface Transfer {
   readonly kind: Page['kind'];
   readonly generation: number;
@@ -193,7 +212,7 @@
       case catchUpTopics.held:
         return this.generation();
       case catchUpTopics.page:
-        return this.source.page(body as PageAsk);
+        return isPageAsk(body) ? this.source.page(body) : null;
       case catchUpTopics.behind:
         await this.from(peer);
         return this.generation();
@@ -240,7 +259,7 @@
         this.progress = null;
         return true;
       }
-      if (!this.take(told.value as Page)) return false;
+      if (!isPage(told.value) || !this.take(told.value)) return false;
       const taken = this.progress;
       if (taken !== null && taken.received === taken.size) return this.apply(taken);
     }
--- a/packages/control-plane/test/seats.test.ts
+++ b/packages/control-plane/test/seats.test.ts
@@ -54,6 +54,7 @@
       prepare: async (to, slot, ballot) => (to.incarnation === own.incarnation ? acceptor.prepare(slot, ballot) : null),
       accept: async (to, slot, ballot, change) =>
         to.incarnation === own.incarnation ? acceptor.accept(slot, ballot, change) : null,
+      position: async () => null,
       settle: () => {},
       since: async () => null,
       supply: async () => {},
