--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -5,6 +5,9 @@
 import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
 import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
 import type { Acceptor } from './acceptor.js';
+import type { CompressedSettled, Since } from './acceptor.js';
+import { CatchUp, catchUpTopics } from './catchUp.js';
+import { compressedChanges } from './compressed.js';
 import { consensusMessages } from './consensusMessages.js';
 import type { MessageCheck } from './consensusMessages.js';
 import { Founding } from './founding.js';
@@ -61,6 +64,7 @@
 
 export class ConsensusMember {
   readonly lines: Lines;
+  readonly catchUp: CatchUp;
   readonly proposer: Proposer;
   readonly duties: Duties;
   private readonly acceptor: Acceptor;
@@ -87,6 +91,7 @@
       this.handlers(),
       pace.dial,
     );
+    this.catchUp = new CatchUp(acceptor, this.peers, clock, log);
     this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.duties = new Duties(
       clock,
@@ -104,7 +109,7 @@
       hello,
       () => this.lines,
       () => roster.neighbours('postmaster'),
-      this.proposer.learn,
+      this.catchUp.from,
       log,
       parts.coreSize,
     );
@@ -169,13 +174,6 @@
       .filter((member) => this.isSelf(member) || this.lines.to(member.incarnation) !== undefined)
       .map((member) => member.incarnation);
 
-  /** Asks a neighbour for what it holds beyond the state agreed here, and takes it. */
-  readonly learnFrom = async (connection: PeerConnection): Promise<void> => {
-    const generation = this.acceptor.agreed()?.generation ?? -1;
-    const since = await connection.ask('since', generation, this.pace.votePatienceMs);
-    if (since.isOk() && consensusMessages.isSince(since.value)) await this.proposer.learn(since.value);
-  };
-
   private readonly stepFounding = (): void => {
     if (this.isFoundingStep || this.acceptor.agreed() !== null) return;
     this.isFoundingStep = true;
@@ -231,6 +229,13 @@
     this.tellPeers('leaseDrop', ask);
   };
 
+  /** Brings this node up to what the member holds; null where that wasn't done in time. */
+  private readonly catchUpFrom = async (member: Member): Promise<Since | null> => {
+    const connection = this.lines.to(member.incarnation);
+    const isDone = connection !== undefined && (await this.catchUp.ask(connection, this.pace.votePatienceMs));
+    return isDone ? { k: 'nothing' } : null;
+  };
+
   private readonly voters = (): Voters => ({
     prepare: (member, slot, ballot) =>
       this.isSelf(member)
@@ -239,15 +244,23 @@
     accept: (member, slot, ballot, change) =>
       this.isSelf(member)
         ? this.acceptor.accept(slot, ballot, change)
-        : this.askMember(member, 'accept', { slot, ballot, change }, consensusMessages.isVote),
+        : this.askMember(
+            member,
+            'accept',
+            { slot, ballot, change: compressedChanges.encode(change) },
+            consensusMessages.isVote,
+          ),
     position: (member) => this.askMember(member, 'position', null, consensusMessages.isPosition),
-    settle: (settled) => this.tellPeers('settled', settled),
+    settle: ({ generation, change }) =>
+      this.tellPeers('settled', {
+        generation,
+        change: compressedChanges.encode(change),
+      } satisfies CompressedSettled),
     since: (member, generation) =>
-      this.isSelf(member)
-        ? Promise.resolve(this.acceptor.since(generation))
-        : this.askMember(member, 'since', generation, consensusMessages.isSince),
-    supply: async (member, since) => {
-      await this.lines.to(member.incarnation)?.ask('supply', since, this.pace.votePatienceMs);
+      this.isSelf(member) ? Promise.resolve(this.acceptor.since(generation)) : this.catchUpFrom(member),
+    supply: async (member) => {
+      const connection = this.lines.to(member.incarnation);
+      if (connection !== undefined) await this.catchUp.supply(connection, this.pace.votePatienceMs);
     },
   });
 
@@ -267,7 +280,7 @@
     },
     left: (connection) => this.role.left(connection),
     told: (connection, topic, body) => {
-      if (topic === 'settled') this.takeSettled(body);
+      if (topic === 'settled') this.takeSettled(connection, body);
       else if (topic === 'leaseDrop') this.takeRelease(body);
       else this.role.told(connection, topic, body);
     },
@@ -277,8 +290,8 @@
     },
   });
 
-  private readonly takeSettled = (body: unknown): void => {
-    if (consensusMessages.isSettled(body)) void this.acceptor.settle(body);
+  private readonly takeSettled = (connection: PeerConnection, body: unknown): void => {
+    if (consensusMessages.isSettled(body)) void this.catchUp.settle(connection, body);
   };
 
   private readonly takeRelease = (body: unknown): void => {
@@ -287,7 +300,7 @@
 
   private readonly asked = async (connection: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
     const { acceptor } = this;
-    const { isAccept, isInteger, isLeaseAsk, isMembers, isPrepare, isSince } = consensusMessages;
+    const { isAccept, isLeaseAsk, isMembers, isPrepare } = consensusMessages;
     switch (topic) {
       case 'beat':
         return true;
@@ -302,15 +315,13 @@
       case 'prepare':
         return isPrepare(body) ? acceptor.prepare(body.slot, body.ballot) : null;
       case 'accept':
-        return isAccept(body) ? acceptor.accept(body.slot, body.ballot, body.change) : null;
+        return isAccept(body) ? acceptor.accept(body.slot, body.ballot, acceptor.changeOf(body.change)) : null;
       case 'position':
         return positions.of(acceptor);
-      case 'since':
-        return isInteger(body) ? acceptor.since(body) : null;
-      case 'supply':
-        if (!isSince(body)) return null;
-        await this.proposer.learn(body);
-        return true;
+      case catchUpTopics.held:
+      case catchUpTopics.page:
+      case catchUpTopics.behind:
+        return this.catchUp.answer(connection, topic, body);
       default:
         return this.role.asked(connection, topic, body);
     }
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -204,7 +204,7 @@
     this.push.dropSilent();
     this.alignShelves();
     if (this.acceptor.agreed() === null) return;
-    await Promise.all(this.consensus.peers().map(this.consensus.learnFrom));
+    await this.consensus.catchUp.step();
   };
 
   private readonly role = (): ConsensusRole => ({
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -155,8 +155,8 @@
           this.table.records().map((record) => record.name),
         );
       }
-      await this.consensus.learnFrom(connection);
     }
+    await this.consensus.catchUp.step();
   };
 
   private readonly borrowShelves = async (connection: PeerConnection, names: readonly string[]): Promise<void> => {
