Hand the seat over by agreement on SIGTERM; check every try of a swap anew

Cause: a core node that got SIGTERM was gone with its seat; others gave it away 2.5 s after they had missed it. And a swap was proposed with a check that never looked at the state again, so two members that each took the other for lost gave one newcomer two seats.

Change: ControlNode.leave gives up the leases, tells the peers ("leaving"), and proposes a swap for a newcomer that is caught up, until half of the drain time is over; it is done when the new member and a majority of the new members hold the swap on disk (asked by "standing", supplied where behind). Without a newcomer it goes at once, and the seat of a member that said that it leaves is free without a wait; being back takes that word back, so a restart with the disk keeps its seat. The check of a swap is made against each state it is proposed for. A core node that joins is dialled at once, not at the next refresh.

A caught-up newcomer may be ahead of its asker (>= instead of ===). ControlNode no longer claims syncedFrom all members: it holds no data beside the agreed state, so needsCopies is false and the generation on disk suffices; a node of the former release in the same group finds the newcomer not ready and leaves the seat to the others.

Ruled out: joint consensus. The voters of a generation are those of the one before it, so two histories can't come from disjoint majorities; what was missing is that the new majority knows the swap.

--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -39,6 +39,8 @@
   readonly isDown: (name: string) => boolean;
   readonly wantedDuties: () => readonly string[];
   readonly dutiesChanged: () => void;
+  /** Whether a newcomer must have copied data beside the agreed state from every member before it may vote. */
+  readonly needsCopies: boolean;
   /** The members, by incarnation, whose data beside the agreed state is held here. */
   readonly syncedFrom: () => readonly string[];
   /** Work to be done before each step of membership; catching up is part of it. */
@@ -91,7 +93,7 @@
       clock,
       () => acceptor.incarnation,
       this.reachableVoters,
-      role.wantedDuties,
+      () => (this.isLeaving() ? [] : role.wantedDuties()),
       this.askLeases,
       this.releaseLeases,
       () => Math.floor(this.members().length / 2) + 1,
@@ -107,15 +109,10 @@
       log,
       parts.coreSize,
     );
-    this.membership = new Membership(
-      acceptor,
-      this.proposer,
-      clock,
-      () => this.lines,
-      role.isDown,
-      log,
-      pace.strangerWaitMs,
-    );
+    this.membership = new Membership(acceptor, this.proposer, clock, () => this.lines, role.isDown, log, {
+      strangerWaitMs: pace.strangerWaitMs,
+      needsCopies: role.needsCopies,
+    });
   }
 
   /** Begins the repeated steps. To be called once, when the node is able to answer its neighbours. */
@@ -142,6 +139,16 @@
     for (const repeat of this.repeats) repeat.stop();
   };
 
+  readonly isLeaving = (): boolean => this.membership.isLeaving();
+
+  /** Tells all peers that this node leaves, gives up its leases, and hands its seat over where somebody can have it: for `budgetMs` at most. */
+  readonly leave = async (budgetMs: number): Promise<void> => {
+    this.membership.noteLeaving(this.acceptor.incarnation);
+    this.resign();
+    this.tellPeers('leaving', null);
+    await this.membership.leave(budgetMs);
+  };
+
   /** Gives up the leases. */
   readonly resign = (): void => this.duties.resign();
 
@@ -184,7 +191,7 @@
     this.isUpkeepStep = true;
     void this.role
       .prepareUpkeep()
-      .then(this.membership.step)
+      .then(() => (this.isLeaving() ? undefined : this.membership.step()))
       .finally(() => (this.isUpkeepStep = false));
   };
 
@@ -262,13 +269,14 @@
   /** Handlers for every connection of the node: the group's own topics here, all others by the role. */
   readonly handlers = (): Handlers => ({
     joined: (connection) => {
-      if (connection.neighbour !== null) this.parts.roster.heard(connection.neighbour);
+      this.noteJoined(connection);
       this.role.joined(connection);
     },
     left: (connection) => this.role.left(connection),
     told: (connection, topic, body) => {
       if (topic === 'settled') this.takeSettled(body);
       else if (topic === 'leaseDrop') this.takeRelease(body);
+      else if (topic === 'leaving') this.takeLeaving(connection);
       else this.role.told(connection, topic, body);
     },
     asked: (connection, topic, body) => {
@@ -277,6 +285,19 @@
     },
   });
 
+  private readonly noteJoined = (connection: PeerConnection): void => {
+    if (connection.neighbour === null) return;
+    this.parts.roster.heard(connection.neighbour);
+    if (connection.neighbour.role !== 'postmaster') return;
+    this.membership.noteBack(connection.neighbour.incarnation);
+    if (this.isLeaving()) connection.tell('leaving', null);
+    this.lines.align();
+  };
+
+  private readonly takeLeaving = (connection: PeerConnection): void => {
+    if (connection.neighbour !== null) this.membership.noteLeaving(connection.neighbour.incarnation);
+  };
+
   private readonly takeSettled = (body: unknown): void => {
     if (consensusMessages.isSettled(body)) void this.acceptor.settle(body);
   };
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -36,6 +36,7 @@
 import { WeightsDesk } from './weightsDesk.js';
 
 const confirmPatienceMs = 700;
+const handoverShare = 0.5;
 const weightsStepMs = 60;
 const leaseMs = 1_600;
 const leaseMarginMs = 400;
@@ -212,7 +213,8 @@
     isDown: () => true,
     wantedDuties: () => (this.acceptor.isVoter() ? [weightsDuty] : []),
     dutiesChanged: () => {},
-    syncedFrom: () => (this.acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
+    needsCopies: false,
+    syncedFrom: () => [],
     prepareUpkeep: this.prepareUpkeep,
     sharedRoster: (entries) => entries.filter(({ hello }) => hello.role === 'postmaster'),
     joined: (connection) => {
@@ -247,6 +249,7 @@
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
+    if (this.consensus.isLeaving()) return false;
     return state !== null && this.consensus.reachableVoters().length > state.members.length / 2;
   };
 
@@ -272,6 +275,9 @@
     };
   };
 
+  /** Hands the seat over by agreement, gives up the leases and tells the others, within a share of the drain time; to be called before `stop`. */
+  readonly leave = (): Promise<void> => this.consensus.leave(this.env.drainMs * handoverShare);
+
   readonly stop = async (): Promise<void> => {
     this.consensus.pause();
     this.weightsStep.stop();
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -1,18 +1,44 @@
-import { ok } from 'neverthrow';
-import type { Clock, Log, Member } from '@martenworks/core-types';
-import { digests } from '@martenworks/core-types';
-import type { Hello } from '@martenworks/peer-transport';
+/** Who has a seat among the voters: swaps of lost and leaving members for newcomers, one at a time and by agreement. */
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { Agreed, Change, Clock, Log, Member } from '@martenworks/core-types';
+import { digests, pause } from '@martenworks/core-types';
+import type { PeerConnection } from '@martenworks/peer-transport';
 import type { Lines } from '@martenworks/cluster-membership';
 import type { Acceptor } from './acceptor.js';
 import { consensusMessages } from './consensusMessages.js';
-import type { Proposer } from './proposer.js';
+import type { Standing } from './founding.js';
+import type { ProposeFault, Proposer } from './proposer.js';
 
 const usualStrangerWaitMs = 12_000;
 const patienceMs = 1_000;
 const swapPatienceMs = 2_000;
+const confirmPatienceMs = 1_000;
+const retryMs = 50;
+
+export interface MembershipTerms {
+  /** Milliseconds that a member must be lost before a node of another name may have its seat. */
+  readonly strangerWaitMs?: number;
+  /** Whether a newcomer must have copied data from every member, beside the agreed state, before it may vote. */
+  readonly needsCopies: boolean;
+}
+
+const isSeated = (state: Agreed, incarnation: string): boolean =>
+  state.members.some((member) => member.incarnation === incarnation);
+
+const majorityOf = (members: readonly Member[]): number => Math.floor(members.length / 2) + 1;
+
+const pollUntil = async (clock: Clock, untilMs: number, isDone: () => Promise<boolean>): Promise<boolean> => {
+  while (!(await isDone())) {
+    if (clock.now() + retryMs > untilMs) return false;
+    await pause.for(clock, retryMs);
+  }
+  return true;
+};
 
 export class Membership {
   private readonly lostAt = new Map<string, number>();
+  private readonly leaving = new Set<string>();
 
   constructor(
     private readonly acceptor: Acceptor,
@@ -21,9 +47,19 @@
     private readonly lines: () => Lines,
     private readonly isDown: (name: string) => boolean,
     private readonly log: Log,
-    private readonly strangerWaitMs = usualStrangerWaitMs,
+    private readonly terms: MembershipTerms,
   ) {}
 
+  /** A node has said that it leaves: its seat may be given away without a wait, and it gets no other one. */
+  readonly noteLeaving = (incarnation: string): void => void this.leaving.add(incarnation);
+
+  /** A node is there again: what it said of leaving is over. */
+  readonly noteBack = (incarnation: string): void => {
+    if (incarnation !== this.acceptor.incarnation) this.leaving.delete(incarnation);
+  };
+
+  readonly isLeaving = (): boolean => this.leaving.has(this.acceptor.incarnation);
+
   private readonly noteLost = (members: readonly Member[]): void => {
     const now = this.clock.now();
     for (const member of members) {
@@ -35,53 +71,131 @@
       if (!members.some((member) => member.incarnation === incarnation)) this.lostAt.delete(incarnation);
   };
 
-  private readonly outgoingFor = (newcomer: Hello, members: readonly Member[]): Member | undefined => {
-    const lost = members.filter((member) => this.lostAt.has(member.incarnation));
+  /** Forgets of leaving nodes those that are gone and have no seat. */
+  private readonly forgetGone = (state: Agreed): void => {
+    for (const incarnation of this.leaving) {
+      const isKnown = incarnation === this.acceptor.incarnation || isSeated(state, incarnation);
+      if (!isKnown && this.lines().to(incarnation) === undefined) this.leaving.delete(incarnation);
+    }
+  };
+
+  private readonly isLostForLong = (member: Member): boolean => {
+    const lostAt = this.lostAt.get(member.incarnation);
+    const waitMs = this.terms.strangerWaitMs ?? usualStrangerWaitMs;
+    return lostAt !== undefined && this.isDown(member.name) && this.clock.now() - lostAt > waitMs;
+  };
+
+  /** The seat that a newcomer may have: that of its own name first, then one that is left, then one lost for long. */
+  private readonly seatFor = (newcomer: Member, members: readonly Member[]): Member | undefined => {
     const sameName = members.find((member) => member.name === newcomer.name);
-    if (sameName !== undefined) return lost.find((member) => member.name === newcomer.name);
-    return lost.find(
-      (member) =>
-        this.isDown(member.name) &&
-        this.clock.now() - (this.lostAt.get(member.incarnation) ?? this.clock.now()) > this.strangerWaitMs,
+    if (sameName !== undefined) {
+      const isFree = this.lostAt.has(sameName.incarnation) || this.leaving.has(sameName.incarnation);
+      return isFree ? sameName : undefined;
+    }
+    return members.find((member) => this.leaving.has(member.incarnation)) ?? members.find(this.isLostForLong);
+  };
+
+  /** Open connections to core nodes that have no seat and stay. */
+  private readonly newcomers = (state: Agreed): { connection: PeerConnection; member: Member }[] =>
+    this.lines()
+      .open()
+      .flatMap((connection) => {
+        const { neighbour } = connection;
+        if (neighbour === null || neighbour.role !== 'postmaster') return [];
+        const { name, address, incarnation } = neighbour;
+        if (isSeated(state, incarnation) || this.leaving.has(incarnation)) return [];
+        return [{ connection, member: { name, address, incarnation } }];
+      });
+
+  private readonly standingOf = async (connection: PeerConnection): Promise<Standing | null> => {
+    const told = await connection.ask('standing', null, patienceMs);
+    return told.isOk() && consensusMessages.isStanding(told.value) ? told.value : null;
+  };
+
+  private readonly isCaughtUp = (standing: Standing, state: Agreed, outgoing: Member): boolean => {
+    if (standing.generation < state.generation) return false;
+    if (!this.terms.needsCopies) return true;
+    return state.members.every(
+      (member) => member.incarnation === outgoing.incarnation || standing.syncedFrom.includes(member.incarnation),
     );
   };
 
+  /** Gives one free seat to a newcomer that is caught up, where there are both. */
   readonly step = async (): Promise<void> => {
     const state = this.acceptor.agreed();
     if (state === null || !this.acceptor.isVoter()) return;
     this.noteLost(state.members);
-    const seated = new Set(state.members.map((member) => member.incarnation));
-    for (const connection of this.lines().open()) {
-      const newcomer = connection.neighbour;
-      if (newcomer === null || newcomer.role !== 'postmaster' || seated.has(newcomer.incarnation)) continue;
-      const outgoing = this.outgoingFor(newcomer, state.members);
+    this.forgetGone(state);
+    for (const { connection, member } of this.newcomers(state)) {
+      const outgoing = this.seatFor(member, state.members);
       if (outgoing === undefined) continue;
-      const told = await connection.ask('standing', null, patienceMs);
-      if (told.isErr() || !consensusMessages.isStanding(told.value)) continue;
-      const standing = told.value;
-      const isReady =
-        standing.generation === state.generation &&
-        state.members.every(
-          (member) => member.incarnation === outgoing.incarnation || standing.syncedFrom.includes(member.incarnation),
-        );
-      if (isReady)
-        return this.swap(outgoing, {
-          name: newcomer.name,
-          address: newcomer.address,
-          incarnation: newcomer.incarnation,
-        });
+      const standing = await this.standingOf(connection);
+      if (standing !== null && this.isCaughtUp(standing, state, outgoing)) return this.swap(outgoing, member);
     }
   };
 
+  /**
+   * Hands this node's seat to a newcomer, for at most `budgetMs` milliseconds. Ends at once where there is no seat to
+   * hand over or nobody to have it; else when the new member and a majority of the new members hold the swap.
+   */
+  readonly leave = async (budgetMs: number): Promise<void> => {
+    this.noteLeaving(this.acceptor.incarnation);
+    const before = this.acceptor.agreed();
+    if (before === null || !this.acceptor.isVoter()) return;
+    const untilMs = this.clock.now() + budgetMs;
+    const handover = pollUntil(this.clock, untilMs, () => this.handOver(before));
+    const isInTime = await Promise.race([handover, pause.for(this.clock, budgetMs).then(() => false)]);
+    this.log.info('this node leaves', { hasSeat: this.acceptor.isVoter(), isInTime });
+  };
+
+  /** One try at handing over this node's seat: true where nothing is left to be done. */
+  private readonly handOver = async (before: Agreed): Promise<boolean> => {
+    const state = this.acceptor.agreed() ?? before;
+    if (!this.acceptor.isVoter()) return this.isHeldByNewMajority(before, state);
+    if (this.newcomers(state).length === 0) return true;
+    await this.step();
+    return false;
+  };
+
   private readonly swap = async (outgoing: Member, incoming: Member): Promise<void> => {
     const id = `swap-${outgoing.incarnation}-${incoming.incarnation}`;
     const body = { kind: 'swap' as const, outgoing: outgoing.incarnation, incoming };
     const digest = digests.of(body);
-    const outcome = await this.proposer.propose(() => ok({ id, digest, body }), id, digest, swapPatienceMs);
+    const check = (state: Agreed): Result<Change, ProposeFault> =>
+      isSeated(state, outgoing.incarnation) && !isSeated(state, incoming.incarnation)
+        ? ok({ id, digest, body })
+        : err({ kind: 'unavailable', detail: 'the seat is given away, or the newcomer has another one' });
+    const before = this.acceptor.agreed() as Agreed;
+    const outcome = await this.proposer.propose(check, id, digest, swapPatienceMs);
     this.log.info('a membership swap was proposed', {
       outgoing: outgoing.name,
       incoming: incoming.name,
       outcome: outcome.isOk() ? outcome.value : outcome.error,
     });
+    if (outcome.isErr()) return;
+    const untilMs = this.clock.now() + confirmPatienceMs;
+    const isHeld = await pollUntil(this.clock, untilMs, () =>
+      this.isHeldByNewMajority(before, this.acceptor.agreed() ?? before),
+    );
+    this.log.info('a membership swap is settled', { incoming: incoming.name, isHeldByNewMajority: isHeld });
+  };
+
+  /** Whether every member that is new since `before`, and a majority of the members of `state`, hold that on disk. */
+  private readonly isHeldByNewMajority = async (before: Agreed, state: Agreed): Promise<boolean> => {
+    const held = await Promise.all(state.members.map((member) => this.isHeldBy(member, state)));
+    const holders = state.members.filter((_, at) => held[at]);
+    const newMembers = state.members.filter((member) => !isSeated(before, member.incarnation));
+    return holders.length >= majorityOf(state.members) && newMembers.every((member) => holders.includes(member));
+  };
+
+  private readonly isHeldBy = async (member: Member, state: Agreed): Promise<boolean> => {
+    if (member.incarnation === this.acceptor.incarnation) return true;
+    const connection = this.lines().to(member.incarnation);
+    if (connection === undefined) return false;
+    const standing = await this.standingOf(connection);
+    if (standing === null) return false;
+    if (standing.generation >= state.generation) return true;
+    await connection.ask('supply', this.acceptor.since(standing.generation), patienceMs);
+    return false;
   };
 }
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -181,6 +181,7 @@
         .filter((record) => record.state !== 'gone')
         .map((record) => kvDuty(record.name)),
     dutiesChanged: () => this.kv.align(this.table.records()),
+    needsCopies: true,
     syncedFrom: () => [...this.replicas.syncedFrom],
     prepareUpkeep: this.prepareUpkeep,
     sharedRoster: (entries) => entries,
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -363,6 +363,8 @@
 
   readonly openDoor = (address: string, handler: WebHandler): void => void this.doors.set(address, handler);
 
+  readonly closeDoor = (address: string): void => void this.doors.delete(address);
+
   readonly carriage = (life = this.life): Carriage => ({
     close: async () => {},
     carry: (request) =>
