Grant leases only among voters that agree on who votes

Cause: a lease counted when a majority of the asker's members granted it, and a grantor asked only whether it had a seat itself. Beside a swap the majority before ({A, C}) and the one after ({N, B}) may be disjoint, so two nodes could hold the lease on one task for up to 1.6 s.

Change: an ask names the incarnations that the asker takes for voters; a grantor refuses where its own differ, and while it has accepted a swap that it does not know to be settled. A newly seated member grants nothing for a lease's length and the gap between holders. An ask without the names (the former release) is judged by the grantor's own members. Acceptor tells hasUnsettledSwap (a small local edit).

Ruled out: to rest on fences alone; replicas refuse the older fence only once they have seen the newer one. Price: after a swap the new member is no help to a lease for 4.6 s (1.6 s and an order gap of 3 s); the other members are a majority by themselves unless one of them is lost as well.

No test changed.

--- a/packages/control-plane/src/acceptor.ts
+++ b/packages/control-plane/src/acceptor.ts
@@ -162,6 +162,9 @@
 
   readonly acceptedSlot = (): number | null => (this.live.accepted === null ? null : this.slot());
 
+  /** Whether a swap of members was accepted here that is not known to be settled. */
+  readonly hasUnsettledSwap = (): boolean => this.live.accepted?.change.body.kind === 'swap';
+
   readonly watch = (verb: (settled: Settled | null) => void): void => void this.watchers.push(verb);
 
   private readonly news = (settled: Settled | null): void => {
--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -1,12 +1,12 @@
 /** One member of the consensus group: agreement, membership, leases and heartbeats, for every kind of core node. */
 import { Repeating } from '@martenworks/core-types';
 import type { Member, Ports } from '@martenworks/core-types';
-import { Duties, Lines } from '@martenworks/cluster-membership';
+import { Duties, Lines, leaseMs } from '@martenworks/cluster-membership';
 import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
 import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
 import type { Acceptor } from './acceptor.js';
 import { consensusMessages } from './consensusMessages.js';
-import type { MessageCheck } from './consensusMessages.js';
+import type { ElectorateLeaseAsk, MessageCheck } from './consensusMessages.js';
 import { Founding } from './founding.js';
 import type { Standing } from './founding.js';
 import type { KeptLeases } from './leases.js';
@@ -70,6 +70,8 @@
   private readonly repeats: Repeating[] = [];
   private isFoundingStep = false;
   private isUpkeepStep = false;
+  private wasVoter = false;
+  private quietUntil = 0;
 
   constructor(
     private readonly parts: ConsensusParts,
@@ -120,7 +122,11 @@
     const { clock, random } = this.parts.ports;
     const { pace } = this;
     const varied = (everyMs: number) => (): number => everyMs * (0.5 + random.fraction());
-    this.acceptor.watch(() => this.lines.align());
+    this.wasVoter = this.acceptor.isVoter();
+    this.acceptor.watch(() => {
+      this.noteSeat();
+      this.lines.align();
+    });
     this.repeats.push(
       new Repeating(clock, varied(pace.foundingMs), this.stepFounding),
       new Repeating(clock, varied(pace.upkeepMs), this.upkeep),
@@ -219,11 +225,42 @@
     return receipt?.isOk() === true && check(receipt.value) ? receipt.value : null;
   };
 
-  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
+  /**
+   * A member that was newly seated grants nothing until every lease has ended which the members before it may have
+   * granted: they may have formed a majority without it.
+   */
+  private readonly noteSeat = (): void => {
+    const isVoter = this.acceptor.isVoter();
+    const isNewlySeated = isVoter && !this.wasVoter && (this.acceptor.agreed()?.generation ?? 0) > 0;
+    this.wasVoter = isVoter;
+    if (!isNewlySeated) return;
+    const { terms, ports } = this.parts;
+    this.quietUntil = ports.clock.now() + (terms?.leaseMs ?? leaseMs) + (terms?.gapMs ?? 0);
+  };
+
+  private readonly electorate = (): string[] => this.members().map((member) => member.incarnation);
+
+  /** Leases count only among voters that agree on who votes, and not while a change of that may have been chosen. */
+  private readonly mayGrant = (electorate: readonly string[]): boolean => {
+    const own = this.electorate();
+    return (
+      this.acceptor.isVoter() &&
+      !this.acceptor.hasUnsettledSwap() &&
+      this.parts.ports.clock.now() >= this.quietUntil &&
+      electorate.length === own.length &&
+      electorate.every((incarnation) => own.includes(incarnation))
+    );
+  };
+
+  private readonly grant = async (ask: ElectorateLeaseAsk): Promise<LeaseReply | null> =>
+    this.mayGrant(ask.electorate ?? this.electorate()) ? this.parts.leases.book.grant(ask) : null;
+
+  private readonly askLeases = async (leaseAsk: LeaseAsk): Promise<LeaseReply[]> => {
+    const ask: ElectorateLeaseAsk = { ...leaseAsk, electorate: this.electorate() };
     const replies = await Promise.all(
       this.members().map((member) =>
         this.isSelf(member)
-          ? this.parts.leases.book.grant(ask)
+          ? this.grant(ask)
           : this.askMember(member, 'leaseAsk', ask, consensusMessages.isLeaseReply, this.pace.leasePatienceMs),
       ),
     );
@@ -317,7 +354,7 @@
       case 'roster':
         return this.exchangeRoster(body);
       case 'leaseAsk':
-        return isLeaseAsk(body) && acceptor.isVoter() ? this.parts.leases.book.grant(body) : null;
+        return isLeaseAsk(body) ? this.grant(body) : null;
       case 'vow':
         return isMembers(body) ? acceptor.vow(body) : null;
       case 'prepare':
--- a/packages/control-plane/src/consensusMessages.ts
+++ b/packages/control-plane/src/consensusMessages.ts
@@ -18,6 +18,11 @@
   readonly change: Change;
 }
 
+/** An ask for leases with the incarnations that the asker takes for the voters; releases before had it not. */
+export interface ElectorateLeaseAsk extends LeaseAsk {
+  readonly electorate?: readonly string[];
+}
+
 const changeKinds: ReadonlySet<unknown> = new Set<ChangeBody['kind']>([
   'layout',
   'grant',
@@ -116,8 +121,11 @@
 const isDutyAsk = (value: unknown): value is LeaseAsk['duties'][number] =>
   isShape(value) && isText(value.duty) && isNumber(value.fence);
 
-const isLeaseAsk = (value: unknown): value is LeaseAsk =>
-  isShape(value) && isText(value.holder) && isListOf(isDutyAsk)(value.duties);
+const isLeaseAsk = (value: unknown): value is ElectorateLeaseAsk =>
+  isShape(value) &&
+  isText(value.holder) &&
+  isListOf(isDutyAsk)(value.duties) &&
+  (value.electorate === undefined || isTexts(value.electorate));
 
 const isLeaseReply = (value: unknown): value is LeaseReply =>
   isShape(value) && isTexts(value.granted) && isShape(value.fences) && Object.values(value.fences).every(isNumber);
