--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -1,7 +1,7 @@
 /** One member of the consensus group: agreement, membership, leases and heartbeats, for every kind of core node. */
 import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type { Member, Ports } from '@martenworks/core-types';
-import { Duties, Lines } from '@martenworks/cluster-membership';
+import { Duties, Lines, leaseMs } from '@martenworks/cluster-membership';
 import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
 import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
 import type { Acceptor } from './acceptor.js';
@@ -9,7 +9,7 @@
 import { CatchUp, catchUpTopics } from './catchUp.js';
 import { compressedChanges } from './compressed.js';
 import { consensusMessages } from './consensusMessages.js';
-import type { MessageCheck } from './consensusMessages.js';
+import type { ElectorateLeaseAsk, MessageCheck } from './consensusMessages.js';
 import { Founding } from './founding.js';
 import type { Standing } from './founding.js';
 import type { KeptLeases } from './leases.js';
@@ -43,6 +43,8 @@
   readonly isDown: (name: string) => boolean;
   readonly wantedDuties: () => readonly string[];
   readonly dutiesChanged: () => void;
+  /** Whether a newcomer must have copied data beside the agreed state from every member before it may vote. */
+  readonly needsCopies: boolean;
   /** The members, by incarnation, whose data beside the agreed state is held here. */
   readonly syncedFrom: () => readonly string[];
   /** Work to be done before each step of membership; catching up is part of it. */
@@ -73,6 +75,8 @@
   private readonly repeats: Repeating[] = [];
   private isFoundingStep = false;
   private isUpkeepStep = false;
+  private wasVoter = false;
+  private quietUntil = 0;
 
   constructor(
     private readonly parts: ConsensusParts,
@@ -97,7 +101,7 @@
       clock,
       () => acceptor.incarnation,
       this.reachableVoters,
-      role.wantedDuties,
+      () => (this.isLeaving() ? [] : role.wantedDuties()),
       this.askLeases,
       this.releaseLeases,
       () => Math.floor(this.members().length / 2) + 1,
@@ -120,7 +124,8 @@
       () => this.lines,
       role.isDown,
       log,
-      pace.strangerWaitMs,
+      { strangerWaitMs: pace.strangerWaitMs, needsCopies: role.needsCopies },
+      (connection) => this.catchUp.supply(connection, pace.votePatienceMs),
     );
   }
 
@@ -129,7 +134,11 @@
     const { clock, random } = this.parts.ports;
     const { pace } = this;
     const varied = (everyMs: number) => (): number => everyMs * (0.5 + random.fraction());
-    this.acceptor.watch(() => this.lines.align());
+    this.wasVoter = this.acceptor.isVoter();
+    this.acceptor.watch(() => {
+      this.noteSeat();
+      this.lines.align();
+    });
     this.repeats.push(
       new Repeating(clock, varied(pace.foundingMs), this.stepFounding),
       new Repeating(clock, varied(pace.upkeepMs), this.upkeep),
@@ -148,6 +157,16 @@
     for (const repeat of this.repeats) repeat.stop();
   };
 
+  readonly isLeaving = (): boolean => this.membership.isLeaving();
+
+  /** Tells all peers that this node leaves, gives up its leases, and hands its seat over where somebody can have it: for `budgetMs` at most. */
+  readonly leave = async (budgetMs: number): Promise<void> => {
+    this.membership.noteLeaving(this.acceptor.incarnation);
+    this.resign();
+    this.tellPeers('leaving', null);
+    await this.membership.leave(budgetMs);
+  };
+
   /** Gives up the leases. */
   readonly resign = (): void => this.duties.resign();
 
@@ -185,7 +204,7 @@
     this.isUpkeepStep = true;
     void this.role
       .prepareUpkeep()
-      .then(this.membership.step)
+      .then(() => (this.isLeaving() ? undefined : this.membership.step()))
       .finally(() => (this.isUpkeepStep = false));
   };
 
@@ -213,11 +232,42 @@
     return receipt?.isOk() === true && check(receipt.value) ? receipt.value : null;
   };
 
-  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
+  /**
+   * A member that was newly seated grants nothing until every lease has ended which the members before it may have
+   * granted: they may have formed a majority without it.
+   */
+  private readonly noteSeat = (): void => {
+    const isVoter = this.acceptor.isVoter();
+    const isNewlySeated = isVoter && !this.wasVoter && (this.acceptor.agreed()?.generation ?? 0) > 0;
+    this.wasVoter = isVoter;
+    if (!isNewlySeated) return;
+    const { terms, ports } = this.parts;
+    this.quietUntil = ports.clock.now() + (terms?.leaseMs ?? leaseMs) + (terms?.gapMs ?? 0);
+  };
+
+  private readonly electorate = (): string[] => this.members().map((member) => member.incarnation);
+
+  /** Leases count only among voters that agree on who votes, and not while a change of that may have been chosen. */
+  private readonly mayGrant = (electorate: readonly string[]): boolean => {
+    const own = this.electorate();
+    return (
+      this.acceptor.isVoter() &&
+      !this.acceptor.hasUnsettledSwap() &&
+      this.parts.ports.clock.now() >= this.quietUntil &&
+      electorate.length === own.length &&
+      electorate.every((incarnation) => own.includes(incarnation))
+    );
+  };
+
+  private readonly grant = async (ask: ElectorateLeaseAsk): Promise<LeaseReply | null> =>
+    this.mayGrant(ask.electorate ?? this.electorate()) ? this.parts.leases.book.grant(ask) : null;
+
+  private readonly askLeases = async (leaseAsk: LeaseAsk): Promise<LeaseReply[]> => {
+    const ask: ElectorateLeaseAsk = { ...leaseAsk, electorate: this.electorate() };
     const replies = await Promise.all(
       this.voterMembers().map((member) =>
         this.isSelf(member)
-          ? this.parts.leases.book.grant(ask)
+          ? this.grant(ask)
           : this.askMember(member, 'leaseAsk', ask, consensusMessages.isLeaseReply, this.pace.leasePatienceMs),
       ),
     );
@@ -275,13 +325,14 @@
   /** Handlers for every connection of the node: the group's own topics here, all others by the role. */
   readonly handlers = (): Handlers => ({
     joined: (connection) => {
-      if (connection.neighbour !== null) this.parts.roster.heard(connection.neighbour);
+      this.noteJoined(connection);
       this.role.joined(connection);
     },
     left: (connection) => this.role.left(connection),
     told: (connection, topic, body) => {
       if (topic === 'settled') this.takeSettled(connection, body);
       else if (topic === 'leaseDrop') this.takeRelease(body);
+      else if (topic === 'leaving') this.takeLeaving(connection);
       else this.role.told(connection, topic, body);
     },
     asked: (connection, topic, body) => {
@@ -290,6 +341,19 @@
     },
   });
 
+  private readonly noteJoined = (connection: PeerConnection): void => {
+    if (connection.neighbour === null) return;
+    this.parts.roster.heard(connection.neighbour);
+    if (connection.neighbour.role !== 'postmaster') return;
+    this.membership.noteBack(connection.neighbour.incarnation);
+    if (this.isLeaving()) connection.tell('leaving', null);
+    this.lines.align();
+  };
+
+  private readonly takeLeaving = (connection: PeerConnection): void => {
+    if (connection.neighbour !== null) this.membership.noteLeaving(connection.neighbour.incarnation);
+  };
+
   private readonly takeSettled = (connection: PeerConnection, body: unknown): void => {
     if (consensusMessages.isSettled(body)) void this.catchUp.settle(connection, body);
   };
@@ -309,7 +373,7 @@
       case 'roster':
         return this.exchangeRoster(body);
       case 'leaseAsk':
-        return isLeaseAsk(body) && acceptor.isVoter() ? this.parts.leases.book.grant(body) : null;
+        return isLeaseAsk(body) ? this.grant(body) : null;
       case 'vow':
         return isMembers(body) ? acceptor.vow(body) : null;
       case 'prepare':
--- a/packages/control-plane/test/seats.test.ts
+++ b/packages/control-plane/test/seats.test.ts
@@ -60,7 +60,7 @@
       supply: async () => {},
     };
     const proposer = new Proposer(acceptor, voters, clock, random, log);
-    expect(await finish(world, proposer.confirm(500))).to.equal(false);
+    expect(await finish(world, proposer.confirm(500))).to.equal(null);
   });
 
   it('given a swap that another member settled first, when it is tried again, then its check refuses it on the state in force', async () => {
@@ -93,7 +93,8 @@
       () => lines as unknown as Lines,
       () => true,
       log,
-      100,
+      { strangerWaitMs: 100, needsCopies: true },
+      async () => {},
     );
     await finish(world, membership.step());
     await world.run(200);
--- a/packages/proving/src/sim/simWorld.ts
+++ b/packages/proving/src/sim/simWorld.ts
@@ -397,6 +397,8 @@
       await new Promise<void>((wake) => void this.world.plan(this, doorCheckMs, wake));
   };
 
+  readonly closeDoor = (address: string): void => void this.doors.delete(address);
+
   readonly carriage = (life = this.life): Carriage => ({
     close: async () => {},
     carry: (request) =>
