--- a/packages/core-types/src/prompt.ts
+++ b/packages/core-types/src/prompt.ts
@@ -26,20 +26,35 @@
   hash: (key: string): string => createHash('sha256').update('martenworks-key:').update(key).digest('hex'),
 };
 
-/** JSON of `value` with the names of each object in order, so that equal values give equal text. */
-const canonicalJson = (value: unknown): string => {
-  if (value === null || typeof value !== 'object') return JSON.stringify(value) ?? 'null';
-  if (Array.isArray(value)) return `[${value.map(canonicalJson).join()}]`;
-  const given = value as Record<string, unknown>;
-  const fields = Object.keys(given)
-    .sort()
-    .filter((name) => given[name] !== undefined)
-    .map((name) => `${JSON.stringify(name)}:${canonicalJson(given[name])}`);
-  return `{${fields.join()}}`;
+interface NameOrder {
+  readonly given: readonly string[];
+  readonly sorted: readonly string[];
+}
+
+const isGivenIn = (value: object, { given }: NameOrder): boolean => {
+  let at = 0;
+  for (const name in value) if (name !== given[at++]) return false;
+  return at === given.length;
+};
+
+/** Rewrites a JSON value so that equal values give equal JSON: each object becomes `{ o: [sorted names, their values in that order] }`. The order of the last object at each depth is kept, as the items of a list mostly have the same names. */
+const canonical = (value: unknown, orders: NameOrder[], depth: number): unknown => {
+  if (value === null || typeof value !== 'object') return value;
+  if (Array.isArray(value)) return value.map((item) => canonical(item, orders, depth + 1));
+  let order = orders[depth];
+  if (order === undefined || !isGivenIn(value, order)) {
+    const given = Object.keys(value);
+    order = { given, sorted: [...given].sort() };
+    orders[depth] = order;
+  }
+  const fields = value as Record<string, unknown>;
+  const rewritten: unknown[] = [order.sorted];
+  for (const name of order.sorted) rewritten.push(canonical(fields[name], orders, depth + 1));
+  return { o: rewritten };
 };
 
 export const digests = {
-  /** 32 hex digits; alike for values that differ only in the order of their objects' names. */
-  ofCanonical: (value: unknown): string => createHash('sha256').update(canonicalJson(value)).digest('hex').slice(0, 32),
+  /** 32 hex digits; alike for JSON values that differ only in the order of their objects' names. */
+  ofCanonical: (value: unknown): string => digests.of(canonical(value, [], 0)),
   of: (value: unknown): string => createHash('sha256').update(JSON.stringify(value)).digest('hex').slice(0, 32),
 };
