Part ForwardedRequest into attempt, retry policy and answer relay

EdgeContext is what they need of the edge, so that front.ts imports them and they import no Front. An Admission carries the hash of its key, which was computed anew before each attempt and each write. Tally has a file of its own.

--- a/packages/edge-proxy/src/front.ts
+++ b/packages/edge-proxy/src/front.ts
@@ -11,18 +11,19 @@
   ThroughWire,
 } from '@martenworks/core-types';
 import type { WayEnv } from '@martenworks/settings';
-import { BookDoor } from '@martenworks/route-table';
+import { BookDoor, shares } from '@martenworks/route-table';
 import type { BookView, WayView } from '@martenworks/route-table';
-import { headerLists } from './call.js';
 import type { Call } from './call.js';
 import { CallDoor } from './callDoor.js';
 import { CoreTouch } from './coreTouch.js';
 import { ExtraBudget } from './extraBudget.js';
+import type { Admission, EdgeContext } from './edgeContext.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import { ReplicaTracks } from './replicaTracks.js';
 import { ShelfBook } from './shelfBook.js';
 import { StaleWatch } from './staleWatch.js';
 import type { AnswerTiming } from './staleWatch.js';
+import { Tally } from './tally.js';
 import { WayPlacing } from './wayPlacing.js';
 import type { NamedSince, WayPlace, WayQuestion } from './wayPlacing.js';
 
@@ -36,21 +37,13 @@
 const agesKept = 8;
 const tallyMs = 10_000;
 
-export class Tally {
-  private readonly counts = new Map<string, number>();
-
-  readonly add = (name: string): void => void this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
-
-  readonly all = (): Record<string, number> => Object.fromEntries(this.counts);
-}
-
 interface Named {
   readonly version: number;
   readonly at: number;
 }
 
 /** A front on the opaque path: takes callers' requests, places each, and passes what the replica answers. */
-export class Front {
+export class Front implements EdgeContext {
   readonly tracks: ReplicaTracks;
   readonly shelves: ShelfBook;
   readonly stale: StaleWatch;
@@ -180,19 +173,19 @@
 
   private readonly standingOf = (
     call: Call,
-    key: string | null,
+    keyHash: string | null,
   ): { view: WayView; customer: Customer | null } | { status: number; message: string } => {
     const view = this.view?.match(call.host, this.pathOf(call.target)) ?? null;
     if (this.view === null || view === null) return { status: 404, message: 'no way leads there' };
-    const customer = key === null ? null : this.view.holderOf(keys.hash(key));
+    const customer = keyHash === null ? null : this.view.holderOf(keyHash);
     if (customer === null && this.view.isKeyed && !view.way.isOpen)
       return { status: 401, message: 'the key is not granted' };
     return { view, customer };
   };
 
   /** Whether what a request was admitted by still holds: its way, the key it came with, that key's holder and what the holder may share. */
-  readonly isStanding = (call: Call, view: WayView, customer: Customer | null, key: string | null): boolean => {
-    const now = this.standingOf(call, key);
+  readonly isStanding = ({ call, view, customer, keyHash }: Admission): boolean => {
+    const now = this.standingOf(call, keyHash);
     if ('status' in now || now.view.way.name !== view.way.name) return false;
     if (now.customer?.name !== customer?.name || now.customer?.isIsolated !== customer?.isIsolated) return false;
     return (now.view.mayRepeat || !view.mayRepeat) && (now.view.way.mayResume || !view.way.mayResume);
@@ -207,11 +200,6 @@
     reply.end();
   };
 
-  readonly replyHeaders = (list: readonly string[], isRestreamed: boolean): string[] => {
-    const kept = headerLists.endToEnd(list);
-    return isRestreamed ? headerLists.without(kept, new Set(['content-length'])) : kept;
-  };
-
   /** Answers one call; the door hands it over, or whoever stands in for the door. */
   readonly receive = async (call: Call): Promise<void> => {
     const { view } = this;
@@ -221,15 +209,27 @@
     if (call.headerBytes > limits.headerBytes) return this.deny(call, 431, 'the headers are too large', null, true);
     const order = this.wire.order(call.headers);
     if (order.isErr()) return this.deny(call, 400, order.error, null);
-    const standing = this.standingOf(call, order.value.key);
+    const keyHash = order.value.key === null ? null : keys.hash(order.value.key);
+    const standing = this.standingOf(call, keyHash);
     if ('status' in standing) return this.deny(call, standing.status, standing.message, null);
     const body = await call.body(limits.bodyBytes);
     if (body.isErr())
       return body.error === 'too large' ? this.deny(call, 413, 'the body is too large', null, true) : undefined;
-    const again = this.standingOf(call, order.value.key);
+    const again = this.standingOf(call, keyHash);
     if ('status' in again) return this.deny(call, again.status, again.message, null);
-    const pool = ForwardedRequest.poolFor(again.view, this.ports.random.fraction());
-    await new ForwardedRequest(this, call, again.view, order.value, again.customer, body.value, pool).run();
+    const { view: wayView, customer } = again;
+    const pool = shares.draw(wayView.way, this.ports.random.fraction());
+    await this.forward({ call, order: order.value, keyHash, view: wayView, customer, pool, body: body.value });
+  };
+
+  private readonly forward = async (admission: Admission): Promise<void> => {
+    const request = new ForwardedRequest(this, admission);
+    this.live.add(request);
+    try {
+      await request.run();
+    } finally {
+      this.live.delete(request);
+    }
   };
 
   private readonly drop = ({ address, salt, parts, barMs }: MissedNews): void => {
--- a/packages/edge-proxy/src/index.ts
+++ b/packages/edge-proxy/src/index.ts
@@ -2,6 +2,7 @@
 export * from './callDoor.js';
 export * from './webCall.js';
 export * from './front.js';
+export * from './tally.js';
 export * from './coreTouch.js';
 export * from './shelfBook.js';
 export * from './replicaTracks.js';
--- /dev/null
+++ b/packages/edge-proxy/src/retryPolicy.ts
@@ -0,0 +1,75 @@
+import type { ReceiptHead, Way } from '@martenworks/core-types';
+import type { WayView } from '@martenworks/route-table';
+
+const patienceShare = 0.7;
+const patienceFactor = 3;
+const patienceSlackMs = 60;
+const typicalFactor = 4;
+const silenceGaps = 5;
+const silenceShare = 0.6;
+const usualGapMs = 1_000;
+
+/** To a caller these promise that a request has not run and never will (RFC 9110 leaves it open; the callers' wire does not). */
+const promises = new Set([408, 421, 429, 503]);
+
+/** Why an attempt is stopped from this side. */
+export type StopCause = 'horizon' | 'silent' | 'gone' | 'caller left';
+
+/**
+ * How an attempt ended. `not run` only if no byte was sent or the replica said so itself; `isArrival` tells that it
+ * counts among the replicas that one request may go to. `over`: nobody waits for an answer any more.
+ */
+export type AttemptOutcome =
+  | { readonly kind: 'whole' }
+  | { readonly kind: 'over' }
+  | { readonly kind: 'not run'; readonly isArrival: boolean; readonly retryAfterMs: number | null }
+  | { readonly kind: 'may have run'; readonly cause: string };
+
+/** What an answer's head leads to; `holdsAgainst` tells that the replica is taken to be unwell. */
+export type HeadVerdict =
+  | { readonly kind: 'turned away' }
+  | { readonly kind: 'pass on'; readonly isSuccess: boolean; readonly isFailure: boolean }
+  | { readonly kind: 'drop'; readonly cause: string; readonly holdsAgainst: boolean };
+
+export interface HeadCircumstances {
+  readonly hasReply: boolean;
+  readonly mayTryAnother: boolean;
+}
+
+const headVerdict = (
+  status: number,
+  head: ReceiptHead,
+  { hasReply, mayTryAnother }: HeadCircumstances,
+): HeadVerdict => {
+  if (head.isOwn && head.isNotRun) return { kind: 'turned away' };
+  const isSuccess = status >= 200 && status < 300;
+  const isFailure = status >= 500;
+  const drop = (cause: string, holdsAgainst = true): HeadVerdict => ({ kind: 'drop', cause, holdsAgainst });
+  if (!head.isOwn || (isSuccess && !head.isSealed)) return drop("the answer is not this request's");
+  if (isFailure && (hasReply || mayTryAnother)) return drop(`the replica answered ${status}`);
+  if (!isSuccess && hasReply) return drop(`the replica answered ${status} to a resumption`, false);
+  if (promises.has(status)) return drop(`the replica answered ${status} and did not say that it had not run it`);
+  return { kind: 'pass on', isSuccess, isFailure };
+};
+
+export interface FirstPatience {
+  readonly targetMs: number;
+  readonly costMs: number;
+  readonly typicalFirstMs: number;
+}
+
+export const retryPolicy = {
+  headVerdict,
+
+  /** How long a first piece may take, in milliseconds, before its replica counts as silent. */
+  firstPatienceMs: ({ targetMs, costMs, typicalFirstMs }: FirstPatience): number =>
+    Math.max(targetMs * patienceShare, costMs * patienceFactor + patienceSlackMs, typicalFirstMs * typicalFactor),
+
+  /** How long a pause within a stream may be, in milliseconds, before its replica counts as silent. */
+  gapPatienceMs: ({ gapMs }: Way, leftMs: number): number =>
+    Math.min((gapMs ?? usualGapMs) * silenceGaps, Math.max(leftMs * silenceShare, gapMs ?? usualGapMs)),
+
+  /** Whether a request whose last attempt may have run may be sent again: a call that runs at most once never is. */
+  mayGoOn: (view: WayView, hasReply: boolean, isResumable: boolean): boolean =>
+    hasReply ? view.way.mayResume && isResumable : view.mayRepeat,
+};
