--- a/packages/peer-transport/test/peerConnection.test.ts
+++ b/packages/peer-transport/test/peerConnection.test.ts
@@ -258,4 +258,22 @@
     expect(codeOf(old)).to.equal('closed');
     expect(fresh.reply?._unsafeUnwrap()).to.equal('reply to fresh');
   });
+
+  it('given a neighbour that sends what is no frame of a known kind, when it arrives, then the connection ends and says why', async () => {
+    for (const strange of [null, 'text', { f: 'other' }, { f: 7 }]) {
+      const pair = new Pair();
+      const { net } = pair.world.machine(farHost).ports();
+      const wires: Wire[] = [];
+      (
+        await net.listen(farAddress, (wire) => {
+          wires.push(wire);
+          wire.write(frames.pack({ f: 'hello', hello: helloOf(farHost) }));
+        })
+      )._unsafeUnwrap();
+      const connection = await pair.dial();
+      wires[0]?.write(frames.pack(strange));
+      await pair.world.run(50);
+      expect([strange, connection.isLive(), pair.dropped().length]).to.deep.equal([strange, false, 1]);
+    }
+  });
 });
