Bound the time after which an abandoned value is settled

Cause: the wait of two ballots before a rescue counted ballots that had waited out a cut. After one, a value whose proposer was cut off right after its acknowledgement stayed unsettled at the others for 1.6 s, and edges with it. Test: operatorCut, 'nodes whose last ballots waited out a cut': failed before, passes now.

--- a/packages/control-plane/src/proposer.ts
+++ b/packages/control-plane/src/proposer.ts
@@ -109,7 +109,7 @@
     this.owner.run(async () => {
       const state = this.acceptor.agreed();
       const heldMs = this.acceptor.unsettledFor();
-      if (state === null || heldMs === null || heldMs < ballotsBeforeRescue * this.lastRoundMs) return;
+      if (state === null || heldMs === null || heldMs < this.rescueAfterMs()) return;
       await this.round(state, null, null);
     });
 
@@ -160,6 +160,9 @@
   private readonly confirmWithin = (attempt: Attempt): Promise<Agreed | null> =>
     this.read.newest(attempt.until, (state) => this.round(state, null, null));
 
+  /** How long a value may stay undecided before it is taken for abandoned; bounded, since edges wait for it. */
+  private readonly rescueAfterMs = (): number => Math.min(ballotsBeforeRescue * this.lastRoundMs, longestBackoffMs);
+
   /** Waits about as long as a ballot takes here, longer after each try, so that proposers on slow disks let each other finish. */
   private readonly backOff = (shot: number): Promise<void> => {
     const base = Math.min(Math.max(backoffMs, this.lastRoundMs), longestBackoffMs);
@@ -212,7 +215,7 @@
   private readonly round = async (state: Agreed, own: Change | null, attempt: Attempt | null): Promise<Round> => {
     const begunAt = this.clock.now();
     const outcome = await this.ballot(state, own, attempt);
-    this.lastRoundMs = this.clock.now() - begunAt;
+    if (outcome.k !== 'no majority') this.lastRoundMs = this.clock.now() - begunAt;
     return outcome;
   };
 
