--- a/packages/core-types/src/backEnds.ts
+++ b/packages/core-types/src/backEnds.ts
@@ -66,7 +66,9 @@
   readonly resumeAfter: string | null;
 }
 
+/** `isNamed`: it bears the request's own id; `isOwn`: that, or it is a refusal that bears none, which a surplus answer may be too. */
 export interface ReceiptHead {
+  readonly isNamed: boolean;
   readonly isOwn: boolean;
   readonly isNotRun: boolean;
   readonly isSealed: boolean;
