--- a/packages/edge-proxy/src/attempt.ts
+++ b/packages/edge-proxy/src/attempt.ts
@@ -1,18 +1,10 @@
-import type {
-  AnswerHead,
-  CarriageReceipt,
-  ClockEvent,
-  NetFault,
-  ReadingNews,
-  ReceiptHead,
-} from '@martenworks/core-types';
+import type { AnswerHead, CarriageReceipt, ClockEvent, NetFault, ReceiptHead } from '@martenworks/core-types';
 import type { AnswerRelay } from './answerRelay.js';
 import { headerLists } from './call.js';
 import type { Admission, EdgeContext } from './edgeContext.js';
-import { heavyTokens } from './replicaTracks.js';
+import { PromptTiming, placementNames } from './promptTiming.js';
 import { retryPolicy } from './retryPolicy.js';
 import type { AttemptOutcome, StopCause } from './retryPolicy.js';
-import type { KeptClaim } from './staleWatch.js';
 import type { WayPlace } from './wayPlacing.js';
 
 const fullRestMs = 150;
@@ -38,29 +30,18 @@
   readonly leftMs: () => number;
 }
 
-const placementName = ({ anchor, isKept, isSoon, isHome, holder }: WayPlace): string => {
-  if (anchor === null || anchor.tokens < heavyTokens) return isHome ? 'placed_short_home' : 'placed_short_elsewhere';
-  const source = isKept ? 'kept' : isSoon ? 'soon' : holder !== null ? 'pull' : 'read';
-  return `placed_long_${source}${isHome ? '_home' : ''}`;
-};
-
 /** One sending of a request to one replica: from the gate to the end of the answer, or to the moment when the replica is left. */
 export class Attempt {
   private readonly abort = new AbortController();
   private readonly stopped: Promise<StopCause>;
   private tellStopped: (cause: StopCause) => void = () => {};
   private stopCause: StopCause | null = null;
-  private readonly sentAt: number;
-  private readonly pendingBefore: number;
-  private readonly isIdle: boolean;
-  private readonly isAlone: boolean;
+  private readonly timing: PromptTiming;
   private readonly mayLeave: boolean;
   private readonly mightHaveRunBefore: boolean;
   private readonly firstPatienceMs: number;
   private readonly gapPatienceMs: number;
   private silence: ClockEvent;
-  private reading: ReadingNews | null = null;
-  private isReading = true;
   private isWritten = false;
 
   constructor(
@@ -70,18 +51,14 @@
   ) {
     const { tracks, ports } = context;
     const { admission, progress, relay } = request;
-    const { track, costMs, isSoon } = placed;
     const { way, mayRepeat } = admission.view;
-    const pendingTokens = track.pendingTokens + track.othersTokens;
     this.stopped = new Promise((settle) => {
       this.tellStopped = settle;
     });
-    this.sentAt = ports.clock.now();
-    this.pendingBefore = pendingTokens;
-    this.isIdle = track.running < track.card.slots && relay.resumeAfter() === null && !tracks.isSuspect(track);
-    this.isAlone = pendingTokens === 0 && !isSoon;
+    this.timing = new PromptTiming(context, admission, placed, relay.resumeAfter() !== null);
     this.mayLeave = mayRepeat && progress.attempts + 1 < way.shots;
     this.mightHaveRunBefore = progress.mayHaveRun;
+    const { costMs } = placed;
     const typicalFirstMs = tracks.typicalFirstMs(admission.pool);
     this.firstPatienceMs = retryPolicy.firstPatienceMs({ targetMs: way.targetMs, costMs, typicalFirstMs });
     this.gapPatienceMs = retryPolicy.gapPatienceMs(way, request.leftMs());
@@ -107,7 +84,7 @@
       return receipt.isErr() ? this.failed(receipt.error) : await this.answered(receipt.value);
     } finally {
       this.silence.cancel();
-      this.promptRead();
+      this.timing.promptRead();
       this.context.tracks.ended(track);
       track.whenGone.delete(this.replicaGone);
       quit.removeEventListener('abort', this.quitted);
@@ -117,9 +94,9 @@
   private readonly begin = (): void => {
     const { tracks, tally, budget } = this.context;
     const { progress, admission } = this.request;
-    this.tellReading();
+    this.timing.promptSent();
     progress.attempts += 1;
-    tally.add(placementName(this.placed));
+    tally.add(placementNames.of(this.placed));
     if (progress.attempts === 1) budget.first(admission.pool);
     tracks.began(this.placed.track, this.placed.readTokens);
   };
@@ -202,23 +179,6 @@
     this.silence = this.context.ports.clock.after(this.gapPatienceMs, this.pieceIsLate);
   };
 
-  private readonly tellReading = (): void => {
-    const { track, readTokens, salt, anchor } = this.placed;
-    if (readTokens < heavyTokens) return;
-    const { card } = track;
-    const id = this.context.readingId();
-    this.reading = { id, replica: card.id, tokens: readTokens, salt, part: anchor?.id ?? null };
-    this.context.touch.tellReading(this.reading);
-    if (salt !== null && anchor !== null) this.context.shelves.reads(card.address, salt, anchor.id);
-  };
-
-  private readonly promptRead = (): void => {
-    if (!this.isReading) return;
-    this.isReading = false;
-    this.context.tracks.given(this.placed.track, this.placed.readTokens);
-    if (this.reading !== null) this.context.touch.tellReading({ ...this.reading, tokens: 0 });
-  };
-
   private readonly takeBack = (): void => {
     this.request.progress.mayHaveRun = this.mightHaveRunBefore;
   };
@@ -286,52 +246,14 @@
   };
 
   private readonly firstPiece = (isSuccess: boolean, isFailure: boolean): void => {
-    const { tracks, ports } = this.context;
+    const { tracks } = this.context;
     const { track } = this.placed;
-    this.promptRead();
-    const spentMs = ports.clock.now() - this.sentAt;
+    this.timing.promptRead();
+    const spentMs = this.timing.spentMs();
     if (isSuccess) tracks.firstSeen(this.request.admission.pool, spentMs);
     if (isFailure) tracks.failed(track);
     else tracks.answered(track);
-    if (isSuccess) this.learn(spentMs);
-  };
-
-  /** Takes from the time to a first piece how fast the replica reads, and whether it kept what the index says. */
-  private readonly learn = (spentMs: number): void => {
-    const { tracks, shelves } = this.context;
-    const { track, anchor, salt, readTokens, pullMs, readsAll, claim } = this.placed;
-    if (anchor === null || salt === null) return;
-    shelves.saw(track.card.address, salt, anchor.id);
-    const isLate = this.isIdle && this.speaksAgainstIndex(spentMs);
-    if (this.isAlone && !isLate) tracks.measured(readTokens, spentMs - pullMs);
-    const hasReadAlone = this.aheadTokens() === 0 && (readsAll || claim?.pullMs === null);
-    if (!this.isIdle || isLate || !hasReadAlone) return;
-    tracks.sampled(track, this.request.admission.order.tokensIn - (claim?.tokens ?? 0), spentMs);
-  };
-
-  private readonly aheadTokens = (): number => {
-    const { track, readTokens } = this.placed;
-    return Math.max(0, this.pendingBefore + this.context.tracks.cameWith(track, this.sentAt) - readTokens);
-  };
-
-  private readonly speaksAgainstIndex = (spentMs: number): boolean => {
-    const { claim, secondClaim } = this.placed;
-    const [isFirstLate, isSecondLate] = [this.isClaimLate(claim, spentMs), this.isClaimLate(secondClaim, spentMs)];
-    return isFirstLate || isSecondLate;
-  };
-
-  private readonly isClaimLate = (claim: KeptClaim | null, spentMs: number): boolean => {
-    if (claim === null) return false;
-    const { tracks, shelves, compare } = this.context;
-    const timing = {
-      claim,
-      restTokens: Math.max(0, this.request.admission.order.tokensIn - claim.tokens),
-      aheadTokens: this.aheadTokens(),
-      tokensPerMs: tracks.readingRate(this.placed.track),
-      isHeard: shelves.isHeard(claim.address),
-      sentAt: this.sentAt,
-    };
-    return compare(timing, spentMs);
+    if (isSuccess) this.timing.learn(spentMs);
   };
 
   private readonly discard = (receipt: CarriageReceipt): void => {
