--- a/packages/core-types/src/backEnds.ts
+++ b/packages/core-types/src/backEnds.ts
@@ -66,9 +66,8 @@
   readonly resumeAfter: string | null;
 }
 
-/** `isNamed`: it bears the request's own id; `isOwn`: that, or it is a refusal that bears none, which a surplus answer may be too. */
+/** `isOwn`: it bears the request's own id; an answer that bears none, a refusal too, may belong to an earlier request. */
 export interface ReceiptHead {
-  readonly isNamed: boolean;
   readonly isOwn: boolean;
   readonly isNotRun: boolean;
   readonly isSealed: boolean;
--- a/packages/edge-proxy/src/attempt.ts
+++ b/packages/edge-proxy/src/attempt.ts
@@ -145,7 +145,7 @@
   /** Whether a head belongs to this request, and its answer's end can be told from a broken connection. */
   private readonly isAcceptable = ({ status, headers, isDelimited }: AnswerHead): boolean => {
     if (!isDelimited) this.context.tally.add('answers_undelimited');
-    return isDelimited && this.headOf(status, headers).isNamed;
+    return isDelimited && this.headOf(status, headers).isOwn;
   };
 
   private readonly stop = (cause: StopCause): void => {
--- a/packages/edge-proxy/src/retryPolicy.ts
+++ b/packages/edge-proxy/src/retryPolicy.ts
@@ -41,11 +41,11 @@
   head: ReceiptHead,
   { hasReply, mayTryAnother }: HeadCircumstances,
 ): HeadVerdict => {
-  if (head.isNamed && head.isNotRun) return { kind: 'turned away' };
+  if (head.isOwn && head.isNotRun) return { kind: 'turned away' };
   const isSuccess = status >= 200 && status < 300;
   const isFailure = status >= 500;
   const drop = (cause: string, holdsAgainst = true): HeadVerdict => ({ kind: 'drop', cause, holdsAgainst });
-  if (!head.isNamed || (isSuccess && !head.isSealed)) return drop("the answer is not this request's");
+  if (!head.isOwn || (isSuccess && !head.isSealed)) return drop("the answer is not this request's");
   if (isFailure && (hasReply || mayTryAnother)) return drop(`the replica answered ${status}`);
   if (!isSuccess && hasReply) return drop(`the replica answered ${status} to a resumption`, false);
   if (promises.has(status)) return drop(`the replica answered ${status} and did not say that it had not run it`);
