Count only core nodes that hear a majority as heard, from when the majority was

Cause: where revoked keys must die everywhere, an edge counted any pong as news, so one that hears only a core node cut off from the others served a revoked key for as long as the cut lasted. Ruled out: the node's own belief in its majority alone; it lags by the time a broken connection is noticed, over a second. Change: a pong tells how many milliseconds ago the core node last had bytes of each of a majority; the edge counts from when it asked, less that.

--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -193,6 +193,17 @@
       .filter((member) => this.isSelf(member) || this.lines.to(member.incarnation) !== undefined)
       .map((member) => member.incarnation);
 
+  /** Milliseconds since this node last had bytes of each of a majority of the voters, itself counted; null where it has no connection to one. */
+  readonly majorityHeardMs = (): number | null => {
+    const silences = this.voterMembers().flatMap((member) => {
+      if (this.isSelf(member)) return [0];
+      const connection = this.lines.to(member.incarnation);
+      return connection === undefined ? [] : [connection.silentMs()];
+    });
+    const majority = Math.floor(this.members().length / 2) + 1;
+    return silences.sort((a, b) => a - b)[majority - 1] ?? null;
+  };
+
   private readonly stepFounding = (): void => {
     if (this.isFoundingStep || this.acceptor.agreed() !== null) return;
     this.isFoundingStep = true;
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -237,7 +237,7 @@
       }
     },
     asked: async (connection, topic, body) => {
-      if (topic === 'ping') return this.push.pong(connection, body as FrontPing, this.isReady());
+      if (topic === 'ping') return this.push.pong(connection, body as FrontPing, this.consensus.majorityHeardMs());
       if (topic === 'state') return this.push.stateFor(body as StateHeld);
       return null;
     },
--- a/packages/control-plane/src/statePublisher.ts
+++ b/packages/control-plane/src/statePublisher.ts
@@ -144,12 +144,13 @@
     return this.clock.now() - underWay.sentAt > resendMs && !connection.isSending('state');
   };
 
-  readonly pong = (connection: PeerConnection, ping: FrontPing, isSettled: boolean): FrontPong => {
+  readonly pong = (connection: PeerConnection, ping: FrontPing, majorityHeardMs: number | null): FrontPong => {
     this.acked(connection, ping);
     return {
       generation: this.acceptor.agreed()?.generation ?? -1,
       fronts: this.fronts(),
-      isSettled,
+      isSettled: majorityHeardMs !== null,
+      majorityHeardMs,
       listAgeMs: this.listAgeMs(),
     };
   };
--- a/packages/core-types/src/wayNews.ts
+++ b/packages/core-types/src/wayNews.ts
@@ -79,11 +79,12 @@
   readonly isReady: boolean;
 }
 
-/** `isSettled` tells whether the core node hears a majority of the members. */
+/** `isSettled` tells whether the core node hears a majority of the members; `majorityHeardMs` how many milliseconds ago it last had bytes of each of a majority, null where it has no connection to one. */
 export interface FrontPong {
   readonly generation: number;
   readonly fronts: number;
   readonly isSettled: boolean;
+  readonly majorityHeardMs: number | null;
   readonly listAgeMs: number | null;
 }
 
--- a/packages/edge-proxy/src/coreTouch.ts
+++ b/packages/edge-proxy/src/coreTouch.ts
@@ -253,7 +253,8 @@
     if (this.content?.isLive()) this.pingOne(this.content);
   };
 
-  private readonly pingOne = (connection: PeerConnection): void =>
+  private readonly pingOne = (connection: PeerConnection): void => {
+    const askedAt = this.ports.clock.now();
     void connection
       .ask('ping', { ...this.stateHeld(), isReady: this.ears.isReady() }, pingPatienceMs)
       .then((receipt) => {
@@ -263,11 +264,13 @@
         }
         const pong = receipt.value as FrontPong | null;
         if (pong === null) return;
-        this.lastHeardAt = this.ports.clock.now();
+        if (pong.majorityHeardMs !== null)
+          this.lastHeardAt = Math.max(this.lastHeardAt, askedAt - pong.majorityHeardMs);
         this.pongs.set(connection, pong);
         this.noteFronts(pong.fronts);
         this.hearOf(connection, pong.generation);
       });
+  };
 
   readonly tellMissed = (news: MissedNews): void => void this.content?.tell('missed', news);
 
@@ -284,6 +287,7 @@
   /** How many fronts there are, by the most that was told within two windows of the budget: one that hears nobody, or only core nodes just started, is not alone for that. */
   readonly fronts = (): number => this.told.fronts;
 
+  /** Milliseconds since a core node that heard a majority of the members was heard, counted from when the majority was. */
   readonly unheardMs = (): number => this.ports.clock.now() - this.lastHeardAt;
 
   readonly status = (): Record<string, unknown> => ({
--- a/packages/proving/src/capacity/wayProbes.ts
+++ b/packages/proving/src/capacity/wayProbes.ts
@@ -144,7 +144,7 @@
         },
         asked: async (connection, topic, body) =>
           topic === 'ping'
-            ? (holder.push?.pong(connection, body as Parameters<StatePublisher['pong']>[1], true) ?? null)
+            ? (holder.push?.pong(connection, body as Parameters<StatePublisher['pong']>[1], 0) ?? null)
             : null,
       });
       const push = new StatePublisher(
