Dial a joining node at once only where it is new to a founded group

Change: align at a join only if the group is founded and the node has no seat, which is all that a hand-over needs.

--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -322,13 +322,16 @@
     },
   });
 
+  private readonly isNewcomer = ({ incarnation }: Hello): boolean =>
+    !this.members().some((member) => member.incarnation === incarnation);
+
   private readonly noteJoined = (connection: PeerConnection): void => {
     if (connection.neighbour === null) return;
     this.parts.roster.heard(connection.neighbour);
     if (connection.neighbour.role !== 'postmaster') return;
     this.membership.noteBack(connection.neighbour.incarnation);
     if (this.isLeaving()) connection.tell('leaving', null);
-    this.lines.align();
+    if (this.acceptor.agreed() !== null && this.isNewcomer(connection.neighbour)) this.lines.align();
   };
 
   private readonly takeLeaving = (connection: PeerConnection): void => {
