--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -1,12 +1,15 @@
 /** One member of the consensus group: agreement, membership, leases and heartbeats, for every kind of core node. */
 import { Repeating, agreed as agreedState } from '@martenworks/core-types';
 import type { Member, Ports } from '@martenworks/core-types';
-import { Duties, Lines } from '@martenworks/cluster-membership';
+import { Duties, Lines, leaseMs } from '@martenworks/cluster-membership';
 import type { DialPace, LeaseAsk, LeaseReply, LeaseTerms, Roster, RosterEntry } from '@martenworks/cluster-membership';
 import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
 import type { Acceptor } from './acceptor.js';
+import type { CompressedSettled, Since } from './acceptor.js';
+import { CatchUp, catchUpTopics } from './catchUp.js';
+import { compressedChanges } from './compressed.js';
 import { consensusMessages } from './consensusMessages.js';
-import type { MessageCheck } from './consensusMessages.js';
+import type { ElectorateLeaseAsk, MessageCheck } from './consensusMessages.js';
 import { Founding } from './founding.js';
 import type { Standing } from './founding.js';
 import type { KeptLeases } from './leases.js';
@@ -40,6 +43,8 @@
   readonly isDown: (name: string) => boolean;
   readonly wantedDuties: () => readonly string[];
   readonly dutiesChanged: () => void;
+  /** Whether a newcomer must have copied data beside the agreed state from every member before it may vote. */
+  readonly needsCopies: boolean;
   /** The members, by incarnation, whose data beside the agreed state is held here. */
   readonly syncedFrom: () => readonly string[];
   /** Work to be done before each step of membership; catching up is part of it. */
@@ -61,6 +66,7 @@
 
 export class ConsensusMember {
   readonly lines: Lines;
+  readonly catchUp: CatchUp;
   readonly proposer: Proposer;
   readonly duties: Duties;
   private readonly acceptor: Acceptor;
@@ -69,6 +75,8 @@
   private readonly repeats: Repeating[] = [];
   private isFoundingStep = false;
   private isUpkeepStep = false;
+  private wasVoter = false;
+  private quietUntil = 0;
 
   constructor(
     private readonly parts: ConsensusParts,
@@ -87,12 +95,13 @@
       this.handlers(),
       pace.dial,
     );
+    this.catchUp = new CatchUp(acceptor, this.peers, clock, log);
     this.proposer = new Proposer(acceptor, this.voters(), clock, random, log);
     this.duties = new Duties(
       clock,
       () => acceptor.incarnation,
       this.reachableVoters,
-      role.wantedDuties,
+      () => (this.isLeaving() ? [] : role.wantedDuties()),
       this.askLeases,
       this.releaseLeases,
       () => Math.floor(this.members().length / 2) + 1,
@@ -104,7 +113,7 @@
       hello,
       () => this.lines,
       () => roster.neighbours('postmaster'),
-      this.proposer.learn,
+      this.catchUp.from,
       log,
       parts.coreSize,
     );
@@ -115,7 +124,8 @@
       () => this.lines,
       role.isDown,
       log,
-      pace.strangerWaitMs,
+      { strangerWaitMs: pace.strangerWaitMs, needsCopies: role.needsCopies },
+      (connection) => this.catchUp.supply(connection, pace.votePatienceMs),
     );
   }
 
@@ -124,7 +134,11 @@
     const { clock, random } = this.parts.ports;
     const { pace } = this;
     const varied = (everyMs: number) => (): number => everyMs * (0.5 + random.fraction());
-    this.acceptor.watch(() => this.lines.align());
+    this.wasVoter = this.acceptor.isVoter();
+    this.acceptor.watch(() => {
+      this.noteSeat();
+      this.lines.align();
+    });
     this.repeats.push(
       new Repeating(clock, varied(pace.foundingMs), this.stepFounding),
       new Repeating(clock, varied(pace.upkeepMs), this.upkeep),
@@ -143,6 +157,16 @@
     for (const repeat of this.repeats) repeat.stop();
   };
 
+  readonly isLeaving = (): boolean => this.membership.isLeaving();
+
+  /** Tells all peers that this node leaves, gives up its leases, and hands its seat over where somebody can have it: for `budgetMs` at most. */
+  readonly leave = async (budgetMs: number): Promise<void> => {
+    this.membership.noteLeaving(this.acceptor.incarnation);
+    this.resign();
+    this.tellPeers('leaving', null);
+    await this.membership.leave(budgetMs);
+  };
+
   /** Gives up the leases. */
   readonly resign = (): void => this.duties.resign();
 
@@ -169,11 +193,15 @@
       .filter((member) => this.isSelf(member) || this.lines.to(member.incarnation) !== undefined)
       .map((member) => member.incarnation);
 
-  /** Asks a neighbour for what it holds beyond the state agreed here, and takes it. */
-  readonly learnFrom = async (connection: PeerConnection): Promise<void> => {
-    const generation = this.acceptor.agreed()?.generation ?? -1;
-    const since = await connection.ask('since', generation, this.pace.votePatienceMs);
-    if (since.isOk() && consensusMessages.isSince(since.value)) await this.proposer.learn(since.value);
+  /** Milliseconds since this node last had bytes of each of a majority of the voters, itself counted; null where it has no connection to one. */
+  readonly majorityHeardMs = (): number | null => {
+    const silences = this.voterMembers().flatMap((member) => {
+      if (this.isSelf(member)) return [0];
+      const connection = this.lines.to(member.incarnation);
+      return connection === undefined ? [] : [connection.silentMs()];
+    });
+    const majority = Math.floor(this.members().length / 2) + 1;
+    return silences.sort((a, b) => a - b)[majority - 1] ?? null;
   };
 
   private readonly stepFounding = (): void => {
@@ -187,7 +215,7 @@
     this.isUpkeepStep = true;
     void this.role
       .prepareUpkeep()
-      .then(this.membership.step)
+      .then(() => (this.isLeaving() ? undefined : this.membership.step()))
       .finally(() => (this.isUpkeepStep = false));
   };
 
@@ -215,11 +243,42 @@
     return receipt?.isOk() === true && check(receipt.value) ? receipt.value : null;
   };
 
-  private readonly askLeases = async (ask: LeaseAsk): Promise<LeaseReply[]> => {
+  /**
+   * A member that was newly seated grants nothing until every lease has ended which the members before it may have
+   * granted: they may have formed a majority without it.
+   */
+  private readonly noteSeat = (): void => {
+    const isVoter = this.acceptor.isVoter();
+    const isNewlySeated = isVoter && !this.wasVoter && (this.acceptor.agreed()?.generation ?? 0) > 0;
+    this.wasVoter = isVoter;
+    if (!isNewlySeated) return;
+    const { terms, ports } = this.parts;
+    this.quietUntil = ports.clock.now() + (terms?.leaseMs ?? leaseMs) + (terms?.gapMs ?? 0);
+  };
+
+  private readonly electorate = (): string[] => this.members().map((member) => member.incarnation);
+
+  /** Leases count only among voters that agree on who votes, and not while a change of that may have been chosen. */
+  private readonly mayGrant = (electorate: readonly string[]): boolean => {
+    const own = this.electorate();
+    return (
+      this.acceptor.isVoter() &&
+      !this.acceptor.hasUnsettledSwap() &&
+      this.parts.ports.clock.now() >= this.quietUntil &&
+      electorate.length === own.length &&
+      electorate.every((incarnation) => own.includes(incarnation))
+    );
+  };
+
+  private readonly grant = async (ask: ElectorateLeaseAsk): Promise<LeaseReply | null> =>
+    this.mayGrant(ask.electorate ?? this.electorate()) ? this.parts.leases.book.grant(ask) : null;
+
+  private readonly askLeases = async (leaseAsk: LeaseAsk): Promise<LeaseReply[]> => {
+    const ask: ElectorateLeaseAsk = { ...leaseAsk, electorate: this.electorate() };
     const replies = await Promise.all(
       this.voterMembers().map((member) =>
         this.isSelf(member)
-          ? this.parts.leases.book.grant(ask)
+          ? this.grant(ask)
           : this.askMember(member, 'leaseAsk', ask, consensusMessages.isLeaseReply, this.pace.leasePatienceMs),
       ),
     );
@@ -231,6 +290,13 @@
     this.tellPeers('leaseDrop', ask);
   };
 
+  /** Brings this node up to what the member holds; null where that wasn't done in time. */
+  private readonly catchUpFrom = async (member: Member): Promise<Since | null> => {
+    const connection = this.lines.to(member.incarnation);
+    const isDone = connection !== undefined && (await this.catchUp.ask(connection, this.pace.votePatienceMs));
+    return isDone ? { k: 'nothing' } : null;
+  };
+
   private readonly voters = (): Voters => ({
     prepare: (member, slot, ballot) =>
       this.isSelf(member)
@@ -239,15 +305,23 @@
     accept: (member, slot, ballot, change) =>
       this.isSelf(member)
         ? this.acceptor.accept(slot, ballot, change)
-        : this.askMember(member, 'accept', { slot, ballot, change }, consensusMessages.isVote),
+        : this.askMember(
+            member,
+            'accept',
+            { slot, ballot, change: compressedChanges.encode(change) },
+            consensusMessages.isVote,
+          ),
     position: (member) => this.askMember(member, 'position', null, consensusMessages.isPosition),
-    settle: (settled) => this.tellPeers('settled', settled),
+    settle: ({ generation, change }) =>
+      this.tellPeers('settled', {
+        generation,
+        change: compressedChanges.encode(change),
+      } satisfies CompressedSettled),
     since: (member, generation) =>
-      this.isSelf(member)
-        ? Promise.resolve(this.acceptor.since(generation))
-        : this.askMember(member, 'since', generation, consensusMessages.isSince),
-    supply: async (member, since) => {
-      await this.lines.to(member.incarnation)?.ask('supply', since, this.pace.votePatienceMs);
+      this.isSelf(member) ? Promise.resolve(this.acceptor.since(generation)) : this.catchUpFrom(member),
+    supply: async (member) => {
+      const connection = this.lines.to(member.incarnation);
+      if (connection !== undefined) await this.catchUp.supply(connection, this.pace.votePatienceMs);
     },
   });
 
@@ -262,13 +336,14 @@
   /** Handlers for every connection of the node: the group's own topics here, all others by the role. */
   readonly handlers = (): Handlers => ({
     joined: (connection) => {
-      if (connection.neighbour !== null) this.parts.roster.heard(connection.neighbour);
+      this.noteJoined(connection);
       this.role.joined(connection);
     },
     left: (connection) => this.role.left(connection),
     told: (connection, topic, body) => {
-      if (topic === 'settled') this.takeSettled(body);
+      if (topic === 'settled') this.takeSettled(connection, body);
       else if (topic === 'leaseDrop') this.takeRelease(body);
+      else if (topic === 'leaving') this.takeLeaving(connection);
       else this.role.told(connection, topic, body);
     },
     asked: (connection, topic, body) => {
@@ -277,8 +352,24 @@
     },
   });
 
-  private readonly takeSettled = (body: unknown): void => {
-    if (consensusMessages.isSettled(body)) void this.acceptor.settle(body);
+  private readonly isNewcomer = ({ incarnation }: Hello): boolean =>
+    !this.members().some((member) => member.incarnation === incarnation);
+
+  private readonly noteJoined = (connection: PeerConnection): void => {
+    if (connection.neighbour === null) return;
+    this.parts.roster.heard(connection.neighbour);
+    if (connection.neighbour.role !== 'postmaster') return;
+    this.membership.noteBack(connection.neighbour.incarnation);
+    if (this.isLeaving()) connection.tell('leaving', null);
+    if (this.acceptor.agreed() !== null && this.isNewcomer(connection.neighbour)) this.lines.align();
+  };
+
+  private readonly takeLeaving = (connection: PeerConnection): void => {
+    if (connection.neighbour !== null) this.membership.noteLeaving(connection.neighbour.incarnation);
+  };
+
+  private readonly takeSettled = (connection: PeerConnection, body: unknown): void => {
+    if (consensusMessages.isSettled(body)) void this.catchUp.settle(connection, body);
   };
 
   private readonly takeRelease = (body: unknown): void => {
@@ -287,7 +378,7 @@
 
   private readonly asked = async (connection: PeerConnection, topic: string, body: unknown): Promise<unknown> => {
     const { acceptor } = this;
-    const { isAccept, isInteger, isLeaseAsk, isMembers, isPrepare, isSince } = consensusMessages;
+    const { isAccept, isLeaseAsk, isMembers, isPrepare } = consensusMessages;
     switch (topic) {
       case 'beat':
         return true;
@@ -296,21 +387,19 @@
       case 'roster':
         return this.exchangeRoster(body);
       case 'leaseAsk':
-        return isLeaseAsk(body) && acceptor.isVoter() ? this.parts.leases.book.grant(body) : null;
+        return isLeaseAsk(body) ? this.grant(body) : null;
       case 'vow':
         return isMembers(body) ? acceptor.vow(body) : null;
       case 'prepare':
         return isPrepare(body) ? acceptor.prepare(body.slot, body.ballot) : null;
       case 'accept':
-        return isAccept(body) ? acceptor.accept(body.slot, body.ballot, body.change) : null;
+        return isAccept(body) ? acceptor.accept(body.slot, body.ballot, acceptor.changeOf(body.change)) : null;
       case 'position':
         return positions.of(acceptor);
-      case 'since':
-        return isInteger(body) ? acceptor.since(body) : null;
-      case 'supply':
-        if (!isSince(body)) return null;
-        await this.proposer.learn(body);
-        return true;
+      case catchUpTopics.held:
+      case catchUpTopics.page:
+      case catchUpTopics.behind:
+        return this.catchUp.answer(connection, topic, body);
       default:
         return this.role.asked(connection, topic, body);
     }
--- a/packages/control-plane/src/consensusMessages.ts
+++ b/packages/control-plane/src/consensusMessages.ts
@@ -1,7 +1,7 @@
 /** Shapes of the messages that members of the consensus group send each other, checked as they arrive. */
-import type { Agreed, Change, ChangeBody, Member } from '@martenworks/core-types';
+import type { Change, ChangeBody, Member } from '@martenworks/core-types';
 import type { LeaseAsk, LeaseReply, RosterEntry } from '@martenworks/cluster-membership';
-import type { Accepted, Ballot, Settled, Since, Vote } from './acceptor.js';
+import type { Accepted, Ballot, CompressedSettled, Vote } from './acceptor.js';
 import type { Standing, VowReply } from './founding.js';
 import type { Position } from './quorumCall.js';
 
@@ -16,7 +16,13 @@
 }
 
 export interface AcceptMessage extends PrepareMessage {
-  readonly change: Change;
+  /** In its compressed bytes. */
+  readonly change: Uint8Array;
+}
+
+/** An ask for leases with the incarnations that the asker takes for the voters; releases before had it not. */
+export interface ElectorateLeaseAsk extends LeaseAsk {
+  readonly electorate?: readonly string[];
 }
 
 const changeKinds: ReadonlySet<unknown> = new Set<ChangeBody['kind']>([
@@ -68,18 +74,10 @@
 const isAccepted = (value: unknown): value is Accepted =>
   isShape(value) && isBallot(value.ballot) && isChange(value.change);
 
-const isSettled = (value: unknown): value is Settled =>
-  isShape(value) && isInteger(value.generation) && isChange(value.change);
-
-const isAgreed = (value: unknown): value is Agreed =>
-  isShape(value) && isInteger(value.generation) && isMembers(value.members);
+const isBytes = (value: unknown): value is Uint8Array => value instanceof Uint8Array;
 
-const isSince = (value: unknown): value is Since => {
-  if (!isShape(value)) return false;
-  if (value.k === 'changes') return isListOf(isSettled)(value.settled);
-  if (value.k === 'checkpoint') return isAgreed(value.agreed);
-  return value.k === 'nothing';
-};
+const isSettled = (value: unknown): value is CompressedSettled =>
+  isShape(value) && isInteger(value.generation) && isBytes(value.change);
 
 const isVote = (value: unknown): value is Vote => {
   if (!isShape(value)) return false;
@@ -104,7 +102,7 @@
   isShape(value) && isInteger(value.slot) && isBallot(value.ballot);
 
 const isAccept = (value: unknown): value is AcceptMessage =>
-  isShape(value) && isPrepare(value) && isChange(value.change);
+  isShape(value) && isPrepare(value) && isBytes(value.change);
 
 const isStanding = (value: unknown): value is Standing =>
   isShape(value) &&
@@ -120,8 +118,11 @@
 const isDutyAsk = (value: unknown): value is LeaseAsk['duties'][number] =>
   isShape(value) && isText(value.duty) && isNumber(value.fence);
 
-const isLeaseAsk = (value: unknown): value is LeaseAsk =>
-  isShape(value) && isText(value.holder) && isListOf(isDutyAsk)(value.duties);
+const isLeaseAsk = (value: unknown): value is ElectorateLeaseAsk =>
+  isShape(value) &&
+  isText(value.holder) &&
+  isListOf(isDutyAsk)(value.duties) &&
+  (value.electorate === undefined || isTexts(value.electorate));
 
 const isLeaseReply = (value: unknown): value is LeaseReply =>
   isShape(value) && isTexts(value.granted) && isShape(value.fences) && Object.values(value.fences).every(isNumber);
@@ -137,6 +138,7 @@
 
 export const consensusMessages = {
   isAccept,
+  isChange,
   isInteger,
   isLeaseAsk,
   isLeaseReply,
@@ -145,7 +147,6 @@
   isPrepare,
   isRosterEntries: isListOf(isRosterEntry),
   isSettled,
-  isSince,
   isStanding,
   isVote,
   isVowReply,
--- a/packages/control-plane/src/controlNode.ts
+++ b/packages/control-plane/src/controlNode.ts
@@ -36,6 +36,7 @@
 import { WeightsDesk } from './weightsDesk.js';
 
 const confirmPatienceMs = 700;
+const handoverShare = 0.5;
 const weightsStepMs = 60;
 const leaseMs = 1_600;
 const leaseMarginMs = 400;
@@ -204,7 +205,7 @@
     this.push.dropSilent();
     this.alignShelves();
     if (this.acceptor.agreed() === null) return;
-    await Promise.all(this.consensus.peers().map(this.consensus.learnFrom));
+    await this.consensus.catchUp.step();
   };
 
   private readonly role = (): ConsensusRole => ({
@@ -212,7 +213,8 @@
     isDown: () => true,
     wantedDuties: () => (this.acceptor.isVoter() ? [weightsDuty] : []),
     dutiesChanged: () => {},
-    syncedFrom: () => (this.acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
+    needsCopies: false,
+    syncedFrom: () => [],
     prepareUpkeep: this.prepareUpkeep,
     sharedRoster: (entries) => entries.filter(({ hello }) => hello.role === 'postmaster'),
     joined: (connection) => {
@@ -235,7 +237,7 @@
       }
     },
     asked: async (connection, topic, body) => {
-      if (topic === 'ping') return this.push.pong(connection, body as FrontPing, this.isReady());
+      if (topic === 'ping') return this.push.pong(connection, body as FrontPing, this.consensus.majorityHeardMs());
       if (topic === 'state') return this.push.stateFor(body as StateHeld);
       return null;
     },
@@ -246,6 +248,7 @@
 
   readonly isReady = (): boolean => {
     const state = this.acceptor.agreed();
+    if (this.consensus.isLeaving()) return false;
     return state !== null && this.consensus.reachableVoters().length > state.members.length / 2;
   };
 
@@ -271,6 +274,9 @@
     };
   };
 
+  /** Hands the seat over by agreement, gives up the leases and tells the others, within a share of the drain time; to be called before `stop`. */
+  readonly leave = (): Promise<void> => this.consensus.leave(this.env.drainMs * handoverShare);
+
   readonly stop = async (): Promise<void> => {
     this.consensus.pause();
     this.weightsStep.stop();
--- a/packages/control-plane/src/postmaster.ts
+++ b/packages/control-plane/src/postmaster.ts
@@ -155,8 +155,8 @@
           this.table.records().map((record) => record.name),
         );
       }
-      await this.consensus.learnFrom(connection);
     }
+    await this.consensus.catchUp.step();
   };
 
   private readonly borrowShelves = async (connection: PeerConnection, names: readonly string[]): Promise<void> => {
@@ -182,6 +182,7 @@
         .filter((record) => record.state !== 'gone')
         .map((record) => kvDuty(record.name)),
     dutiesChanged: () => this.kv.align(this.table.records()),
+    needsCopies: true,
     syncedFrom: () => [...this.replicas.syncedFrom],
     prepareUpkeep: this.prepareUpkeep,
     sharedRoster: (entries) => entries,
--- a/packages/control-plane/test/seats.test.ts
+++ b/packages/control-plane/test/seats.test.ts
@@ -54,12 +54,13 @@
       prepare: async (to, slot, ballot) => (to.incarnation === own.incarnation ? acceptor.prepare(slot, ballot) : null),
       accept: async (to, slot, ballot, change) =>
         to.incarnation === own.incarnation ? acceptor.accept(slot, ballot, change) : null,
+      position: async () => null,
       settle: () => {},
       since: async () => null,
       supply: async () => {},
     };
     const proposer = new Proposer(acceptor, voters, clock, random, log);
-    expect(await finish(world, proposer.confirm(500))).to.equal(false);
+    expect(await finish(world, proposer.confirm(500))).to.equal(null);
   });
 
   it('given a swap that another member settled first, when it is tried again, then its check refuses it on the state in force', async () => {
@@ -92,7 +93,8 @@
       () => lines as unknown as Lines,
       () => true,
       log,
-      100,
+      { strangerWaitMs: 100, needsCopies: true },
+      async () => {},
     );
     await finish(world, membership.step());
     await world.run(200);
--- a/packages/core-types/src/backEnds.ts
+++ b/packages/core-types/src/backEnds.ts
@@ -66,6 +66,7 @@
   readonly resumeAfter: string | null;
 }
 
+/** `isOwn`: it bears the request's own id; an answer that bears none, a refusal too, may belong to an earlier request. */
 export interface ReceiptHead {
   readonly isOwn: boolean;
   readonly isNotRun: boolean;
