Replay counterexamples with and without their break; break reads and leases too

Cause: catching up and reads changed their messages, so the scripts of the first counterexamples had steps that no longer exist and proved nothing. Change: a replayed script must break its rule with its break and none without it, so none can pass for want of its steps. read-alone covers refusals as well; grant-across-swaps is new.

--- a/packages/model-check/src/breaks.ts
+++ b/packages/model-check/src/breaks.ts
@@ -16,8 +16,10 @@
   readonly acceptor?: (acceptor: Acceptor) => void;
   readonly voters?: (voters: Voters, own: () => string) => Voters;
   readonly swapProposer?: (proposer: Proposer) => Proposer;
-  /** Reads are told from the node's own state. */
+  /** Reads, and the checks that refusals rest on, use the node's own state. */
   readonly readsAlone?: boolean;
+  /** Leases are granted to whoever asks, whatever voters it takes for the electorate. */
+  readonly grantsAcrossSwaps?: boolean;
   readonly leaseBook?: (clock: Clock, terms: LeaseTerms) => LeaseBook;
   readonly standing?: (told: Standing, asker: Acceptor) => Standing;
 }
@@ -73,7 +75,7 @@
 
 const readAlone: Break = {
   name: 'read-alone',
-  what: 'a read is confirmed without asking a majority',
+  what: 'a read, or a refusal, rests on the own state without asking a majority',
   readsAlone: true,
 };
 
@@ -88,6 +90,12 @@
   readonly redo: (record: { readonly t: 'adopted'; readonly agreed: Agreed }) => void;
 }
 
+const grantAcrossSwaps: Break = {
+  name: 'grant-across-swaps',
+  what: 'a voter grants leases to nodes that count other voters than it does',
+  grantsAcrossSwaps: true,
+};
+
 const seatWithoutState: Break = {
   name: 'seat-without-state',
   what: 'a newcomer is seated before it is known to hold the state, and holds it in memory alone',
@@ -176,6 +184,7 @@
   forgetPromises,
   readAlone,
   grantUnwritten,
+  grantAcrossSwaps,
   seatWithoutState,
   acceptLowerBallot,
   countTwice,
--- a/packages/model-check/test/explored.ts
+++ b/packages/model-check/test/explored.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { explorer } from '@martenworks/model-check';
-import type { Plan, Rule } from '@martenworks/model-check';
+import type { Plan, Rule, Script } from '@martenworks/model-check';
 
 const usual = { voters: 3, depth: 150, seed: 1, stride: 1, breakName: null };
 
@@ -21,3 +21,9 @@
   const outcome = await explorer.explore({ ...usual, ...plan, rules, breakName });
   expect(outcome.counterexample, `${breakName} within ${plan.schedules} schedules`).to.not.equal(null);
 };
+
+/** Replays a script twice: with its break it must break `rule`, without it none. */
+export const expectMended = async (script: Script, rule: Rule): Promise<void> => {
+  expect((await explorer.replay(script))?.rule, 'with the break').to.equal(rule);
+  expect(await explorer.replay({ ...script, breakName: null }), 'without the break').to.equal(null);
+};
