--- a/packages/model-check/src/explorer.ts
+++ b/packages/model-check/src/explorer.ts
@@ -16,6 +16,8 @@
   readonly breakName: string | null;
   /** Only a violation of these ends the search; a schedule that breaks another rule first is passed over. All rules where absent. */
   readonly rules?: readonly Rule[];
+  /** Ends the search after so many seconds, where given. */
+  readonly seconds?: number;
   /** The only profile of steps to draw by; all of them in turn where absent. */
   readonly profile?: string;
 }
@@ -102,8 +104,10 @@
 const explore = async (plan: Plan): Promise<Outcome> => {
   const steps: Partial<Record<ChoiceKind, number>> = {};
   const passedOver: Partial<Record<Rule, number>> = {};
+  const endAt = performance.now() + (plan.seconds ?? Number.POSITIVE_INFINITY) * 1_000;
   let generations = 0;
-  for (let at = 0; at < plan.schedules; at += 1) {
+  let at = 0;
+  for (; at < plan.schedules && performance.now() < endAt; at += 1) {
     const { script, violation, ...run } = await runOne(plan, plan.seed + at * plan.stride, (choice) => {
       steps[choice.do] = (steps[choice.do] ?? 0) + 1;
     });
@@ -113,7 +117,7 @@
       return { schedules: at + 1, steps, generations, passedOver, counterexample: { script, violation } };
     passedOver[violation.rule] = (passedOver[violation.rule] ?? 0) + 1;
   }
-  return { schedules: plan.schedules, steps, generations, passedOver, counterexample: null };
+  return { schedules: at, steps, generations, passedOver, counterexample: null };
 };
 
 /** Drops steps of a script for as long as what is left still breaks the same rule. */
--- a/packages/model-check/src/modelCommand.ts
+++ b/packages/model-check/src/modelCommand.ts
@@ -9,7 +9,7 @@
 import { explorer } from './explorer.js';
 import type { Counterexample, Outcome, Plan } from './explorer.js';
 
-const usage = `npm run model -- [--schedules N] [--depth D] [--seed S] [--voters 3|5] [--break NAME] [--rules A,B] [--profile NAME] [--jobs N]
+const usage = `npm run model -- [--schedules N] [--seconds T] [--depth D] [--seed S] [--voters 3|5] [--break NAME] [--rules A,B] [--profile NAME] [--jobs N]
 npm run model -- --replay FILE
 
 Explores schedules of the agreement: the product's own proposer, acceptor, log, membership and leases over simulated
@@ -21,6 +21,7 @@
 const { values } = parseArgs({
   options: {
     schedules: { type: 'string', default: '4000' },
+    seconds: { type: 'string' },
     depth: { type: 'string', default: '150' },
     seed: { type: 'string', default: '1' },
     voters: { type: 'string', default: '3' },
@@ -51,6 +52,7 @@
   schedules: Math.ceil(Number(values.schedules) / jobs),
   stride: jobs,
   breakName: values.break ?? null,
+  ...(values.seconds === undefined ? {} : { seconds: Number(values.seconds) }),
   ...(values.profile === undefined ? {} : { profile: values.profile }),
   ...(values.rules === undefined ? {} : { rules: values.rules.split(',') as Rule[] }),
 });
