--- a/packages/model-check/src/breaks.ts
+++ b/packages/model-check/src/breaks.ts
@@ -20,6 +20,8 @@
   readonly readsAlone?: boolean;
   /** Leases are granted to whoever asks, whatever voters it takes for the electorate. */
   readonly grantsAcrossSwaps?: boolean;
+  /** Nothing that was missed is fetched or supplied. */
+  readonly neverCatchesUp?: boolean;
   readonly leaseBook?: (clock: Clock, terms: LeaseTerms) => LeaseBook;
   readonly standing?: (told: Standing, asker: Acceptor) => Standing;
 }
@@ -179,6 +181,47 @@
   }),
 };
 
+const forgetRecords: Break = {
+  name: 'forget-records',
+  what: 'no record is kept of the changes that were agreed on',
+  install: () => {
+    agreedState.apply = (state, change) => ({ ...unbrokenApply(state, change), changeIds: {} });
+    return () => {
+      agreedState.apply = unbrokenApply;
+    };
+  },
+};
+
+const settleOther: Break = {
+  name: 'settle-other',
+  what: 'one node puts another configuration in force than the one that was chosen',
+  acceptor: (acceptor) => {
+    const settle = acceptor.settle;
+    overridable(acceptor).settle = ({ generation, change }) => {
+      const { body } = change;
+      if (body.kind !== 'ways' || !acceptor.incarnation.startsWith('n1-')) return settle({ generation, change });
+      const ways = { ...body.ways, source: `${body.ways.source}, changed` };
+      return settle({ generation, change: { ...change, body: { ...body, ways } } });
+    };
+  },
+};
+
+const neverCatchUp: Break = {
+  name: 'never-catch-up',
+  what: 'a member that missed a change is never brought forward',
+  neverCatchesUp: true,
+};
+
+const askNobody: Break = {
+  name: 'ask-nobody',
+  what: 'a proposer asks no other voter for its promise',
+  voters: (voters, own) => ({
+    ...voters,
+    prepare: async (member, slot, ballot) =>
+      member.incarnation === own() ? voters.prepare(member, slot, ballot) : null,
+  }),
+};
+
 const all: readonly Break[] = [
   swapAnySeat,
   forgetPromises,
@@ -191,6 +234,10 @@
   settleEarly,
   lyingDisk,
   ignoreAccepted,
+  forgetRecords,
+  settleOther,
+  neverCatchUp,
+  askNobody,
 ];
 
 /** The deliberate breaks, by name. */
--- a/packages/model-check/src/modelNode.ts
+++ b/packages/model-check/src/modelNode.ts
@@ -75,6 +75,11 @@
   wasVoter: boolean;
   readonly noteSeat: () => void;
   mayGrant: () => boolean;
+  readonly catchUp: {
+    step: () => Promise<unknown>;
+    ask: () => Promise<unknown>;
+    supply: () => Promise<unknown>;
+  };
   readonly proposer: { voters: Voters; readonly read: { newest: () => Promise<Agreed | null> } };
   readonly membership: { proposer: Proposer };
 }
@@ -171,6 +176,8 @@
     if (broken?.voters !== undefined)
       inside.proposer.voters = broken.voters(inside.proposer.voters, () => acceptor.incarnation);
     if (broken?.readsAlone === true) inside.proposer.read.newest = async () => acceptor.agreed();
+    if (broken?.neverCatchesUp === true)
+      Object.assign(inside.catchUp, { step: async () => {}, ask: async () => false, supply: async () => false });
     if (broken?.grantsAcrossSwaps === true) inside.mayGrant = acceptor.isVoter;
     if (broken?.swapProposer !== undefined)
       inside.membership.proposer = broken.swapProposer(inside.membership.proposer);
--- a/packages/model-check/test/breaks.test.ts
+++ b/packages/model-check/test/breaks.test.ts
@@ -39,6 +39,18 @@
   it('given accepted changes ignored by the next ballot, when explored, then two are found chosen for one generation', () =>
     expectFound('ignore-accepted', ['one change a generation'], { schedules: 100 }));
 
+  it('given no records of agreed changes, when explored, then an order in force is found refused as it comes again', () =>
+    expectFound('forget-records', ['resend refused'], { schedules: 100, profile: 'ballots' }));
+
+  it('given a node that settles something else, when explored, then two histories are found', () =>
+    expectFound('settle-other', ['one history'], { schedules: 50 }));
+
+  it('given members that never catch up, when explored, then one is found behind at the end', () =>
+    expectFound('never-catch-up', ['catching up'], { schedules: 50 }));
+
+  it('given a proposer that asks nobody, when explored, then a fleet that takes no order is found', () =>
+    expectFound('ask-nobody', ['progress'], { schedules: 50 }));
+
   it('given five voters and votes told before they are durable, when explored, then the break is found as well', () =>
     expectFound('lying-disk', ['acknowledged change held', 'one change a generation'], { schedules: 100, voters: 5 }));
 
