--- a/packages/model-check/src/explorer.ts
+++ b/packages/model-check/src/explorer.ts
@@ -2,8 +2,9 @@
 import type { Rule, Violation } from './checker.js';
 import type { Choice, ChoiceKind, Script } from './choices.js';
 import { SeededRandom } from './random.js';
-import { Scheduler, profiles } from './scheduler.js';
-import type { Profile } from './scheduler.js';
+import { profiles } from './profiles.js';
+import type { Profile } from './profiles.js';
+import { Scheduler } from './scheduler.js';
 import { World } from './world.js';
 
 /** What is explored: `schedules` of `depth` steps each, by the seeds from `seed` on, `stride` apart. */
--- a/packages/model-check/src/index.ts
+++ b/packages/model-check/src/index.ts
@@ -2,4 +2,4 @@
 export * from './checker.js';
 export * from './choices.js';
 export * from './explorer.js';
-export * from './scheduler.js';
+export * from './profiles.js';
--- /dev/null
+++ b/packages/model-check/src/lossBound.ts
@@ -0,0 +1,75 @@
+import type { Change, Member } from '@martenworks/core-types';
+import type { Checker, Observed } from './checker.js';
+
+/** Milliseconds after a newcomer told its standing in which it may be proposed for a seat: the ask's patience and the proposal's. */
+const candidateMs = 4_000;
+
+/** Who would vote after generation `slot`. */
+interface Seats {
+  readonly slot: number;
+  readonly members: readonly Member[];
+}
+
+/** How much may be lost at once: at most f of 2f+1 seats of each set of members whose majority may be needed. */
+export class LossBound {
+  private readonly offeredSeats = new Map<string, Seats>();
+  private readonly candidatesUntil = new Map<string, number>();
+
+  constructor(
+    private readonly checker: () => Checker,
+    private readonly observed: () => readonly Observed[],
+    private readonly now: () => number,
+  ) {}
+
+  /** A change was offered to a member: if it is a swap, it may be chosen from now on. */
+  readonly noteOffered = (slot: number, { body }: Change): void => {
+    if (body.kind !== 'swap') return;
+    const before = this.checker().stateAt(slot - 1)?.members ?? [];
+    const members = before.map((member) => (member.incarnation === body.outgoing ? body.incoming : member));
+    this.offeredSeats.set(`${slot} ${body.outgoing} ${body.incoming.incarnation}`, { slot, members });
+  };
+
+  /** A newcomer told its standing: whoever heard it may be about to seat it. */
+  readonly noteStanding = (incarnation: string): void =>
+    void this.candidatesUntil.set(incarnation, this.now() + candidateMs);
+
+  /** Whether these incarnations may be missing beside those that are lost already. */
+  readonly allows = (missing: readonly string[]): boolean => {
+    const held = new Set(this.observed().map((node) => node.incarnation));
+    for (const incarnation of missing) held.delete(incarnation);
+    const candidates = this.candidates();
+    return this.seatsInForce().every(({ members }) => {
+      const concerned = new Set([...members.map((member) => member.incarnation), ...candidates]);
+      if (!missing.some((incarnation) => concerned.has(incarnation))) return true;
+      const lost = [...concerned].filter((incarnation) => !held.has(incarnation));
+      return lost.length <= (members.length - 1) / 2;
+    });
+  };
+
+  private readonly candidates = (): string[] =>
+    [...this.candidatesUntil].flatMap(([incarnation, until]) => (until >= this.now() ? [incarnation] : []));
+
+  /**
+   * The sets of seats whose majority may be needed: the newest, older ones until a majority of the newer has settled
+   * it, and those that a swap would make that was offered to members and may still be chosen.
+   */
+  private readonly seatsInForce = (): Seats[] => {
+    const inForce: Seats[] = [];
+    const newest = this.checker().newestState().generation;
+    for (let generation = newest; generation >= 0; generation -= 1) {
+      const members = this.checker().stateAt(generation)?.members;
+      if (members === undefined) continue;
+      inForce.push({ slot: generation, members });
+      if (this.isSettledByMajority(generation, members)) break;
+    }
+    return [...inForce, ...[...this.offeredSeats.values()].filter(({ slot }) => slot > newest)];
+  };
+
+  private readonly isSettledByMajority = (generation: number, members: readonly Member[]): boolean => {
+    const seats = new Set(members.map((member) => member.incarnation));
+    const holders = this.observed().filter(
+      (node) => seats.has(node.incarnation) && (node.state?.generation ?? -1) >= generation,
+    );
+    return holders.length > members.length / 2;
+  };
+}
--- a/packages/model-check/src/modelCommand.ts
+++ b/packages/model-check/src/modelCommand.ts
@@ -3,7 +3,7 @@
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
 import { breaks } from './breaks.js';
 import type { Rule } from './checker.js';
-import { profiles } from './scheduler.js';
+import { profiles } from './profiles.js';
 import { choiceKinds } from './choices.js';
 import type { ChoiceKind, Script } from './choices.js';
 import { explorer } from './explorer.js';
--- /dev/null
+++ b/packages/model-check/src/operator.ts
@@ -0,0 +1,68 @@
+import { err, ok } from 'neverthrow';
+import type { ProposeFault, Proposer } from '@martenworks/control-plane';
+import type { Agreed, Change, WaysInForce } from '@martenworks/core-types';
+import type { Checker, Order } from './checker.js';
+import type { ModelNode } from './modelNode.js';
+
+const orderPatienceMs = 3_000;
+
+/** Turns an operator's order into what the configuration service proposes for it. */
+const proposalOf = (order: Order): Parameters<Proposer['propose']> => {
+  const ways = { edition: order.edition, book: {}, source: order.id } as unknown as WaysInForce;
+  const change: Change = { id: order.id, digest: order.id, body: { kind: 'ways', base: order.base, ways } };
+  const check = (state: Agreed) => {
+    const edition = state.ways?.edition ?? 0;
+    if (edition === order.base) return ok(change);
+    const fault: ProposeFault = { kind: 'conflict', layoutGeneration: edition, detail: `${edition} is in force` };
+    return err(fault);
+  };
+  return [check, order.id, order.id, orderPatienceMs];
+};
+
+/** One operator: builds each order on the newest version it has been told of, and may send its last one again. */
+export class Operator {
+  private known = 0;
+  private sent = 0;
+  private last: Order | null = null;
+
+  constructor(
+    private readonly number: number,
+    private readonly checker: () => Checker,
+  ) {}
+
+  /** Sends a new order to a node; true once it was acknowledged. */
+  readonly order = (node: ModelNode): Promise<boolean> => {
+    this.sent += 1;
+    this.last = { id: `ways/${this.number}-${this.sent}`, base: this.known, edition: this.known + 1 };
+    return this.attempt(this.last, node);
+  };
+
+  /** Sends the last order again; false where there is none. */
+  readonly resend = (node: ModelNode): boolean => {
+    if (this.last === null) return false;
+    void this.attempt(this.last, node);
+    return true;
+  };
+
+  private readonly attempt = async (order: Order, node: ModelNode): Promise<boolean> => {
+    const outcome = await node.propose(...proposalOf(order));
+    if (outcome.isOk()) {
+      this.checker().orderAcknowledged(order, outcome.value.generation);
+      this.known = Math.max(this.known, order.edition);
+      return true;
+    }
+    if (outcome.error.kind === 'conflict' || outcome.error.kind === 'rejected')
+      this.checker().orderRefused(order, node.name);
+    return false;
+  };
+
+  /** Reads what is in force; true where the node confirmed it. */
+  readonly read = async (node: ModelNode): Promise<boolean> => {
+    const floor = this.checker().readFloor();
+    const state = await node.read();
+    if (state === null) return false;
+    this.checker().readAnswered(floor, state.generation, node.name);
+    this.known = Math.max(this.known, state.ways?.edition ?? 0);
+    return true;
+  };
+}
--- /dev/null
+++ b/packages/model-check/src/profiles.ts
@@ -0,0 +1,96 @@
+import type { ChoiceKind } from './choices.js';
+
+type Weights = Readonly<Record<ChoiceKind, number>>;
+
+/** How often each kind of step is drawn, against the others, and how often one of the planned courses begins. */
+export interface Profile {
+  readonly name: string;
+  readonly weights: Weights;
+  /** Probabilities of trouble for the voter right after its vote was asked or told. */
+  readonly crashAfterVote: number;
+  readonly cutAfterVote: number;
+  /** Probability at each step that a course begins: a few steps that are meant to bring a rare state about. */
+  readonly course: number;
+  readonly courses: readonly CourseName[];
+}
+
+/** Planned steps that are meant to bring a rare state about. */
+export type CourseName =
+  | 'calm'
+  | 'newcomer'
+  | 'differing losses'
+  | 'lease moves'
+  | 'minority'
+  | 'rivals'
+  | 'lease across swap';
+
+const usual: Weights = {
+  deliver: 50,
+  drop: 3,
+  double: 2,
+  sync: 40,
+  failSync: 0.7,
+  crash: 0.8,
+  restart: 4,
+  loseDisk: 0.6,
+  cut: 1.5,
+  heal: 3,
+  join: 0.6,
+  leave: 0.3,
+  order: 4,
+  resend: 2,
+  read: 3,
+  upkeep: 3,
+  settleRival: 3,
+  dutyTick: 1.5,
+  nextTimer: 5,
+  pass: 0.5,
+};
+
+const ballots: Profile = {
+  name: 'ballots',
+  weights: { ...usual, join: 0, leave: 0, loseDisk: 0, dutyTick: 0, upkeep: 1, order: 6, resend: 3 },
+  crashAfterVote: 0.05,
+  cutAfterVote: 0.03,
+  course: 0.02,
+  courses: ['calm', 'minority', 'rivals', 'rivals'],
+};
+
+const membership: Profile = {
+  name: 'membership',
+  weights: { ...usual, dutyTick: 0, loseDisk: 1.5, join: 2, leave: 0.6, upkeep: 8, pass: 2, order: 2, resend: 1 },
+  crashAfterVote: 0.02,
+  cutAfterVote: 0.02,
+  course: 0.04,
+  courses: ['calm', 'newcomer', 'newcomer', 'differing losses', 'differing losses'],
+};
+
+const leases: Profile = {
+  name: 'leases',
+  weights: {
+    ...usual,
+    order: 0.7,
+    resend: 0.3,
+    read: 0.3,
+    dutyTick: 12,
+    pass: 2.5,
+    failSync: 1.5,
+    crash: 1.5,
+    upkeep: 1,
+  },
+  crashAfterVote: 0.05,
+  cutAfterVote: 0.02,
+  course: 0.03,
+  courses: ['calm', 'lease moves', 'lease moves', 'lease across swap'],
+};
+
+const mixed: Profile = {
+  name: 'mixed',
+  weights: usual,
+  crashAfterVote: 0.03,
+  cutAfterVote: 0.02,
+  course: 0.02,
+  courses: ['calm', 'newcomer', 'differing losses', 'lease moves', 'minority', 'rivals'],
+};
+
+export const profiles: readonly Profile[] = [ballots, membership, leases, mixed];
