Renew no lease while a grant to another is being written

Cause: a lease that had run out was renewed by its old holder while the voter's record of a grant to the next holder was on its way to disk; with that record durable, two held the duty. Found by the model test (schedules of leases), counterexample renewalDuringGrant. Ruled out: refusing every renewal after the end; a holder whose asks were late would lose a free lease for nothing. Change: while a grant is being written, the voter renews nothing of that duty.

--- a/packages/cluster-membership/src/lease.ts
+++ b/packages/cluster-membership/src/lease.ts
@@ -75,14 +75,15 @@
     const now = this.clock.now();
     for (const { duty, fence } of duties) {
       const held = this.grants.get(duty);
-      const isRenewal = held !== undefined && held.holder === holder && held.fence === fence;
+      const isBeingGranted = this.pending.has(duty);
+      const isRenewal = !isBeingGranted && held !== undefined && held.holder === holder && held.fence === fence;
       const isFree =
         now >= this.quietUntil &&
         (held === undefined || held.endAt + (held.holder === holder ? 0 : this.terms.gapMs) <= now);
       if (isRenewal) {
         held.endAt = now + this.terms.leaseMs;
         granted.push(duty);
-      } else if (isFree && !this.pending.has(duty) && fence > Math.max(held?.fence ?? 0, this.terms.floor())) {
+      } else if (isFree && !isBeingGranted && fence > Math.max(held?.fence ?? 0, this.terms.floor())) {
         writes.push(
           this.grantAnew(duty, holder, fence, now + this.terms.leaseMs).then(
             (isGranted) => void (isGranted && granted.push(duty)),
