--- a/packages/model-check/src/world.ts
+++ b/packages/model-check/src/world.ts
@@ -25,6 +25,7 @@
   private readonly random: SeededRandom;
   private readonly keepsDown: boolean;
   private readonly lossBound: LossBound;
+  private keptDown: ReadonlySet<ModelNode> = new Set();
   private judge: Checker | null = null;
 
   constructor(
@@ -87,7 +88,8 @@
 
   /** Whether what `node` holds may be lost. */
   readonly mayLose = (node: ModelNode): boolean =>
-    node.incarnation() !== '' && this.lossBound.allows([node.incarnation()]);
+    node.incarnation() !== '' &&
+    this.lossBound.allows([node, ...this.keptDown].map((missing) => missing.incarnation()));
 
   /** Does one step and checks the rules after it; false where the step is not possible now. */
   readonly apply = async (choice: Choice): Promise<boolean> => {
@@ -217,7 +219,8 @@
     for (const [from, to] of this.network.cutLinks()) this.heal(from, to);
     const down = this.nodes.filter((node) => !node.isAlive() && !node.isAway);
     const staysDown = this.keepsDown && this.lossBound.allows(down.map((node) => node.incarnation()));
+    if (staysDown) this.keptDown = new Set(down);
     const [operator] = this.operators;
-    if (operator !== undefined) await new FairEnd(this, new Set(staysDown ? down : []), operator).run();
+    if (operator !== undefined) await new FairEnd(this, this.keptDown, operator).run();
   };
 }
