--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -15,6 +15,7 @@
 export * from './claims.js';
 export type { Standing } from './founding.js';
 export * from './leases.js';
+export * from './consensusMember.js';
 export * from './membership.js';
 export * from './replicaTable.js';
 export * from './bookHistory.js';
--- /dev/null
+++ b/packages/model-check/src/modelNode.ts
@@ -0,0 +1,386 @@
+import { err, ok } from 'neverthrow';
+import { Roster } from '@martenworks/cluster-membership';
+import type { LeaseTerms, Lines } from '@martenworks/cluster-membership';
+import { ConsensusMember, acceptors, leaseBooks } from '@martenworks/control-plane';
+import type {
+  Acceptor,
+  Ballot,
+  ConsensusPace,
+  ConsensusRole,
+  KeptLeases,
+  Proposer,
+  Standing,
+  Voters,
+} from '@martenworks/control-plane';
+import { logs } from '@martenworks/core-types';
+import type { Agreed, Change, Clock, Disk, Ports, Random } from '@martenworks/core-types';
+import { hellos } from '@martenworks/peer-transport';
+import type { Handlers, Hello, PeerConnection } from '@martenworks/peer-transport';
+import type { Break } from './breaks.js';
+import type { Observed } from './checker.js';
+import { ModelDisk } from './modelDisk.js';
+import type { Network, Process } from './network.js';
+import type { SeededRandom } from './random.js';
+import type { VirtualClock } from './virtualClock.js';
+
+const pace: ConsensusPace & { readonly strangerWaitMs: number } = {
+  votePatienceMs: 800,
+  foundingMs: 150,
+  upkeepMs: 300,
+  beatMs: 400,
+  beatPatienceMs: 900,
+  dutyMs: 300,
+  leasePatienceMs: 500,
+  strangerWaitMs: 2_500,
+};
+const confirmPatienceMs = 700;
+const leaveBudgetMs = 3_000;
+const leaseMs = 1_600;
+const leaseMarginMs = 400;
+const orderGapMs = 200;
+const fencesPerGeneration = 1_000;
+const duty = 'weights';
+const log = logs.silent();
+/** Messages that are told; all others are asked and get an answer. */
+const toldTopics: ReadonlySet<string> = new Set(['settled', 'leaseDrop', 'leaving']);
+/** Connections are modelled above the network, so nothing is ever dialled. */
+const unreachableNet = { dial: () => new Promise<never>(() => {}), listen: () => new Promise<never>(() => {}) };
+
+/** What nodes share within one schedule. */
+export interface Surroundings {
+  readonly clock: VirtualClock;
+  readonly random: SeededRandom;
+  readonly network: Network;
+  readonly broken: Break | null;
+  readonly nodes: () => readonly ModelNode[];
+  readonly onAccepted: (voter: Acceptor, slot: number, ballot: Ballot, change: Change) => void;
+  readonly onOffered: (slot: number, change: Change) => void;
+  /** A node has told where it stands; who asked may give it a seat on the strength of that. */
+  readonly onStandingTold: (incarnation: string) => void;
+}
+
+interface VoteHeld {
+  readonly slot: number;
+  readonly changeId: string;
+}
+
+/** A held connection as the product's nodes use it, over the modelled network. */
+type Connection = Pick<PeerConnection, 'neighbour' | 'ask' | 'tell' | 'isLive' | 'close'>;
+
+/** Steps of the consensus member that its own timers would take, and parts of it that breaks replace. */
+interface MemberInside {
+  lines: Lines;
+  readonly upkeep: () => void;
+  readonly settleRival: () => void;
+  wasVoter: boolean;
+  readonly noteSeat: () => void;
+  mayGrant: () => boolean;
+  readonly catchUp: {
+    step: () => Promise<unknown>;
+    ask: () => Promise<unknown>;
+    supply: () => Promise<unknown>;
+  };
+  readonly proposer: { voters: Voters; readonly read: { newest: () => Promise<Agreed | null> } };
+  readonly membership: { proposer: Proposer };
+}
+
+/** The parts of the product that run in one process. */
+interface Parts {
+  readonly acceptor: Acceptor;
+  readonly member: ConsensusMember;
+  readonly inside: MemberInside;
+  readonly handlers: Handlers;
+  readonly process: Process;
+}
+
+/** One core node: the product's own agreement, membership and leases, wired as the control node wires them. */
+export class ModelNode {
+  readonly disk = new ModelDisk();
+  private parts: Parts | null = null;
+  private run = 0;
+  private identities = 0;
+  private lastState: Agreed | null = null;
+  private lastIncarnation = '';
+  private vote: VoteHeld | null = null;
+  /** It has left for good, or its machine was never started. */
+  isAway = true;
+
+  constructor(
+    readonly name: string,
+    private readonly world: Surroundings,
+  ) {}
+
+  readonly isAlive = (): boolean => this.parts !== null;
+
+  readonly acceptor = (): Acceptor | null => this.parts?.acceptor ?? null;
+
+  readonly incarnation = (): string => this.lastIncarnation;
+
+  private readonly clockOf = (isLive: () => boolean): Clock => ({
+    now: this.world.clock.now,
+    wall: this.world.clock.now,
+    after: (delayMs, ring) =>
+      this.world.clock.after(delayMs, () => {
+        if (isLive()) ring();
+      }),
+  });
+
+  private readonly randomOf = (): Random => ({
+    fraction: this.world.random.fraction,
+    token: () => `${this.name}-${++this.identities}`,
+  });
+
+  /** Starts the process on its disk. The start itself is one step: nothing else happens within it. */
+  readonly start = async (): Promise<void> => {
+    const run = ++this.run;
+    const isLive = (): boolean => this.run === run;
+    this.isAway = false;
+    this.disk.isGated = false;
+    const clock = this.clockOf(isLive);
+    const random = this.randomOf();
+    const disk = this.disk.view(isLive);
+    const opened = await acceptors.open(disk, clock, random, log, false);
+    if (opened.isErr()) throw new Error(`${this.name} did not open: ${JSON.stringify(opened.error)}`);
+    const acceptor = opened.value;
+    this.world.broken?.acceptor?.(acceptor);
+    const terms: LeaseTerms = {
+      leaseMs,
+      marginMs: leaseMarginMs,
+      gapMs: orderGapMs,
+      floor: () => (acceptor.agreed()?.generation ?? 0) * fencesPerGeneration,
+    };
+    const leases = await this.openLeases(disk, clock, terms);
+    this.noteVotes(acceptor);
+    const process: Process = { node: this.name, isAlive: isLive, handle: this.handle };
+    const hello = (): Hello => this.helloOf(acceptor.incarnation);
+    const ports = { clock, random, net: unreachableNet, disk, log } as unknown as Ports;
+    const member = new ConsensusMember(
+      { ports, hello, roster: new Roster(clock, hello), seeds: [], acceptor, leases, terms },
+      this.role(acceptor),
+      pace,
+    );
+    const inside = member as unknown as MemberInside;
+    this.breakInside(inside, acceptor);
+    this.parts = { acceptor, member, inside, handlers: member.handlers(), process };
+    inside.lines = this.lines(process);
+    inside.wasVoter = acceptor.isVoter();
+    acceptor.watch(() => inside.noteSeat());
+    this.lastIncarnation = acceptor.incarnation;
+    this.lastState = acceptor.agreed();
+    this.disk.isGated = true;
+    for (const node of this.connected(process)) this.meet(node);
+  };
+
+  private readonly breakInside = (inside: MemberInside, acceptor: Acceptor): void => {
+    const { broken } = this.world;
+    if (broken?.voters !== undefined)
+      inside.proposer.voters = broken.voters(inside.proposer.voters, () => acceptor.incarnation);
+    if (broken?.readsAlone === true) inside.proposer.read.newest = async () => acceptor.agreed();
+    if (broken?.neverCatchesUp === true)
+      Object.assign(inside.catchUp, { step: async () => {}, ask: async () => false, supply: async () => false });
+    if (broken?.grantsAcrossSwaps === true) inside.mayGrant = acceptor.isVoter;
+    if (broken?.swapProposer !== undefined)
+      inside.membership.proposer = broken.swapProposer(inside.membership.proposer);
+  };
+
+  /** Both ends see a connection made. */
+  readonly meet = (node: ModelNode): void => {
+    if (this.parts === null || node.parts === null) return;
+    this.parts.handlers.joined(this.connectionTo(this.parts.process, node.parts) as PeerConnection);
+    node.parts.handlers.joined(node.connectionTo(node.parts.process, this.parts) as PeerConnection);
+  };
+
+  private readonly role = (acceptor: Acceptor): ConsensusRole => {
+    const role = {
+      extraAddresses: () => [],
+      isDown: () => true,
+      wantedDuties: () => (acceptor.isVoter() ? [duty] : []),
+      dutiesChanged: () => {},
+      needsCopies: false,
+      syncedFrom: () => (acceptor.agreed()?.members ?? []).map((member) => member.incarnation),
+      prepareUpkeep: async () => {
+        await this.parts?.member.catchUp.step();
+      },
+      sharedRoster: () => [],
+      joined: () => {},
+      left: () => {},
+      told: () => {},
+      asked: async () => null,
+    };
+    return role;
+  };
+
+  private readonly openLeases = async (disk: Disk, clock: Clock, terms: LeaseTerms): Promise<KeptLeases> => {
+    const broken = this.world.broken?.leaseBook?.(clock, terms);
+    if (broken !== undefined) return { book: broken, close: async () => {} };
+    const opened = await leaseBooks.open(disk, clock, log, terms);
+    if (opened.isErr()) throw new Error(`${this.name} did not open its leases: ${JSON.stringify(opened.error)}`);
+    return opened.value;
+  };
+
+  /** Tells the checker of each vote that the product's acceptor gives. */
+  private readonly noteVotes = (acceptor: Acceptor): void => {
+    const accept = acceptor.accept;
+    (acceptor as { -readonly [Key in keyof Acceptor]: Acceptor[Key] }).accept = async (slot, ballot, change) => {
+      this.world.onOffered(slot, change);
+      const vote = await accept(slot, ballot, change);
+      if (vote.k === 'accepted') {
+        this.vote = { slot, changeId: change.id };
+        this.world.onAccepted(acceptor, slot, ballot, change);
+      }
+      return vote;
+    };
+  };
+
+  /** Puts the founding state on disk, before the schedule begins. */
+  readonly found = async (state: Agreed): Promise<void> => {
+    this.disk.isGated = false;
+    await this.parts?.acceptor.adopt(state);
+    this.world.broken?.disk?.(this.disk);
+    this.lastState = this.parts?.acceptor.agreed() ?? null;
+    this.disk.isGated = true;
+  };
+
+  /** Ends the process. What the disk holds is read back on a copy, since that is what a restart finds. */
+  readonly crash = async (keptShare: number): Promise<void> => {
+    this.run += 1;
+    this.parts = null;
+    this.disk.crash(keptShare);
+    await this.readBack();
+  };
+
+  private readonly readBack = async (): Promise<void> => {
+    const clock = this.clockOf(() => true);
+    const opened = await acceptors.open(
+      this.disk.copy().view(() => true),
+      clock,
+      this.randomOf(),
+      log,
+      false,
+    );
+    if (opened.isErr()) throw new Error(`${this.name} cannot be read back: ${JSON.stringify(opened.error)}`);
+    const kept = opened.value;
+    this.lastState = kept.agreed();
+    this.vote = null;
+    const slot = kept.acceptedSlot();
+    if (slot === null) return;
+    const told = await kept.prepare(slot, [Number.MAX_SAFE_INTEGER, 'reading back']);
+    if (told.k === 'promised' && told.accepted !== null) this.vote = { slot, changeId: told.accepted.change.id };
+  };
+
+  readonly loseDisk = async (): Promise<void> => {
+    this.run += 1;
+    this.parts = null;
+    this.disk.lose();
+    this.lastState = null;
+    this.lastIncarnation = '';
+    this.vote = null;
+  };
+
+  /** An orderly end, as after SIGTERM: leases and the seat are handed over; then the machine is given away, or else kept with its disk. */
+  readonly leave = async (mayBeGivenAway: () => boolean): Promise<void> => {
+    const parts = this.parts;
+    if (parts === null) return;
+    await parts.member.leave(leaveBudgetMs);
+    if (this.parts !== parts) return;
+    if (!mayBeGivenAway()) return this.crash(1);
+    await this.loseDisk();
+    this.isAway = true;
+  };
+
+  private readonly connected = (process: Process): ModelNode[] =>
+    this.world
+      .nodes()
+      .filter((node) => node !== this && node.isAlive() && this.world.network.isConnected(process.node, node.name));
+
+  private readonly processOf = (process: Process, incarnation: string): Parts | undefined =>
+    this.connected(process).find((node) => node.acceptor()?.incarnation === incarnation)?.parts ?? undefined;
+
+  private readonly helloOf = (incarnation: string): Hello =>
+    hellos.of(
+      'postmaster',
+      { name: this.name, coach: `${this.name}:1`, http: '', operators: null, zone: '' },
+      incarnation,
+    );
+
+  private readonly connectionTo = (process: Process, peer: Parts): Connection => ({
+    neighbour: this.neighbourOf(peer),
+    isLive: () => process.isAlive() && peer.process.isAlive(),
+    close: () => {},
+    ask: async (topic, body, patienceMs) => {
+      const told = await this.world.network.ask(process, peer.process, topic, body, patienceMs);
+      return told.isAnswered ? ok(told.value) : err({ kind: 'coach', code: 'late' });
+    },
+    tell: (topic, body) => {
+      this.world.network.tell(process, peer.process, topic, body);
+      return true;
+    },
+  });
+
+  private readonly neighbourOf = (peer: Parts): Hello =>
+    hellos.of(
+      'postmaster',
+      { name: peer.process.node, coach: `${peer.process.node}:1`, http: '', operators: null, zone: '' },
+      peer.acceptor.incarnation,
+    );
+
+  /** The held connections, as the product's own keeper of them shows them. */
+  private readonly lines = (process: Process): Lines => {
+    const open = (): Connection[] =>
+      this.connected(process).flatMap((node) => (node.parts === null ? [] : [this.connectionTo(process, node.parts)]));
+    const to = (incarnation: string): Connection | undefined => {
+      const peer = this.processOf(process, incarnation);
+      return peer === undefined ? undefined : this.connectionTo(process, peer);
+    };
+    return { open, to, align: () => {}, stop: () => {} } as unknown as Lines;
+  };
+
+  private readonly handle = async (topic: string, body: unknown, from: Process): Promise<unknown> => {
+    const own = this.parts;
+    const sender = this.world.nodes().find((node) => node.name === from.node)?.parts;
+    if (own === null || sender == null) return null;
+    const connection = this.connectionTo(own.process, sender) as PeerConnection;
+    if (toldTopics.has(topic)) {
+      own.handlers.told(connection, topic, body);
+      return null;
+    }
+    const answer = await own.handlers.asked(connection, topic, body);
+    if (topic !== 'standing') return answer;
+    this.world.onStandingTold(own.acceptor.incarnation);
+    return this.world.broken?.standing?.(answer as Standing, sender.acceptor) ?? answer;
+  };
+
+  /** What the control node does each 300 ms: fetch what it lacks, then look after the seats. */
+  readonly upkeep = (): void => this.parts?.inside.upkeep();
+
+  /** What the control node does where an accepted change stays unsettled. */
+  readonly settleRival = (): void => this.parts?.inside.settleRival();
+
+  readonly dutyTick = (): void => void this.parts?.member.duties.tick();
+
+  /** The state of a confirmed read; null where no majority answered. */
+  readonly read = async (): Promise<Agreed | null> => {
+    if (this.parts === null) return null;
+    return this.parts.member.proposer.confirm(confirmPatienceMs);
+  };
+
+  readonly propose: Proposer['propose'] = (...order) => {
+    if (this.parts === null) throw new Error(`${this.name} is not running`);
+    return this.parts.member.proposer.propose(...order);
+  };
+
+  readonly observed = (): Observed => {
+    const acceptor = this.acceptor();
+    if (acceptor !== null) this.lastState = acceptor.agreed();
+    const slot = (this.lastState?.generation ?? -1) + 1;
+    return {
+      node: this.name,
+      incarnation: this.lastIncarnation,
+      isAlive: this.isAlive(),
+      isLost: this.lastIncarnation === '',
+      state: this.lastState,
+      accepted: this.vote?.slot === slot ? this.vote : null,
+      fence: this.parts?.member.duties.fenceOf(duty) ?? null,
+    };
+  };
+}
--- /dev/null
+++ b/packages/model-check/src/world.ts
@@ -0,0 +1,223 @@
+import { agreed as agreedState } from '@martenworks/core-types';
+import type { Member } from '@martenworks/core-types';
+import type { Break } from './breaks.js';
+import { Checker } from './checker.js';
+import type { Observed } from './checker.js';
+import type { Choice } from './choices.js';
+import { FairEnd } from './fairEnd.js';
+import { LossBound } from './lossBound.js';
+import { ModelNode } from './modelNode.js';
+import { Network } from './network.js';
+import { Operator } from './operator.js';
+import { SeededRandom } from './random.js';
+import { VirtualClock } from './virtualClock.js';
+
+const operatorCount = 2;
+const spareCount = 2;
+const keepDownProbability = 0.3;
+
+/** One schedule's fleet: voters, spare machines and operators, moved on by one choice at a time. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly network = new Network(this.clock);
+  readonly nodes: readonly ModelNode[];
+  readonly operators: readonly Operator[];
+  private readonly random: SeededRandom;
+  private readonly keepsDown: boolean;
+  private readonly lossBound: LossBound;
+  private judge: Checker | null = null;
+
+  constructor(
+    readonly voterCount: number,
+    seed: number,
+    broken: Break | null,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.keepsDown = this.random.chance(keepDownProbability);
+    this.lossBound = new LossBound(this.checker, this.observed, this.clock.now);
+    const surroundings = {
+      clock: this.clock,
+      random: this.random,
+      network: this.network,
+      broken,
+      nodes: () => this.nodes,
+      onAccepted: this.onAccepted,
+      onOffered: this.lossBound.noteOffered,
+      onStandingTold: this.lossBound.noteStanding,
+    };
+    this.nodes = Array.from({ length: voterCount + spareCount }, (_, at) => new ModelNode(`n${at}`, surroundings));
+    this.operators = Array.from({ length: operatorCount }, (_, number) => new Operator(number, this.checker));
+  }
+
+  private readonly onAccepted: ConstructorParameters<typeof ModelNode>[1]['onAccepted'] = (
+    acceptor,
+    slot,
+    ballot,
+    change,
+  ) => {
+    const state = acceptor.agreed();
+    if (state !== null) this.checker().learn(state, acceptor.incarnation);
+    this.checker().accepted(acceptor.incarnation, slot, ballot.join('/'), change);
+  };
+
+  readonly checker = (): Checker => {
+    if (this.judge === null) throw new Error('the world is not founded yet');
+    return this.judge;
+  };
+
+  /** Starts the voters on one founding state; the spare machines stay away until they join. */
+  readonly found = async (): Promise<void> => {
+    const voters = this.nodes.slice(0, this.voterCount);
+    for (const node of voters) await node.start();
+    const members = voters.map(
+      (node): Member => ({ name: node.name, address: `${node.name}:1`, incarnation: node.incarnation() }),
+    );
+    const founded = agreedState.founded(members);
+    for (const node of voters) await node.found(founded);
+    this.judge = new Checker(founded);
+  };
+
+  /** Lets everything run on until it waits for the scheduler: all work between two steps is promises alone. */
+  readonly drain = (): Promise<void> => new Promise((done) => setImmediate(done));
+
+  readonly node = (name: string): ModelNode | undefined => this.nodes.find((node) => node.name === name);
+
+  /** What the checker may see of each node now. */
+  readonly observed = (): Observed[] => this.nodes.map((node) => node.observed());
+
+  /** Whether what `node` holds may be lost. */
+  readonly mayLose = (node: ModelNode): boolean =>
+    node.incarnation() !== '' && this.lossBound.allows([node.incarnation()]);
+
+  /** Does one step and checks the rules after it; false where the step is not possible now. */
+  readonly apply = async (choice: Choice): Promise<boolean> => {
+    const isDone = await this.perform(choice);
+    if (!isDone) return false;
+    await this.drain();
+    this.checker().observe(this.observed());
+    return true;
+  };
+
+  private readonly perform = async (choice: Choice): Promise<boolean> => {
+    switch (choice.do) {
+      case 'deliver':
+      case 'drop':
+      case 'double':
+        return this.handOver(choice.do, choice.message, choice.at);
+      case 'sync':
+        return this.node(choice.node)?.disk.completeSync() ?? false;
+      case 'failSync':
+        return this.node(choice.node)?.disk.failSync() ?? false;
+      case 'cut':
+        this.network.cut(choice.from, choice.to, choice.isNoticed);
+        return true;
+      case 'heal':
+        return this.heal(choice.from, choice.to);
+      case 'order':
+      case 'resend':
+      case 'read': {
+        const operator = this.operators[choice.operator];
+        const node = this.node(choice.node);
+        return operator !== undefined && node?.isAlive() === true && this.byOperator(choice, operator, node);
+      }
+      case 'nextTimer':
+        return this.clock.ringNext();
+      case 'pass':
+        await this.pass(choice.ms);
+        return true;
+      default:
+        return this.onNode(choice);
+    }
+  };
+
+  private readonly onNode = async (choice: Extract<Choice, { node: string }>): Promise<boolean> => {
+    const node = this.node(choice.node);
+    if (node === undefined) return false;
+    switch (choice.do) {
+      case 'restart':
+        if (node.isAlive() || node.isAway) return false;
+        await node.start();
+        return true;
+      case 'join':
+        if (!node.isAway) return false;
+        await node.start();
+        return true;
+      default:
+        return node.isAlive() && this.onRunning(node, choice);
+    }
+  };
+
+  private readonly onRunning = async (node: ModelNode, choice: Choice): Promise<boolean> => {
+    switch (choice.do) {
+      case 'crash':
+        await node.crash(choice.keptShare);
+        return true;
+      case 'loseDisk':
+        if (!this.mayLose(node)) return false;
+        await node.loseDisk();
+        return true;
+      case 'leave':
+        void node.leave(() => this.mayLose(node));
+        return true;
+      case 'upkeep':
+        node.upkeep();
+        return true;
+      case 'settleRival':
+        node.settleRival();
+        return true;
+      case 'dutyTick':
+        node.dutyTick();
+        return true;
+      default:
+        return false;
+    }
+  };
+
+  private readonly heal = (from: string, to: string): boolean => {
+    const wasConnected = this.network.isConnected(from, to);
+    if (!this.network.heal(from, to)) return false;
+    const [one, other] = [this.node(from), this.node(to)];
+    if (!wasConnected && this.network.isConnected(from, to) && other !== undefined) one?.meet(other);
+    return true;
+  };
+
+  private readonly handOver = (kind: 'deliver' | 'drop' | 'double', label: string, at: number): boolean => {
+    const message = this.network.find(label, at);
+    if (message === undefined) return false;
+    if (kind !== 'double') this.network.remove(message);
+    if (kind !== 'drop') this.network.deliver(message);
+    return true;
+  };
+
+  private readonly pass = async (ms: number): Promise<void> => {
+    const until = this.clock.now() + ms;
+    while (this.clock.ringNext(until)) await this.drain();
+    this.clock.moveTo(until);
+  };
+
+  private readonly byOperator = (
+    choice: Extract<Choice, { operator: number }>,
+    operator: Operator,
+    node: ModelNode,
+  ): boolean => {
+    switch (choice.do) {
+      case 'order':
+        void operator.order(node);
+        return true;
+      case 'resend':
+        return operator.resend(node);
+      case 'read':
+        void operator.read(node);
+        return true;
+    }
+  };
+
+  /** Ends the schedule fairly: links heal, processes start again, all messages and writes go through. */
+  readonly finish = async (): Promise<void> => {
+    for (const [from, to] of this.network.cutLinks()) this.heal(from, to);
+    const down = this.nodes.filter((node) => !node.isAlive() && !node.isAway);
+    const staysDown = this.keepsDown && this.lossBound.allows(down.map((node) => node.incarnation()));
+    const [operator] = this.operators;
+    if (operator !== undefined) await new FairEnd(this, new Set(staysDown ? down : []), operator).run();
+  };
+}
