--- /dev/null
+++ b/packages/model-check/test/laggingNewcomer.test.ts
@@ -0,0 +1,72 @@
+import { expect } from 'chai';
+import { explorer } from '@martenworks/model-check';
+import type { Script } from '@martenworks/model-check';
+
+/** A newcomer tells its standing, a change is acknowledged, and the swap is tried again on the generation after it. */
+const changeBetweenStandingAndSwap: Script = {
+  voters: 3,
+  seed: 30010859,
+  breakName: null,
+  choices: [
+    { do: 'read', node: 'n0', operator: 0 },
+    { do: 'deliver', message: 'n0>n2:position', at: 0 },
+    { do: 'deliver', message: 'n2>n0:position:reply', at: 0 },
+    { do: 'nextTimer' },
+    { do: 'join', node: 'n4' },
+    { do: 'cut', from: 'n2', to: 'n0', isNoticed: true },
+    { do: 'nextTimer' },
+    { do: 'order', node: 'n0', operator: 1 },
+    { do: 'deliver', message: 'n0>n1:prepare', at: 0 },
+    { do: 'order', node: 'n1', operator: 0 },
+    { do: 'sync', node: 'n1' },
+    { do: 'deliver', message: 'n1>n0:prepare:reply', at: 0 },
+    { do: 'deliver', message: 'n1>n0:prepare', at: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'crash', node: 'n1', keptShare: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'leave', node: 'n0' },
+    { do: 'join', node: 'n3' },
+    { do: 'upkeep', node: 'n3' },
+    { do: 'deliver', message: 'n3>n0:stateHeld', at: 0 },
+    { do: 'deliver', message: 'n3>n4:stateHeld', at: 0 },
+    { do: 'deliver', message: 'n4>n3:stateHeld:reply', at: 0 },
+    { do: 'deliver', message: 'n3>n2:stateHeld', at: 0 },
+    { do: 'deliver', message: 'n0>n4:standing', at: 0 },
+    { do: 'deliver', message: 'n2>n3:stateHeld:reply', at: 0 },
+    { do: 'deliver', message: 'n0>n3:stateHeld:reply', at: 0 },
+    { do: 'deliver', message: 'n3>n0:statePage', at: 0 },
+    { do: 'deliver', message: 'n4>n0:standing:reply', at: 0 },
+    { do: 'deliver', message: 'n0>n3:statePage:reply', at: 0 },
+    { do: 'sync', node: 'n3' },
+    { do: 'heal', from: 'n2', to: 'n0' },
+    { do: 'nextTimer' },
+    { do: 'deliver', message: 'n0>n3:standing', at: 0 },
+    { do: 'deliver', message: 'n3>n0:standing:reply', at: 0 },
+    { do: 'nextTimer' },
+    { do: 'deliver', message: 'n0>n2:prepare', at: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'sync', node: 'n2' },
+    { do: 'deliver', message: 'n2>n0:prepare:reply', at: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'deliver', message: 'n0>n2:accept', at: 0 },
+    { do: 'sync', node: 'n2' },
+    { do: 'deliver', message: 'n2>n0:accept:reply', at: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'deliver', message: 'n0>n2:settled', at: 0 },
+    { do: 'deliver', message: 'n0>n2:prepare', at: 0 },
+    { do: 'sync', node: 'n2' },
+    { do: 'sync', node: 'n0' },
+    { do: 'sync', node: 'n2' },
+    { do: 'deliver', message: 'n2>n0:prepare:reply', at: 0 },
+    { do: 'sync', node: 'n0' },
+    { do: 'deliver', message: 'n0>n2:accept', at: 0 },
+    { do: 'sync', node: 'n2' },
+    { do: 'deliver', message: 'n2>n0:accept:reply', at: 0 },
+    { do: 'sync', node: 'n0' },
+  ],
+};
+
+describe('a newcomer behind at its swap', () => {
+  it('given a change acknowledged after a newcomer told its standing, when it gets the seat of a leaving member, then a majority of the new members holds that change', async () =>
+    expect(await explorer.replay(changeBetweenStandingAndSwap)).to.equal(null));
+});
