--- a/packages/control-plane/src/consensusMember.ts
+++ b/packages/control-plane/src/consensusMember.ts
@@ -15,7 +15,7 @@
 import type { KeptLeases } from './leases.js';
 import { Membership } from './membership.js';
 import { Proposer } from './proposer.js';
-import { positions } from './quorumCall.js';
+import { majorityOf, positions } from './quorumCall.js';
 import type { Voters } from './quorumCall.js';
 
 const settleAfterMs = 150;
@@ -104,7 +104,7 @@
       () => (this.isLeaving() ? [] : role.wantedDuties()),
       this.askLeases,
       this.releaseLeases,
-      () => Math.floor(this.members().length / 2) + 1,
+      () => majorityOf(this.members()),
       role.dutiesChanged,
       parts.terms,
     );
@@ -200,7 +200,7 @@
       const connection = this.lines.to(member.incarnation);
       return connection === undefined ? [] : [connection.silentMs()];
     });
-    const majority = Math.floor(this.members().length / 2) + 1;
+    const majority = majorityOf(this.members());
     return silences.sort((a, b) => a - b)[majority - 1] ?? null;
   };
 
--- a/packages/control-plane/src/membership.ts
+++ b/packages/control-plane/src/membership.ts
@@ -9,6 +9,7 @@
 import { consensusMessages } from './consensusMessages.js';
 import type { Standing } from './founding.js';
 import type { ProposeFault, Proposer } from './proposer.js';
+import { majorityOf } from './quorumCall.js';
 
 const usualStrangerWaitMs = 12_000;
 const patienceMs = 1_000;
@@ -23,11 +24,6 @@
   readonly needsCopies: boolean;
 }
 
-const isSeated = (state: Agreed, incarnation: string): boolean =>
-  state.members.some((member) => member.incarnation === incarnation);
-
-const majorityOf = (members: readonly Member[]): number => Math.floor(members.length / 2) + 1;
-
 const pollUntil = async (clock: Clock, untilMs: number, isDone: () => Promise<boolean>): Promise<boolean> => {
   while (!(await isDone())) {
     if (clock.now() + retryMs > untilMs) return false;
@@ -76,7 +72,7 @@
   /** Forgets of leaving nodes those that are gone and have no seat. */
   private readonly forgetGone = (state: Agreed): void => {
     for (const incarnation of this.leaving) {
-      const isKnown = incarnation === this.acceptor.incarnation || isSeated(state, incarnation);
+      const isKnown = incarnation === this.acceptor.incarnation || agreedState.holdsSeat(state, incarnation);
       if (!isKnown && this.lines().to(incarnation) === undefined) this.leaving.delete(incarnation);
     }
   };
@@ -105,7 +101,7 @@
         const { neighbour } = connection;
         if (neighbour === null || neighbour.role !== 'postmaster') return [];
         const { name, address, incarnation } = neighbour;
-        if (isSeated(state, incarnation) || this.leaving.has(incarnation)) return [];
+        if (agreedState.holdsSeat(state, incarnation) || this.leaving.has(incarnation)) return [];
         return [{ connection, member: { name, address, incarnation } }];
       });
 
@@ -186,7 +182,7 @@
   private readonly isHeldByNewMajority = async (before: Agreed, state: Agreed): Promise<boolean> => {
     const held = await Promise.all(state.members.map((member) => this.isHeldBy(member, state)));
     const holders = state.members.filter((_, at) => held[at]);
-    const newMembers = state.members.filter((member) => !isSeated(before, member.incarnation));
+    const newMembers = state.members.filter((member) => !agreedState.holdsSeat(before, member.incarnation));
     return holders.length >= majorityOf(state.members) && newMembers.every((member) => holders.includes(member));
   };
 
--- a/packages/control-plane/src/replicaDesk.ts
+++ b/packages/control-plane/src/replicaDesk.ts
@@ -4,6 +4,7 @@
 import type { Lines } from '@martenworks/cluster-membership';
 import type { ClaimTable } from './claims.js';
 import type { Acceptor } from './acceptor.js';
+import { majorityOf } from './quorumCall.js';
 import type { ReplicaTable } from './replicaTable.js';
 
 export type ReplicaFault = { readonly kind: 'disk' } | { readonly kind: 'unknown' };
@@ -26,7 +27,7 @@
     isHeard: (told: unknown) => boolean | Promise<boolean>,
   ): Promise<boolean> => {
     const members = this.acceptor.agreed()?.members ?? [];
-    const majority = Math.floor(members.length / 2) + 1;
+    const majority = majorityOf(members);
     const others = members.filter((member) => member.incarnation !== this.acceptor.incarnation);
     return new Promise((settle) => {
       let heard = this.acceptor.isVoter() ? 1 : 0;
--- a/packages/core-types/src/layout.ts
+++ b/packages/core-types/src/layout.ts
@@ -223,6 +223,7 @@
 
 export const agreed = {
   servesIsolated,
+  holdsSeat,
   maySwap,
   distinctVoters,
   filled: (state: Agreed): Agreed => ({
