Tell why a read is refused, since when edges know a target, and late starts on old weights

Cause: neither log could tell the incident's hypotheses apart: a refused read left no line, an edge did not tell since when it knew of newer weights, nor that a request began late on old ones, and a restarted control node not how far its log led. No decision changed.

--- a/packages/control-plane/src/consensus/acceptor.ts
+++ b/packages/control-plane/src/consensus/acceptor.ts
@@ -279,6 +279,12 @@
     if (cutBytes > 0) log.warn('truncated a torn log tail', { wal: 'decrees', cutBytes });
     const acceptor = new Acceptor(wal, clock, log);
     acceptor.replay(snapshot as StoredSnapshot | null, records as AcceptorRecord[]);
+    log.info('log read', {
+      wal: logPrefixes.acceptor,
+      hasSnapshot: snapshot !== null,
+      records: records.length,
+      logIndex: acceptor.agreed()?.logIndex ?? null,
+    });
     const identified = await acceptor.identify(random, isFresh && !removed.value);
     return identified.isErr() ? err(identified.error) : ok(acceptor);
   },
--- a/packages/control-plane/src/nodes/controlNode.ts
+++ b/packages/control-plane/src/nodes/controlNode.ts
@@ -291,7 +291,20 @@
   };
 
   /** The newest committed state, after finishing what a majority had accepted; null where no majority replied in time. */
-  readonly confirmed = (): Promise<CommittedState | null> => this.proposer.confirm(confirmTimeoutMs);
+  readonly confirmed = async (): Promise<CommittedState | null> => {
+    const askedAt = this.ports.clock.now();
+    const state = await this.proposer.confirm(confirmTimeoutMs);
+    if (state === null)
+      this.ports.log.warn('read not confirmed by a majority', {
+        logIndex: this.acceptor.agreed()?.logIndex ?? null,
+        members: this.acceptor.agreed()?.members.length ?? 0,
+        reachable: this.consensus.reachableVoters().length,
+        pendingMs: this.acceptor.pendingForMs(),
+        proposals: this.proposer.depth(),
+        afterMs: Math.round(this.ports.clock.now() - askedAt),
+      });
+    return state;
+  };
 
   /** Whether this node may take requests: it stays, and reaches a majority of the members. */
   readonly isReady = (): boolean => !this.consensus.isLeaving() && this.consensus.reachesMajority();
--- a/packages/control-plane/src/weights/weightsRollout.ts
+++ b/packages/control-plane/src/weights/weightsRollout.ts
@@ -80,7 +80,13 @@
   private readonly rest = ({ endpoint, model }: Waiting, forMs: number): void =>
     this.tell({ id: endpoint.id, model, version: null, forMs });
 
-  private readonly done = ({ endpoint, model, version }: Waiting): void => {
+  private readonly done = ({ endpoint, model, version }: Waiting, sinceMs: number): void => {
+    this.log.info('weights load finished', {
+      replica: endpoint.id,
+      model,
+      version,
+      ms: Math.round(this.clock.now() - sinceMs),
+    });
     this.holds(endpoint.id, model, version);
     this.tell({ id: endpoint.id, model, version, forMs: 0 });
   };
@@ -92,6 +98,7 @@
 
   private readonly load = async (one: Waiting): Promise<void> => {
     const { endpoint, model, version } = one;
+    const beganAt = this.clock.now();
     this.rest(one, restMs);
     await pause.for(this.clock, noticeMs);
     const fence = this.fence();
@@ -99,12 +106,12 @@
     this.orders += 1;
     const reply = await this.backendClient.order(endpoint, { model, version, holder: this.holder(), fence });
     this.log.info('weights load ordered', { replica: endpoint.id, model, version, fence, reply });
-    if (reply === 'holds') return this.done(one);
+    if (reply === 'holds') return this.done(one, beganAt);
     if (reply === 'outranked' || reply === 'refused' || reply === 'elsewhere') return this.postpone(one, againMs);
-    await this.watch(one);
+    await this.watch(one, beganAt);
   };
 
-  private readonly watch = async (one: Waiting): Promise<void> => {
+  private readonly watch = async (one: Waiting, beganAt: number): Promise<void> => {
     const { endpoint, model, version } = one;
     const until = this.clock.now() + giveUpMs;
     await pause.for(this.clock, firstLookMs);
@@ -112,7 +119,7 @@
     while (this.clock.now() < until) {
       if (this.fence() === null) return;
       const report = await this.backendClient.report(endpoint);
-      if (report.isOk() && (report.value.weights[model] ?? 0) >= version) return this.done(one);
+      if (report.isOk() && (report.value.weights[model] ?? 0) >= version) return this.done(one, beganAt);
       if (report.isOk() && !report.value.isBusy) return this.postpone(one, againMs);
       if (report.isErr() && !this.endpoints().some((held) => held.id === endpoint.id)) return;
       if (this.clock.now() - toldAt > restMs / 2) {
--- a/packages/edge-proxy/src/edgeContext.ts
+++ b/packages/edge-proxy/src/edgeContext.ts
@@ -1,5 +1,6 @@
 /** What the modules of an edge share while a request is being forwarded. */
 import type { RequestMetadata, Customer, Ports, HeaderCodec, MetricCounters } from '@martenworks/core-types';
+import type { NodeSettings } from '@martenworks/settings';
 import type { RouteView } from '@martenworks/route-table';
 import type { Call } from './ingress/call.js';
 import type { ControlConnection } from './control/controlConnection.js';
@@ -33,6 +34,10 @@
   readonly control: ControlConnection;
   readonly metrics: MetricCounters;
   readonly isClosing: boolean;
+  /** Of the settings: `versionMs`, how long after the naming of newer weights a request may begin on older ones. */
+  readonly settings: Pick<NodeSettings, 'versionMs'>;
+  /** For how long a newer target than this version has been known; null where none is. */
+  readonly supersededForMs: (model: string, version: number) => number | null;
   readonly isStanding: (admission: Admission) => boolean;
   readonly place: (question: PlacementQuery) => Placement | null;
   readonly isAnyOpen: (pool: string, avoided: ReadonlySet<string>) => boolean;
--- a/packages/edge-proxy/src/edgeProxy.ts
+++ b/packages/edge-proxy/src/edgeProxy.ts
@@ -138,6 +138,9 @@
       this.prefixCaches.reads(address, update.salt, update.part);
   };
 
+  readonly supersededForMs = (model: string, version: number): number | null =>
+    this.weightsTargets.supersededForMs(model, version);
+
   private readings = 0;
 
   readonly readingId = (): string => `${this.prefillIdPrefix}${(++this.readings).toString(36)}`;
@@ -146,7 +149,8 @@
    * Takes the state in force as a control node tells it; a configuration version that it has already changes nothing.
    */
   readonly takeState = (update: EdgeState): void => {
-    this.weightsTargets.take(update.weightsAges);
+    for (const target of this.weightsTargets.take(update.weightsAges))
+      this.ports.log.info('weights target announced', { ...target, logIndex: update.logIndex });
     if (update.table === null || this.view?.configVersion === update.configVersion) return;
     this.view = this.tableIndexer.view(update.configVersion, update.table);
     this.ingress.limit(update.table.limits);
--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import { headerLists } from '../ingress/headers.js';
 import type { Admission, EdgeContext } from '../edgeContext.js';
 import { PromptTiming, placementNames } from '../prefixcache/promptTiming.js';
+import { OldWeightsReport } from './oldWeightsReport.js';
 import { retryPolicy } from './retryPolicy.js';
 import type { AttemptOutcome, StopCause } from './retryPolicy.js';
 import type { Placement } from '../routing/placement.js';
@@ -42,6 +43,7 @@
   private tellStopped: (cause: StopCause) => void = () => {};
   private stopCause: StopCause | null = null;
   private readonly timing: PromptTiming;
+  private readonly oldWeights: OldWeightsReport;
   private readonly mayLeave: boolean;
   private readonly mightHaveRunBefore: boolean;
   private readonly firstTimeoutMs: number;
@@ -61,6 +63,7 @@
       this.tellStopped = resolve;
     });
     this.timing = new PromptTiming(context, admission, placed, relay.resumeAfter() !== null);
+    this.oldWeights = new OldWeightsReport(context, admission, placed);
     this.mayLeave = mayRepeat && progress.attempts + 1 < route.maxAttempts;
     this.mightHaveRunBefore = progress.mayHaveRun;
     const { costMs } = placed;
@@ -260,6 +263,7 @@
     const { replicaTracker } = this.context;
     const { tracked } = this.placed;
     this.timing.promptRead();
+    if (isSuccess) this.oldWeights.began();
     const spentMs = this.timing.spentMs();
     if (isSuccess) replicaTracker.readRates.firstSeen(this.request.admission.pool, spentMs);
     if (isFailure) replicaTracker.health.failed(tracked);
--- a/packages/edge-proxy/src/index.ts
+++ b/packages/edge-proxy/src/index.ts
@@ -12,4 +12,6 @@
 export * from './routing/placement.js';
 export * from './forwarding/retryBudget.js';
 export * from './forwarding/events.js';
+export * from './forwarding/oldWeightsReport.js';
+export * from './edgeContext.js';
 export * from './prefixcache/staleEntryDetector.js';
