--- a/packages/test-fleet/src/simulator/simDisk.ts
+++ b/packages/test-fleet/src/simulator/simDisk.ts
@@ -33,7 +33,7 @@
 
 /** A disk whose bytes are safe once synced, and whose names are safe once the operation that made or removed them is over. */
 export class SimDisk {
-  /** Called before each operation that changes the disk, so that a test may copy it as a loss of power would leave it. */
+  /** Called before each operation that changes the disk, so that a test may copy it as a loss of power would leave it, or end the process before the operation. */
   beforeStep: (step: DiskStep) => void = () => {};
   /** The bytes of each file by name. */
   readonly files = new Map<string, FileBytes>();
@@ -45,7 +45,7 @@
 
   constructor(private readonly wait: (delayMs: number) => Promise<void> = () => Promise.resolve()) {}
 
-  /** Loses what was not synced, but for that share of each file. */
+  /** A loss of power: loses what was not synced, but for that share of each file. The end of a process loses nothing. */
   readonly crash = (unsyncedShareKept: number): void => {
     for (const held of this.files.values()) {
       held.synced = joined(
@@ -87,11 +87,15 @@
       await this.hold();
       return isLive() ? work() : never;
     };
-    const change = <T>(operation: DiskStep['operation'], name: string, work: () => Result<T, DiskError>) =>
-      step(() => {
-        this.beforeStep({ operation, name });
-        return work();
-      });
+    const change = async <T>(
+      operation: DiskStep['operation'],
+      name: string,
+      work: () => Result<T, DiskError>,
+    ): Promise<Result<T, DiskError>> => {
+      await this.hold();
+      if (isLive()) this.beforeStep({ operation, name });
+      return isLive() ? work() : never;
+    };
     const file = (name: string): DiskFile => ({
       append: (bytes) =>
         change('append', name, () => {
--- a/packages/test-fleet/src/simulator/simMachine.ts
+++ b/packages/test-fleet/src/simulator/simMachine.ts
@@ -145,8 +145,19 @@
       }),
   });
 
-  /** Ends the process; of what was written but not synced, that share stays on the disk. */
+  /** Loses power: ends the process; of what was written but not synced, that share has reached the disk. */
   readonly kill = (unsyncedShareKept = 0): void => {
+    if (!this.isUp) return;
+    this.killProcess();
+    this.disk.crash(unsyncedShareKept);
+    this.disk.unstall();
+  };
+
+  /**
+   * Ends the process only: what it wrote stays readable, and what it had not synced is still lost if the machine loses
+   * power later.
+   */
+  readonly killProcess = (): void => {
     if (!this.isUp) return;
     this.isUp = false;
     this.incarnation += 1;
@@ -157,8 +168,6 @@
     this.answering.clear();
     for (const crashed of [...this.crashListeners]) crashed(!this.isVanished);
     this.crashListeners.clear();
-    this.disk.crash(unsyncedShareKept);
-    this.disk.unstall();
   };
 
   /** Ends the machine so that the other ends of its connections do not notice. */
