Sync the end of a log when it is opened, before anyone builds on it

Cause: a process that is killed between writing a record and syncing it leaves the record in the system's memory. The next start read it, told others of it, and linked the next segment to it; a loss of power later took it away, so the link named a record that was missing, the log counted as damaged and the node came back empty. Beside one lost disk two of three were empty: no configuration was read back. Ruled out: a majority that cannot agree (reads were refused with no member known); a seat given away before (no such line). Change: Disk.sync; writeAheadLogs.open syncs the last segment, or cuts its torn tail, before it returns. All logs of all control nodes open that way.

--- a/packages/core-types/src/ports/ports.ts
+++ b/packages/core-types/src/ports/ports.ts
@@ -31,14 +31,16 @@
 }
 
 /**
- * One data folder, flat. `read` gives null where there is no such file; `replace` is atomic; `open`, `replace`,
- * `truncate` and `remove` are synced when they end.
+ * One data folder, flat. `read` gives null where there is no such file, and else also what a process wrote that ended
+ * before its sync; `sync` makes that durable. `replace` is atomic; `open`, `replace`, `truncate` and `remove` are synced
+ * when they end.
  */
 export interface Disk {
   readonly list: () => Promise<Result<string[], DiskError>>;
   readonly read: (name: string) => Promise<Result<Uint8Array | null, DiskError>>;
   readonly open: (name: string) => Promise<Result<DiskFile, DiskError>>;
   readonly replace: (name: string, bytes: Uint8Array) => Promise<Result<void, DiskError>>;
+  readonly sync: (name: string) => Promise<Result<void, DiskError>>;
   readonly truncate: (name: string, size: number) => Promise<Result<void, DiskError>>;
   readonly remove: (name: string) => Promise<Result<void, DiskError>>;
 }
--- a/packages/core-types/src/ports/realDisk.ts
+++ b/packages/core-types/src/ports/realDisk.ts
@@ -70,8 +70,7 @@
   await syncFolder(folder);
 };
 
-const truncateFile = async (path: string, size: number): Promise<void> => {
-  await truncate(path, size);
+const syncFile = async (path: string): Promise<void> => {
   const handle = await open(path, 'r+');
   try {
     await handle.sync();
@@ -80,6 +79,11 @@
   }
 };
 
+const truncateFile = async (path: string, size: number): Promise<void> => {
+  await truncate(path, size);
+  await syncFile(path);
+};
+
 const removeFile = async (folder: string, name: string): Promise<void> => {
   await rm(join(folder, name), { force: true });
   await syncFolder(folder);
@@ -93,6 +97,7 @@
     read: (name) => readFrom(join(folder, name)),
     open: (name) => onDisk(() => openForAppending(folder, name)),
     replace: (name, bytes) => onDisk(() => replaceFile(folder, name, bytes)),
+    sync: (name) => onDisk(() => syncFile(join(folder, name))),
     truncate: (name, size) => onDisk(() => truncateFile(join(folder, name), size)),
     remove: (name) => onDisk(() => removeFile(folder, name)),
   };
@@ -102,5 +107,5 @@
 export const noDisk = (): Disk => {
   const refuse = async <T>(): Promise<Result<T, DiskError>> =>
     err({ kind: 'disk', code: 'NODATA', detail: 'this node has no data folder' });
-  return { list: refuse, read: refuse, open: refuse, replace: refuse, truncate: refuse, remove: refuse };
+  return { list: refuse, read: refuse, open: refuse, replace: refuse, sync: refuse, truncate: refuse, remove: refuse };
 };
--- a/packages/model-check/src/modelDisk.ts
+++ b/packages/model-check/src/modelDisk.ts
@@ -120,6 +120,7 @@
           this.files.set(name, { durable: bytes.slice(), unsynced: empty });
           return ok(undefined);
         }),
+      sync: (name) => (isLive() ? this.sync(name) : never),
       truncate: (name, size) =>
         step(() => {
           const file = this.files.get(name);
--- a/packages/test-fleet/src/simulator/simDisk.ts
+++ b/packages/test-fleet/src/simulator/simDisk.ts
@@ -96,6 +96,16 @@
       if (isLive()) this.beforeStep({ operation, name });
       return isLive() ? work() : never;
     };
+    const sync = (name: string): Promise<Result<void, DiskError>> =>
+      change('sync', name, () => {
+        if (this.faults.failsSync) return err(fault('EIO'));
+        const held = this.files.get(name);
+        if (held === undefined) return err(fault('ENOENT'));
+        held.synced = joined(held.synced, held.unsynced);
+        held.unsynced = new Uint8Array();
+        this.syncs += 1;
+        return ok(undefined);
+      });
     const file = (name: string): DiskFile => ({
       append: (bytes) =>
         change('append', name, () => {
@@ -108,16 +118,7 @@
           held.unsynced = joined(held.unsynced, bytes);
           return ok(undefined);
         }),
-      sync: () =>
-        change('sync', name, () => {
-          if (this.faults.failsSync) return err(fault('EIO'));
-          const held = this.files.get(name);
-          if (held === undefined) return err(fault('ENOENT'));
-          held.synced = joined(held.synced, held.unsynced);
-          held.unsynced = new Uint8Array();
-          this.syncs += 1;
-          return ok(undefined);
-        }),
+      sync: () => sync(name),
       close: async () => {},
     });
     return {
@@ -139,6 +140,7 @@
           this.files.set(name, { synced: bytes.slice(), unsynced: new Uint8Array() });
           return ok(undefined);
         }),
+      sync,
       truncate: (name, size) =>
         change('truncate', name, () => {
           const held = this.files.get(name);
--- a/packages/write-ahead-log/src/logReader.ts
+++ b/packages/write-ahead-log/src/logReader.ts
@@ -13,11 +13,12 @@
 import { snapshotFiles } from './snapshotFile.js';
 import type { ReadSnapshot } from './snapshotFile.js';
 
-/** The end of the last segment where a write was interrupted. */
-interface TornTail {
+/** The end of the last segment: the process that wrote it may have ended in the midst of a write, or before its sync. */
+interface LogEnd {
   readonly file: string;
   readonly goodSize: number;
-  readonly bytes: number;
+  /** Bytes of a write that was interrupted. */
+  readonly tornBytes: number;
 }
 
 /** A log as it is read, before anything on disk is changed. */
@@ -27,7 +28,8 @@
   readonly firstSegment: number;
   readonly nextSegment: number;
   readonly tip: Tip | null;
-  readonly tornTail: TornTail | null;
+  /** Null where there is no segment. */
+  readonly end: LogEnd | null;
 }
 
 /** How a log is kept. */
@@ -45,7 +47,7 @@
 class SegmentReader {
   readonly records: unknown[] = [];
   tip: Tip | null;
-  tornTail: TornTail | null = null;
+  end: LogEnd | null = null;
   /** Null where the next segment may follow any. */
   private mayFollow: readonly (Tip | null)[] | null;
   private isLinked = false;
@@ -65,8 +67,8 @@
     if (scan.end < bytes.length) {
       if (!isLast || recordBatches.isAnyAfter(bytes, scan.end))
         return err(corruption(name, scan.end, 'a record before the tail does not pass its check'));
-      this.tornTail = { file: name, goodSize: scan.end, bytes: bytes.length - scan.end };
     }
+    this.end = { file: name, goodSize: scan.end, tornBytes: bytes.length - scan.end };
     if (scan.checksum === null) return ok(undefined);
     const linked = this.checkLink(name, scan);
     if (linked.isErr()) return linked;
@@ -114,6 +116,6 @@
     firstSegment: segments[0] ?? first,
     nextSegment: last === undefined ? first : last + 1,
     tip: reader.tip,
-    tornTail: reader.tornTail,
+    end: reader.end,
   });
 };
--- a/packages/write-ahead-log/src/openLog.ts
+++ b/packages/write-ahead-log/src/openLog.ts
@@ -5,7 +5,7 @@
 import type { WriteAheadLogError } from './errors.js';
 import { fileNames } from './fileNames.js';
 import { readLog } from './logReader.js';
-import type { LogOptions } from './logReader.js';
+import type { LogOptions, ReadLog } from './logReader.js';
 import { WriteAheadLog } from './writeAheadLog.js';
 
 /** An opened log: what it held, and the bytes of a torn tail that were cut. `snapshot` is null where there was none. */
@@ -16,11 +16,20 @@
   readonly cutBytes: number;
 }
 
+/**
+ * Makes the end of a log durable before anyone builds on it: a process that was killed between a write and its sync left
+ * records that can be read now and that a loss of power would still take away. A torn tail is cut.
+ */
+const settleEnd = async (disk: Disk, { end }: ReadLog): Promise<Result<void, WriteAheadLogError>> => {
+  if (end === null) return ok(undefined);
+  return end.tornBytes > 0 ? disk.truncate(end.file, end.goodSize) : disk.sync(end.file);
+};
+
 /** Opens, checks and removes logs; a log is all files of one prefix on a disk. */
 export const writeAheadLogs = {
   /**
    * Opens the log of this prefix: its newest snapshot, the records after it, and its end, from which a torn tail is
-   * cut. A file that is damaged before its tail, or follows one that is missing, is a `corrupt` fault.
+   * cut. All that is returned is durable. A file that is damaged before its tail, or follows one that is missing, is a `corrupt` fault.
    */
   open: async (
     disk: Disk,
@@ -29,13 +38,11 @@
   ): Promise<Result<OpenedLog, WriteAheadLogError>> => {
     const read = await readLog(disk, prefix, options);
     if (read.isErr()) return err(read.error);
-    const { snapshot, records, firstSegment, nextSegment, tip, tornTail } = read.value;
-    if (tornTail !== null) {
-      const cut = await disk.truncate(tornTail.file, tornTail.goodSize);
-      if (cut.isErr()) return err(cut.error);
-    }
+    const settled = await settleEnd(disk, read.value);
+    if (settled.isErr()) return err(settled.error);
+    const { snapshot, records, firstSegment, nextSegment, tip, end } = read.value;
     const wal = new WriteAheadLog(disk, prefix, nextSegment, firstSegment, tip);
-    return ok({ wal, snapshot, records, cutBytes: tornTail?.bytes ?? 0 });
+    return ok({ wal, snapshot, records, cutBytes: end?.tornBytes ?? 0 });
   },
 
   /** Reads the log of this prefix and changes nothing. */
--- a/packages/write-ahead-log/test/killedProcess.test.ts
+++ b/packages/write-ahead-log/test/killedProcess.test.ts
@@ -4,6 +4,7 @@
 import type { OpenedLog, WriteAheadLogError } from '@martenworks/write-ahead-log';
 import { SimDisk, SimWorld } from '@martenworks/test-fleet';
 
+const unsyncedShares: readonly number[] = [0, 0.5, 1];
 const seedCount = 120;
 const stepsOfRun = 60;
 
@@ -89,6 +90,31 @@
 };
 
 describe('a log whose process is killed and whose machine loses power later', () => {
+  it('given a process killed between writing a record and syncing it, when the next one writes on and power is lost then, then the log opens with all that was acknowledged', async () => {
+    for (const share of unsyncedShares) {
+      const log = new KilledLog();
+      await log.open();
+      await log.append();
+      await log.killBeforeSync();
+      await log.open();
+      await log.append();
+      log.losePower(share);
+      expect(await faultOf(log), `share kept: ${share}`).to.equal(null);
+    }
+  });
+
+  it('given a process killed between writing a record and syncing it, when the next one reads the record and power is lost then, then the record is not taken back', async () => {
+    for (const share of unsyncedShares) {
+      const log = new KilledLog();
+      await log.open();
+      await log.append();
+      await log.killBeforeSync();
+      const held = (await log.open())._unsafeUnwrap().records.length;
+      log.losePower(share);
+      expect((await log.open())._unsafeUnwrap().records.length, `share kept: ${share}`).to.equal(held);
+    }
+  });
+
   it('given any order of records, snapshots, kills, kills before a sync, starts and losses of power, when the log is opened after each, then it is whole and holds all that was acknowledged', async () => {
     for (let seed = 1; seed <= seedCount; seed += 1) {
       const { random } = new SimWorld(seed);
