Bound when a request begins on old weights, not only when it is sent

Cause: an edge sent on superseded weights for 0.8 of versionWaitMs and then left the replica all the time the caller had. A request that waits there, for its turn, a cache transfer or its prefill, began beyond the bound. Ruled out: a control node or edge that restarts and counts the target's age anew: a restart of a control node unsettles the core by the users' rule, and edges keep the longest age they know; an edge that heard late: it would send late, and the failing requests were sent in time. Change: WeightsTargets gives the window in which a request must begin (0.9 of the bound); a replica on old weights is a candidate only while that window holds two latency targets, is told no more time than the window, and the gate refuses a write that was held up beyond 0.95. The replica itself drops what has not begun, and says that it has not run.

--- a/packages/edge-proxy/src/edgeContext.ts
+++ b/packages/edge-proxy/src/edgeContext.ts
@@ -7,6 +7,7 @@
 import type { RetryBudget } from './forwarding/retryBudget.js';
 import type { ReplicaTracker } from './routing/replicaTracker.js';
 import type { PrefixCacheIndex } from './prefixcache/prefixCacheIndex.js';
+import type { WeightsTargets } from './routing/weightsTargets.js';
 import type { AnswerTiming } from './prefixcache/staleEntryDetector.js';
 import type { Placement, PlacementQuery } from './routing/placement.js';
 
@@ -36,8 +37,8 @@
   readonly isClosing: boolean;
   /** Of the settings: `versionMs`, how long after the naming of newer weights a request may begin on older ones. */
   readonly settings: Pick<NodeSettings, 'versionMs'>;
-  /** For how long a newer target than this version has been known; null where none is. */
-  readonly supersededForMs: (model: string, version: number) => number | null;
+  /** The weights that models are being moved to, and how long requests may begin on older ones. */
+  readonly weightsTargets: WeightsTargets;
   readonly isStanding: (admission: Admission) => boolean;
   readonly place: (question: PlacementQuery) => Placement | null;
   readonly isAnyOpen: (pool: string, avoided: ReadonlySet<string>) => boolean;
--- a/packages/edge-proxy/src/edgeProxy.ts
+++ b/packages/edge-proxy/src/edgeProxy.ts
@@ -34,7 +34,6 @@
 
 const connectionShare = 0.8;
 const usualConnections = 64;
-const versionShare = 0.8;
 const metricsIntervalMs = 10_000;
 
 /** An edge: takes callers' requests, places each, and relays what the replica answers. */
@@ -54,7 +53,7 @@
   private readonly prefillIdPrefix: string;
   private readonly metricsTimer: RepeatingTimer;
   private readonly tableIndexer = new RoutingTableIndexer();
-  private readonly weightsTargets: WeightsTargets;
+  readonly weightsTargets: WeightsTargets;
   private readonly eviction: StaleEntryEviction;
   private readonly admission: RequestAdmission;
   private view: RoutingTableView | null = null;
@@ -87,7 +86,7 @@
       { ratio: settings.retryBudgetRatio, windowMs: settings.retryBudgetWindowMs, slack: settings.retryBudgetSlack },
       this.control.edgeCount,
     );
-    this.weightsTargets = new WeightsTargets(clock);
+    this.weightsTargets = new WeightsTargets(clock, settings.versionMs);
     this.eviction = new StaleEntryEviction({
       isEnabled: settings.detectsStaleEntries,
       detector: this.staleEntryDetector,
@@ -97,13 +96,7 @@
       report: this.control.reportCacheMiss,
     });
     this.admission = new RequestAdmission(wire, random, this.admittingView, () => this.view);
-    this.replicaSelector = new ReplicaSelector(
-      this.replicaTracker,
-      this.prefixCaches,
-      clock,
-      this.weightsTargets.of,
-      settings.versionMs * versionShare,
-    );
+    this.replicaSelector = new ReplicaSelector(this.replicaTracker, this.prefixCaches, clock, this.weightsTargets);
     this.metricsTimer = new RepeatingTimer(
       clock,
       () => metricsIntervalMs,
@@ -138,9 +131,6 @@
       this.prefixCaches.reads(address, update.salt, update.part);
   };
 
-  readonly supersededForMs = (model: string, version: number): number | null =>
-    this.weightsTargets.supersededForMs(model, version);
-
   private readings = 0;
 
   readonly readingId = (): string => `${this.prefillIdPrefix}${(++this.readings).toString(36)}`;
--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -50,6 +50,7 @@
   private readonly gapTimeoutMs: number;
   private silence: Timer;
   private isWritten = false;
+  private givenMs = Infinity;
 
   constructor(
     private readonly context: EdgeContext,
@@ -117,12 +118,13 @@
     const { call, customer, view, body } = this.request.admission;
     const { tracked, salt, version, holder, store } = this.placed;
     const { endpoint } = tracked;
+    this.givenMs = this.timeToGive();
     return ports.httpClient.send({
       method: call.method,
       url: `http://${endpoint.address}${call.target}`,
       headers: wire.attemptHeaders(headerLists.endToEnd(call.headers), {
         replica: endpoint.id,
-        leftMs: Math.max(1, Math.floor(this.request.leftMs())),
+        leftMs: this.givenMs,
         tenant: customer?.name ?? null,
         urgency: customer?.rank ?? view.route.rank,
         salt,
@@ -138,6 +140,25 @@
     });
   };
 
+  /**
+   * The time that the replica is told: what the request has left, and on old weights no longer than it may still begin
+   * there. The replica drops it then, and says so if it has not begun.
+   */
+  private readonly timeToGive = (): number => {
+    const { model } = this.request.admission.order;
+    const { version } = this.placed;
+    const windowMs =
+      model === null || version === null ? Infinity : this.context.weightsTargets.startWindowMs(model, version);
+    return Math.max(1, Math.floor(Math.min(this.request.leftMs(), windowMs)));
+  };
+
+  private readonly mayStillBegin = (): boolean => {
+    const { model } = this.request.admission.order;
+    const { version } = this.placed;
+    if (model === null || version === null) return true;
+    return this.context.weightsTargets.mayBeginWithin(model, version, this.givenMs);
+  };
+
   /**
    * Asked as the first byte is about to be written: whatever the request was admitted by and placed on must still hold.
    */
@@ -145,7 +166,8 @@
     const { tracked } = this.placed;
     const isReplicaOpen =
       !tracked.endpoint.isLeaving && !tracked.isGone && !this.context.replicaTracker.health.isResting(tracked);
-    if (this.stopCause !== null || !isReplicaOpen || !this.context.isStanding(this.request.admission)) return false;
+    if (this.stopCause !== null || !isReplicaOpen || !this.mayStillBegin()) return false;
+    if (!this.context.isStanding(this.request.admission)) return false;
     this.isWritten = true;
     this.request.progress.mayHaveRun = true;
     return true;
--- a/packages/edge-proxy/src/forwarding/forwardedRequest.ts
+++ b/packages/edge-proxy/src/forwarding/forwardedRequest.ts
@@ -10,6 +10,9 @@
 const waitShare = 0.2;
 const waitStepMs = 15;
 const leastLeftMs = 15;
+/** Latency targets, and share of the weights' bound, for which a replica must be given a request at least. */
+const neededTargets = 2;
+const neededVersionShare = 0.25;
 const shortestComeBackMs = 80;
 const comeBackSpreadMs = 160;
 
@@ -147,13 +150,20 @@
     const { pool, order, customer } = this.admission;
     const untilAt = this.waitUntilAt();
     for (;;) {
-      const placed = this.context.place({ pool, order, customer, avoided: this.avoided });
+      const placed = this.context.place({ pool, order, customer, avoided: this.avoided, neededMs: this.neededMs() });
       if (placed !== null || this.quit.signal.aborted || clock.now() + waitStepMs > untilAt) return placed;
       if (!this.context.isAnyOpen(pool, this.avoided)) return null;
       await new Promise<void>((wake) => void clock.after(waitStepMs, wake));
     }
   };
 
+  private readonly neededMs = (): number =>
+    Math.min(
+      this.leftMs(),
+      this.admission.view.route.latencyTargetMs * neededTargets,
+      this.context.settings.versionMs * neededVersionShare,
+    );
+
   private readonly waitUntilAt = (): number => {
     const waitMs = this.admission.view.route.latencyTargetMs * waitShare;
     const resumesUntilAt = this.relay.hasReply() ? this.context.ports.clock.now() + waitMs : 0;
--- a/packages/edge-proxy/src/forwarding/oldWeightsReport.ts
+++ b/packages/edge-proxy/src/forwarding/oldWeightsReport.ts
@@ -18,7 +18,7 @@
   private readonly supersededForMs = (): number | null => {
     const { model } = this.admission.order;
     const { version } = this.placed;
-    return model === null || version === null ? null : this.context.supersededForMs(model, version);
+    return model === null || version === null ? null : this.context.weightsTargets.supersededForMs(model, version);
   };
 
   /** The first piece has come: the request began shortly before, on the version it was sent for. */
--- a/packages/edge-proxy/src/index.ts
+++ b/packages/edge-proxy/src/index.ts
@@ -10,6 +10,7 @@
 export * from './routing/replicaTracker.js';
 export * from './routing/replicaSelector.js';
 export * from './routing/placement.js';
+export * from './routing/weightsTargets.js';
 export * from './forwarding/retryBudget.js';
 export * from './forwarding/events.js';
 export * from './forwarding/oldWeightsReport.js';
--- a/packages/edge-proxy/src/routing/placement.ts
+++ b/packages/edge-proxy/src/routing/placement.ts
@@ -48,6 +48,16 @@
   readonly customer: Customer | null;
   /** Ids of replicas that earlier attempts went to. */
   readonly avoided: ReadonlySet<string>;
+  /** Milliseconds that a replica must be given at least; one that must begin sooner is no use. */
+  readonly neededMs: number;
+}
+
+/** The targets of models' weights, and what they leave to older versions. */
+export interface WeightsTargetSource {
+  /** The weights version that a model is being moved to; null where none was announced. */
+  readonly of: (model: string) => WeightsTarget | null;
+  /** Within how many milliseconds a request must begin on this version of the model; Infinity on the newest target. */
+  readonly startWindowMs: (model: string, version: number) => number;
 }
 
 /** The weights version that a model is being moved to, and for how many milliseconds that has been known. */
--- a/packages/edge-proxy/src/routing/replicaSelector.ts
+++ b/packages/edge-proxy/src/routing/replicaSelector.ts
@@ -5,7 +5,7 @@
 import type { PrefixCacheIndex } from '../prefixcache/prefixCacheIndex.js';
 import { CandidateScorer } from './candidateScorer.js';
 import { HolderSelector } from './holderSelector.js';
-import type { Placement, PlacementQuery, WeightsTarget } from './placement.js';
+import type { Placement, PlacementQuery, WeightsTargetSource } from './placement.js';
 import type { PlacementRound } from './placementRound.js';
 import { PrefixLookup } from './prefixLookup.js';
 import { promptAffinity } from './promptAffinity.js';
@@ -39,10 +39,9 @@
     private readonly replicaTracker: ReplicaTracker,
     private readonly prefixCaches: PrefixCacheIndex,
     private readonly clock: Clock,
-    weightsTargetOf: (model: string) => WeightsTarget | null,
-    oldWeightsForMs: number,
+    weightsTargets: WeightsTargetSource,
   ) {
-    this.weights = new WeightsEligibility(weightsTargetOf, oldWeightsForMs);
+    this.weights = new WeightsEligibility(weightsTargets);
     this.scorer = new CandidateScorer(replicaTracker, prefixCaches, this.weights);
     this.holders = new HolderSelector(replicaTracker, prefixCaches, affinityHash);
   }
@@ -63,14 +62,14 @@
 
   private readonly isCandidate = (
     tracked: TrackedReplica,
-    { order, avoided }: PlacementQuery,
+    query: PlacementQuery,
     view: RoutingTableView,
     connections: number,
   ): boolean =>
     !tracked.endpoint.isLeaving &&
     !this.replicaTracker.health.isResting(tracked) &&
-    this.weights.mayRun(tracked, order.model, view) &&
-    !avoided.has(tracked.endpoint.id) &&
+    this.weights.mayRun(tracked, query, view) &&
+    !query.avoided.has(tracked.endpoint.id) &&
     tracked.running < connections;
 
   private readonly round = (
--- a/packages/edge-proxy/src/routing/weightsTargets.ts
+++ b/packages/edge-proxy/src/routing/weightsTargets.ts
@@ -3,6 +3,10 @@
 import type { WeightsTarget } from './placement.js';
 
 const versionsKept = 8;
+/** Share of the bound within which a request that is sent to old weights must begin; the rest is for being late. */
+const startShare = 0.9;
+/** Share of the bound beyond which a request is not written any more, whatever held it up since it was placed. */
+const latestStartShare = 0.95;
 
 interface AnnouncedVersion {
   readonly version: number;
@@ -20,7 +24,11 @@
 export class WeightsTargets {
   private readonly announced = new Map<string, readonly AnnouncedVersion[]>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Milliseconds after the naming of newer weights within which a request may begin on older ones. */
+    private readonly versionMs: number,
+  ) {}
 
   /**
    * Takes the ages of targets from a state; a version that is known already keeps its time.
@@ -48,6 +56,18 @@
     return newer.length === 0 ? null : this.clock.now() - Math.min(...newer.map(({ at }) => at));
   };
 
+  /** Within how many milliseconds a request must begin on this version of the model; Infinity on the newest target. */
+  readonly startWindowMs = (model: string, version: number): number => {
+    const supersededForMs = this.supersededForMs(model, version);
+    return supersededForMs === null ? Infinity : Math.max(0, this.versionMs * startShare - supersededForMs);
+  };
+
+  /** Whether a request that is written now and begins within `startMs` still begins in time on this version. */
+  readonly mayBeginWithin = (model: string, version: number, startMs: number): boolean => {
+    const supersededForMs = this.supersededForMs(model, version);
+    return supersededForMs === null || supersededForMs + startMs <= this.versionMs * latestStartShare;
+  };
+
   /** The highest target of a model with the ones before it; null where none was announced. */
   readonly of = (model: string): WeightsTarget | null => {
     const now = this.clock.now();
--- a/packages/edge-proxy/test/oldWeightsReport.test.ts
+++ b/packages/edge-proxy/test/oldWeightsReport.test.ts
@@ -11,7 +11,7 @@
   const left = [...ages];
   const context = {
     settings: { versionMs },
-    supersededForMs: () => left.shift() ?? null,
+    weightsTargets: { supersededForMs: () => left.shift() ?? null },
     metrics: { add: (name: string) => counted.push(name) },
     ports: { log: { warn: (_: string, fields: Record<string, unknown>) => lines.push(fields) } },
   } as unknown as EdgeContext;
--- a/packages/edge-proxy/test/parts.test.ts
+++ b/packages/edge-proxy/test/parts.test.ts
@@ -8,6 +8,7 @@
   ReplicaTracker,
   PrefixCacheIndex,
   ReplicaSelector,
+  WeightsTargets,
   headerLists,
 } from '@martenworks/edge-proxy';
 
@@ -138,23 +139,16 @@
   ],
 });
 const nobody: ReadonlySet<string> = new Set();
+const versionMs = 8_000;
+const neededMs = 1_200;
 
 const office = (count = 13) => {
   const world = new SimWorld(3);
   const { clock } = world.machine('10.0.0.1').ports();
   const replicaTracker = new ReplicaTracker(clock);
   const prefixCaches = new PrefixCacheIndex(clock);
-  const named = new Map<string, { version: number; at: number }>();
-  const placing = new ReplicaSelector(
-    replicaTracker,
-    prefixCaches,
-    clock,
-    (name) => {
-      const held = named.get(name);
-      return held === undefined ? null : { version: held.version, sinceMs: clock.now() - held.at };
-    },
-    6_000,
-  );
+  const weightsTargets = new WeightsTargets(clock, versionMs);
+  const placing = new ReplicaSelector(replicaTracker, prefixCaches, clock, weightsTargets);
   replicaTracker.take({
     isWhole: true,
     put: Array.from({ length: count }, (_, at) => endpoint(`r${at + 1}`)),
@@ -162,8 +156,8 @@
   });
   const view = new RoutingTableIndexer().view(1, routingTable);
   const place = (order: RequestMetadata, customer: Customer | null = null, avoided = nobody) =>
-    placing.place({ pool: 'p', order, customer, avoided }, view, 64);
-  return { world, replicaTracker, prefixCaches, named, place, clock };
+    placing.place({ pool: 'p', order, customer, avoided, neededMs }, view, 64);
+  return { world, replicaTracker, prefixCaches, weightsTargets, place, clock };
 };
 
 describe('where a prompt goes', () => {
@@ -222,12 +216,12 @@
   });
 
   it('given replicas that leave, rest or hold old weights for too long, when prompts are placed, then none of them is chosen', async () => {
-    const { replicaTracker, named, place, clock, world } = office(3);
+    const { replicaTracker, weightsTargets, place, world } = office(3);
     replicaTracker.take({ isWhole: false, put: [endpoint('r1', { isLeaving: true })], gone: [] });
     replicaTracker.takeWeights({ id: 'r2', model, version: null, forMs: 500 });
     for (let at = 0; at < 50; at += 1) expect(place(long(`a${at}`))?.tracked.endpoint.id).to.equal('r3');
     replicaTracker.takeWeights({ id: 'r2', model, version: 2, forMs: 0 });
-    named.set(model, { version: 2, at: clock.now() });
+    weightsTargets.take({ [model]: [{ version: 2, msAgo: 0 }] });
     await world.run(6_500);
     for (let at = 0; at < 50; at += 1) {
       const placed = place(long(`a${at}`));
--- a/packages/test-fleet/src/capacity/probes/routePlacement.ts
+++ b/packages/test-fleet/src/capacity/probes/routePlacement.ts
@@ -37,13 +37,10 @@
   const event = { isKept: true, salt: salts.of(model, 1, null), part: largePart.id, tokens: largePart.tokens };
   for (const [at, { address }] of list.filter(({ pool }) => pool === model).entries())
     if (at % 3 === 0) prefixCaches.take([{ address, isWhole: false, isHeard: true, events: [event] }]);
-  return new ReplicaSelector(
-    replicaTracker,
-    prefixCaches,
-    machine.clock,
-    () => ({ version: 1, sinceMs: 10_000 }),
-    8_000,
-  );
+  return new ReplicaSelector(replicaTracker, prefixCaches, machine.clock, {
+    of: () => ({ version: 1, sinceMs: 10_000 }),
+    startWindowMs: () => Infinity,
+  });
 };
 
 const question = (): PlacementQuery => ({
@@ -59,6 +56,7 @@
   },
   customer: null,
   avoided: new Set(),
+  neededMs: 1_800,
 });
 
 const measurePlacement = (series: PlacementSeries, replicas: number): Promise<void> => {
