Keep the age of a weights target across restarts of control nodes

Cause: a control node counted the age of a target from when it heard of it itself, so after its restart from its start; an edge that started then took that age and used old weights for as long again. By the users' rule a restart of a control node begins a new stretch, so this is not shown to be their case; it breaks what we promise (old weights for versionWaitMs at most) all the same. Ruled out: the naming's time of day in the committed state: clocks jump by seconds, and a jump ahead would take all old replicas out at once. Change: control nodes tell each other their ages as a connection opens; the longer age of a version counts, there and at edges. NamedWeights, split from StatePublisher.

--- a/packages/control-plane/src/configuration/statePublisher.ts
+++ b/packages/control-plane/src/configuration/statePublisher.ts
@@ -10,10 +10,10 @@
 } from '@martenworks/core-types';
 import type { PeerConnection } from '@martenworks/peer-transport';
 import type { Acceptor } from '../consensus/acceptor.js';
+import type { NamedWeights } from './namedWeights.js';
 import { RoutingTableHistory } from './routingTableHistory.js';
 
 const silentMs = 4_000;
-const agesKept = 8;
 const resendMs = 1_000;
 
 /** A state that was sent to an edge and that it has not confirmed. */
@@ -41,18 +41,12 @@
   readonly heardMsAgo: number;
 }
 
-interface VersionSince {
-  readonly version: number;
-  readonly at: number;
-}
-
 /**
  * The edges subscribed to this node. At most one state is on the way to an edge; a newer one follows its
  * acknowledgement.
  */
 export class StatePublisher {
   private readonly subscribers = new Map<PeerConnection, Subscriber>();
-  private readonly named = new Map<string, readonly VersionSince[]>();
   private readonly history = new RoutingTableHistory();
 
   constructor(
@@ -60,36 +54,24 @@
     private readonly clock: Clock,
     private readonly listAgeMs: () => number | null,
     private readonly greet: (connection: PeerConnection) => void,
+    private readonly namedWeights: NamedWeights,
   ) {
     this.history.note(acceptor.agreed()?.routing ?? null);
     this.noteNamed();
     acceptor.watch(this.updateAll);
   }
 
-  private readonly noteNamed = (): void => {
-    const at = this.clock.now();
-    for (const [model, version] of Object.entries(this.acceptor.agreed()?.targetWeights ?? {})) {
-      const held = this.named.get(model) ?? [];
-      if ((held.at(-1)?.version ?? 0) < version) this.named.set(model, [...held, { version, at }].slice(-agesKept));
-    }
-  };
+  private readonly noteNamed = (): void => this.namedWeights.note(this.acceptor.agreed()?.targetWeights ?? {});
 
   private readonly message = (state: CommittedState, held: StatePosition): EdgeStateMessage => {
     const configVersion = state.routing?.configVersion ?? 0;
-    const now = this.clock.now();
-    const namedAges = Object.fromEntries(
-      [...this.named].map(([model, list]) => [
-        model,
-        list.map(({ version, at }) => ({ version, msAgo: Math.round(now - at) })),
-      ]),
-    );
     this.history.note(state.routing);
     return {
       logIndex: state.logIndex,
       configVersion,
       packedTable: this.history.messageFrom(held.configVersion),
       targetWeights: state.targetWeights,
-      weightsAges: namedAges,
+      weightsAges: this.namedWeights.ages(),
       members: state.members,
     };
   };
--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -30,6 +30,7 @@
 export * from './membership/membership.js';
 export * from './endpoints/replicaTable.js';
 export * from './configuration/routingTableHistory.js';
+export * from './configuration/namedWeights.js';
 export * from './configuration/statePublisher.js';
 export * from './prefixcache/prefixCacheFollower.js';
 export * from './endpoints/endpointListReader.js';
--- a/packages/control-plane/src/messages/edgeMessages.ts
+++ b/packages/control-plane/src/messages/edgeMessages.ts
@@ -7,10 +7,12 @@
   PrefixCacheUpdate,
   StatePosition,
   Subscription,
+  WeightsAge,
+  WeightsAgesMessage,
 } from '@martenworks/core-types';
 import { messageChecks } from './messageChecks.js';
 
-const { isObject, isText, isNumber, isBoolean, isListOf, isNullOr, isTexts } = messageChecks;
+const { isObject, isText, isNumber, isBoolean, isListOf, isNullOr, isRecordOf, isTexts } = messageChecks;
 
 const isStatePosition = (value: unknown): value is StatePosition =>
   isObject(value) && isNumber(value.logIndex) && isNumber(value.configVersion);
@@ -48,6 +50,12 @@
   isBoolean(value.isDecided) &&
   isNullOr(isNumber)(value.quarantineMs);
 
+const isWeightsAge = (value: unknown): value is WeightsAge =>
+  isObject(value) && isNumber(value.version) && isNumber(value.msAgo);
+
+const isWeightsAges = (value: unknown): value is WeightsAgesMessage =>
+  isObject(value) && isRecordOf(isListOf(isWeightsAge))(value.weightsAges);
+
 /** True where a body has the shape of the message; others are ignored by the node, as unknown topics are. */
 export const edgeMessages = {
   isStatePosition,
@@ -57,4 +65,5 @@
   isPrefillNotice,
   isPrefillNotices: isListOf(isPrefillNotice),
   isCacheMissReport,
+  isWeightsAges,
 };
--- a/packages/control-plane/src/nodes/controlNode.ts
+++ b/packages/control-plane/src/nodes/controlNode.ts
@@ -9,6 +9,7 @@
   CacheMissReport,
   NetworkError,
   Ports,
+  WeightsAgesMessage,
 } from '@martenworks/core-types';
 import type { NodeSettings } from '@martenworks/settings';
 import { peerConnections, hellos } from '@martenworks/peer-transport';
@@ -26,6 +27,7 @@
 import { PrefillNoticeRelay } from '../prefixcache/prefillNoticeRelay.js';
 import { PrefixCacheFollower } from '../prefixcache/prefixCacheFollower.js';
 import { ConfigService } from '../configuration/configService.js';
+import { NamedWeights } from '../configuration/namedWeights.js';
 import { StatePublisher } from '../configuration/statePublisher.js';
 import { rendezvousHashing } from '../prefixcache/rendezvousHashing.js';
 import { controlNodeSettings } from './controlNodeSettings.js';
@@ -65,6 +67,7 @@
   /** Loads new weights onto replicas while this node holds the lease for it. */
   readonly weightsRollout: WeightsRollout;
   private readonly consensus: ConsensusMember;
+  private readonly namedWeights: NamedWeights;
   private readonly weightsStep: RepeatingTimer;
   private listener: Listener | null = null;
 
@@ -100,7 +103,14 @@
       this.statePublisher.tellContent('prefill', bundle);
       this.consensus.tellPeers('prefillRelay', bundle);
     });
-    this.statePublisher = new StatePublisher(acceptor, clock, this.endpointList.ageMs, this.sendContent);
+    this.namedWeights = new NamedWeights(clock);
+    this.statePublisher = new StatePublisher(
+      acceptor,
+      clock,
+      this.endpointList.ageMs,
+      this.sendContent,
+      this.namedWeights,
+    );
     this.weightsRollout = this.createWeightsRollout();
     this.consensus.start();
     acceptor.watch(this.alignPrefixCaches);
@@ -237,7 +247,9 @@
     prepareUpkeep: this.prepareUpkeep,
     sharedMembers: (entries) => entries.filter(({ hello }) => hello.role === 'control'),
     joined: (connection) => {
-      if (connection.peer?.role === 'control') connection.tell('prefixCacheRelay', this.prefixCaches.followed());
+      if (connection.peer?.role !== 'control') return;
+      connection.tell('prefixCacheRelay', this.prefixCaches.followed());
+      connection.tell('weightsAges', { weightsAges: this.namedWeights.ages() } satisfies WeightsAgesMessage);
     },
     left: (connection) => this.statePublisher.drop(connection),
     told: this.takeMessage,
@@ -256,6 +268,9 @@
       case 'prefixCacheRelay':
         if (edgeMessages.isPrefixCacheUpdates(body)) this.prefixCaches.takeRelayed(body);
         return;
+      case 'weightsAges':
+        if (edgeMessages.isWeightsAges(body)) this.namedWeights.take(body.weightsAges);
+        return;
       case 'prefill':
         if (edgeMessages.isPrefillNotice(body)) this.prefillNotices.take(body);
         return;
--- a/packages/control-plane/test/messageChecks.test.ts
+++ b/packages/control-plane/test/messageChecks.test.ts
@@ -38,6 +38,7 @@
     edgeMessages.isCacheMissReport,
     { address: '10.0.0.2:1', salt: 's', parts: ['p'], isDecided: true, quarantineMs: null },
   ],
+  ['WeightsAgesMessage', edgeMessages.isWeightsAges, { weightsAges: { m: [{ version: 2, msAgo: 900 }] } }],
   ['LoadReport', gatewayMessages.isLoadReport, { replicas: { r: [1, 20] }, pools: { p: [0, 1] } }],
   ['RelayedKvEvents', gatewayMessages.isRelayedKvEvents, { fences: { r: 7 }, events: [kvEvent] }],
   ['claim turn', gatewayMessages.isClaimTurn, { key: 'k', turn: 1 }],
--- a/packages/core-types/src/controlMessages.ts
+++ b/packages/core-types/src/controlMessages.ts
@@ -24,11 +24,17 @@
   readonly deflated: Uint8Array;
 }
 
-interface WeightsAge {
+/** A version of a model's weights, and how many milliseconds ago it was named as far as the sender remembers. */
+export interface WeightsAge {
   readonly version: number;
   readonly msAgo: number;
 }
 
+/** What a control node tells another one of the latest targets, by model. */
+export interface WeightsAgesMessage {
+  readonly weightsAges: Record<string, readonly WeightsAge[]>;
+}
+
 interface EdgeStateFields {
   readonly logIndex: number;
   readonly configVersion: number;
--- a/packages/edge-proxy/src/routing/weightsTargets.ts
+++ b/packages/edge-proxy/src/routing/weightsTargets.ts
@@ -31,7 +31,7 @@
   ) {}
 
   /**
-   * Takes the ages of targets from a state; a version that is known already keeps its time.
+   * Takes the ages of targets from a state; of a version that is known already the longer age counts.
    * @returns the targets that were not known before
    */
   readonly take = (weightsAges: EdgeState['weightsAges']): NewTarget[] => {
@@ -42,7 +42,11 @@
       const unknown = ages.filter(({ version }) => !known.some((one) => one.version === version));
       const fresh = unknown.map(({ version, msAgo }) => ({ version, at: now - msAgo }));
       added.push(...unknown.map((age) => ({ model, ...age })));
-      this.announced.set(model, [...known, ...fresh].sort((a, b) => a.version - b.version).slice(-versionsKept));
+      const earliest = known.map((one) => {
+        const msAgo = ages.find(({ version }) => version === one.version)?.msAgo ?? 0;
+        return { version: one.version, at: Math.min(one.at, now - msAgo) };
+      });
+      this.announced.set(model, [...earliest, ...fresh].sort((a, b) => a.version - b.version).slice(-versionsKept));
     }
     return added;
   };
--- a/packages/test-fleet/src/capacity/probes/routePush.ts
+++ b/packages/test-fleet/src/capacity/probes/routePush.ts
@@ -1,5 +1,5 @@
 /** Control node to edges of the users' platform: pings, pushes of the routing table, bare generations and notices. */
-import { StatePublisher } from '@martenworks/control-plane';
+import { NamedWeights, StatePublisher } from '@martenworks/control-plane';
 import { machine } from '@martenworks/core-types';
 import type { Change, PrefillNotice } from '@martenworks/core-types';
 import type { Handlers } from '@martenworks/peer-transport';
@@ -81,6 +81,7 @@
       machine.clock,
       () => 100,
       () => {},
+      new NamedWeights(machine.clock),
     );
     publisher = own;
     await peers.run({ verb: 'dial', address: node.address, from: 0, count: edges });
