--- a/packages/cli/src/shutdownSignal.ts
+++ b/packages/cli/src/shutdownSignal.ts
@@ -1,8 +1,16 @@
 /** The signals by which an operator or a service manager stops a role. */
 
-/** Resolves with the name of the first SIGTERM or SIGINT. A second one ends the process in the usual way. */
+/**
+ * Resolves with the name of the first SIGTERM or SIGINT. A SIGTERM that comes again changes nothing: requests that are
+ * being drained would be cut. After the first signal, SIGINT ends the process at once, for whoever sits at a terminal.
+ */
 export const shutdownSignal = (): Promise<NodeJS.Signals> =>
   new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    const onTerminate = (): void => {
+      process.removeListener('SIGINT', onInterrupt);
+      resolve('SIGTERM');
+    };
+    const onInterrupt = (): void => resolve('SIGINT');
+    process.on('SIGTERM', onTerminate);
+    process.once('SIGINT', onInterrupt);
   });
