Two more of the class: edges that start count as unheard, a SIGHUP while a role loads ends nothing

Looked for elsewhere: (1) with revokeEverywhere, an edge counted its start as having heard of a majority, so each life of it beside a cut-off control node served a revoked key for revokeMs more. (2) A SIGHUP that came while the role's file was loading (0.25 s of a core, three times that on a third of one) ended the process by the default action. Ruled out as cases of it: voters' quiet time and membership's waits begin anew at a start, on the safe side; retry budgets begin with half a share; fences and votes are on disk. Change: ControlConnection has heard of nobody until a pong says so; deploy/martenworks.cjs takes SIGHUP before it loads the role.

--- a/deploy/martenworks.cjs
+++ b/deploy/martenworks.cjs
@@ -1,5 +1,8 @@
 'use strict';
 // One program; each role loads its own file, since what a role does not use would make it start later.
+// A role takes SIGHUP once it has loaded; until then the signal must not end the process, which reads its settings later.
+process.on('SIGHUP', () => {});
+
 const files = { edge: './roles/edge.cjs', control: './roles/control.cjs' };
 const formerNames = { core: 'control' };
 
--- a/packages/edge-proxy/src/control/controlConnection.ts
+++ b/packages/edge-proxy/src/control/controlConnection.ts
@@ -51,7 +51,8 @@
   private readonly receiver: StateReceiver;
   private readonly timers: RepeatingTimer[];
   private source: PeerConnection | null = null;
-  private lastHeardAt: number;
+  /** An edge that has just started has heard of no majority yet. */
+  private lastHeardAt = Number.NEGATIVE_INFINITY;
   private edgeCountReport = { edges: 1, at: 0 };
 
   constructor(
@@ -62,7 +63,6 @@
     private readonly listeners: ControlListeners,
   ) {
     const { clock, random } = ports;
-    this.lastHeardAt = clock.now();
     this.scorer = new SourceScorer(settings.zone, settings.listIntervalMs * staleListFactor + settings.listTimeoutMs);
     this.receiver = new StateReceiver({
       clock,
