--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -12,6 +12,7 @@
 
 const fullRestMs = 150;
 const largestDrainedBytes = 65_536;
+const silenceRecheckMs = 100;
 const notSent: AttemptOutcome = { kind: 'not run', isArrival: false, retryAfterMs: null };
 
 /** What a request has gone through so far; its attempts, which follow one another, keep it. */
@@ -31,6 +32,8 @@
   readonly quit: AbortSignal;
   readonly quitCause: () => StopCause;
   readonly leftMs: () => number;
+  /** Whether another replica could take the request now, so that a silent one may be left for it. */
+  readonly hasAnotherReplica: (placed: Placement) => boolean;
 }
 
 /**
@@ -196,18 +199,27 @@
   private readonly replicaGone = (): void => this.stop('gone');
 
   private readonly mayStillLeave = (): boolean =>
-    this.mayLeave && !this.context.isClosing && this.context.budget.left(this.request.admission.pool) > 0;
+    this.mayLeave &&
+    !this.context.isClosing &&
+    this.context.budget.left(this.request.admission.pool) > 0 &&
+    this.request.hasAnotherReplica(this.placed);
+
+  /** Leaves a silent replica once another one can take over; until then it is waited for: it may yet go on. */
+  private readonly leaveSilent = (): void => {
+    if (this.mayStillLeave()) this.stop('silent');
+    else if (this.mayLeave) this.silence = this.context.ports.clock.after(silenceRecheckMs, this.leaveSilent);
+  };
 
   private readonly firstIsLate = (): void => {
     const { replicaTracker } = this.context;
     replicaTracker.health.slow(this.placed.tracked);
     replicaTracker.readRates.firstSeen(this.request.admission.pool, this.firstTimeoutMs);
-    if (this.mayStillLeave()) this.stop('silent');
+    this.leaveSilent();
   };
 
   private readonly pieceIsLate = (): void => {
     this.context.replicaTracker.health.slow(this.placed.tracked);
-    if (this.request.admission.view.route.isResumable && this.mayStillLeave()) this.stop('silent');
+    if (this.request.admission.view.route.isResumable) this.leaveSilent();
   };
 
   private readonly heardPiece = (): void => {
--- a/packages/edge-proxy/src/forwarding/forwardedRequest.ts
+++ b/packages/edge-proxy/src/forwarding/forwardedRequest.ts
@@ -73,10 +73,18 @@
 
   /** One attempt; true if the request is over with it. */
   private readonly attempt = async (placed: Placement): Promise<boolean> => {
-    const { admission, progress, relay, leftMs } = this;
+    const { admission, progress, relay, leftMs, hasAnotherReplica } = this;
     const attempt = new Attempt(
       this.context,
-      { admission, progress, relay, leftMs, quit: this.quit.signal, quitCause: () => this.quitCause },
+      {
+        admission,
+        progress,
+        relay,
+        leftMs,
+        hasAnotherReplica,
+        quit: this.quit.signal,
+        quitCause: () => this.quitCause,
+      },
       placed,
     );
     const outcome = await attempt.run();
@@ -145,12 +153,20 @@
   private readonly comeBackAfterMs = (): number =>
     this.comeBackMs ?? shortestComeBackMs + comeBackSpreadMs * this.context.ports.random.fraction();
 
+  private readonly placeAvoiding = (avoided: ReadonlySet<string>): Placement | null => {
+    const { pool, order, customer } = this.admission;
+    return this.context.place({ pool, order, customer, avoided, neededMs: this.neededMs() });
+  };
+
+  private readonly hasAnotherReplica = ({ tracked }: Placement): boolean =>
+    this.placeAvoiding(new Set([...this.avoided, tracked.endpoint.id])) !== null;
+
   private readonly place = async (): Promise<Placement | null> => {
     const { clock } = this.context.ports;
-    const { pool, order, customer } = this.admission;
+    const { pool } = this.admission;
     const untilAt = this.waitUntilAt();
     for (;;) {
-      const placed = this.context.place({ pool, order, customer, avoided: this.avoided, neededMs: this.neededMs() });
+      const placed = this.placeAvoiding(this.avoided);
       if (placed !== null || this.quit.signal.aborted || clock.now() + waitStepMs > untilAt) return placed;
       if (!this.context.isAnyOpen(pool, this.avoided)) return null;
       await new Promise<void>((wake) => void clock.after(waitStepMs, wake));
