Give requests that outlast the weights' bound all their time, and leave what has not begun

Ruled out: sending such requests to new replicas only: right after a naming there is none. Change: a request that has no more time than the bound is bounded by what the replica is told, as before; one that has more is told all of it, and the edge leaves the replica at the end of the window where nothing has begun.

--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -53,7 +53,8 @@
   private readonly gapTimeoutMs: number;
   private silence: Timer;
   private isWritten = false;
-  private givenMs = Infinity;
+  private startWithinMs = Infinity;
+  private startTimer: Timer | null = null;
 
   constructor(
     private readonly context: EdgeContext,
@@ -99,6 +100,7 @@
       return response.isErr() ? this.failed(response.error) : await this.answered(response.value);
     } finally {
       this.silence.cancel();
+      this.startTimer?.cancel();
       this.timing.promptRead();
       this.context.replicaTracker.ended(tracked);
       tracked.whenGone.delete(this.replicaGone);
@@ -121,13 +123,13 @@
     const { call, customer, view, body } = this.request.admission;
     const { tracked, salt, version, holder, store } = this.placed;
     const { endpoint } = tracked;
-    this.givenMs = this.timeToGive();
+    const leftMs = this.boundStart();
     return ports.httpClient.send({
       method: call.method,
       url: `http://${endpoint.address}${call.target}`,
       headers: wire.attemptHeaders(headerLists.endToEnd(call.headers), {
         replica: endpoint.id,
-        leftMs: this.givenMs,
+        leftMs,
         tenant: customer?.name ?? null,
         urgency: customer?.rank ?? view.route.rank,
         salt,
@@ -144,22 +146,30 @@
   };
 
   /**
-   * The time that the replica is told: what the request has left, and on old weights no longer than it may still begin
-   * there. The replica drops it then, and says so if it has not begun.
+   * Bounds when the request may begin on old weights, and returns the time that the replica is told. That is what the
+   * request has left, and no longer than it may still begin: the replica drops it then, and says so if it has not begun.
+   * A request that may run for longer than that is told all it has; the edge itself leaves it if it has not begun.
    */
-  private readonly timeToGive = (): number => {
+  private readonly boundStart = (): number => {
+    const leftMs = Math.max(1, Math.floor(this.request.leftMs()));
+    this.startWithinMs = Math.min(leftMs, this.startWindowMs());
+    if (leftMs <= this.context.settings.versionMs) return Math.max(1, Math.floor(this.startWithinMs));
+    if (this.startWithinMs < leftMs)
+      this.startTimer = this.context.ports.clock.after(this.startWithinMs, () => this.stop('old weights'));
+    return leftMs;
+  };
+
+  private readonly startWindowMs = (): number => {
     const { model } = this.request.admission.order;
     const { version } = this.placed;
-    const windowMs =
-      model === null || version === null ? Infinity : this.context.weightsTargets.startWindowMs(model, version);
-    return Math.max(1, Math.floor(Math.min(this.request.leftMs(), windowMs)));
+    return model === null || version === null ? Infinity : this.context.weightsTargets.startWindowMs(model, version);
   };
 
   private readonly mayStillBegin = (): boolean => {
     const { model } = this.request.admission.order;
     const { version } = this.placed;
     if (model === null || version === null) return true;
-    return this.context.weightsTargets.mayBeginWithin(model, version, this.givenMs);
+    return this.context.weightsTargets.mayBeginWithin(model, version, this.startWithinMs);
   };
 
   /**
@@ -296,6 +306,7 @@
   private readonly firstPiece = (isSuccess: boolean, isFailure: boolean): void => {
     const { replicaTracker } = this.context;
     const { tracked } = this.placed;
+    this.startTimer?.cancel();
     this.timing.promptRead();
     if (isSuccess) this.oldWeights.began();
     const spentMs = this.timing.spentMs();
--- a/packages/edge-proxy/src/forwarding/retryPolicy.ts
+++ b/packages/edge-proxy/src/forwarding/retryPolicy.ts
@@ -17,7 +17,7 @@
 const promises = new Set([408, 421, 429, 503]);
 
 /** Why an attempt is stopped from this side. */
-export type StopCause = 'horizon' | 'silent' | 'gone' | 'caller left';
+export type StopCause = 'horizon' | 'silent' | 'gone' | 'caller left' | 'old weights';
 
 /**
  * How an attempt ended. `not run` only if no byte was sent or the replica said so itself; `isArrival` tells that it
