--- a/packages/test-fleet/src/runner/runTests.ts
+++ b/packages/test-fleet/src/runner/runTests.ts
@@ -1,6 +1,7 @@
 /**
  * The test runner: `runTests [--slowest N] [PART]` runs the compiled tests whose path contains PART, or all tests, in
- * up to eight worker threads, and exits with 0 if no test failed except those listed in KNOWN-RED.txt.
+ * up to eight worker threads, and exits with 0 if no test failed except those listed in KNOWN-RED.txt. The tests of files
+ * named `*.isolated.test.ts` run after all others, one at a time.
  *
  * `--slowest N` prints the N slowest tests at the end of the run.
  */
@@ -18,9 +19,13 @@
 import type { TimedTest } from './slowestTests.js';
 import { TestClaims } from './testClaims.js';
 
+/** `parallel` tests run side by side in several workers; `isolated` ones one at a time, after all others. */
+type Phase = 'parallel' | 'isolated';
+
 interface WorkerPlan {
   readonly pathPart: string;
   readonly claims: SharedArrayBuffer;
+  readonly phase: Phase;
 }
 
 type Message =
@@ -40,6 +45,8 @@
     .filter((file) => file.endsWith('.test.js') && hasSource(file))
     .sort();
 
+const phaseOf = (file: string): Phase => (file.endsWith('.isolated.test.js') ? 'isolated' : 'parallel');
+
 const testsIn = (suite: Mocha.Suite): Mocha.Test[] => [...suite.tests, ...suite.suites.flatMap(testsIn)];
 
 const filterTests = (suite: Mocha.Suite, isSelected: (test: Mocha.Test) => boolean): void => {
@@ -67,7 +74,9 @@
   const mocha = new Mocha({ timeout: 900_000, forbidOnly: true, reporter: class {} as never });
   const files = testFiles();
   const selectedFiles = new Set(
-    files.filter((file) => file.includes(plan.pathPart)).map((file) => join(testsFolder, file)),
+    files
+      .filter((file) => file.includes(plan.pathPart) && phaseOf(file) === plan.phase)
+      .map((file) => join(testsFolder, file)),
   );
   for (const file of files) mocha.addFile(join(testsFolder, file));
   await mocha.loadFilesAsync();
@@ -100,10 +109,9 @@
   const { pathPart, slowest } = readArguments();
   const timed: TimedTest[] = [];
   const results: TestResult[] = [];
-  let selected: readonly string[] = [];
+  const selected = new Set<string>();
   let declared: readonly string[] = [];
   const count = Math.max(1, Math.min(maxWorkers, availableParallelism()));
-  const claims = TestClaims.createMemory();
   const listing = knownFailures.parse(existsSync(listFile) ? readFileSync(listFile, 'utf8') : '');
   const listed = new Set(listing.entries.map((entry) => entry.title));
   const record = (result: TestResult, durationMs: number): void => {
@@ -112,24 +120,27 @@
     const label = result.error === null ? 'ok    ' : result.isTest && listed.has(result.title) ? 'known red' : 'FAILED';
     process.stdout.write(`${label} ${result.title} (${durationMs} ms)\n`);
   };
-  const startWorker = (at: number): Promise<void> =>
+  const startWorker = (at: number, plan: WorkerPlan): Promise<void> =>
     new Promise((done) => {
-      const worker = new Worker(new URL(import.meta.url), {
-        workerData: { pathPart, claims } satisfies WorkerPlan,
-      });
+      const worker = new Worker(new URL(import.meta.url), { workerData: plan });
       worker.on('message', (message: Message) => {
         if (message.kind === 'done') void worker.terminate();
         else if (message.kind === 'result') record(message.result, message.durationMs);
         else {
           declared = message.declared;
-          selected = message.selected;
+          for (const title of message.selected) selected.add(title);
         }
       });
       worker.on('error', (cause) => record({ title: `worker ${at}`, error: failureText.of(cause), isTest: false }, 0));
       worker.on('exit', () => done());
     });
-  await Promise.all(Array.from({ length: count }, (_, at) => startWorker(at)));
-  const verdict = knownFailures.evaluate(listing, { results, declared, selected });
+  const startWorkers = async (phase: Phase, workers: number): Promise<void> => {
+    const plan: WorkerPlan = { pathPart, claims: TestClaims.createMemory(), phase };
+    await Promise.all(Array.from({ length: workers }, (_, at) => startWorker(at, plan)));
+  };
+  await startWorkers('parallel', count);
+  await startWorkers('isolated', 1);
+  const verdict = knownFailures.evaluate(listing, { results, declared, selected: [...selected] });
   if (slowest > 0) process.stdout.write(`\n${slowestTests.lines(timed, slowest).join('\n')}\n`);
   process.stdout.write(`${knownFailures.lines(verdict).join('\n')}\n`, () => process.exit(verdict.isPassing ? 0 : 1));
 };
