Bound the memory that all requests of an edge take, and what follows a refusal

Callers saw: the edge that held their requests ended, or was ended by its machine. Cause: an edge bounded one body and nothing else. 48 unfinished bodies in a process of 200 MB took it to 262 MB (258 MB where their length was announced); each chunk was kept as a buffer of its own, so 12 bodies of 300,000 chunks of one byte ended the process on its heap limit. memoryMb and openFiles of the settings were read and not used. After a refusal with 404 the rest of a body was read for up to 30 s without a bound, a refusal with 413 closed the connection over unread bytes, which can reset it before the caller has read the response, and a timeout in the rest of a refused body sent a second response.

Change: the new package server-limits derives the bounds of a process from its settings. All requests of an edge draw on one budget: bodies, a fixed cost for each request with its headers, and response bytes that a caller has not read. Bodies are copied into blocks as they arrive, so chunks cost nothing beyond their bytes. When the budget is full, the oldest request whose body is not complete gets 503 with Retry-After; nothing of it has run. A complete request is never evicted, and can be sent again whole. A body that pauses for longer than idleMs gets 408. The rest of a refused body is read up to the body limit and then the connection is closed. Headers that come slowly are timed out from the start, also before there is a configuration.

Ruled out: evicting the largest body (one large ordinary request would always lose to many small ones) and the least recently active one (a slow drip would stay).

--- a/packages/edge-proxy/src/edgeProxy.ts
+++ b/packages/edge-proxy/src/edgeProxy.ts
@@ -10,6 +10,7 @@
   HeaderCodec,
 } from '@martenworks/core-types';
 import type { NodeSettings } from '@martenworks/settings';
+import { processLimits } from '@martenworks/server-limits';
 import { RoutingTableIndexer } from '@martenworks/route-table';
 import type { RoutingTableView } from '@martenworks/route-table';
 import type { Call } from './ingress/call.js';
@@ -103,6 +104,8 @@
     this.ingress = new IngressServer({
       onCall: (call) => background.run('serve a request', this.serve(call)),
       isClosing: () => this.isClosing,
+      now: clock.now,
+      limits: processLimits.of(settings),
     });
   }
 
@@ -226,6 +229,7 @@
     isReady: this.isReady(),
     configVersion: this.view?.configVersion ?? null,
     live: this.inFlightRequests.size,
+    ingress: this.ingress.status(),
     metrics: this.metrics.all(),
     control: this.control.status(),
     replicas: this.replicaTracker.all().map(({ endpoint, running, pendingTokens }) => ({
--- a/packages/edge-proxy/src/errors.ts
+++ b/packages/edge-proxy/src/errors.ts
@@ -1,7 +1,5 @@
-/** Errors of the edge: why a request isn't admitted, and why its body can't be read. */
-
-/** Why a request's body can't be read: it exceeds the limit, or the caller disconnected. */
-export type BodyError = { readonly code: 'BODY_TOO_LARGE' } | { readonly code: 'CALLER_GONE' };
+/** Errors of the edge: why a request isn't admitted. */
+import type { BodyReadError } from '@martenworks/server-limits';
 
 /** Stable codes for the reasons why a request isn't admitted. */
 type AdmissionErrorCode =
@@ -10,7 +8,9 @@
   | 'KEY_NOT_GRANTED'
   | 'HEADERS_TOO_LARGE'
   | 'MALFORMED_HEADERS'
-  | 'BODY_TOO_LARGE';
+  | 'BODY_TOO_LARGE'
+  | 'NO_ROOM'
+  | 'BODY_STALLED';
 
 /** Why a request isn't admitted, as sent to the caller. */
 export interface AdmissionError {
@@ -30,6 +30,8 @@
 }
 
 const notReadyRetryAfterMs = 250;
+const noRoomRetryAfterMs = 250;
+const bodyStalledRetryAfterMs = 250;
 
 const rejection = (
   code: AdmissionErrorCode,
@@ -38,12 +40,6 @@
   more: Partial<Pick<AdmissionError, 'retryAfterMs' | 'closesConnection'>> = {},
 ): AdmissionError => ({ code, status, message, retryAfterMs: null, closesConnection: false, ...more });
 
-/** The two body errors as shared values. */
-export const bodyErrors: { readonly tooLarge: BodyError; readonly callerDisconnected: BodyError } = {
-  tooLarge: { code: 'BODY_TOO_LARGE' },
-  callerDisconnected: { code: 'CALLER_GONE' },
-};
-
 /** Admission errors with the statuses and messages sent to callers. */
 export const admissionErrors = {
   notReady: rejection('NOT_READY', 503, 'edge has no current configuration', {
@@ -53,6 +49,28 @@
   keyNotGranted: rejection('KEY_NOT_GRANTED', 401, 'API key missing or unknown'),
   headersTooLarge: rejection('HEADERS_TOO_LARGE', 431, 'request headers too large', { closesConnection: true }),
   bodyTooLarge: rejection('BODY_TOO_LARGE', 413, 'request body too large', { closesConnection: true }),
+  noRoom: rejection('NO_ROOM', 503, 'the edge has no room for the request', {
+    retryAfterMs: noRoomRetryAfterMs,
+    closesConnection: true,
+  }),
+  bodyStalled: rejection('BODY_STALLED', 408, 'the request body paused for too long', {
+    retryAfterMs: bodyStalledRetryAfterMs,
+    closesConnection: true,
+  }),
   /** `detail` names the header that is malformed. */
   malformedHeaders: (detail: string): AdmissionError => rejection('MALFORMED_HEADERS', 400, detail),
 };
+
+/** Converts the reason why a body can't be read to the rejection of its request. */
+export const bodyRejectionOf = (error: BodyReadError): AdmissionError | CallerDisconnected => {
+  switch (error) {
+    case 'too large':
+      return admissionErrors.bodyTooLarge;
+    case 'no room':
+      return admissionErrors.noRoom;
+    case 'stalled':
+      return admissionErrors.bodyStalled;
+    case 'disconnected':
+      return { code: 'CALLER_GONE' };
+  }
+};
--- a/packages/edge-proxy/src/ingress/call.ts
+++ b/packages/edge-proxy/src/ingress/call.ts
@@ -1,6 +1,6 @@
 /** A caller's request and the response to it, independent of the server that received it. */
 import type { Result } from 'neverthrow';
-import type { BodyError } from '../errors.js';
+import type { BodyReadError } from '@martenworks/server-limits';
 
 /** One caller's request as received. Header lists alternate names and values; bodies are bytes. */
 export interface Call {
@@ -9,7 +9,7 @@
   readonly host: string;
   readonly headers: readonly string[];
   readonly headerBytes: number;
-  readonly body: (limitBytes: number) => Promise<Result<Uint8Array, BodyError>>;
+  readonly body: (limitBytes: number) => Promise<Result<Uint8Array, BodyReadError>>;
   readonly onDisconnect: (listener: () => void) => void;
   readonly respond: (status: number, headers: readonly string[], isLast: boolean) => ResponseWriter;
 }
--- a/packages/edge-proxy/src/ingress/callerConnection.ts
+++ b/packages/edge-proxy/src/ingress/callerConnection.ts
@@ -6,6 +6,7 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly disconnectListeners: (() => void)[];
+  readonly onFinish: () => void;
 }
 
 /**
@@ -15,17 +16,22 @@
  */
 export class CallerConnection {
   private readonly openExchanges = new Set<Exchange>();
+  private refused: IncomingMessage | null = null;
 
   constructor(private readonly socket: Socket) {
     socket.once('close', this.closeAll);
   }
 
   /**
-   * Tracks one request until its response is complete. Returns a function that registers listeners for the caller's
-   * disconnection.
+   * Tracks one request until its response is complete; `onFinish` is called then, or when the caller disconnects. Returns
+   * a function that registers listeners for the caller's disconnection.
    */
-  readonly track = (incoming: IncomingMessage, response: ServerResponse): ((listener: () => void) => void) => {
-    const exchange: Exchange = { incoming, response, disconnectListeners: [] };
+  readonly track = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    onFinish: () => void,
+  ): ((listener: () => void) => void) => {
+    const exchange: Exchange = { incoming, response, disconnectListeners: [], onFinish };
     this.openExchanges.add(exchange);
     response.once('close', () => this.finish(exchange));
     return (listener) => {
@@ -37,14 +43,21 @@
   /**
    * Closes the connection because its bytes form no request or arrive too slowly. `response` is written only if no other
    * response is pending: a request that was received in full may be running, and the caller would take this one as
-   * the response to it.
+   * the response to it. Nothing is written either if the request was refused before its end: its response was sent.
    */
   readonly closeWith = (response: string): void => {
-    if (!this.socket.writable) this.socket.destroy();
+    if (!this.socket.writable || this.isRefusedRequestOpen()) this.socket.destroy();
     else if (this.isResponsePending()) this.socket.resetAndDestroy();
     else this.socket.end(response);
   };
 
+  /** Notes that a request is answered before its body is complete. */
+  readonly markRefused = (incoming: IncomingMessage): void => {
+    this.refused = incoming;
+  };
+
+  private readonly isRefusedRequestOpen = (): boolean => this.refused !== null && !this.refused.complete;
+
   private readonly isResponsePending = (): boolean =>
     [...this.openExchanges].some(({ incoming, response }) => incoming.complete || response.headersSent);
 
@@ -53,7 +66,9 @@
   };
 
   private readonly finish = (exchange: Exchange): void => {
-    if (!this.openExchanges.delete(exchange) || exchange.response.writableFinished) return;
+    if (!this.openExchanges.delete(exchange)) return;
+    exchange.onFinish();
+    if (exchange.response.writableFinished) return;
     for (const listener of exchange.disconnectListeners.splice(0)) listener();
   };
 }
--- a/packages/edge-proxy/src/ingress/ingressServer.ts
+++ b/packages/edge-proxy/src/ingress/ingressServer.ts
@@ -6,61 +6,19 @@
 import type { Result } from 'neverthrow';
 import { addresses } from '@martenworks/core-types';
 import type { CallerLimits, NetworkError } from '@martenworks/core-types';
-import { headerLists } from './headerLists.js';
-import { bodyErrors } from '../errors.js';
-import type { BodyError } from '../errors.js';
-import type { Call, ResponseWriter } from './call.js';
+import { MemoryBudget } from '@martenworks/server-limits';
+import type { ProcessLimits } from '@martenworks/server-limits';
+import type { Call } from './call.js';
 import { CallerConnection } from './callerConnection.js';
+import { IngressExchange } from './ingressExchange.js';
+import type { IngressExchangeOptions } from './ingressExchange.js';
 
 const maxHeaderBytes = 128 * 1024;
 const timeoutCheckIntervalMs = 1_000;
 const requestTimeoutMs = 30_000;
 
-const bodyOf = (incoming: IncomingMessage, limitBytes: number): Promise<Result<Uint8Array, BodyError>> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    if (Number(incoming.headers['content-length'] ?? 0) > limitBytes) return resolve(err(bodyErrors.tooLarge));
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limitBytes) {
-        incoming.removeAllListeners('data');
-        incoming.resume();
-        return resolve(err(bodyErrors.tooLarge));
-      }
-      chunks.push(chunk);
-    });
-    incoming.on('end', () => resolve(ok(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks))));
-    incoming.on('error', () => resolve(err(bodyErrors.callerDisconnected)));
-    incoming.on('close', () => resolve(err(bodyErrors.callerDisconnected)));
-  });
-
-const sizeOf = (headers: readonly string[]): number => headers.reduce((sum, text) => sum + text.length + 2, 0);
-
-/**
- * Wraps a server response. `isDelimited` is true if the caller can tell the end of the body from a closed connection;
- * otherwise only a reset shows that the body is truncated.
- */
-const responseWriter = (response: ServerResponse, isDelimited: boolean): ResponseWriter => ({
-  write: (bytes) =>
-    new Promise((resolve) => {
-      if (response.destroyed || response.write(bytes)) return resolve();
-      const done = (): void => {
-        response.off('drain', done);
-        response.off('close', done);
-        resolve();
-      };
-      response.on('drain', done);
-      response.on('close', done);
-    }),
-  end: () => void response.end(),
-  abort: () => {
-    const { socket } = response;
-    if (socket === null || response.writableFinished) response.destroy();
-    else if (isDelimited) socket.destroy();
-    else socket.resetAndDestroy();
-  },
-});
+/** The limits until there is a routing table. */
+const initialLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMs: 3_000, idleMs: 15_000 };
 
 const statusLines = {
   of: (code: string | undefined): string => {
@@ -76,12 +34,26 @@
 export interface IngressServerOptions {
   readonly onCall: (call: Call) => void;
   readonly isClosing: () => boolean;
+  /** Milliseconds on the monotonic clock. */
+  readonly now: () => number;
+  /** The bounds of the process. */
+  readonly limits: ProcessLimits;
+}
+
+/** What the server holds, for the operators' pages. */
+export interface IngressStatus {
+  readonly memory: ReturnType<MemoryBudget['status']>;
 }
 
 /** A caller-facing HTTP/1.1 server that passes targets, headers and bodies on unchanged. */
 export class IngressServer {
   private readonly server: Server;
   private readonly connections = new WeakMap<object, CallerConnection>();
+  private readonly exchanges = new Set<IngressExchange>();
+  private readonly budget: MemoryBudget;
+  private readonly exchangeOptions: IngressExchangeOptions;
+  private limits = initialLimits;
+  private progressTimer: NodeJS.Timeout | null = null;
 
   constructor(private readonly options: IngressServerOptions) {
     this.server = createServer(
@@ -93,6 +65,15 @@
       },
       this.handleRequest,
     );
+    this.applyLimits(initialLimits);
+    this.budget = new MemoryBudget(options.limits.bufferBytes);
+    this.exchangeOptions = {
+      budget: this.budget,
+      now: options.now,
+      isClosing: options.isClosing,
+      limits: () => ({ pauseMs: this.limits.idleMs, discardBytes: this.limits.bodyBytes }),
+      onFinish: (exchange) => this.exchanges.delete(exchange),
+    };
     this.server.on('connection', (socket) => this.connections.set(socket, new CallerConnection(socket)));
     this.server.on('clientError', (cause: Error & { code?: string }, socket) => {
       const response = `HTTP/1.1 ${statusLines.of(cause.code)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
@@ -109,26 +90,25 @@
   private readonly handleRequest = (incoming: IncomingMessage, response: ServerResponse): void => {
     incoming.on('error', () => {});
     response.on('error', () => {});
-    const onDisconnect = this.connectionOf(incoming.socket).track(incoming, response);
-    this.options.onCall({
-      method: incoming.method ?? 'GET',
-      target: incoming.url ?? '/',
-      host: incoming.headers.host ?? '',
-      headers: incoming.rawHeaders,
-      headerBytes: sizeOf(incoming.rawHeaders) + (incoming.url ?? '').length,
-      body: (limitBytes) => bodyOf(incoming, limitBytes),
-      onDisconnect,
-      respond: (status, headers, isLast) => {
-        if (isLast || this.options.isClosing()) response.shouldKeepAlive = false;
-        response.writeHead(status, [...headers]);
-        const isChunked = incoming.httpVersion !== '1.0';
-        return responseWriter(response, isChunked || headerLists.find(headers, 'content-length') !== null);
-      },
-    });
+    if (incoming.socket.destroyed) return;
+    const connection = this.connectionOf(incoming.socket);
+    const exchange = new IngressExchange(incoming, response, connection, this.exchangeOptions);
+    this.exchanges.add(exchange);
+    this.options.onCall(exchange.call);
+  };
+
+  private readonly checkProgress = (): void => {
+    for (const exchange of this.exchanges) exchange.checkProgress();
   };
 
-  /** Applies the idle and header timeouts, in milliseconds, of the current routing table. */
+  /** What the server holds now. */
+  readonly status = (): IngressStatus => ({
+    memory: this.budget.status(),
+  });
+
+  /** Applies the limits of the current routing table; times in milliseconds. */
   readonly applyLimits = (limits: CallerLimits): void => {
+    this.limits = limits;
     this.server.keepAliveTimeout = limits.idleMs;
     this.server.headersTimeout = limits.headerMs;
   };
@@ -140,7 +120,10 @@
       this.server.once('error', (cause) =>
         resolve(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })),
       );
-      this.server.listen(port, host, 1_024, () => resolve(ok(undefined)));
+      this.server.listen(port, host, 1_024, () => {
+        this.progressTimer = setInterval(this.checkProgress, timeoutCheckIntervalMs);
+        resolve(ok(undefined));
+      });
     });
 
   /** Stops accepting connections and closes idle ones; running requests continue. */
@@ -157,5 +140,8 @@
   readonly closeIdle = (): void => this.server.closeIdleConnections();
 
   /** Closes every connection immediately, including those with running requests. */
-  readonly destroy = (): void => this.server.closeAllConnections();
+  readonly destroy = (): void => {
+    if (this.progressTimer !== null) clearInterval(this.progressTimer);
+    this.server.closeAllConnections();
+  };
 }
--- a/packages/edge-proxy/src/ingress/requestAdmission.ts
+++ b/packages/edge-proxy/src/ingress/requestAdmission.ts
@@ -6,7 +6,7 @@
 import { shares } from '@martenworks/route-table';
 import type { RoutingTableView, RouteView } from '@martenworks/route-table';
 import type { Admission } from '../edgeContext.js';
-import { admissionErrors } from '../errors.js';
+import { admissionErrors, bodyRejectionOf } from '../errors.js';
 import type { AdmissionError, CallerDisconnected } from '../errors.js';
 import type { Call } from './call.js';
 
@@ -43,7 +43,7 @@
     const early = this.grant(call, keyHash);
     if (early.isErr()) return err(early.error);
     const body = await call.body(limits.bodyBytes);
-    if (body.isErr()) return err(body.error.code === 'CALLER_GONE' ? body.error : admissionErrors.bodyTooLarge);
+    if (body.isErr()) return err(bodyRejectionOf(body.error));
     return this.grant(call, keyHash).map(
       (grant): Admission => ({
         call,
--- a/packages/edge-proxy/src/ingress/webCall.ts
+++ b/packages/edge-proxy/src/ingress/webCall.ts
@@ -3,8 +3,7 @@
 import type { Result } from 'neverthrow';
 import { background } from '@martenworks/core-types';
 import type { WebHandler } from '@martenworks/core-types';
-import { bodyErrors } from '../errors.js';
-import type { BodyError } from '../errors.js';
+import type { BodyReadError } from '@martenworks/server-limits';
 import type { Call, ResponseWriter } from './call.js';
 
 const bodilessStatuses = new Set([101, 103, 204, 205, 304]);
@@ -14,13 +13,13 @@
 const pairsOf = (list: readonly string[]): [string, string][] =>
   list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
 
-const bodyOf = async (request: Request, limitBytes: number): Promise<Result<Uint8Array, BodyError>> => {
-  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err(bodyErrors.tooLarge);
+const bodyOf = async (request: Request, limitBytes: number): Promise<Result<Uint8Array, BodyReadError>> => {
+  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err('too large');
   try {
     const bytes = new Uint8Array(await request.arrayBuffer());
-    return bytes.length > limitBytes ? err(bodyErrors.tooLarge) : ok(bytes);
+    return bytes.length > limitBytes ? err('too large') : ok(bytes);
   } catch {
-    return err(bodyErrors.callerDisconnected);
+    return err('disconnected');
   }
 };
 
@@ -62,7 +61,7 @@
     this.resumeWriter();
   };
 
-  readonly body = (limitBytes: number): Promise<Result<Uint8Array, BodyError>> => bodyOf(this.request, limitBytes);
+  readonly body = (limitBytes: number): Promise<Result<Uint8Array, BodyReadError>> => bodyOf(this.request, limitBytes);
 
   readonly onDisconnect = (listener: () => void): void => {
     if (this.request.signal.aborted) {
--- a/packages/edge-proxy/test/edgeHarness.ts
+++ b/packages/edge-proxy/test/edgeHarness.ts
@@ -232,12 +232,20 @@
   maxEventGapMs: 50,
 });
 
-const routingTableOf = (timeouts: Timeouts): RoutingTable => ({
+/** Deviations from the harness's routing table and settings. */
+export interface FixtureLimits {
+  readonly idleMs?: number;
+  readonly bodyBytes?: number;
+  readonly memoryMb?: number;
+  readonly openFiles?: number;
+}
+
+const routingTableOf = (timeouts: Timeouts, { bodyBytes = 65_536, idleMs = 15_000 }: FixtureLimits): RoutingTable => ({
   routes: routeKinds.map((kind) => routeOf(kind, timeouts)),
   pools: [{ name: 'p', connectionLimit: null, engine: null }],
   stores: [],
   customers: null,
-  limits: { headerBytes: 16_384, bodyBytes: 65_536, headerMs: 3_000, idleMs: 15_000 },
+  limits: { headerBytes: 16_384, bodyBytes, headerMs: 3_000, idleMs },
 });
 
 const edgePort = 8_080;
@@ -305,6 +313,7 @@
   static readonly open = async (
     replicas: readonly RawReplica[],
     timeouts: Timeouts = longTimeouts,
+    limits: FixtureLimits = {},
   ): Promise<EdgeFixture> => {
     for (const replica of replicas) await replica.open();
     const edgeHost = randomLoopbackHost();
@@ -327,8 +336,8 @@
         listIntervalMs: 1_000,
         listPerSecond: 1,
         listTimeoutMs: 1_000,
-        memoryMb: 250,
-        openFiles: 4_096,
+        memoryMb: limits.memoryMb ?? 250,
+        openFiles: limits.openFiles ?? 4_096,
       })
       ._unsafeUnwrap();
     const httpClient = httpClients.real(null);
@@ -345,7 +354,7 @@
     edge.applyState({
       logIndex: 1,
       configVersion: 1,
-      table: routingTableOf(timeouts),
+      table: routingTableOf(timeouts, limits),
       targetWeights: {},
       weightsAges: {},
       members: [],
