--- a/packages/edge-proxy/src/ingress/ingressServer.ts
+++ b/packages/edge-proxy/src/ingress/ingressServer.ts
@@ -6,7 +6,7 @@
 import type { Result } from 'neverthrow';
 import { addresses } from '@martenworks/core-types';
 import type { CallerLimits, NetworkError } from '@martenworks/core-types';
-import { MemoryBudget } from '@martenworks/server-limits';
+import { ConnectionLimit, MemoryBudget } from '@martenworks/server-limits';
 import type { ProcessLimits } from '@martenworks/server-limits';
 import type { Call } from './call.js';
 import { CallerConnection } from './callerConnection.js';
@@ -16,6 +16,10 @@
 const maxHeaderBytes = 128 * 1024;
 const timeoutCheckIntervalMs = 1_000;
 const requestTimeoutMs = 30_000;
+/** Requests that one connection may send before it has read their responses. */
+const maxPipelined = 64;
+/** How long a caller may read nothing of a response. */
+const unreadTimeoutMs = 15_000;
 
 /** The limits until there is a routing table. */
 const initialLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMs: 3_000, idleMs: 15_000 };
@@ -43,6 +47,7 @@
 /** What the server holds, for the operators' pages. */
 export interface IngressStatus {
   readonly memory: ReturnType<MemoryBudget['status']>;
+  readonly connections: ReturnType<ConnectionLimit['status']>;
 }
 
 /** A caller-facing HTTP/1.1 server that passes targets, headers and bodies on unchanged. */
@@ -51,6 +56,7 @@
   private readonly connections = new WeakMap<object, CallerConnection>();
   private readonly exchanges = new Set<IngressExchange>();
   private readonly budget: MemoryBudget;
+  private readonly connectionLimit: ConnectionLimit;
   private readonly exchangeOptions: IngressExchangeOptions;
   private limits = initialLimits;
   private progressTimer: NodeJS.Timeout | null = null;
@@ -67,6 +73,11 @@
     );
     this.applyLimits(initialLimits);
     this.budget = new MemoryBudget(options.limits.bufferBytes);
+    this.connectionLimit = new ConnectionLimit(this.server, {
+      maxConnections: options.limits.callerConnections,
+      maxPipelined,
+      unreadTimeoutMs,
+    });
     this.exchangeOptions = {
       budget: this.budget,
       now: options.now,
@@ -104,6 +115,7 @@
   /** What the server holds now. */
   readonly status = (): IngressStatus => ({
     memory: this.budget.status(),
+    connections: this.connectionLimit.status(),
   });
 
   /** Applies the limits of the current routing table; times in milliseconds. */
@@ -142,6 +154,7 @@
   /** Closes every connection immediately, including those with running requests. */
   readonly destroy = (): void => {
     if (this.progressTimer !== null) clearInterval(this.progressTimer);
+    this.connectionLimit.stop();
     this.server.closeAllConnections();
   };
 }
--- a/packages/edge-proxy/test/misbehavingCallers.test.ts
+++ b/packages/edge-proxy/test/misbehavingCallers.test.ts
@@ -151,4 +151,28 @@
       expect(responses.map(({ status }) => status)).to.deep.equal([404, 200]);
     });
   });
+
+  it('given more pipelined requests than a connection may have, when their responses are not read, then the connection is closed and others are served', async () => {
+    await withEdge({ script: () => {} }, async (fixture, replica) => {
+      const caller = fixture.caller();
+      caller.socket.write(
+        Array.from({ length: 200 }, (_, at) => requestText('once', 'GET', `p-${at}`, 'none')).join(''),
+      );
+      await caller.until(() => caller.isClosed);
+      await until(() => memoryOf(fixture).requests === 0);
+      expect(replica.requests.length).to.be.at.most(64);
+    });
+  });
+
+  it('given more silent connections than the process may have, when a caller connects, then it is served and the oldest connections are closed', async () => {
+    await withEdge({ limits: { openFiles: 64 } }, async (fixture) => {
+      const { limit } = fixture.edge.ingress.status().connections;
+      const silent = Array.from({ length: limit + 20 }, () => fixture.caller());
+      await until(() => silent.filter((caller) => caller.isClosed).length >= 20);
+      expect(fixture.edge.ingress.status().connections.open).to.be.at.most(limit);
+      const response = await fixture.sendRequest('once', 'POST', 'one', 'with length');
+      expect(response?.status).to.equal(200);
+      expect((silent.at(-1) as RawCaller).isClosed).to.equal(false);
+    });
+  });
 });
--- a/packages/server-limits/src/index.ts
+++ b/packages/server-limits/src/index.ts
@@ -3,3 +3,4 @@
 export * from './memoryBudget.js';
 export * from './bodyBuffer.js';
 export * from './incomingBody.js';
+export * from './connectionLimit.js';
