Let the server's header limit follow the configuration

Callers saw: nothing yet; an edge of 200 MB took 216 MB. Cause: Node's parser accepted headers of 128 KiB on each connection, whatever the configuration allowed, and kept them until their timeout. 1,500 connections that stop within a header of 64 KiB held about 100 MB.

Change: new connections take headers up to the limit of the configuration, plus 4 KiB for the request line and for white space, which the product's own check does not count; 128 KiB stays the most. Larger ones get 431 while they arrive.

--- a/packages/edge-proxy/src/ingress/ingressServer.ts
+++ b/packages/edge-proxy/src/ingress/ingressServer.ts
@@ -14,6 +14,8 @@
 import type { IngressExchangeOptions } from './ingressExchange.js';
 
 const maxHeaderBytes = 128 * 1024;
+/** Node counts the request line and the white space around values too. */
+const headerSlackBytes = 4 * 1024;
 const timeoutCheckIntervalMs = 1_000;
 const requestTimeoutMs = 30_000;
 /** Requests that one connection may send before it has read their responses. */
@@ -64,7 +66,6 @@
   constructor(private readonly options: IngressServerOptions) {
     this.server = createServer(
       {
-        maxHeaderSize: maxHeaderBytes,
         connectionsCheckingInterval: timeoutCheckIntervalMs,
         requestTimeout: requestTimeoutMs,
         noDelay: true,
@@ -123,6 +124,8 @@
     this.limits = limits;
     this.server.keepAliveTimeout = limits.idleMs;
     this.server.headersTimeout = limits.headerMs;
+    // Node reads the field for each new connection.
+    Object.assign(this.server, { maxHeaderSize: Math.min(maxHeaderBytes, limits.headerBytes + headerSlackBytes) });
   };
 
   /** Listens on `host:port`; fails with the system's network error, for example `EADDRINUSE`. */
