End a request at its deadline though its caller reads nothing of the response

Callers saw: a request whose response was not read never ended, so its body, its place in flight and the connection to the replica stayed taken, for as long as the caller wished; and the replica was counted as failing, which kept other callers from it. Cause: the relay waited for a write without regard to the deadline, while the timer for the replica's next chunk ran on and blamed it.

Change: the relay gives up a write when the request is cancelled, by its deadline or its caller, and aborts the response. The outcome `unread` counts as `responses_unread` and not as a failure of the replica. The replica's timer stands still while its caller takes a chunk.

--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -48,6 +48,8 @@
   private readonly abort = new AbortController();
   private readonly stopped: Promise<StopCause>;
   private resolveStopped: (cause: StopCause) => void = () => {};
+  private readonly cancelled: Promise<StopCause>;
+  private resolveCancelled: (cause: StopCause) => void = () => {};
   private stopCause: StopCause | null = null;
   private readonly timing: PromptTiming;
   private readonly oldWeights: OldWeightsReport;
@@ -71,6 +73,9 @@
     this.stopped = new Promise((resolve) => {
       this.resolveStopped = resolve;
     });
+    this.cancelled = new Promise((resolve) => {
+      this.resolveCancelled = resolve;
+    });
     this.timing = new PromptTiming(context, admission, placed, relay.resumeAfter() !== null);
     this.oldWeights = new OldWeightsReport(context, admission, placed);
     this.mayAbandon = isRetryable && progress.attempts + 1 < route.maxAttempts;
@@ -212,7 +217,11 @@
     this.resolveStopped(cause);
   };
 
-  private readonly onCancelled = (): void => this.stop(this.request.cancelCause());
+  private readonly onCancelled = (): void => {
+    const cause = this.request.cancelCause();
+    this.resolveCancelled(cause);
+    this.stop(cause);
+  };
 
   private readonly onReplicaRemoved = (): void => this.stop('replica removed');
 
@@ -240,8 +249,10 @@
     if (this.request.admission.view.route.isResumable) this.abandonIfPossible();
   };
 
-  private readonly onChunk = (): void => {
-    this.idleTimer.cancel();
+  /** The replica isn't waited for while its caller takes the chunk. */
+  private readonly onChunk = (): void => this.idleTimer.cancel();
+
+  private readonly onForwarded = (): void => {
     this.idleTimer = this.context.ports.clock.after(this.streamIdleTimeoutMs, this.onChunkLate);
   };
 
@@ -289,7 +300,13 @@
     const { isSuccess, isFailure } = verdict;
     const outcome = await this.request.relay.forward(
       { status, headers, body: response.body, isResumable: isSuccess && route.kind === 'stream' && route.isResumable },
-      { onFirstChunk: () => this.onFirstChunk(isSuccess, isFailure), onChunk: this.onChunk, stopped: this.stopped },
+      {
+        onFirstChunk: () => this.onFirstChunk(isSuccess, isFailure),
+        onChunk: this.onChunk,
+        onForwarded: this.onForwarded,
+        stopped: this.stopped,
+        cancelled: this.cancelled,
+      },
     );
     if (outcome.kind !== 'complete') this.abort.abort();
     if (outcome.kind === 'may have run') replicaTracker.health.recordFailure(tracked);
--- a/packages/edge-proxy/src/forwarding/forwardedRequest.ts
+++ b/packages/edge-proxy/src/forwarding/forwardedRequest.ts
@@ -102,6 +102,9 @@
       case 'cancelled':
         this.endCancelled();
         return true;
+      case 'unread':
+        this.endUnread(outcome.cause);
+        return true;
       case 'not run':
         if (outcome.wasDelivered) this.rejectionRetryAfterMs = outcome.retryAfterMs;
         return false;
@@ -133,6 +136,12 @@
     this.context.metrics.add('caller_left');
   };
 
+  private readonly endUnread = (cause: string): void => {
+    this.isEnded = true;
+    this.context.metrics.add('responses_unread');
+    this.context.ports.log.info('response not read by the caller', { order: this.admission.metadata.id, cause });
+  };
+
   /** Ends a request that no attempt answered: 503 guarantees that it has not run, 502 and 504 leave that open. */
   private readonly fail = (message: string): void => {
     if (!this.progress.mayHaveRun) this.reject(statuses.unavailable, message, true);
--- a/packages/edge-proxy/src/forwarding/responseRelay.ts
+++ b/packages/edge-proxy/src/forwarding/responseRelay.ts
@@ -18,8 +18,14 @@
 /** Callbacks to the attempt whose response is being forwarded, and the signal that stops it. */
 export interface RelayEvents {
   readonly onFirstChunk: () => void;
+  /** A chunk has come from the replica. */
   readonly onChunk: () => void;
+  /** The caller has taken the chunk; the replica is waited for again. */
+  readonly onForwarded: () => void;
+  /** Resolves when the attempt is stopped, for any cause. */
   readonly stopped: Promise<StopCause>;
+  /** Resolves when the whole request is cancelled: its caller has disconnected or its deadline has passed. */
+  readonly cancelled: Promise<StopCause>;
 }
 
 /**
@@ -64,11 +70,29 @@
       if (typeof result === 'string') return { kind: 'may have run', cause: `response stream abandoned: ${result}` };
       if (result.done === true) return this.finish(start(), splitter);
       events.onChunk();
-      if (splitter === null) await start().write(result.value);
-      else await this.forwardEvents(splitter, result.value, start);
+      const forwarding = this.forwardChunk(splitter, result.value, start);
+      const cancelCause = await Promise.race([forwarding, events.cancelled]);
+      if (cancelCause !== undefined) return this.stopWriting(cancelCause);
+      events.onForwarded();
     }
   };
 
+  private readonly forwardChunk = async (
+    splitter: EventSplitter | null,
+    bytes: Uint8Array,
+    start: () => ResponseWriter,
+  ): Promise<undefined> => {
+    if (splitter === null) await start().write(bytes);
+    else await this.forwardEvents(splitter, bytes, start);
+    return undefined;
+  };
+
+  /** The outcome where the request was cancelled while its caller kept it waiting: the response can't be continued. */
+  private readonly stopWriting = (cause: StopCause): AttemptOutcome => {
+    this.abort();
+    return cause === 'caller disconnected' ? { kind: 'cancelled' } : { kind: 'unread', cause };
+  };
+
   private readonly starter = (
     { status, headers, isResumable }: RelayedResponse,
     onFirst: () => void,
--- a/packages/edge-proxy/src/forwarding/retryPolicy.ts
+++ b/packages/edge-proxy/src/forwarding/retryPolicy.ts
@@ -26,11 +26,12 @@
 
 /**
  * How an attempt ended. `not run` only if no byte was sent or the replica itself reported it; `wasDelivered` is true in
- * the latter case. `cancelled`: the caller has disconnected.
+ * the latter case. `cancelled`: the caller has disconnected. `unread`: it did not read the response in time.
  */
 export type AttemptOutcome =
   | { readonly kind: 'complete' }
   | { readonly kind: 'cancelled' }
+  | { readonly kind: 'unread'; readonly cause: string }
   | { readonly kind: 'not run'; readonly wasDelivered: boolean; readonly retryAfterMs: number | null }
   | { readonly kind: 'may have run'; readonly cause: string };
 
--- a/packages/edge-proxy/test/misbehavingCallers.test.ts
+++ b/packages/edge-proxy/test/misbehavingCallers.test.ts
@@ -6,6 +6,7 @@
   longTimeouts,
   pathOf,
   requestText,
+  responseHead,
   validResponse,
 } from './edgeHarness.js';
 import type { FixtureLimits, RawCaller, ReplicaRequest, Timeouts } from './edgeHarness.js';
@@ -164,6 +165,35 @@
     });
   });
 
+  it('given a caller that does not read its response, when the deadline passes, then the request ends, its memory is free and the replica is not blamed', async () => {
+    const endless = (request: ReplicaRequest): void => {
+      if (request.tryId !== 'unread') {
+        respond(request);
+        return;
+      }
+      const part = 'z'.repeat(mebibyte);
+      request.socket.write(
+        responseHead('200 OK', request.tryId, ['Server-Seal: seal-of-unread', 'Transfer-Encoding: chunked']),
+      );
+      const send = (): void => {
+        while (!request.socket.destroyed && request.socket.write(encodeChunk(part)));
+      };
+      request.socket.on('drain', send);
+      send();
+    };
+    await withEdge({ script: endless, timeouts: { timeoutMs: 2_000, targetMs: 1_000 } }, async (fixture, replica) => {
+      const caller = fixture.caller();
+      caller.socket.pause();
+      caller.socket.write(requestText('stream', 'GET', 'unread', 'none'));
+      await until(() => replica.requests.length > 0);
+      await until(() => fixture.edge.inFlightRequests.size === 0);
+      await until(() => memoryOf(fixture).requests === 0);
+      expect(fixture.edge.metrics.all().responses_unread).to.equal(1);
+      const next = await fixture.sendRequest('once', 'POST', 'next', 'with length');
+      expect(next?.status).to.equal(200);
+    });
+  });
+
   it('given more silent connections than the process may have, when a caller connects, then it is served and the oldest connections are closed', async () => {
     await withEdge({ limits: { openFiles: 64 } }, async (fixture) => {
       const { limit } = fixture.edge.ingress.status().connections;
