Bound the bodies that a control node reads, together and by what they become

Callers saw: a control node that ended. Cause: bodies of configurations were bounded by Content-Length alone, at 64 MiB each, bodies of orders of weights not at all, and nothing bounded them together: 24 unfinished ones took a process of 200 MB to 859 and 858 MB. They went through the queue of a stream, which bounds bytes and not chunks: 12 bodies in chunks of one byte ended the process.

Change: a middleware reads every body before its handler runs, straight from the connection, into the budget of the process. Before a complete body is parsed, what its text and values will take is counted too, by its length and the bytes that separate values; a body that alone would take more than the whole budget gets 413. Where there is no room, the oldest incomplete body gets 503 with Retry-After.

--- a/packages/control-plane/test/upgrade.test.ts
+++ b/packages/control-plane/test/upgrade.test.ts
@@ -79,7 +79,7 @@
       expect([response.status, response.headers.get('etag')]).to.deep.equal([200, `"${core.version}"`]);
       expect(await response.text()).to.equal(upgradeData.configuration);
     }
-    const [first] = nodes.map(controlApi);
+    const [first] = nodes.map((node) => controlApi(node));
     const repeated = await finish(world, first?.request('/config', requestFor(core.version)));
     expect(repeated?.status, 'the newest request, sent again').to.equal(200);
     const next = await finish(world, first?.request('/config', requestFor(core.version + 1)));
--- a/packages/server-limits/src/index.ts
+++ b/packages/server-limits/src/index.ts
@@ -4,3 +4,5 @@
 export * from './bodyBuffer.js';
 export * from './incomingBody.js';
 export * from './connectionLimit.js';
+export * from './boundedBodies.js';
+export * from './jsonCost.js';
--- a/packages/server-limits/test/memoryBudget.test.ts
+++ b/packages/server-limits/test/memoryBudget.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { BodyBuffer, MemoryBudget, processLimits } from '@martenworks/server-limits';
+import { BodyBuffer, MemoryBudget, jsonCost, processLimits } from '@martenworks/server-limits';
 
 const open = (budget: MemoryBudget, name: string, evicted: string[]) => budget.open(() => evicted.push(name));
 
@@ -84,3 +84,10 @@
     expect(limits).to.deep.equal({ bufferBytes: 8_388_608, callerConnections: 16, operatorConnections: 16 });
   });
 });
+
+describe('jsonCost', () => {
+  it('given nested arrays, when their cost is estimated, then it is a multiple of the text', () => {
+    const text = new TextEncoder().encode(`[${'[],'.repeat(1_000)}[]]`);
+    expect(jsonCost.of(text)).to.be.above(text.length * 20);
+  });
+});
