Bound what clients make a gateway and its control nodes hold

Callers saw: processes outside the memory and descriptors of their machine. Cause: a gateway bounded one body, its control node none, and neither bounded them together or its connections.

Change: gateway and gateway-control have the settings memoryMb (1024) and openFiles (4096); from them come the budget for bodies and what their JSON becomes, and the limits of connections for callers and for operators. A body for which there is no room gets 503 no_capacity with Retry-After; it has not run. The test of settings of an earlier release names the two new defaults; every earlier field means what it meant. Clients and figures that both crowd tests use moved to test-fleet.

--- a/packages/cli/src/commands/runGateway.ts
+++ b/packages/cli/src/commands/runGateway.ts
@@ -2,10 +2,11 @@
 import { callerApi, gateways, operatorPages } from '@martenworks/gateway';
 import type { Gateway } from '@martenworks/gateway';
 import type { Listener, Log, WebHandler } from '@martenworks/core-types';
+import { MemoryBudget, processLimits } from '@martenworks/server-limits';
 import type { GatewaySettings } from '@martenworks/settings';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
-import { realHttpServer } from '../httpServer.js';
+import { boundedHttpServer } from '../httpServer.js';
 import { portsFor } from '../ports.js';
 import { shutdownSignal } from '../shutdownSignal.js';
 import { watchProcessMetrics } from '../processMetrics.js';
@@ -13,20 +14,31 @@
 interface Endpoint {
   readonly address: string;
   readonly handler: WebHandler;
+  readonly maxConnections: number;
 }
 
 const endpointsOf = (gateway: Gateway): Endpoint[] => {
   const { http, operators } = gateway.settings;
-  const forCallers = { address: http, handler: callerApi(gateway).fetch };
+  const limits = processLimits.of(gateway.settings);
+  const forCallers = {
+    address: http,
+    handler: callerApi(gateway, new MemoryBudget(limits.bufferBytes)).fetch,
+    maxConnections: limits.callerConnections,
+  };
   if (operators === null) return [forCallers];
-  return [forCallers, { address: operators, handler: operatorPages(gateway, watchProcessMetrics()).fetch }];
+  const forOperators = {
+    address: operators,
+    handler: operatorPages(gateway, watchProcessMetrics()).fetch,
+    maxConnections: limits.operatorConnections,
+  };
+  return [forCallers, forOperators];
 };
 
 /** Opens the endpoints one after another; null if one could not be opened. */
 const listenOn = async (endpoints: readonly Endpoint[], log: Log): Promise<Listener[] | null> => {
   const listeners: Listener[] = [];
-  for (const { address, handler } of endpoints) {
-    const opened = await realHttpServer.open(address, handler);
+  for (const { address, handler, maxConnections } of endpoints) {
+    const opened = await boundedHttpServer(maxConnections).open(address, handler);
     if (opened.isErr()) {
       log.error('HTTP listen failed', { address, fault: opened.error });
       return null;
--- a/packages/cli/src/commands/runGatewayControl.ts
+++ b/packages/cli/src/commands/runGatewayControl.ts
@@ -1,10 +1,11 @@
 /** The command `gateway-control`: runs a gateway control node until a signal stops it. */
-import { gatewayControlNodes, operatorApi, replicaApi } from '@martenworks/control-plane';
+import { controlApp, gatewayControlNodes } from '@martenworks/control-plane';
 import type { Log } from '@martenworks/core-types';
+import { MemoryBudget, processLimits } from '@martenworks/server-limits';
 import type { GatewaySettings } from '@martenworks/settings';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
-import { realHttpServer } from '../httpServer.js';
+import { boundedHttpServer } from '../httpServer.js';
 import { portsFor } from '../ports.js';
 import { shutdownSignal } from '../shutdownSignal.js';
 import { watchProcessMetrics } from '../processMetrics.js';
@@ -18,8 +19,9 @@
     return exitCodes.failed;
   }
   const controlNode = started.value;
-  const app = operatorApi(controlNode, watchProcessMetrics()).route('/', replicaApi(controlNode));
-  const listener = await realHttpServer.open(settings.http, app.fetch);
+  const limits = processLimits.of(settings);
+  const app = controlApp(controlNode, new MemoryBudget(limits.bufferBytes), watchProcessMetrics());
+  const listener = await boundedHttpServer(limits.operatorConnections).open(settings.http, app.fetch);
   if (listener.isErr()) {
     log.error('HTTP listen failed', { address: settings.http, fault: listener.error });
     return exitCodes.failed;
--- a/packages/control-plane/src/index.ts
+++ b/packages/control-plane/src/index.ts
@@ -35,3 +35,4 @@
 export * from './prefixcache/prefixCacheFollower.js';
 export * from './endpoints/endpointListReader.js';
 export * from './weights/weightsRollout.js';
+export * from './api/controlApp.js';
--- a/packages/control-plane/test/upgrade.test.ts
+++ b/packages/control-plane/test/upgrade.test.ts
@@ -216,6 +216,8 @@
     gatewayCount: 12,
     bodyLimitBytes: 2_097_152,
     queueLimit: 256,
+    memoryMb: 1_024,
+    openFiles: 4_096,
     drainMs: 20_000,
     stallMs: 15_000,
     claimRetentionMs: 500_000,
--- a/packages/gateway/src/api/callerApi.ts
+++ b/packages/gateway/src/api/callerApi.ts
@@ -3,9 +3,10 @@
 import type { Context } from 'hono';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { bodyLimit } from 'hono/body-limit';
 import { rejections, timing } from '@martenworks/core-types';
 import type { Rejection } from '@martenworks/core-types';
+import { MemoryBudget, boundedBodies, jsonCost } from '@martenworks/server-limits';
+import type { BodyReadError } from '@martenworks/server-limits';
 import { replicaProtocol } from '@martenworks/upstream';
 import type { CompletionPath, CompletionEvent } from '@martenworks/upstream';
 import type { Gateway } from '../gateway.js';
@@ -137,13 +138,21 @@
     : c.json({ status: 'not ready', voices: gateway.freshness.freshNodeCount() }, 503, { 'retry-after': '1' });
 };
 
-/** Creates the routes of one gateway's caller address. */
-export const callerApi = (gateway: Gateway): Hono => {
+const bodyRejections: Readonly<Record<BodyReadError, Rejection>> = {
+  'too large': rejections.of('too_large', 'no', 'the body exceeds the size limit'),
+  'no room': rejections.of('no_capacity', 'no', 'the gateway has no room for the body'),
+  stalled: rejections.of('no_capacity', 'no', 'the body paused for too long'),
+  disconnected: rejections.of('caller_left', 'no', 'the body is incomplete'),
+};
+
+/** Creates the routes of one gateway's caller address. Bodies are counted in `budget`, by default without a bound. */
+export const callerApi = (gateway: Gateway, budget = new MemoryBudget(Number.POSITIVE_INFINITY)): Hono => {
   const app = new Hono();
-  const limited = bodyLimit({
-    maxSize: gateway.settings.bodyLimitBytes,
-    onError: (c) =>
-      rejectionReply(c, rejections.of('too_large', 'no', 'the body exceeds the size limit'), requestIdOf(c, gateway)),
+  const limited = boundedBodies({
+    budget,
+    limitBytes: gateway.settings.bodyLimitBytes,
+    handlingBytes: jsonCost.of,
+    reject: (c, error) => rejectionReply(c, bodyRejections[error], requestIdOf(c, gateway)),
   });
   app.post('/v1/completions', limited, completionHandler(gateway, '/v1/completions'));
   app.post('/v1/chat/completions', limited, completionHandler(gateway, '/v1/chat/completions'));
--- a/packages/settings/src/gatewaySettings.ts
+++ b/packages/settings/src/gatewaySettings.ts
@@ -21,6 +21,8 @@
   readonly gatewayCount: number;
   readonly bodyLimitBytes: number;
   readonly queueLimit: number;
+  readonly memoryMb: number;
+  readonly openFiles: number;
   readonly drainMs: number;
   readonly stallMs: number;
   readonly claimRetentionMs: number;
@@ -52,6 +54,8 @@
   'gatewayCount?': '1 <= number.integer <= 1000',
   'bodyLimitBytes?': '1024 <= number.integer <= 67108864',
   'queueLimit?': '1 <= number.integer <= 100000',
+  'memoryMb?': '16 <= number.integer <= 1048576',
+  'openFiles?': '64 <= number.integer <= 100000000',
   'drainMs?': '0 <= number.integer <= 600000',
   'claimRetentionMs?': '1000 <= number.integer <= 86400000',
   'stallMs?': '100 <= number.integer <= 600000',
@@ -79,6 +83,8 @@
   gatewayCount: { parse: parsers.count, help: 'number of gateways that share the retry budget (9)' },
   bodyLimitBytes: { parse: parsers.count, help: 'maximum size of a request body (4194304)' },
   queueLimit: { parse: parsers.count, help: 'maximum number of requests queued in one stage (512)' },
+  memoryMb: { parse: parsers.count, help: 'memory of the process in MiB, from which its bounds are derived (1024)' },
+  openFiles: { parse: parsers.count, help: 'descriptors of the process, from which its bounds are derived (4096)' },
   drainMs: { parse: parsers.count, help: 'maximum wait for running requests on SIGTERM (25000)' },
   claimRetentionMs: { parse: parsers.count, help: 'how long an Idempotency-Key is stored (600000)' },
   stallMs: { parse: parsers.count, help: 'idle time after which a running stream is ended (20000)' },
@@ -134,6 +140,8 @@
   gatewayCount: input.gatewayCount ?? 9,
   bodyLimitBytes: input.bodyLimitBytes ?? 4 * 1024 * 1024,
   queueLimit: input.queueLimit ?? 512,
+  memoryMb: input.memoryMb ?? 1_024,
+  openFiles: input.openFiles ?? 4_096,
   drainMs: input.drainMs ?? 25_000,
   claimRetentionMs: input.claimRetentionMs ?? 600_000,
   stallMs: input.stallMs ?? 20_000,
--- a/packages/test-fleet/src/index.ts
+++ b/packages/test-fleet/src/index.ts
@@ -28,3 +28,8 @@
 export { faultKinds, permanentLossKinds, deploymentSizes } from './faults/faultSchedule.js';
 export type { FaultKind, PermanentLossKind, FaultSchedule } from './faults/faultSchedule.js';
 export type { Run } from './replica/replicaRecords.js';
+export { LocalFleet } from './processes/localFleet.js';
+export { chunkedBodies } from './misbehaving/chunkedBodies.js';
+export { MisbehavingClient } from './misbehaving/misbehavingClient.js';
+export type { ClientScript } from './misbehaving/misbehavingClient.js';
+export { processUsageOf } from './misbehaving/processUsage.js';
--- a/packages/test-fleet/src/processes/localFleet.ts
+++ b/packages/test-fleet/src/processes/localFleet.ts
@@ -59,6 +59,8 @@
     readonly extraFlags: readonly string[] = [],
     private readonly profiledNode: string | null = null,
     hasProxies = false,
+    /** Flags of every gateway and control node that bound what it may use. */
+    private readonly limitFlags: readonly string[] = [],
   ) {
     const host = (group: number, at: number): string => `127.${net}.${group}.${at}`;
     this.controlNodeHosts = [1, 2, 3].map((at) => host(0, at));
@@ -118,6 +120,7 @@
       '--http',
       `${host}:7101`,
     ],
+    ...this.limitFlags,
     ...['--seeds', this.controlNodeHosts.map((_, one) => this.peerAddressOf(one)).join(',')],
   ];
 
