Survive connections that can't be accepted more than once

Callers could see: a process that ended, with an uncaught error, when it had no descriptor left. Cause: servers listened once for `error`; Node emits it for each connection that accept(2) refuses (EMFILE, ENFILE), and the second one had no listener.

Change: every server keeps its listener; an edge logs "connection not accepted" with the code.

Measured: the new test failed before ("Error: accept EMFILE") and passes.

--- a/packages/cli/src/httpServer.ts
+++ b/packages/cli/src/httpServer.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { addresses } from '@martenworks/core-types';
+import { addresses, systemErrorCode } from '@martenworks/core-types';
 import type { HttpServer, Listener, NetworkError, WebHandler } from '@martenworks/core-types';
 import { ConnectionLimit } from '@martenworks/server-limits';
 
@@ -43,9 +43,8 @@
 const listen = (server: Server, address: string): Promise<Result<Listener, NetworkError>> =>
   new Promise((resolve) => {
     const { host, port } = addresses.split(address);
-    server.once('error', (cause) =>
-      resolve(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })),
-    );
+    // Once it listens, an error means that a connection was not accepted.
+    server.on('error', (cause) => resolve(err({ kind: 'net', code: systemErrorCode(cause), isUnsent: true })));
     server.listen(port, host, backlog, () => resolve(ok(listenerOf(server))));
   });
 
--- a/packages/core-types/src/index.ts
+++ b/packages/core-types/src/index.ts
@@ -25,3 +25,4 @@
 export * from './cbor.js';
 export * from './rendezvousHash.js';
 export * from './replicaEndpoints.js';
+export * from './ports/systemErrorCode.js';
--- a/packages/core-types/src/ports/realNetwork.ts
+++ b/packages/core-types/src/ports/realNetwork.ts
@@ -62,7 +62,8 @@
           for (const socket of sockets) socket.destroy();
         }),
     };
-    server.once('error', (cause) => resolve(err(networkError(systemErrorCode(cause)))));
+    // Once it listens, an error means that a connection was not accepted.
+    server.on('error', (cause) => resolve(err(networkError(systemErrorCode(cause)))));
     server.listen(port, host, () => resolve(ok(listener)));
   });
 
--- a/packages/edge-proxy/src/edgeProxy.ts
+++ b/packages/edge-proxy/src/edgeProxy.ts
@@ -106,6 +106,7 @@
       isClosing: () => this.isClosing,
       now: clock.now,
       limits: processLimits.of(settings),
+      onAcceptError: (code) => ports.log.warn('connection not accepted', { code }),
     });
   }
 
--- a/packages/edge-proxy/src/ingress/ingressServer.ts
+++ b/packages/edge-proxy/src/ingress/ingressServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { addresses } from '@martenworks/core-types';
+import { addresses, systemErrorCode } from '@martenworks/core-types';
 import type { CallerLimits, NetworkError } from '@martenworks/core-types';
 import { ConnectionLimit, MemoryBudget } from '@martenworks/server-limits';
 import type { ProcessLimits } from '@martenworks/server-limits';
@@ -44,6 +44,8 @@
   readonly now: () => number;
   /** The bounds of the process. */
   readonly limits: ProcessLimits;
+  /** Called with the system's code when a connection can't be accepted, for example `EMFILE`. */
+  readonly onAcceptError: (code: string) => void;
 }
 
 /** What the server holds, for the operators' pages. */
@@ -132,10 +134,9 @@
   readonly open = (address: string): Promise<Result<void, NetworkError>> =>
     new Promise((resolve) => {
       const { host, port } = addresses.split(address);
-      this.server.once('error', (cause) =>
-        resolve(err({ kind: 'net', code: (cause as { code?: string }).code ?? 'UNKNOWN', isUnsent: true })),
-      );
+      this.server.once('error', (cause) => resolve(err({ kind: 'net', code: systemErrorCode(cause), isUnsent: true })));
       this.server.listen(port, host, 1_024, () => {
+        this.server.on('error', (cause) => this.options.onAcceptError(systemErrorCode(cause)));
         this.progressTimer = setInterval(this.checkProgress, timeoutCheckIntervalMs);
         resolve(ok(undefined));
       });
--- a/packages/edge-proxy/test/misbehavingCallers.test.ts
+++ b/packages/edge-proxy/test/misbehavingCallers.test.ts
@@ -1,3 +1,4 @@
+import type { Server } from 'node:http';
 import { expect } from 'chai';
 import {
   EdgeFixture,
@@ -205,4 +206,44 @@
       expect((silent.at(-1) as RawCaller).isClosed).to.equal(false);
     });
   });
+
+  it('given connections that cannot be accepted, when that happens more than once, then the edge lives and serves the next caller', async () => {
+    await withEdge({}, async (fixture) => {
+      const { server } = fixture.edge.ingress as unknown as { readonly server: Server };
+      for (let at = 0; at < 3; at += 1)
+        server.emit('error', Object.assign(new Error('accept EMFILE'), { code: 'EMFILE' }));
+      const response = await fixture.sendRequest('once', 'POST', 'next', 'with length');
+      expect(response?.status).to.equal(200);
+    });
+  });
+
+  it('given a replica that rejects a request with a body that does not end, when the edge discards it, then it reads no more than a bounded part', async () => {
+    let sentBytes = 0;
+    let isClosed = false;
+    const rejectEndlessly = (request: ReplicaRequest): void => {
+      if (request.tryId !== 'rejected') {
+        respond(request);
+        return;
+      }
+      const part = encodeChunk('r'.repeat(1_024));
+      const send = (cause?: Error | null): void => {
+        if (cause instanceof Error || request.socket.destroyed) return;
+        sentBytes += part.length;
+        request.socket.write(part, send);
+      };
+      request.socket.on('close', () => {
+        isClosed = true;
+      });
+      request.socket.write(
+        responseHead('503 Service Unavailable', request.tryId, ['Not-Run: 1', 'Transfer-Encoding: chunked']),
+        send,
+      );
+    };
+    await withEdge({ script: rejectEndlessly }, async (fixture) => {
+      const response = await fixture.sendRequest('once', 'POST', 'rejected', 'with length');
+      expect(response?.status).to.equal(503);
+      await until(() => isClosed);
+      expect(sentBytes).to.be.below(16 * mebibyte);
+    });
+  });
 });
