Bound what is read of a rejected response as a whole

Callers could see: a replica connection that was never free again. Cause: while a replica's rejection was read to its end, each chunk and not their sum was compared with 65,536 bytes, so small chunks were read without end.

Change: the sum is compared.

--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -17,7 +17,7 @@
 import type { Placement } from '../routing/placement.js';
 
 const defaultFullBackoffMs = 150;
-const maxDrainedChunkBytes = 65_536;
+const maxDrainedBytes = 65_536;
 const abandonRecheckMs = 100;
 const notSent: AttemptOutcome = { kind: 'not run', wasDelivered: false, retryAfterMs: null };
 
@@ -348,10 +348,14 @@
     void response.body[Symbol.asyncIterator]().return?.();
   };
 
-  /** Reads a rejection to its end so that the connection can be reused. */
+  /** Reads a rejection to its end so that the connection can be reused, unless it is long. */
   private readonly drain = async (response: HttpClientResponse): Promise<void> => {
+    let drainedBytes = 0;
     try {
-      for await (const bytes of response.body) if (bytes.length > maxDrainedChunkBytes) return;
+      for await (const bytes of response.body) {
+        drainedBytes += bytes.length;
+        if (drainedBytes > maxDrainedBytes) return;
+      }
     } catch {
       return;
     }
