Give every 408 a Retry-After, count refusals, and keep the codes of body errors

Callers saw: a 408 for slow headers without Retry-After, though it promises that nothing ran. Operators saw nothing of requests refused before their admission. Cause: the response to bytes that form no request was one line for all; only requests that were admitted were counted.

Change: 408 carries Retry-After; `refused_CODE` counts each refusal; body errors are objects with their codes again.

--- a/packages/control-plane/src/api/controlApp.ts
+++ b/packages/control-plane/src/api/controlApp.ts
@@ -10,7 +10,7 @@
 const bodyLimitBytes = 64 * 1024 * 1024;
 
 const rejectBody = (c: Context, error: BodyReadError): Response =>
-  error === 'too large'
+  error.code === 'BODY_TOO_LARGE'
     ? c.json({ outcome: 'rejected', detail: 'the body is too large' }, 413)
     : c.json({ outcome: 'not accepted', detail: 'the node has no room for the body' }, 503, { 'retry-after': '1' });
 
--- a/packages/edge-proxy/src/edgeProxy.ts
+++ b/packages/edge-proxy/src/edgeProxy.ts
@@ -13,6 +13,7 @@
 import { processLimits } from '@martenworks/server-limits';
 import { RoutingTableIndexer } from '@martenworks/route-table';
 import type { RoutingTableView } from '@martenworks/route-table';
+import type { AdmissionError } from './errors.js';
 import type { Call } from './ingress/call.js';
 import { ingressDrain } from './ingress/ingressDrain.js';
 import { rejectionWriter } from './ingress/rejectionWriter.js';
@@ -192,7 +193,12 @@
   readonly serve = async (call: Call): Promise<void> => {
     const admitted = await this.admission.admit(call);
     if (admitted.isOk()) await this.forward(admitted.value);
-    else if (admitted.error.code !== 'CALLER_GONE') rejectionWriter.write(this.headerCodec, call, admitted.error);
+    else if (admitted.error.code !== 'CALLER_GONE') this.refuse(call, admitted.error);
+  };
+
+  private readonly refuse = (call: Call, error: AdmissionError): void => {
+    this.metrics.add(`refused_${error.code.toLowerCase()}`);
+    rejectionWriter.write(this.headerCodec, call, error);
   };
 
   private readonly forward = async (admission: Admission): Promise<void> => {
--- a/packages/edge-proxy/src/errors.ts
+++ b/packages/edge-proxy/src/errors.ts
@@ -63,14 +63,14 @@
 
 /** Converts the reason why a body can't be read to the rejection of its request. */
 export const bodyRejectionOf = (error: BodyReadError): AdmissionError | CallerDisconnected => {
-  switch (error) {
-    case 'too large':
+  switch (error.code) {
+    case 'BODY_TOO_LARGE':
       return admissionErrors.bodyTooLarge;
-    case 'no room':
+    case 'NO_ROOM':
       return admissionErrors.noRoom;
-    case 'stalled':
+    case 'BODY_STALLED':
       return admissionErrors.bodyStalled;
-    case 'disconnected':
+    case 'CALLER_GONE':
       return { code: 'CALLER_GONE' };
   }
 };
--- a/packages/edge-proxy/src/ingress/ingressExchange.ts
+++ b/packages/edge-proxy/src/ingress/ingressExchange.ts
@@ -1,6 +1,6 @@
 /** One request of a caller and its response, with the bounds that both keep. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { IncomingBody } from '@martenworks/server-limits';
+import { IncomingBody, bodyReadErrors } from '@martenworks/server-limits';
 import type { MemoryBudget, Reservation } from '@martenworks/server-limits';
 import type { Call, ResponseWriter } from './call.js';
 import type { CallerConnection } from './callerConnection.js';
@@ -64,17 +64,17 @@
       onDisconnect,
       respond: this.respond,
     };
-    if (!this.reservation.grow(requestBytes + headerBytes * headerCopies)) this.body.refuse('no room');
+    if (!this.reservation.grow(requestBytes + headerBytes * headerCopies)) this.body.refuse(bodyReadErrors.noRoom);
   }
 
   /** Refuses a body that has paused for too long, and lets a response that isn't read be given up. */
   readonly checkProgress = (): void => {
-    if (this.body.isStalled(this.options.limits().pauseMs)) this.body.refuse('stalled');
+    if (this.body.isStalled(this.options.limits().pauseMs)) this.body.refuse(bodyReadErrors.stalled);
     if (this.writer?.isBlocked(evictableAfterMs) === true) this.reservation.pin(false);
   };
 
   private readonly giveUp = (): void => {
-    if (this.writer === null) this.body.refuse('no room');
+    if (this.writer === null) this.body.refuse(bodyReadErrors.noRoom);
     else this.writer.abort();
   };
 
--- a/packages/edge-proxy/src/ingress/ingressServer.ts
+++ b/packages/edge-proxy/src/ingress/ingressServer.ts
@@ -18,6 +18,7 @@
 const headerSlackBytes = 4 * 1024;
 const timeoutCheckIntervalMs = 1_000;
 const requestTimeoutMs = 30_000;
+const timeoutRetryAfterS = 0.25;
 /** Requests that one connection may send before it has read their responses. */
 const maxPipelined = 64;
 /** How long a caller may read nothing of a response. */
@@ -26,10 +27,14 @@
 /** The limits until there is a routing table. */
 const initialLimits: CallerLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerMs: 3_000, idleMs: 15_000 };
 
-const statusLines = {
-  of: (code: string | undefined): string => {
+/** Responses to bytes that form no request, or arrive too slowly. Nothing has run. */
+const protocolErrors = {
+  responseTo: (code: string | undefined): string =>
+    `HTTP/1.1 ${protocolErrors.headOf(code)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
+  headOf: (code: string | undefined): string => {
     if (code === 'HPE_HEADER_OVERFLOW') return '431 Request Header Fields Too Large';
-    return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+    if (code !== 'ERR_HTTP_REQUEST_TIMEOUT') return '400 Bad Request';
+    return `408 Request Timeout\r\nRetry-After: ${timeoutRetryAfterS}`;
   },
 };
 
@@ -90,8 +95,7 @@
     };
     this.server.on('connection', (socket) => this.connections.set(socket, new CallerConnection(socket)));
     this.server.on('clientError', (cause: Error & { code?: string }, socket) => {
-      const response = `HTTP/1.1 ${statusLines.of(cause.code)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
-      this.connections.get(socket)?.closeWith(response);
+      this.connections.get(socket)?.closeWith(protocolErrors.responseTo(cause.code));
     });
   }
 
--- a/packages/edge-proxy/src/ingress/webCall.ts
+++ b/packages/edge-proxy/src/ingress/webCall.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'neverthrow';
 import { background } from '@martenworks/core-types';
 import type { WebHandler } from '@martenworks/core-types';
+import { bodyReadErrors } from '@martenworks/server-limits';
 import type { BodyReadError } from '@martenworks/server-limits';
 import type { Call, ResponseWriter } from './call.js';
 
@@ -14,12 +15,12 @@
   list.flatMap((name, at): [string, string][] => (at % 2 === 0 ? [[name, list[at + 1] ?? '']] : []));
 
 const bodyOf = async (request: Request, limitBytes: number): Promise<Result<Uint8Array, BodyReadError>> => {
-  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err('too large');
+  if (Number(request.headers.get('content-length') ?? 0) > limitBytes) return err(bodyReadErrors.tooLarge);
   try {
     const bytes = new Uint8Array(await request.arrayBuffer());
-    return bytes.length > limitBytes ? err('too large') : ok(bytes);
+    return bytes.length > limitBytes ? err(bodyReadErrors.tooLarge) : ok(bytes);
   } catch {
-    return err('disconnected');
+    return err(bodyReadErrors.disconnected);
   }
 };
 
--- a/packages/edge-proxy/test/misbehavingCallers.test.ts
+++ b/packages/edge-proxy/test/misbehavingCallers.test.ts
@@ -246,4 +246,14 @@
       expect(sentBytes).to.be.below(16 * mebibyte);
     });
   });
+
+  it('given headers that do not end, when their time is over, then the caller gets 408 with Retry-After', async () => {
+    await withEdge({}, async (fixture) => {
+      fixture.edge.ingress.applyLimits({ headerBytes: 16_384, bodyBytes: 65_536, headerMs: 200, idleMs: 15_000 });
+      const caller = fixture.caller();
+      caller.socket.write('POST /once/ HTTP/1.1\r\nHost: site');
+      await caller.until(() => caller.isClosed);
+      expect(caller.received()).to.match(/^HTTP\/1\.1 408 .*\r\nRetry-After: 0\.25\r\n/);
+    });
+  });
 });
--- a/packages/gateway/src/api/callerApi.ts
+++ b/packages/gateway/src/api/callerApi.ts
@@ -138,11 +138,11 @@
     : c.json({ status: 'not ready', voices: gateway.freshness.freshNodeCount() }, 503, { 'retry-after': '1' });
 };
 
-const bodyRejections: Readonly<Record<BodyReadError, Rejection>> = {
-  'too large': rejections.of('too_large', 'no', 'the body exceeds the size limit'),
-  'no room': rejections.of('no_capacity', 'no', 'the gateway has no room for the body'),
-  stalled: rejections.of('no_capacity', 'no', 'the body paused for too long'),
-  disconnected: rejections.of('caller_left', 'no', 'the body is incomplete'),
+const bodyRejections: Readonly<Record<BodyReadError['code'], Rejection>> = {
+  BODY_TOO_LARGE: rejections.of('too_large', 'no', 'the body exceeds the size limit'),
+  NO_ROOM: rejections.of('no_capacity', 'no', 'the gateway has no room for the body'),
+  BODY_STALLED: rejections.of('no_capacity', 'no', 'the body paused for too long'),
+  CALLER_GONE: rejections.of('caller_left', 'no', 'the body is incomplete'),
 };
 
 /** Creates the routes of one gateway's caller address. Bodies are counted in `budget`, by default without a bound. */
@@ -152,7 +152,7 @@
     budget,
     limitBytes: gateway.settings.bodyLimitBytes,
     handlingBytes: jsonCost.of,
-    reject: (c, error) => rejectionReply(c, bodyRejections[error], requestIdOf(c, gateway)),
+    reject: (c, error) => rejectionReply(c, bodyRejections[error.code], requestIdOf(c, gateway)),
   });
   app.post('/v1/completions', limited, completionHandler(gateway, '/v1/completions'));
   app.post('/v1/chat/completions', limited, completionHandler(gateway, '/v1/chat/completions'));
--- a/packages/server-limits/src/boundedBodies.ts
+++ b/packages/server-limits/src/boundedBodies.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { BodyBuffer } from './bodyBuffer.js';
-import { IncomingBody } from './incomingBody.js';
+import { IncomingBody, bodyReadErrors } from './incomingBody.js';
 import type { BodyReadError } from './incomingBody.js';
 import type { MemoryBudget, Reservation } from './memoryBudget.js';
 
@@ -35,8 +35,8 @@
 ): Promise<Result<Uint8Array, BodyReadError>> => {
   const buffer = new BodyBuffer(reservation);
   for await (const chunk of stream) {
-    if (buffer.length() + chunk.length > limitBytes) return err('too large');
-    if (!buffer.add(chunk)) return err('no room');
+    if (buffer.length() + chunk.length > limitBytes) return err(bodyReadErrors.tooLarge);
+    if (!buffer.add(chunk)) return err(bodyReadErrors.noRoom);
   }
   return ok(buffer.take());
 };
@@ -50,11 +50,11 @@
   let evict: () => void = () => {};
   const reservation = budget.open(() => evict());
   const read = async (): Promise<Result<Uint8Array, BodyReadError>> => {
-    if (Number(c.req.header('content-length') ?? 0) > limitBytes) return err('too large');
+    if (Number(c.req.header('content-length') ?? 0) > limitBytes) return err(bodyReadErrors.tooLarge);
     if (incoming === undefined)
       return c.req.raw.body === null ? ok(new Uint8Array(0)) : collect(c.req.raw.body, reservation, limitBytes);
     const body = new IncomingBody(incoming, { reservation, now: () => performance.now() });
-    evict = () => body.refuse('no room');
+    evict = () => body.refuse(bodyReadErrors.noRoom);
     return body.read(limitBytes);
   };
   const bytes = await read();
@@ -69,8 +69,8 @@
   { budget, handlingBytes }: BoundedBodiesOptions,
 ): Result<void, BodyReadError> => {
   const handling = handlingBytes(bytes);
-  if (bytes.length + handling > budget.limitBytes) return err('too large');
-  return reservation.grow(handling) ? ok(undefined) : err('no room');
+  if (bytes.length + handling > budget.limitBytes) return err(bodyReadErrors.tooLarge);
+  return reservation.grow(handling) ? ok(undefined) : err(bodyReadErrors.noRoom);
 };
 
 /** Calls back once the response has been sent or its connection has ended; at once where there is no server. */
--- a/packages/server-limits/src/incomingBody.ts
+++ b/packages/server-limits/src/incomingBody.ts
@@ -9,7 +9,17 @@
  * Why a body was not read: over the limit of one request, no room in the process, paused for too long, or the client
  * disconnected.
  */
-export type BodyReadError = 'too large' | 'no room' | 'stalled' | 'disconnected';
+export interface BodyReadError {
+  readonly code: 'BODY_TOO_LARGE' | 'NO_ROOM' | 'BODY_STALLED' | 'CALLER_GONE';
+}
+
+/** The errors as shared values. */
+export const bodyReadErrors = {
+  tooLarge: { code: 'BODY_TOO_LARGE' },
+  noRoom: { code: 'NO_ROOM' },
+  stalled: { code: 'BODY_STALLED' },
+  disconnected: { code: 'CALLER_GONE' },
+} as const satisfies Record<string, BodyReadError>;
 
 /** What a body needs to be read and, after a refusal, to be discarded. */
 export interface IncomingBodyOptions {
@@ -47,7 +57,8 @@
   readonly read = (limitBytes: number): Promise<Result<Uint8Array, BodyReadError>> => {
     const { incoming } = this;
     if (this.refusal !== null) return Promise.resolve(err(this.refusal));
-    if (Number(incoming.headers['content-length'] ?? 0) > limitBytes) return Promise.resolve(err('too large'));
+    if (Number(incoming.headers['content-length'] ?? 0) > limitBytes)
+      return Promise.resolve(err(bodyReadErrors.tooLarge));
     return new Promise((resolve) => {
       this.settle = resolve;
       incoming.on('data', (chunk: Buffer) => this.collect(chunk, limitBytes));
@@ -97,14 +108,14 @@
   };
 
   private readonly disconnect = (): void => {
-    if (this.settle !== null) this.refuse('disconnected');
+    if (this.settle !== null) this.refuse(bodyReadErrors.disconnected);
   };
 
   private readonly collect = (chunk: Buffer, limitBytes: number): void => {
     if (this.settle === null) return;
     this.lastChunkAt = this.options.now();
-    if (this.buffer.length() + chunk.length > limitBytes) this.refuse('too large');
-    else if (!this.buffer.add(chunk)) this.refuse('no room');
+    if (this.buffer.length() + chunk.length > limitBytes) this.refuse(bodyReadErrors.tooLarge);
+    else if (!this.buffer.add(chunk)) this.refuse(bodyReadErrors.noRoom);
   };
 
   private readonly complete = (): void => {
