Bound the requests sent ahead at operators' servers and skip those of closed connections

Callers saw: slow control nodes. Cause: found by the soak: a client that sends thousands of GET /config ahead had 64 of them answered at once and the rest still handled after its connection was closed, since the parser goes on with what it has read; each was a read by quorum, and each that failed wrote a log line (8,787 lines of one control node in ten seconds). Unread pages of 60 KB would have added up too.

--- a/packages/cli/src/commands/runGateway.ts
+++ b/packages/cli/src/commands/runGateway.ts
@@ -1,12 +1,12 @@
 /** The command `gateway`: runs a gateway until a signal stops it. */
 import { callerApi, gateways, operatorPages } from '@martenworks/gateway';
 import type { Gateway } from '@martenworks/gateway';
-import type { Listener, Log, WebHandler } from '@martenworks/core-types';
+import type { HttpServer, Listener, Log, WebHandler } from '@martenworks/core-types';
 import { MemoryBudget, processLimits } from '@martenworks/server-limits';
 import type { GatewaySettings } from '@martenworks/settings';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
-import { boundedHttpServer } from '../httpServer.js';
+import { boundedHttpServers } from '../httpServer.js';
 import { portsFor } from '../ports.js';
 import { shutdownSignal } from '../shutdownSignal.js';
 import { watchProcessMetrics } from '../processMetrics.js';
@@ -14,7 +14,7 @@
 interface Endpoint {
   readonly address: string;
   readonly handler: WebHandler;
-  readonly maxConnections: number;
+  readonly server: HttpServer;
 }
 
 const endpointsOf = (gateway: Gateway): Endpoint[] => {
@@ -23,13 +23,13 @@
   const forCallers = {
     address: http,
     handler: callerApi(gateway, new MemoryBudget(limits.bufferBytes)).fetch,
-    maxConnections: limits.callerConnections,
+    server: boundedHttpServers.forCallers(limits),
   };
   if (operators === null) return [forCallers];
   const forOperators = {
     address: operators,
     handler: operatorPages(gateway, watchProcessMetrics()).fetch,
-    maxConnections: limits.operatorConnections,
+    server: boundedHttpServers.forOperators(limits),
   };
   return [forCallers, forOperators];
 };
@@ -37,8 +37,8 @@
 /** Opens the endpoints one after another; null if one could not be opened. */
 const listenOn = async (endpoints: readonly Endpoint[], log: Log): Promise<Listener[] | null> => {
   const listeners: Listener[] = [];
-  for (const { address, handler, maxConnections } of endpoints) {
-    const opened = await boundedHttpServer(maxConnections).open(address, handler);
+  for (const { address, handler, server } of endpoints) {
+    const opened = await server.open(address, handler);
     if (opened.isErr()) {
       log.error('HTTP listen failed', { address, fault: opened.error });
       return null;
--- a/packages/cli/src/commands/runGatewayControl.ts
+++ b/packages/cli/src/commands/runGatewayControl.ts
@@ -5,7 +5,7 @@
 import type { GatewaySettings } from '@martenworks/settings';
 import { exitCodes } from '../exitCodes.js';
 import type { ExitCode } from '../exitCodes.js';
-import { boundedHttpServer } from '../httpServer.js';
+import { boundedHttpServers } from '../httpServer.js';
 import { portsFor } from '../ports.js';
 import { shutdownSignal } from '../shutdownSignal.js';
 import { watchProcessMetrics } from '../processMetrics.js';
@@ -21,7 +21,7 @@
   const controlNode = started.value;
   const limits = processLimits.of(settings);
   const app = controlApp(controlNode, new MemoryBudget(limits.bufferBytes), watchProcessMetrics());
-  const listener = await boundedHttpServer(limits.operatorConnections).open(settings.http, app.fetch);
+  const listener = await boundedHttpServers.forOperators(limits).open(settings.http, app.fetch);
   if (listener.isErr()) {
     log.error('HTTP listen failed', { address: settings.http, fault: listener.error });
     return exitCodes.failed;
