--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -111,7 +111,7 @@
 
 /** A small deployment: three control nodes and some edges, the platform's list and its replicas. */
 export class Deployment {
-  constructor(journal, { edges = 1, bounds: own = {} } = {}) {
+  constructor(journal, { edges = 1, controls = 3, bounds: own = {} } = {}) {
     this.bounds = { ...bounds, ...own };
     this.journal = journal;
     this.folder = mkdtempSync(join(tmpdir(), 'martenworks-review-'));
@@ -121,10 +121,23 @@
     this.listeners = [];
     this.ownEnds = [];
     const machine = (role, kind, at) => ({ name: `${role}-${zones[at % 3]}-${1 + Math.floor(at / 3)}`, role, zone: zones[at % 3], ip: `127.${this.subnet}.${kind}.${at + 1}` });
-    for (let at = 0; at < 3; at += 1) this.add(machine('control', 1, at));
+    for (let at = 0; at < controls; at += 1) this.add(machine('control', 1, at));
+    this.machineOf = machine;
     for (let at = 0; at < edges; at += 1) this.add(machine('edge', 2, at));
   }
   add = (machine) => this.machines.set(machine.name, { ...machine, child: null, isExpectedToRun: false });
+  /** A further machine that serves control, empty and at an address of its own; not started yet. */
+  addControl = (at) => {
+    const machine = this.machineOf('control', 1, at);
+    this.add(machine);
+    return machine.name;
+  };
+  /** A machine that is gone for good. */
+  remove = async (name) => {
+    this.signal(name, 'SIGKILL');
+    await this.ended(name);
+    this.machines.delete(name);
+  };
   named = (role) => [...this.machines.values()].filter((machine) => machine.role === role).map(({ name }) => name);
 
   /** Finds ports that are free on every address, and starts the platform and all machines. */
@@ -172,7 +185,7 @@
     zones: Object.fromEntries(zones.map((one) => [one, 'meseta'])),
     bindAddrs: role === 'edge' ? { publicHttp: this.public(name), readiness: this.readiness(name) } : { control: this.control(name) },
     internalPorts: [this.port + 2, this.port + 7],
-    seedNodes: this.named('control').map(this.control),
+    seedNodes: this.named('control').slice(0, 3).map(this.control),
     freshStart: isFresh, countsAsLoss: role === 'control',
     limits: role === 'edge'
       ? { cpuShare: 0.675, cpuCores: 1, memoryMb: 350, openFiles: 4100, networkMbps: 1000, diskMb: 0 }
@@ -220,7 +233,7 @@
     const names = this.named('control');
     const text = JSON.stringify(body);
     const until = now() + forMs;
-    for (let at = Math.floor(Math.random() * 3); now() < until; at += 1) {
+    for (let at = Math.floor(Math.random() * names.length); now() < until; at += 1) {
       const name = names[at % names.length];
       const headers = { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text), ...(base === null ? {} : { 'If-Match': String(base) }) };
       const { status } = await callOnce(this.control(name), { method, path, headers, body: text });
