--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -282,8 +282,9 @@
  * requests that it runs; the usual answer is a stream of three events.
  */
 export class Replica {
-  constructor(deployment, { ip, slots = 12, version = 1, loadMs = 400, answer = null }) {
-    Object.assign(this, { deployment, ip, slots, version, loadMs, answer });
+  constructor(deployment, { ip, slots = 12, queue = 0, version = 1, loadMs = 400, answer = null }) {
+    Object.assign(this, { deployment, ip, slots, queue, version, loadMs, answer });
+    this.waiting = 0;
     this.id = `i-${freshId(4)}`;
     this.isListed = true;
     this.condition = 'ready';
@@ -360,15 +361,29 @@
     if (id === undefined) return turnAway(400);
     const expected = request.headers['expect-version'];
     if (isOther || (expected !== undefined && Number(expected) !== this.version)) return turnAway(421);
-    if (this.loading !== null || this.running >= this.slots) return turnAway(503);
+    if (!(await this.hasTurn(request, response))) return response.destroyed ? undefined : turnAway(503);
     this.running += 1;
-    this.runs.push({ id, at: now(), path: request.url, tenant: request.headers.tenant });
-    this.deployment.journal.note(`replica ${this.id}: runs ${id} ${request.method} ${request.url}`);
+    this.runs.push({ id, at: now(), path: request.url, tenant: request.headers.tenant, version: this.version });
+    this.deployment.journal.note(`replica ${this.id}: runs ${id} ${request.method} ${request.url} on version ${this.version}`);
     const isGone = new Promise((resolve) => response.once('close', resolve));
     await Promise.race([(this.answer ?? usualStream)(request, response, this, body), isGone]);
     this.running -= 1;
     return undefined;
   };
+  /**
+   * Whether a request may begin: at once, or after a wait in the queue. One that waits is turned away once its time has
+   * passed or an order has come, and dropped when its connection closes.
+   */
+  hasTurn = async (request, response) => {
+    if (this.loading === null && this.running < this.slots) return true;
+    if (this.loading !== null || this.waiting >= this.queue) return false;
+    const until = now() + Number(request.headers['time-left-ms'] ?? Infinity);
+    this.waiting += 1;
+    this.deployment.journal.note(`replica ${this.id}: queues ${request.headers['try-id']}`);
+    while (this.loading === null && this.running >= this.slots && now() < until && !response.destroyed) await pause(5);
+    this.waiting -= 1;
+    return this.loading === null && this.running < this.slots && now() < until && !response.destroyed;
+  };
   /** The headers of an answer of its own. */
   heads = (request, more = {}) => ({ 'Try-Id': request.headers['try-id'], 'Server-Seal': freshId(6), 'Weight-Versions': String(this.version), ...more });
 }
