Log and count the responses that another replica continues

Hypotheses: (1) a relayed failure is continued with another replica's response; (2) surplus bytes of a replica's connection are read as the next response, without a second attempt; (3) the event splitter joins pieces of two streams.

--- a/packages/edge-proxy/src/forwarding/forwardedRequest.ts
+++ b/packages/edge-proxy/src/forwarding/forwardedRequest.ts
@@ -80,6 +80,7 @@
   /** Makes one attempt; returns true if the request ended with it. */
   private readonly attempt = async (placed: Placement): Promise<boolean> => {
     const { admission, progress, relay, remainingMs, hasAnotherReplica } = this;
+    this.recordResumption(placed);
     const attempt = new Attempt(
       this.context,
       {
@@ -113,6 +114,23 @@
     }
   };
 
+  /** Records that another replica is to continue a response that has started. */
+  private readonly recordResumption = (placed: Placement): void => {
+    const sent = this.relay.progress();
+    if (sent === null) return;
+    const { metrics, ports } = this.context;
+    const { metadata, view } = this.admission;
+    metrics.add('answers_resumed');
+    ports.log.info('response resumed', {
+      order: metadata.id,
+      route: view.route.name,
+      replica: placed.tracked.endpoint.id,
+      status: sent.status,
+      forwardedBytes: sent.forwardedBytes,
+      lastEventId: sent.lastEventId,
+    });
+  };
+
   private readonly continueOrFail = (cause: string): boolean => {
     if (retryPolicy.mayRetry(this.admission.view, this.relay.hasStarted(), this.relay.isResumable())) return true;
     if (this.hasCallerDisconnected()) this.endCancelled();
--- a/packages/edge-proxy/src/forwarding/responseRelay.ts
+++ b/packages/edge-proxy/src/forwarding/responseRelay.ts
@@ -15,6 +15,15 @@
   readonly isResumable: boolean;
 }
 
+/** How much of a response its caller has been sent. */
+export interface RelayProgress {
+  readonly status: number;
+  /** Bytes of the body. */
+  readonly forwardedBytes: number;
+  /** Id of the last event forwarded in full; null where there is none. */
+  readonly lastEventId: string | null;
+}
+
 /** Callbacks to the attempt whose response is being forwarded, and the signal that stops it. */
 export interface RelayEvents {
   readonly onFirstChunk: () => void;
@@ -34,6 +43,8 @@
  */
 export class ResponseRelay {
   private writer: ResponseWriter | null = null;
+  private status = 0;
+  private forwardedBytes = 0;
   private lastEventId: string | null = null;
   private hasForwardedEvents = false;
 
@@ -42,6 +53,12 @@
   /** Whether the response to the caller has started, after which its status can no longer be chosen. */
   readonly hasStarted = (): boolean => this.writer !== null;
 
+  /** What the caller has been sent so far; null before the start. */
+  readonly progress = (): RelayProgress | null =>
+    this.writer === null
+      ? null
+      : { status: this.status, forwardedBytes: this.forwardedBytes, lastEventId: this.lastEventId };
+
   /** Id of the last event forwarded in full, after which a resumption continues; null where there is none. */
   readonly resumeAfter = (): string | null => this.lastEventId;
 
@@ -82,7 +99,7 @@
     bytes: Uint8Array,
     start: () => ResponseWriter,
   ): Promise<undefined> => {
-    if (splitter === null) await start().write(bytes);
+    if (splitter === null) await this.write(start(), bytes);
     else await this.forwardEvents(splitter, bytes, start);
     return undefined;
   };
@@ -101,11 +118,19 @@
     return () => {
       if (isFirst) onFirst();
       isFirst = false;
-      this.writer ??= this.call.respond(status, this.headersOf(headers, isResumable), false);
+      if (this.writer === null) {
+        this.status = status;
+        this.writer = this.call.respond(status, this.headersOf(headers, isResumable), false);
+      }
       return this.writer;
     };
   };
 
+  private readonly write = (writer: ResponseWriter, bytes: Uint8Array): Promise<void> => {
+    this.forwardedBytes += bytes.length;
+    return writer.write(bytes);
+  };
+
   private readonly headersOf = (headers: readonly string[], isResumable: boolean): string[] => {
     const endToEnd = headerLists.endToEnd(headers);
     return isResumable ? headerLists.without(endToEnd, contentLength) : endToEnd;
@@ -113,7 +138,7 @@
 
   private readonly finish = async (writer: ResponseWriter, splitter: EventSplitter | null): Promise<AttemptOutcome> => {
     const rest = splitter?.remainder();
-    if (rest !== undefined && rest.length > 0) await writer.write(rest);
+    if (rest !== undefined && rest.length > 0) await this.write(writer, rest);
     writer.end();
     return { kind: 'complete' };
   };
@@ -125,7 +150,7 @@
   ): Promise<void> => {
     for (const event of splitter.push(bytes)) {
       if (this.isDuplicate(event.id)) continue;
-      await start().write(event.bytes);
+      await this.write(start(), event.bytes);
       this.hasForwardedEvents = true;
       if (event.id !== null) this.lastEventId = event.id;
     }
