Continue a response only where events of it were forwarded

Cause: callers on a resumable route got half of a replica's own failure filled up with the start of another replica's stream, complete by its length; the surplus bytes went to the next request of the connection. The relay told that a response may be continued where no event had been forwarded. That is true before its start, but a failure, or any response on a route that has the flag without being a stream, is relayed as bytes and never counts events.

The same predicate decided two more things. And a response whose replica paused was left for another replica though it could not be continued, so that the caller got a truncated or a mixed one.

Change: a response that has started is continuable only after an event with an id; a retry needs a route that allows it in every case; a pause ends an attempt only if its response is continuable. A response that can't be continued can thus never get another one's bytes, whatever its status, framing or route.

Ruled out: to clear the flag for other kinds of routes when a configuration is read. It would leave the failure on a resumable stream as it was.

--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -246,7 +246,7 @@
 
   private readonly onChunkLate = (): void => {
     this.context.replicaTracker.health.recordSlow(this.placed.tracked);
-    if (this.request.admission.view.route.isResumable) this.abandonIfPossible();
+    if (this.request.relay.isContinuable()) this.abandonIfPossible();
   };
 
   /** The replica isn't waited for while its caller takes the chunk. */
--- a/packages/edge-proxy/src/forwarding/forwardedRequest.ts
+++ b/packages/edge-proxy/src/forwarding/forwardedRequest.ts
@@ -132,7 +132,7 @@
   };
 
   private readonly continueOrFail = (cause: string): boolean => {
-    if (retryPolicy.mayRetry(this.admission.view, this.relay.hasStarted(), this.relay.isResumable())) return true;
+    if (retryPolicy.mayRetry(this.admission.view, this.relay.isContinuable())) return true;
     if (this.hasCallerDisconnected()) this.endCancelled();
     else this.fail(cause);
     return false;
--- a/packages/edge-proxy/src/forwarding/responseRelay.ts
+++ b/packages/edge-proxy/src/forwarding/responseRelay.ts
@@ -45,8 +45,8 @@
   private writer: ResponseWriter | null = null;
   private status = 0;
   private forwardedBytes = 0;
+  /** Set by events of a resumable response only, so that any other response that has started can't be continued. */
   private lastEventId: string | null = null;
-  private hasForwardedEvents = false;
 
   constructor(private readonly call: Call) {}
 
@@ -62,8 +62,8 @@
   /** Id of the last event forwarded in full, after which a resumption continues; null where there is none. */
   readonly resumeAfter = (): string | null => this.lastEventId;
 
-  /** Whether another replica can tell where to resume: an event with an id was forwarded, or no event at all. */
-  readonly isResumable = (): boolean => this.lastEventId !== null || !this.hasForwardedEvents;
+  /** Whether another replica's response may follow: nothing was forwarded yet, or events up to one with an id. */
+  readonly isContinuable = (): boolean => !this.hasStarted() || this.lastEventId !== null;
 
   /** Truncates a started response so that the caller can't take it for complete; does nothing before the start. */
   readonly abort = (): void => this.writer?.abort();
@@ -151,7 +151,6 @@
     for (const event of splitter.push(bytes)) {
       if (this.isDuplicate(event.id)) continue;
       await this.write(start(), event.bytes);
-      this.hasForwardedEvents = true;
       if (event.id !== null) this.lastEventId = event.id;
     }
   };
--- a/packages/edge-proxy/src/forwarding/retryPolicy.ts
+++ b/packages/edge-proxy/src/forwarding/retryPolicy.ts
@@ -101,7 +101,9 @@
       Math.max(remainingMs * idleTimeoutShare, gapMs ?? defaultEventGapMs),
     ),
 
-  /** Whether a request whose last attempt may have run may be sent again; never for one that must run at most once. */
-  mayRetry: (view: RouteView, hasResponseStarted: boolean, isResumable: boolean): boolean =>
-    hasResponseStarted ? view.route.isResumable && isResumable : view.isRetryable,
+  /**
+   * Whether a request whose last attempt may have run may be sent again: never one that must run at most once, and none
+   * whose response has started and can't be continued.
+   */
+  mayRetry: (view: RouteView, isContinuable: boolean): boolean => view.isRetryable && isContinuable,
 };
--- a/packages/edge-proxy/test/edgeHarness.ts
+++ b/packages/edge-proxy/test/edgeHarness.ts
@@ -199,8 +199,19 @@
   };
 }
 
-export type RouteKind = 'once' | 'repeatable' | 'stream' | 'resumable stream';
+export type RouteKind =
+  | 'once'
+  | 'repeatable'
+  | 'stream'
+  | 'resumable stream'
+  | 'resumable once'
+  | 'resumable repeatable';
 export const routeKinds: readonly RouteKind[] = ['once', 'repeatable', 'stream', 'resumable stream'];
+/** Also the kinds that carry the flag of resumable streams without being streams, which a configuration may contain. */
+export const allRouteKinds: readonly RouteKind[] = [...routeKinds, 'resumable once', 'resumable repeatable'];
+const resumablePrefix = 'resumable ';
+
+export const isRetryable = (kind: RouteKind): boolean => kind.endsWith('repeatable') || kind === 'resumable stream';
 export type BodyKind = 'none' | 'with length' | 'chunked';
 export const bodyKinds: readonly BodyKind[] = ['none', 'with length', 'chunked'];
 
@@ -217,18 +228,20 @@
 /** Short enough that an edge abandons an unresponsive replica, where allowed, well before the request's deadline. */
 export const shortTimeouts: Timeouts = { timeoutMs: 10_000, targetMs: 4_000 };
 
+const baseKindOf = (kind: RouteKind): Route['kind'] => kind.replace(resumablePrefix, '') as Route['kind'];
+
 const routeOf = (kind: RouteKind, { timeoutMs, targetMs }: Timeouts): Route => ({
   name: kind,
   host: 'site.example',
   pathPrefix: pathOf(kind),
-  kind: kind === 'once' || kind === 'repeatable' ? kind : 'stream',
+  kind: baseKindOf(kind),
   timeoutMs,
   latencyTargetMs: targetMs,
   rank: 1,
   shares: [{ pool: 'p', share: 1 }],
   maxAttempts: 3,
   isPublic: true,
-  isResumable: kind === 'resumable stream',
+  isResumable: kind.startsWith(resumablePrefix),
   maxEventGapMs: 50,
 });
 
@@ -241,7 +254,7 @@
 }
 
 const routingTableOf = (timeouts: Timeouts, { bodyBytes = 65_536, idleMs = 15_000 }: FixtureLimits): RoutingTable => ({
-  routes: routeKinds.map((kind) => routeOf(kind, timeouts)),
+  routes: allRouteKinds.map((kind) => routeOf(kind, timeouts)),
   pools: [{ name: 'p', connectionLimit: null, engine: null }],
   stores: [],
   customers: null,
--- a/packages/edge-proxy/test/replicaConnections.test.ts
+++ b/packages/edge-proxy/test/replicaConnections.test.ts
@@ -4,6 +4,7 @@
   RawReplica,
   EdgeFixture,
   responseHead,
+  isRetryable,
   bodyKinds,
   encodeChunk,
   eventCount,
@@ -350,8 +351,6 @@
   return observations;
 };
 
-const isRetryable = (kind: RouteKind): boolean => kind === 'repeatable' || kind === 'resumable stream';
-
 /** Expected number of starts, and outcome: a complete 200, a truncated 200, or an error that leaves the outcome open. */
 const expected = (effect: FaultEffect, kind: RouteKind): { starts: number; outcome: string } => {
   if (effect === 'harmless') return { starts: 1, outcome: 'complete 200' };
