Leave out repeated events only at the start of a resumed stream

Cause: on a resumable route an edge left out every event whose id did not rise, also within one replica's whole response: events with an id that comes twice, that falls, is empty behind a number, or differs from the one before it only above 53 bits. The caller got a response that looked complete and lacked pieces (MIXED). And where a replica began from the start, ids that are no numbers, and events without an id between repeated ones, came twice (ORDER).

Change: a position of the stream knows whether a resumption is under way.

Ruled out: to count events instead of reading ids. A replica that resumes after the last id sends fewer, and one event may hold several tokens.

--- a/packages/edge-proxy/src/forwarding/responseRelay.ts
+++ b/packages/edge-proxy/src/forwarding/responseRelay.ts
@@ -3,6 +3,7 @@
 import type { Call, ResponseWriter } from '../ingress/call.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { AttemptOutcome, StopCause } from './retryPolicy.js';
+import { StreamPosition } from './streamPosition.js';
 
 const contentLength: ReadonlySet<string> = new Set(['content-length']);
 
@@ -45,8 +46,8 @@
   private writer: ResponseWriter | null = null;
   private status = 0;
   private forwardedBytes = 0;
-  /** Set by events of a resumable response only, so that any other response that has started can't be continued. */
-  private lastEventId: string | null = null;
+  /** Moved by events of a resumable response only, so that any other response that has started can't be continued. */
+  private readonly position = new StreamPosition();
 
   constructor(private readonly call: Call) {}
 
@@ -57,13 +58,13 @@
   readonly progress = (): RelayProgress | null =>
     this.writer === null
       ? null
-      : { status: this.status, forwardedBytes: this.forwardedBytes, lastEventId: this.lastEventId };
+      : { status: this.status, forwardedBytes: this.forwardedBytes, lastEventId: this.resumeAfter() };
 
   /** Id of the last event forwarded in full, after which a resumption continues; null where there is none. */
-  readonly resumeAfter = (): string | null => this.lastEventId;
+  readonly resumeAfter = (): string | null => this.position.resumeAfter();
 
   /** Whether another replica's response may follow: nothing was forwarded yet, or events up to one with an id. */
-  readonly isContinuable = (): boolean => !this.hasStarted() || this.lastEventId !== null;
+  readonly isContinuable = (): boolean => !this.hasStarted() || this.resumeAfter() !== null;
 
   /** Truncates a started response so that the caller can't take it for complete; does nothing before the start. */
   readonly abort = (): void => this.writer?.abort();
@@ -71,6 +72,7 @@
   /** Forwards one response until it ends, fails or is stopped. */
   readonly forward = async (response: RelayedResponse, events: RelayEvents): Promise<AttemptOutcome> => {
     const splitter = response.isResumable ? new EventSplitter() : null;
+    if (this.hasStarted()) this.position.startResumption();
     const iterator = response.body[Symbol.asyncIterator]();
     const start = this.starter(response, events.onFirstChunk);
     for (;;) {
@@ -149,15 +151,9 @@
     start: () => ResponseWriter,
   ): Promise<void> => {
     for (const event of splitter.push(bytes)) {
-      if (this.isDuplicate(event.id)) continue;
+      if (this.position.isRepeated(event)) continue;
       await this.write(start(), event.bytes);
-      if (event.id !== null) this.lastEventId = event.id;
+      this.position.advance(event);
     }
   };
-
-  private readonly isDuplicate = (id: string | null): boolean => {
-    if (id === null || this.lastEventId === null) return false;
-    const [current, last] = [Number(id), Number(this.lastEventId)];
-    return Number.isFinite(current) && Number.isFinite(last) ? current <= last : id === this.lastEventId;
-  };
 }
--- a/packages/edge-proxy/test/brokenResponses.test.ts
+++ b/packages/edge-proxy/test/brokenResponses.test.ts
@@ -1,18 +1,8 @@
 import { expect } from 'chai';
-import {
-  EdgeFixture,
-  RawReplica,
-  allRouteKinds,
-  encodeChunk,
-  eventCount,
-  eventText,
-  isRetryable,
-  requestText,
-  responseHead,
-  shortTimeouts,
-  validResponse,
-} from './edgeHarness.js';
-import type { CallerResponse, ReplicaRequest, RouteKind } from './edgeHarness.js';
+import { allRouteKinds, encodeChunk, eventCount, eventText, isRetryable, responseHead } from './edgeHarness.js';
+import type { ReplicaRequest, RouteKind } from './edgeHarness.js';
+import { observe, testedId } from './scriptedReplicas.js';
+import type { Observation } from './scriptedReplicas.js';
 
 /** Where a replica breaks its response off; an event is complete with its empty line. */
 type CutPoint = 'before the body' | 'in an event' | 'after an event' | 'before the end';
@@ -32,12 +22,6 @@
   readonly kind: RouteKind;
 }
 
-interface Observation {
-  readonly responses: readonly CallerResponse[];
-  readonly requests: readonly ReplicaRequest[];
-}
-
-const testedId = 'the-try';
 const statuses = [200, 201, 302, 409, 500, 503] as const;
 const booleans = [false, true] as const;
 const concurrentCases = 24;
@@ -74,28 +58,8 @@
   );
 };
 
-/** Sends one request to an edge before two replicas, of which the first one that is asked answers by `respondFirst`. */
-const observe = async (kind: RouteKind, respondFirst: (request: ReplicaRequest) => void): Promise<Observation> => {
-  let hasResponded = false;
-  const script = (request: ReplicaRequest): void => {
-    if (hasResponded) return void request.socket.write(validResponse(request), 'latin1');
-    hasResponded = true;
-    respondFirst(request);
-  };
-  const fixture = await EdgeFixture.open([new RawReplica('r1', script), new RawReplica('r2', script)], shortTimeouts);
-  const caller = fixture.caller();
-  try {
-    caller.socket.write(requestText(kind, 'GET', testedId, 'none'));
-    const responses = await caller.untilResponses(['GET']);
-    return { responses, requests: fixture.requestsOf(testedId) };
-  } finally {
-    caller.socket.destroy();
-    await fixture.close();
-  }
-};
-
 const runCase = ({ kind, ...broken }: TestCase): Promise<Observation> =>
-  observe(kind, (request) => breakOff(broken, request));
+  observe({ kind, scripts: [(request) => breakOff(broken, request)] });
 
 const runAll = async (cases: readonly TestCase[]): Promise<Observation[]> => {
   const observations: Observation[] = [];
@@ -171,11 +135,12 @@
   ] as const)
     it(`given a response with status ${status} on a ${kind} route, when its replica pauses within the body for longer than a stream may, then the caller gets all of it, and no other replica is asked`, async () => {
       const body = `the whole answer ${status}\n`;
-      const { responses, requests } = await observe(kind, ({ socket, tryId }) => {
+      const respondSlowly = ({ socket, tryId }: ReplicaRequest): void => {
         const head = responseHead(`${status} Slow`, tryId, ['Server-Seal: s', `Content-Length: ${body.length}`]);
         socket.write(`${head}${body.slice(0, 5)}`);
         setTimeout(() => socket.write(body.slice(5)), longPauseMs);
-      });
+      };
+      const { responses, requests } = await observe({ kind, scripts: [respondSlowly] });
       expect(requests.length).to.equal(1);
       expect(responses.map((one) => [one.status, one.body, one.isComplete])).to.deep.equal([[status, body, true]]);
     });
--- /dev/null
+++ b/packages/edge-proxy/test/resumedStreams.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai';
+import { answerWith, breakOffAfter, observe } from './scriptedReplicas.js';
+import type { Observation, Script } from './scriptedReplicas.js';
+
+const kind = 'resumable stream';
+
+/** Status, completeness and body of each response that the caller received. */
+const received = ({ responses }: Observation): readonly unknown[] =>
+  responses.map(({ status, isComplete, body }) => [status, isComplete, body]);
+
+const resume = (...scripts: readonly Script[]): Promise<Observation> => observe({ kind, scripts });
+
+describe('a stream that another replica continues, over real sockets', function () {
+  this.timeout(60_000);
+
+  // Guards against MIXED: events of one whole response that are taken for repeated ones and left out.
+  for (const [title, body] of [
+    ['an id that comes twice', 'id: 1\ndata: a\n\nid: 1\ndata: b\n\n'],
+    ['ids that fall', 'id: 2\ndata: a\n\nid: 1\ndata: b\n\n'],
+    ['an id that is no number and comes twice', 'id: a\ndata: a\n\nid: a\ndata: b\n\n'],
+    ['an empty id behind a number', 'id: 1\ndata: a\n\nid:\ndata: b\n\n'],
+    ['ids that differ only above 53 bits', 'id: 9007199254740992\ndata: a\n\nid: 9007199254740993\ndata: b\n\n'],
+  ] as const)
+    it(`given a whole stream with ${title}, when it is relayed, then the caller gets every event`, async () => {
+      expect(received(await resume(answerWith(body)))).to.deep.equal([[200, true, body]]);
+    });
+
+  // Guards against ORDER: events that a replica sends again since it begins from the start.
+  for (const [title, ids] of [
+    ['that are numbers', ['1', '2', '3']],
+    ['above 53 bits', ['9007199254740992', '9007199254740993', '9007199254740994']],
+    ['that are no numbers', ['a', 'c', 'b']],
+  ] as const)
+    it(`given ids ${title}, when the replica that continues a stream begins from the start, then the caller gets each event once`, async () => {
+      const [first, second, third] = ids.map((id) => `id: ${id}\ndata: ${id}\n\n`) as [string, string, string];
+      const comment = ': from the start\n\n';
+      const again = `${comment}${first}data: between\n\n${second}${third}`;
+      const observation = await resume(breakOffAfter(`${first}data: between\n\n${second}`), answerWith(again));
+      const whole = `${first}data: between\n\n${second}${comment}${third}`;
+      expect(received(observation)).to.deep.equal([[200, true, whole]]);
+    });
+});
