Resume a stream only where its position has an id that a replica can find

Cause: an edge resumed after the last id that it had read, also where the last event forwarded had none, an empty one, or one that a header can't carry. The replica that continued the stream then sent pieces again, or the whole stream (ORDER); an id that no header takes made the HTTP client refuse each attempt, which counted as a failure of every replica of the pool. Of several ids in one event the first was taken, where the standard (WHATWG HTML, "Server-sent events") takes the last.

Change: an event with data and without a usable id leaves the stream without a position, until the next event that has one; without a position it is not continued but truncated. Comments don't move the position.

--- a/packages/edge-proxy/src/forwarding/eventSplitter.ts
+++ b/packages/edge-proxy/src/forwarding/eventSplitter.ts
@@ -7,16 +7,24 @@
 const lineFeed = 10;
 const carriageReturn = 13;
 
-/** One event including its terminating empty line; `id` is the value of its `id` field, null where it has none. */
+/** Lines of the fields `id` and `data`; each may stand without a value. */
+const idLines = /(?:^|[\r\n])id(?:|:[ ]?([^\r\n]*))(?=[\r\n])/g;
+const dataLine = /(?:^|[\r\n])data(?=[:\r\n])/;
+
+/**
+ * One event including its terminating empty line; `id` is the value of its last `id` field, null where it has none.
+ * Without data it is a comment or sets fields only.
+ */
 export interface ServerSentEvent {
   readonly bytes: Uint8Array;
   readonly id: string | null;
+  readonly hasData: boolean;
 }
 
-const idIn = (bytes: Uint8Array): string | null => {
+const eventOf = (bytes: Uint8Array): ServerSentEvent => {
   const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('utf8');
-  const found = /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(text);
-  return found?.[1] ?? null;
+  const lastIdLine = [...text.matchAll(idLines)].at(-1);
+  return { bytes, id: lastIdLine === undefined ? null : (lastIdLine[1] ?? ''), hasData: dataLine.test(text) };
 };
 
 /** Splits a byte stream into complete server-sent events; an event ends with an empty line. */
@@ -38,8 +46,7 @@
     let rest = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
     const events: ServerSentEvent[] = [];
     for (let end = this.endOf(rest); end > 0; end = this.endOf(rest)) {
-      const event = rest.subarray(0, end);
-      events.push({ bytes: event, id: idIn(event) });
+      events.push(eventOf(rest.subarray(0, end)));
       rest = rest.subarray(end);
     }
     this.pending = rest;
--- a/packages/edge-proxy/src/forwarding/streamPosition.ts
+++ b/packages/edge-proxy/src/forwarding/streamPosition.ts
@@ -4,6 +4,8 @@
 /** Ids that are not numbers are remembered one by one; a stream with more of them can't be resumed. */
 const maxRememberedIds = 4_096;
 const decimalNumber = /^\d{1,20}$/;
+/** What a header can carry unchanged; an empty id means "from the start" (WHATWG HTML, "Server-sent events"). */
+const headerText = /^[\x20-\x7e]+$/;
 
 /**
  * The position after the events that were forwarded, and the recognition of events that a resumption repeats. Ids that
@@ -33,9 +35,10 @@
     return this.isRepeating;
   };
 
-  /** Moves the position behind an event that was forwarded. */
-  readonly advance = ({ id }: ServerSentEvent): void => {
-    if (id !== null) this.lastId = id;
+  /** Moves the position behind an event that was forwarded. Without a usable id, no replica can find the new position. */
+  readonly advance = ({ id, hasData }: ServerSentEvent): void => {
+    if (id === null && !hasData) return;
+    this.lastId = id !== null && headerText.test(id) ? id : null;
     if (this.lastId === null || decimalNumber.test(this.lastId)) return;
     this.otherIds.add(this.lastId);
     if (this.otherIds.size > maxRememberedIds) this.lastId = null;
--- a/packages/edge-proxy/test/resumedStreams.test.ts
+++ b/packages/edge-proxy/test/resumedStreams.test.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai';
-import { answerWith, breakOffAfter, observe } from './scriptedReplicas.js';
+import { eventText } from './edgeHarness.js';
+import { answerWith, breakOffAfter, observe, testedId } from './scriptedReplicas.js';
 import type { Observation, Script } from './scriptedReplicas.js';
 
 const kind = 'resumable stream';
+const events = (...ids: readonly number[]): string => ids.map((id) => eventText(testedId, id)).join('');
 
 /** Status, completeness and body of each response that the caller received. */
 const received = ({ responses }: Observation): readonly unknown[] =>
@@ -13,6 +15,35 @@
 describe('a stream that another replica continues, over real sockets', function () {
   this.timeout(60_000);
 
+  // Guards against ORDER: pieces that come twice, since the position of the stream has no id that a replica can find.
+  for (const [title, last] of [
+    ['an event without an id', 'data: without an id\n\n'],
+    ['an event with an empty id', 'id:\ndata: a\n\n'],
+    ['an event with an id field without a value', 'id\ndata: a\n\n'],
+    ['an event whose id no header can carry', 'id: \u00e9\ndata: a\n\n'],
+    ['an event whose last id is empty', 'id: 3\nid:\ndata: a\n\n'],
+  ] as const)
+    it(`given ${title} as the last one forwarded, when its replica breaks off, then no other replica is asked, and the caller gets a truncated stream`, async () => {
+      const sent = `${events(1)}${last}`;
+      const observation = await resume(breakOffAfter(sent));
+      expect(received(observation)).to.deep.equal([[200, false, sent]]);
+      expect(observation.requests.length).to.equal(1);
+    });
+
+  for (const [title, tail] of [
+    ['a comment', ': still there\n\n'],
+    ['the last of several ids', 'id: 1\nid: 2\ndata: a\n\n'],
+    ['an id between carriage returns', 'data: a\r\nid: 2\r\n\r\n'],
+  ] as const)
+    it(`given a stream that breaks off behind ${title}, when another replica continues it, then it is asked to do so after the last id`, async () => {
+      const lastId = tail.includes('id: 2') ? 2 : 1;
+      const sent = `${events(1)}${tail}`;
+      const observation = await resume(breakOffAfter(sent));
+      const rest = lastId === 2 ? events(3) : events(2, 3);
+      expect(received(observation)).to.deep.equal([[200, true, `${sent}${rest}`]]);
+      expect(observation.requests.map(({ lastEventId }) => lastEventId).sort()).to.deep.equal([0, lastId]);
+    });
+
   // Guards against MIXED: events of one whole response that are taken for repeated ones and left out.
   for (const [title, body] of [
     ['an id that comes twice', 'id: 1\ndata: a\n\nid: 1\ndata: b\n\n'],
