Continue a stream only with a response of the same kind

Cause: any sealed success was joined to a stream that had begun: a document of another media type, an encoded body, another status.

Change: the relay keeps the head that it has sent. A response to a resumption is discarded, and another replica asked, unless its status, its media type (in any case, without parameters; a stream may go without one) and its content encoding are those of the first.

Ruled out: to ask for text/event-stream before a stream is resumable at all.

Measured: resumedStreams.test.ts: four of the seven new cases failed on the code before (document, 201, 204, encoded), now 25 of 25 pass; the other three, and two with another spelling of the media type, hold.

--- a/packages/edge-proxy/src/forwarding/attempt.ts
+++ b/packages/edge-proxy/src/forwarding/attempt.ts
@@ -286,8 +286,12 @@
     const { status } = response;
     const headers = response.headers();
     const head = this.headOf(status, headers);
-    const hasResponseStarted = this.request.relay.hasStarted();
-    const verdict = retryPolicy.headVerdict(status, head, { hasResponseStarted, mayTryAnother: this.mayTryAnother() });
+    const { relay } = this.request;
+    const verdict = retryPolicy.headVerdict(status, head, {
+      hasResponseStarted: relay.hasStarted(),
+      isContinuation: relay.continues({ status, headers }),
+      mayTryAnother: this.mayTryAnother(),
+    });
     if (verdict.kind === 'rejected') return this.handleRejection(response, head);
     if (verdict.kind === 'discard') {
       this.abort.abort();
@@ -298,7 +302,7 @@
     for (const [model, version] of Object.entries(head.versions)) replicaTracker.recordWeights(tracked, model, version);
     const { route } = this.request.admission.view;
     const { isSuccess, isFailure } = verdict;
-    const outcome = await this.request.relay.forward(
+    const outcome = await relay.forward(
       { status, headers, body: response.body, isResumable: isSuccess && route.kind === 'stream' && route.isResumable },
       {
         onFirstChunk: () => this.onFirstChunk(isSuccess, isFailure),
--- a/packages/edge-proxy/src/forwarding/responseRelay.ts
+++ b/packages/edge-proxy/src/forwarding/responseRelay.ts
@@ -7,15 +7,29 @@
 
 const contentLength: ReadonlySet<string> = new Set(['content-length']);
 
-/** One replica's response, as forwarded to the caller. */
-export interface RelayedResponse {
+/** The head of a replica's response. Headers alternate names and values. */
+export interface ResponseHead {
   readonly status: number;
   readonly headers: readonly string[];
+}
+
+/** One replica's response, as forwarded to the caller. */
+export interface RelayedResponse extends ResponseHead {
   readonly body: AsyncIterable<Uint8Array>;
   /** Whether the body is forwarded event by event, so that another replica can resume after the last one. */
   readonly isResumable: boolean;
 }
 
+const eventStreamType = 'text/event-stream';
+
+/** Media type without parameters (RFC 9110, section 8.3.1); a stream may go without one. */
+const mediaTypeOf = ({ headers }: ResponseHead): string =>
+  headerLists.find(headers, 'content-type')?.split(';')[0]?.trim().toLowerCase() ?? eventStreamType;
+
+/** What the bytes of a body are; parts of a stream can be joined only if it is the same for all. */
+const contentKindOf = (head: ResponseHead): string =>
+  [head.status, mediaTypeOf(head), headerLists.find(head.headers, 'content-encoding')].join();
+
 /** How much of a response its caller has been sent. */
 export interface RelayProgress {
   readonly status: number;
@@ -44,7 +58,7 @@
  */
 export class ResponseRelay {
   private writer: ResponseWriter | null = null;
-  private status = 0;
+  private head: ResponseHead | null = null;
   private forwardedBytes = 0;
   /** Moved by events of a resumable response only, so that any other response that has started can't be continued. */
   private readonly position = new StreamPosition();
@@ -56,9 +70,9 @@
 
   /** What the caller has been sent so far; null before the start. */
   readonly progress = (): RelayProgress | null =>
-    this.writer === null
+    this.head === null
       ? null
-      : { status: this.status, forwardedBytes: this.forwardedBytes, lastEventId: this.resumeAfter() };
+      : { status: this.head.status, forwardedBytes: this.forwardedBytes, lastEventId: this.resumeAfter() };
 
   /** Id of the last event forwarded in full, after which a resumption continues; null where there is none. */
   readonly resumeAfter = (): string | null => this.position.resumeAfter();
@@ -66,6 +80,10 @@
   /** Whether another replica's response may follow: nothing was forwarded yet, or events up to one with an id. */
   readonly isContinuable = (): boolean => !this.hasStarted() || this.resumeAfter() !== null;
 
+  /** Whether a body with this head may follow what was forwarded; any may before the start. */
+  readonly continues = (head: ResponseHead): boolean =>
+    this.head === null || contentKindOf(head) === contentKindOf(this.head);
+
   /** Truncates a started response so that the caller can't take it for complete; does nothing before the start. */
   readonly abort = (): void => this.writer?.abort();
 
@@ -121,7 +139,7 @@
       if (isFirst) onFirst();
       isFirst = false;
       if (this.writer === null) {
-        this.status = status;
+        this.head = { status, headers };
         this.writer = this.call.respond(status, this.headersOf(headers, isResumable), false);
       }
       return this.writer;
--- a/packages/edge-proxy/src/forwarding/retryPolicy.ts
+++ b/packages/edge-proxy/src/forwarding/retryPolicy.ts
@@ -43,13 +43,15 @@
 
 interface HeadCircumstances {
   readonly hasResponseStarted: boolean;
+  /** Whether the body may follow what the caller has been sent. */
+  readonly isContinuation: boolean;
   readonly mayTryAnother: boolean;
 }
 
 const headVerdict = (
   status: number,
   head: ResponseMetadata,
-  { hasResponseStarted, mayTryAnother }: HeadCircumstances,
+  { hasResponseStarted, isContinuation, mayTryAnother }: HeadCircumstances,
 ): HeadVerdict => {
   if (head.isForRequest && head.isNotRun) return { kind: 'rejected' };
   const isSuccess = status >= 200 && status < 300;
@@ -64,6 +66,7 @@
   if (isFailure && (hasResponseStarted || mayTryAnother)) return discard(`the replica responded with status ${status}`);
   if (!isSuccess && hasResponseStarted)
     return discard(`the replica responded to the resumption with status ${status}`, false);
+  if (!isContinuation) return discard('the response to the resumption is of another kind', false);
   if (notRunStatuses.has(status))
     return discard(`the replica responded with status ${status} without stating that the request was not run`);
   return { kind: 'forward', isSuccess, isFailure };
--- a/packages/edge-proxy/test/resumedStreams.test.ts
+++ b/packages/edge-proxy/test/resumedStreams.test.ts
@@ -70,4 +70,35 @@
       const whole = `${first}data: between\n\n${second}${comment}${third}`;
       expect(received(observation)).to.deep.equal([[200, true, whole]]);
     });
+
+  // Guards against MIXED: a response of another kind that is joined to a stream.
+  const otherKinds: readonly (readonly [title: string, script: Script])[] = [
+    ['a document with status 200', answerWith('{"error":"none"}', ['Content-Type: application/json'])],
+    ['events with status 201', answerWith(events(2), undefined, '201 Created')],
+    [
+      'no content',
+      ({ socket, tryId }) => void socket.write(`HTTP/1.1 204 None\r\nTry-Id: ${tryId}\r\nServer-Seal: s\r\n\r\n`),
+    ],
+    ['encoded events', answerWith(events(2), ['Content-Type: text/event-stream', 'Content-Encoding: gzip'])],
+    ['a failure 409', answerWith(events(2), undefined, '409 Conflict')],
+    ['a failure 500', answerWith(events(2), undefined, '500 Failed')],
+    [
+      'a rejection',
+      ({ socket, tryId }) =>
+        void socket.write(`HTTP/1.1 503 Full\r\nTry-Id: ${tryId}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`),
+    ],
+  ];
+  for (const [title, script] of otherKinds)
+    it(`given a replica that answers ${title} when it is to continue a stream, when a third one continues it, then the caller gets one whole stream`, async () => {
+      const observation = await resume(breakOffAfter(events(1)), script);
+      expect(received(observation)).to.deep.equal([[200, true, events(1, 2, 3)]]);
+      expect(observation.requests.length).to.equal(3);
+    });
+
+  for (const heads of [[], ['Content-Type: Text/Event-Stream; charset=utf-8']])
+    it(`given a replica that writes the media type of a stream as ${heads[0] ?? 'nothing'}, when it continues one, then the caller gets one whole stream`, async () => {
+      const observation = await resume(breakOffAfter(events(1)), answerWith(events(2, 3), heads));
+      expect(received(observation)).to.deep.equal([[200, true, events(1, 2, 3)]]);
+      expect(observation.requests.length).to.equal(2);
+    });
 });
