Refuse responses whose last transfer coding is not chunked

Cause: a response with two Transfer-Encoding headers of which any named chunks counted as delimited.

Change: all transfer codings of a head are taken together, in their order; only chunked as the last one delimits (RFC 9112, section 6.3), and a length counts only without any.

--- a/packages/edge-proxy/test/replicaConnections.test.ts
+++ b/packages/edge-proxy/test/replicaConnections.test.ts
@@ -54,6 +54,13 @@
   responseHead('200 OK', request.tryId, [seal(request.tryId), 'Transfer-Encoding: chunked']);
 const undelimitedHead = (request: ReplicaRequest): string =>
   responseHead('200 OK', request.tryId, [seal(request.tryId)]);
+const otherCodingHead = ({ tryId }: ReplicaRequest): string =>
+  responseHead('200 OK', tryId, [
+    seal(tryId),
+    'Connection: close',
+    'Transfer-Encoding: chunked',
+    'Transfer-Encoding: identity',
+  ]);
 const firstChunk = (request: ReplicaRequest): string => expectedChunks(request)[0] ?? '';
 const completeBody = (request: ReplicaRequest): string => expectedChunks(request).join('');
 
@@ -115,6 +122,14 @@
     hasNoBody: true,
     act: (request) => sendThen(request, `${undelimitedHead(request)}${firstChunk(request)}`, () => reset(request)),
   },
+  // Guards against a cut that looks like the end: chunks are not the last of the transfer codings.
+  {
+    name: 'a close within a body whose last transfer coding is not chunked',
+    effect: 'no response',
+    hasNoBody: true,
+    act: (request) =>
+      sendThen(request, `${otherCodingHead(request)}${firstChunk(request)}`, () => request.socket.end()),
+  },
   { name: 'no response', effect: 'no response', isUnresponsive: true, act: () => {} },
   {
     name: 'a pause, then a reset',
--- a/packages/upstream/src/gatedAgent.ts
+++ b/packages/upstream/src/gatedAgent.ts
@@ -29,15 +29,16 @@
   onHeaders: (status: number, headers: readonly Buffer[], resume: () => void, text: string) => boolean;
 }
 
-const isBodyDelimited = (method: string, status: number, headers: readonly string[]): boolean =>
-  method === 'HEAD' ||
-  noContentStatuses.has(status) ||
-  headers.some((name, at) => {
-    if (at % 2 !== 0) return false;
-    const lowerName = name.toLowerCase();
-    if (lowerName === 'content-length') return true;
-    return lowerName === 'transfer-encoding' && /(?:^|,)\s*chunked\s*$/i.test(headers[at + 1] ?? '');
-  });
+const valuesOf = (headers: readonly string[], wanted: string): string[] =>
+  headers.filter((_, at) => at % 2 === 1 && headers[at - 1]?.toLowerCase() === wanted);
+
+/** Whether the end of the body is told from the end of the connection (RFC 9112, section 6.3): by chunks or a length. */
+const isBodyDelimited = (method: string, status: number, headers: readonly string[]): boolean => {
+  if (method === 'HEAD' || noContentStatuses.has(status)) return true;
+  const codings = valuesOf(headers, 'transfer-encoding');
+  if (codings.length > 0) return /(?:^|,)\s*chunked\s*$/i.test(codings.join());
+  return valuesOf(headers, 'content-length').length > 0;
+};
 
 /**
  * An agent that calls `mayWrite` in the same event loop turn in which the first byte of the request is written to the
