Relay every line of an event's data at a gateway

Cause: the data of an event may stand in several lines, which the parser joins with line feeds. A gateway wrote them behind one "data:", so that the caller's parser dropped all lines but the first: a stream that ended as complete and lacked a part.

Change: each line becomes a data field of its own.

Measured: the new test failed before for a streamed request (outcome cut, no text) and held for a collected one; now all tests of the gateway pass.

--- a/packages/gateway/src/api/callerApi.ts
+++ b/packages/gateway/src/api/callerApi.ts
@@ -28,6 +28,9 @@
     ...(rejection.retryAfterSeconds === null ? {} : { 'retry-after': String(rejection.retryAfterSeconds) }),
   });
 
+/** One event; each line of the data is a field of its own (WHATWG HTML, "Server-sent events"). */
+const dataEvent = (data: string): Uint8Array => encoder.encode(`data: ${data.replaceAll('\n', '\ndata: ')}\n\n`);
+
 const streamReply = (gateway: Gateway, response: StreamResponse): Response => {
   const errorEvent = (cause: string): Uint8Array =>
     encoder.encode(
@@ -44,10 +47,10 @@
         const next = await response.events.next();
         if (next.done === true) return controller.error(new Error('response stream truncated'));
         const event: CompletionEvent = next.value;
-        if (event.kind === 'chunk') return controller.enqueue(encoder.encode(`data: ${event.data}\n\n`));
+        if (event.kind === 'chunk') return controller.enqueue(dataEvent(event.data));
         if (event.kind === 'done') {
           await response.events.return(undefined);
-          controller.enqueue(encoder.encode('data: [DONE]\n\n'));
+          controller.enqueue(dataEvent('[DONE]'));
           return controller.close();
         }
         isTruncated = true;
--- a/packages/gateway/test/brokenResponses.test.ts
+++ b/packages/gateway/test/brokenResponses.test.ts
@@ -164,4 +164,13 @@
       const observation = await observe({ ...wholeReply('first'), isBroken: true }, 'confirm', isBuffered);
       expect(outcomeOf(observation)).to.deep.equal(['whole', 200, textOf('first'), 1]);
     });
+
+  // Guards against a completion that looks complete and lacks a part: only the first line of an event's data was relayed.
+  for (const [mode, isBuffered] of modes)
+    it(`given a ${mode} request, when its replica writes an event's data in several lines, then the caller gets all of them`, async () => {
+      const [first = '', ...others] = framesOf('first');
+      const lines = first.replace('"choices"', '\ndata: "choices"');
+      const reply = { ...wholeReply('first'), body: `${lines}${others.join('')}${endMarker}` };
+      expect(outcomeOf(await observe(reply, 'confirm', isBuffered))).to.deep.equal(['whole', 200, textOf('first'), 1]);
+    });
 });
