End a completion only when every choice that began has finished

Cause: a gateway took the end marker for the end of a completion as soon as one choice had a finish reason. A completion of several choices of which one was cut short looked complete, streamed and collected.

Change: the finish reasons are kept for each choice; the end marker counts when all choices that began have one.

--- a/packages/gateway/test/brokenResponses.test.ts
+++ b/packages/gateway/test/brokenResponses.test.ts
@@ -173,4 +173,17 @@
       const reply = { ...wholeReply('first'), body: `${lines}${others.join('')}${endMarker}` };
       expect(outcomeOf(await observe(reply, 'confirm', isBuffered))).to.deep.equal(['whole', 200, textOf('first'), 1]);
     });
+
+  // Guards against a completion of several choices that ends as complete though one of them has not finished.
+  for (const [mode, isBuffered] of modes)
+    it(`given a ${mode} request, when its replica ends a stream of two choices after one has finished, then the caller does not get it as complete`, async () => {
+      const choice = (index: number, isLast: boolean): string =>
+        frame('first', `text ${index}`, isLast).replace('"index":0', `"index":${index}`);
+      const body = `${choice(0, false)}${choice(1, false)}${choice(0, true)}`;
+      const unfinished = await observe({ ...wholeReply('first'), body: `${body}${endMarker}` }, 'confirm', isBuffered);
+      expect([unfinished.call.outcome, unfinished.attempts]).to.deep.equal([isBuffered ? 'denied' : 'cut', 1]);
+      const whole = `${body}${choice(1, true)}${endMarker}`;
+      const finished = await observe({ ...wholeReply('first'), body: whole }, 'confirm', isBuffered);
+      expect([finished.call.outcome, finished.attempts]).to.deep.equal(['whole', 1]);
+    });
 });
--- a/packages/upstream/src/replicaProtocol.ts
+++ b/packages/upstream/src/replicaProtocol.ts
@@ -67,7 +67,22 @@
   readonly id?: unknown;
   readonly model?: unknown;
   readonly error?: unknown;
-  readonly choices?: readonly { readonly finish_reason?: unknown }[];
+  readonly choices?: readonly { readonly index?: unknown; readonly finish_reason?: unknown }[] | null;
+}
+
+/** Which choices of a completion have begun, and which have given a finish reason. */
+class ChoiceProgress {
+  private readonly begun = new Set<unknown>();
+  private readonly finished = new Set<unknown>();
+
+  readonly add = ({ choices }: CompletionChunk): void => {
+    for (const { index = 0, finish_reason } of choices ?? []) {
+      this.begun.add(index);
+      if (typeof finish_reason === 'string') this.finished.add(index);
+    }
+  };
+
+  readonly areAllFinished = (): boolean => this.finished.size > 0 && this.finished.size === this.begun.size;
 }
 
 const parseChunk = (data: string): CompletionChunk | null => {
@@ -84,11 +99,11 @@
   weights: string,
 ): AsyncGenerator<CompletionEvent> {
   let responseId: unknown;
-  let isFinished = false;
+  const choices = new ChoiceProgress();
   try {
     for await (const data of sseData(body)) {
       if (data === doneMarker) {
-        yield isFinished
+        yield choices.areAllFinished()
           ? { kind: 'done' }
           : { kind: 'truncated', cause: 'the end marker came before a finish reason' };
         return;
@@ -102,7 +117,7 @@
       if (responseId === undefined) responseId = chunk.id;
       if (typeof responseId !== 'string' || chunk.id !== responseId)
         return yield { kind: 'truncated', cause: 'the response id changed within the stream' };
-      if (chunk.choices?.some((choice) => typeof choice.finish_reason === 'string') === true) isFinished = true;
+      choices.add(chunk);
       yield { kind: 'chunk', data };
     }
     yield { kind: 'truncated', cause: 'the stream ended without its end marker' };
