Test broken responses to HTTP/1.0, pipelined, and with no retries left

Cause: three more ways in which a response could be joined or look complete were read and found right, but no test held them: a caller that knows no chunks, a truncated response behind a later one of the same connection, and a 500 that is forwarded since the retry budget is spent.

Change: tests for each, over real sockets. The harness takes the slack of the retry budget.

--- a/packages/edge-proxy/test/brokenResponses.test.ts
+++ b/packages/edge-proxy/test/brokenResponses.test.ts
@@ -1,10 +1,13 @@
 import { expect } from 'chai';
 import {
+  EdgeFixture,
+  RawReplica,
   allRouteKinds,
   encodeChunk,
   eventCount,
   eventText,
   isRetryable,
+  requestText,
   responseHead,
   validResponse,
 } from './edgeHarness.js';
@@ -37,6 +40,14 @@
 const longPauseMs = 1_000;
 const brokenEvents = 3;
 
+const halfFailure: BrokenResponse = {
+  status: 409,
+  isChunked: false,
+  announcesClose: false,
+  cutPoint: 'after an event',
+  isReset: false,
+};
+
 /** The body of the broken response: the correct events where it is a success, otherwise others. */
 const bodyOf = ({ status }: BrokenResponse): string =>
   Array.from({ length: brokenEvents }, (_, at) =>
@@ -131,14 +142,7 @@
 
   // Guards against MIXED: half of a failure that is filled up with another replica's stream (review/6).
   it("given a replica's own failure with a length that breaks off half-way on a resumable route, when another replica could answer, then the caller gets a truncated failure and nothing of another response", async () => {
-    const { responses, requests } = await runCase({
-      kind: 'resumable stream',
-      status: 409,
-      isChunked: false,
-      announcesClose: false,
-      cutPoint: 'after an event',
-      isReset: false,
-    });
+    const { responses, requests } = await runCase({ kind: 'resumable stream', ...halfFailure });
     expect(requests.length).to.equal(1);
     expect(responses.map(({ status, isComplete }) => ({ status, isComplete }))).to.deep.equal([
       { status: 409, isComplete: false },
@@ -180,4 +184,50 @@
         });
         if (wrong.length > 0) expect.fail(wrong.join('\n'));
       });
+
+  // Guards against a cut that looks like the end: HTTP/1.0 has no chunks, so that only a reset tells it.
+  for (const [kind, broken] of [
+    ['resumable stream', { status: 409, isChunked: true }],
+    ['resumable stream', { status: 409, isChunked: false }],
+    ['stream', { status: 200, isChunked: true }],
+    ['repeatable', { status: 200, isChunked: false }],
+  ] as const)
+    it(`given a caller of HTTP/1.0 on a ${kind} route, when a response with status ${broken.status}, ${broken.isChunked ? 'chunked' : 'with a length'}, breaks off, then the caller can tell that it is truncated`, async () => {
+      const { responses, requests } = await observe({
+        kind,
+        scripts: [(request) => breakOff({ ...halfFailure, ...broken }, request)],
+        version: '1.0',
+      });
+      expect(requests.length).to.equal(1);
+      expect(responses.map(({ status, isComplete }) => [status, isComplete])).to.deep.equal([[broken.status, false]]);
+    });
+
+  // Guards against bytes of a truncated response in the place of another one of the same connection.
+  it('given two requests sent at once, when the first is answered late and the second breaks off meanwhile, then the caller gets the first whole, nothing that completes the second, and a closed connection', async () => {
+    const script = (request: ReplicaRequest): void => {
+      if (request.tryId === 'second') breakOff(halfFailure, request);
+      else setTimeout(() => request.socket.write(validResponse(request), 'latin1'), longPauseMs);
+    };
+    const fixture = await EdgeFixture.open([new RawReplica('r1', script), new RawReplica('r2', script)]);
+    const caller = fixture.caller();
+    try {
+      caller.socket.write(requestText('once', 'GET', 'first', 'none') + requestText('stream', 'GET', 'second', 'none'));
+      const responses = await caller.untilResponses(['GET', 'GET']);
+      expect(caller.isClosed).to.equal(true);
+      expect(responses.filter(({ isComplete }) => isComplete).map(({ body }) => body)).to.deep.equal([
+        'answer to first, whole\n',
+      ]);
+    } finally {
+      caller.socket.destroy();
+      await fixture.close();
+    }
+  });
+
+  // Guards against a failure that is continued where its retries are spent, which lets it through to the caller.
+  it('given a retry budget that is spent, when a 500 on a resumable route breaks off, then the caller gets a truncated 500 of one replica', async () => {
+    const scripts = [(request: ReplicaRequest): void => breakOff({ ...halfFailure, status: 500 }, request)];
+    const { responses, requests } = await observe({ kind: 'resumable stream', scripts, limits: { retrySlack: 0 } });
+    expect(requests.length).to.equal(1);
+    expect(responses.map(({ status, isComplete }) => [status, isComplete])).to.deep.equal([[500, false]]);
+  });
 });
--- a/packages/edge-proxy/test/edgeHarness.ts
+++ b/packages/edge-proxy/test/edgeHarness.ts
@@ -251,6 +251,8 @@
   readonly bodyBytes?: number;
   readonly memoryMb?: number;
   readonly openFiles?: number;
+  /** Slack of the retry budget; 0 leaves no retries at all. */
+  readonly retrySlack?: number;
 }
 
 const routingTableOf = (timeouts: Timeouts, { bodyBytes = 65_536, idleMs = 15_000 }: FixtureLimits): RoutingTable => ({
@@ -343,9 +345,9 @@
         drainMs: 1_000,
         orderGapMs: 3_000,
         versionMs: 8_000,
-        retryBudgetRatio: 1,
+        retryBudgetRatio: limits.retrySlack === 0 ? 0 : 1,
         retryBudgetWindowMs: 10_000,
-        retryBudgetSlack: 100,
+        retryBudgetSlack: limits.retrySlack ?? 100,
         listIntervalMs: 1_000,
         listPerSecond: 1,
         listTimeoutMs: 1_000,
--- a/packages/edge-proxy/test/scriptedReplicas.ts
+++ b/packages/edge-proxy/test/scriptedReplicas.ts
@@ -7,7 +7,7 @@
   shortTimeouts,
   validResponse,
 } from './edgeHarness.js';
-import type { CallerResponse, ReplicaRequest, RouteKind } from './edgeHarness.js';
+import type { CallerResponse, FixtureLimits, ReplicaRequest, RouteKind } from './edgeHarness.js';
 
 /** The id of the request that a scripted case sends. */
 export const testedId = 'the-try';
@@ -26,10 +26,11 @@
   /** What the replica does that is asked first, second and so on; those after them answer correctly. */
   readonly scripts: readonly Script[];
   readonly version?: string;
+  readonly limits?: FixtureLimits;
 }
 
 /** Sends one request to an edge before as many replicas as a request may try, and one more. */
-export const observe = async ({ kind, scripts, version = '1.1' }: ScriptedCase): Promise<Observation> => {
+export const observe = async ({ kind, scripts, version = '1.1', limits = {} }: ScriptedCase): Promise<Observation> => {
   let arrivals = 0;
   const script = (request: ReplicaRequest): void => {
     const respond = scripts[arrivals] ?? (() => void request.socket.write(validResponse(request), 'latin1'));
@@ -37,7 +38,7 @@
     respond(request);
   };
   const replicas = ['r1', 'r2', 'r3', 'r4'].map((id) => new RawReplica(id, script));
-  const fixture = await EdgeFixture.open(replicas, shortTimeouts);
+  const fixture = await EdgeFixture.open(replicas, shortTimeouts, limits);
   const caller = fixture.caller();
   try {
     caller.socket.write(requestText(kind, 'GET', testedId, 'none', version));
