--- a/packages/edge-proxy/test/resumedStreams.test.ts
+++ b/packages/edge-proxy/test/resumedStreams.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { eventText } from './edgeHarness.js';
+import { eventText, responseHead } from './edgeHarness.js';
 import { answerWith, breakOffAfter, observe, testedId } from './scriptedReplicas.js';
 import type { Observation, Script } from './scriptedReplicas.js';
 
@@ -80,6 +80,15 @@
       ({ socket, tryId }) => void socket.write(`HTTP/1.1 204 None\r\nTry-Id: ${tryId}\r\nServer-Seal: s\r\n\r\n`),
     ],
     ['encoded events', answerWith(events(2), ['Content-Type: text/event-stream', 'Content-Encoding: gzip'])],
+    [
+      'without a seal',
+      ({ socket, tryId }) => void socket.write(`${responseHead('200 OK', tryId, ['Content-Length: 3'])}a\n\n`),
+    ],
+    [
+      'another request',
+      ({ socket }) =>
+        void socket.write(`${responseHead('200 OK', 'another', ['Server-Seal: s', 'Content-Length: 3'])}a\n\n`),
+    ],
     ['a failure 409', answerWith(events(2), undefined, '409 Conflict')],
     ['a failure 500', answerWith(events(2), undefined, '500 Failed')],
     [
